--- /dev/null
+++ b/src/common/ids/accountId.ts
@@ -0,0 +1,9 @@
+import type { Brand } from './brand.js';
+
+/** Names one client account. */
+export type AccountId = Brand<string, 'AccountId'>;
+
+/** Marks a checked string as a AccountId. */
+export function toAccountId(value: string): AccountId {
+  return value as AccountId;
+}
--- /dev/null
+++ b/src/common/logging/index.ts
@@ -0,0 +1,3 @@
+export * from './logFields.js';
+export * from './formatLine.js';
+export * from './logger.js';
--- /dev/null
+++ b/src/common/settings/index.ts
@@ -0,0 +1,2 @@
+export * from './settings.js';
+export * from './readSettings.js';
--- /dev/null
+++ b/src/common/settings/settings.ts
@@ -0,0 +1,68 @@
+import { z } from 'zod';
+
+const address = z.string().regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'expected IP:PORT');
+const name = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, 'expected a name');
+
+const memberSchema = z.strictObject({
+  host: name.describe('Host id of the control host.'),
+  domain: name.describe('Failure domain of the control host.'),
+  address: address.describe('Mesh address of the control host.'),
+});
+
+const tlsSchema = z.strictObject({
+  certificate: z.string().describe('PEM file with the certificate chain.'),
+  key: z.string().describe('PEM file with the private key.'),
+  authority: z.string().optional().describe('PEM file with the authority that peers must present.'),
+});
+
+/** The schema of a daemon's settings file. */
+export const settingsSchema = z.strictObject({
+  host: name.describe('Id of this host; unique in the fleet.'),
+  domain: name.describe('Failure domain of this host.'),
+  roles: z
+    .array(z.enum(['entry', 'control']))
+    .min(1)
+    .describe('What this daemon does.'),
+  data_folder: z.string().optional().describe('Folder for durable state; needed for control.'),
+  mesh: z.strictObject({
+    listen: address.describe('Address for other daemons.'),
+    plain: z.boolean().default(false).describe('Allow the mesh without TLS.'),
+    tls: tlsSchema.optional(),
+  }),
+  control: z.strictObject({
+    members: z.array(memberSchema).min(1).describe('The control hosts to begin with.'),
+    bootstrap: z.boolean().default(false).describe('Found a new control quorum from the members.'),
+  }),
+  callers: z
+    .strictObject({
+      listen: address.describe('PostgreSQL address for callers.'),
+      statement_timeout_ms: z.int().min(1).default(30_000).describe('Deadline of a statement.'),
+      maximum_message_bytes: z.int().min(1024).default(33_554_432).describe('Largest message.'),
+      tls: tlsSchema.optional(),
+    })
+    .optional()
+    .describe('Needed for the entry role.'),
+  operators: z.strictObject({
+    listen: address.describe('HTTP address for operators, announcements and metrics.'),
+    token_file: z.string().optional().describe("File with the operators' bearer token."),
+  }),
+  backend: z
+    .strictObject({
+      user: z.string().default('filbertpoint').describe('User towards backend servers.'),
+      password_file: z.string().optional().describe('File with the password for that user.'),
+      platform_url: z.string().optional().describe("Base URL of the platform's promote call."),
+    })
+    .prefault({}),
+  fleet: z.strictObject({
+    token_key_file: z.string().optional().describe('File with the key that signs session tokens.'),
+    token_key: z.string().min(16).optional().describe('That key itself, for trials only.'),
+  }),
+  log: z
+    .strictObject({
+      level: z.enum(['debug', 'info', 'warn', 'error']).default('info').describe('Lowest level.'),
+    })
+    .prefault({}),
+});
+
+/** A daemon's settings, checked. */
+export type Settings = z.infer<typeof settingsSchema>;
--- /dev/null
+++ b/src/common/timer/index.ts
@@ -0,0 +1,3 @@
+export * from './timerService.js';
+export * from './systemTimerService.js';
+export * from './manualTimerService.js';
--- /dev/null
+++ b/src/decisions/control/accountAssignment.ts
@@ -0,0 +1,11 @@
+import type { AccountId } from '../../common/ids/index.js';
+import type { Holder } from './holder.js';
+import type { RecordKind } from './recordKind.js';
+
+/** Who may hand out a client account's rate; no holder while it moves. */
+export interface AccountAssignment {
+  readonly kind: RecordKind.AccountHolder;
+  readonly account: AccountId;
+  readonly holder?: Holder;
+  readonly draining: boolean;
+}
--- /dev/null
+++ b/src/decisions/control/announcement.ts
@@ -0,0 +1,27 @@
+import type {
+  FailureDomain,
+  GroupId,
+  InstanceId,
+  LogPosition,
+  Term,
+} from '../../common/ids/index.js';
+
+/** The role that a backend server says it has. */
+export enum InstanceRole {
+  Primary = 'primary',
+  Replica = 'replica',
+}
+
+/** What a backend server announces of itself, several times a second. */
+export interface Announcement {
+  readonly group: GroupId;
+  readonly instance: InstanceId;
+  readonly domain: FailureDomain;
+  readonly address: string;
+  readonly role: InstanceRole;
+  readonly term: Term;
+  readonly position: LogPosition;
+  readonly slots: number;
+  readonly connectionLimit: number;
+  readonly leaving: boolean;
+}
--- /dev/null
+++ b/src/decisions/control/groupReport.ts
@@ -0,0 +1,19 @@
+import type { GroupId, InstanceId, LogPosition, Term } from '../../common/ids/index.js';
+
+/** What a holder has seen of one instance over its own connections. */
+export interface InstanceSighting {
+  readonly instance: InstanceId;
+  readonly reachable: boolean;
+  readonly term: Term;
+  readonly position: LogPosition;
+}
+
+/** What a group's holder tells the control leader with its lease renewals. */
+export interface GroupReport {
+  readonly group: GroupId;
+  /** Highest term under which this holder will never again acknowledge a write: 0 for none. */
+  readonly fencedTerm: Term;
+  /** Highest position acknowledged to callers under the current term. */
+  readonly acknowledged: LogPosition;
+  readonly sightings: readonly InstanceSighting[];
+}
--- /dev/null
+++ b/src/decisions/control/instanceRecord.ts
@@ -0,0 +1,16 @@
+import type { FailureDomain, GroupId, InstanceId } from '../../common/ids/index.js';
+import type { RecordKind } from './recordKind.js';
+
+/** What a backend server announced of itself that seldom changes. */
+export interface InstanceRecord {
+  readonly kind: RecordKind.Instance;
+  readonly group: GroupId;
+  readonly instance: InstanceId;
+  readonly domain: FailureDomain;
+  /** PostgreSQL address `ip:port`. */
+  readonly address: string;
+  /** Statements that the instance runs at once. */
+  readonly slots: number;
+  /** Connections that the instance accepts. */
+  readonly connectionLimit: number;
+}
--- /dev/null
+++ b/src/decisions/control/recordKind.ts
@@ -0,0 +1,8 @@
+/** Tells replicated records apart. */
+export enum RecordKind {
+  Subject = 'subject',
+  Instance = 'instance',
+  GroupHolder = 'group-holder',
+  AccountHolder = 'account-holder',
+  Primary = 'primary',
+}
--- /dev/null
+++ b/src/decisions/tickets/groupState.ts
@@ -0,0 +1,12 @@
+import type { GroupId } from '../../common/ids/index.js';
+import type { Acknowledgement } from './acknowledgement.js';
+import type { SubjectKind } from './subjectKind.js';
+
+/** The whole state of a database group as operators set it. */
+export interface GroupState {
+  readonly kind: SubjectKind.Group;
+  readonly group: GroupId;
+  readonly acknowledgement: Acknowledgement;
+  /** Longest time a transaction may stay open, in milliseconds. */
+  readonly transactionLimitMs: number;
+}
--- /dev/null
+++ b/src/decisions/tickets/subjectState.ts
@@ -0,0 +1,34 @@
+import type { AccountState } from './accountState.js';
+import type { BackendServerState } from './backendServerState.js';
+import type { ControlMembersState } from './controlMembersState.js';
+import type { FailureDomainState } from './failureDomainState.js';
+import type { GroupState } from './groupState.js';
+import type { RouteState } from './routeState.js';
+import { SubjectKind } from './subjectKind.js';
+
+/** The whole new state of one subject of a ticket. */
+export type SubjectState =
+  | AccountState
+  | GroupState
+  | RouteState
+  | FailureDomainState
+  | BackendServerState
+  | ControlMembersState;
+
+/** The subject's name, such as `account/mill-7`; one subject is in force under it at a time. */
+export function getSubjectName(state: SubjectState): string {
+  switch (state.kind) {
+    case SubjectKind.Account:
+      return `account/${state.account}`;
+    case SubjectKind.Group:
+      return `group/${state.group}`;
+    case SubjectKind.Route:
+      return `route/${state.route}`;
+    case SubjectKind.FailureDomain:
+      return `failure-domain/${state.domain}`;
+    case SubjectKind.BackendServer:
+      return `backend-server/${state.group}/${state.instance}`;
+    case SubjectKind.ControlMembers:
+      return 'control-members';
+  }
+}
