--- a/src/common/logging/logger.ts
+++ b/src/common/logging/logger.ts
@@ -30,7 +30,7 @@
     private readonly write: (line: string) => void = (line) => process.stderr.write(`${line}\n`),
   ) {
     this.sink = new TsLogger<unknown>({ type: 'hidden', minLevel: LEVELS[level] });
-    this.sink.attachTransport((entry) => this.write(entry['0'] as string));
+    this.sink.attachTransport((entry) => this.write(entry['0'] as unknown as string));
   }
 
   /** Creates a logger that adds fields to each line. */
--- a/src/common/settings/settings.ts
+++ b/src/common/settings/settings.ts
@@ -50,7 +50,6 @@
     .strictObject({
       user: z.string().default('filbertpoint').describe('User towards backend servers.'),
       password_file: z.string().optional().describe('File with the password for that user.'),
-      platform_url: z.string().optional().describe("Base URL of the platform's promote call."),
     })
     .prefault({}),
   fleet: z.strictObject({
--- /dev/null
+++ b/src/daemon/operators/controlClient.ts
@@ -0,0 +1,19 @@
+import type { Outcome } from '../../common/result.js';
+import type { Announcement, SubjectReading, TicketAnswer } from '../../decisions/control/index.js';
+import type { Ticket } from '../../decisions/tickets/index.js';
+import type { TicketNumber } from '../../common/ids/index.js';
+import type { FleetStatus } from './fleetStatus.js';
+
+/** The way from a daemon's HTTP interface to the control quorum, on whichever host its leader is. */
+export abstract class ControlClient {
+  /** Submits a ticket; idempotent, so that a lost answer may be asked for by resending. */
+  abstract submitTicket(ticket: Ticket): Outcome<TicketAnswer>;
+  /** Reads an accepted ticket back, or undefined when there is none of that number. */
+  abstract readTicket(number: TicketNumber): Outcome<Ticket | undefined>;
+  /** Reads what is in force through a read barrier: one subject, or all when none is named. */
+  abstract readInForce(subject: string | undefined): Outcome<readonly SubjectReading[]>;
+  /** Reads the state of the fleet as the control leader sees it. */
+  abstract readStatus(): Outcome<FleetStatus>;
+  /** Takes a backend server's announcement; the newest of each instance goes to the control leader. */
+  abstract announce(announcement: Announcement): void;
+}
--- a/src/decisions/control/announcement.ts
+++ b/src/decisions/control/announcement.ts
@@ -17,7 +17,10 @@
   readonly group: GroupId;
   readonly instance: InstanceId;
   readonly domain: FailureDomain;
+  /** PostgreSQL address `ip:port`. */
   readonly address: string;
+  /** HTTP address `ip:port` at which the platform takes orders for this instance. */
+  readonly platform: string;
   readonly role: InstanceRole;
   readonly term: Term;
   readonly position: LogPosition;
--- a/src/decisions/control/index.ts
+++ b/src/decisions/control/index.ts
@@ -11,3 +11,5 @@
 export * from './leaseRenewal.js';
 export * from './leaseGrant.js';
 export * from './recordUpdate.js';
+export * from './ticketAnswer.js';
+export * from './subjectReading.js';
--- a/src/decisions/control/instanceRecord.ts
+++ b/src/decisions/control/instanceRecord.ts
@@ -9,6 +9,8 @@
   readonly domain: FailureDomain;
   /** PostgreSQL address `ip:port`. */
   readonly address: string;
+  /** HTTP address `ip:port` at which the platform takes orders for this instance. */
+  readonly platform: string;
   /** Statements that the instance runs at once. */
   readonly slots: number;
   /** Connections that the instance accepts. */
