--- /dev/null
+++ b/src/decisions/routing/classifyStatement.ts
@@ -0,0 +1,177 @@
+import { astVisitor, parse, type Statement as ParsedStatement } from 'pgsql-ast-parser';
+import { READ_ONLY_FUNCTIONS } from './readOnlyFunctions.js';
+import type { Statement } from './statement.js';
+import { StatementKind } from './statementKind.js';
+
+const COMMENTS = /--[^\n]*|\/\*[^]*?\*\//g;
+const SET = /^SET\s+(?:SESSION\s+)?([a-z_][\w.]*)\s*(?:=|\s+TO\s)\s*([^]*)$/i;
+const RESET = /^RESET\s+([a-z_][\w.]*)$/i;
+const SHOW = /^SHOW\s+([a-z_][\w.]*)$/i;
+const TEMPORARY = /^CREATE\s+(?:(?:LOCAL|GLOBAL)\s+)?TEMP(?:ORARY)?\b/i;
+const SELECT_INTO = /^SELECT\b[^;]*\bINTO\s+TEMP/i;
+const SESSION_LOCK = /\bpg_(?:try_)?advisory_lock(?:_shared)?\s*\(/i;
+const SET_CONFIG = /\bset_config\s*\(/i;
+
+const KEYWORD_KINDS: ReadonlyMap<string, StatementKind> = new Map([
+  ['BEGIN', StatementKind.Begin],
+  ['START', StatementKind.Begin],
+  ['COMMIT', StatementKind.Commit],
+  ['END', StatementKind.Commit],
+  ['ROLLBACK', StatementKind.Rollback],
+  ['ABORT', StatementKind.Rollback],
+]);
+
+const REFUSED_KEYWORDS: ReadonlyMap<string, string> = new Map([
+  ['COPY', 'COPY'],
+  ['LISTEN', 'LISTEN'],
+  ['UNLISTEN', 'UNLISTEN'],
+  ['PREPARE', 'SQL-level PREPARE'],
+  ['EXECUTE', 'SQL-level EXECUTE'],
+  ['DEALLOCATE', 'SQL-level DEALLOCATE'],
+  ['DECLARE', 'DECLARE CURSOR'],
+  ['LOAD', 'LOAD'],
+]);
+
+/** Classifies one statement text; what can't be classified is a write that may not be repeated. */
+export function classifyStatement(sql: string): Statement {
+  const text = sql.replace(COMMENTS, ' ').replace(/;\s*$/, '').trim();
+  const keyword = /^[a-z]+/i.exec(text)?.[0].toUpperCase() ?? '';
+  if (text === '') {
+    return create(StatementKind.Empty);
+  }
+  const refused = findRefusedFeature(keyword, text);
+  if (refused !== undefined) {
+    return { kind: StatementKind.Refused, unclassified: false, feature: refused };
+  }
+  return (
+    classifySetting(keyword, text) ??
+    classifyTransactionControl(keyword, text) ??
+    classifyParsed(text)
+  );
+}
+
+function create(kind: StatementKind, unclassified = false): Statement {
+  return { kind, unclassified };
+}
+
+function findRefusedFeature(keyword: string, text: string): string | undefined {
+  const feature = REFUSED_KEYWORDS.get(keyword);
+  if (feature !== undefined) {
+    return feature;
+  }
+  if (TEMPORARY.test(text) || SELECT_INTO.test(text)) {
+    return 'a temporary table';
+  }
+  if (SESSION_LOCK.test(text)) {
+    return 'a session-level advisory lock';
+  }
+  return SET_CONFIG.test(text) ? 'set_config' : undefined;
+}
+
+function classifySetting(keyword: string, text: string): Statement | undefined {
+  if (keyword === 'SHOW') {
+    const shown = SHOW.exec(text)?.[1];
+    return shown === undefined ? undefined : withParameter(StatementKind.Show, shown);
+  }
+  if (keyword === 'RESET') {
+    const reset = RESET.exec(text)?.[1];
+    return reset === undefined ? undefined : withParameter(StatementKind.Set, reset);
+  }
+  if (keyword === 'DISCARD') {
+    return withParameter(StatementKind.Set, 'all');
+  }
+  if (keyword !== 'SET' || /^SET\s+(?:LOCAL|TRANSACTION|CONSTRAINTS)\b/i.test(text)) {
+    return undefined;
+  }
+  const match = SET.exec(text);
+  if (match?.[1] === undefined || match[2] === undefined) {
+    return { kind: StatementKind.Refused, unclassified: false, feature: 'this form of SET' };
+  }
+  return withParameter(StatementKind.Set, match[1], readSettingValue(match[2].trim()));
+}
+
+function withParameter(kind: StatementKind, name: string, value?: string): Statement {
+  const parameter = name.toLowerCase();
+  return value === undefined
+    ? { kind, unclassified: false, parameter }
+    : { kind, unclassified: false, parameter, value };
+}
+
+function readSettingValue(text: string): string | undefined {
+  if (/^DEFAULT$/i.test(text)) {
+    return undefined;
+  }
+  const quoted = /^'((?:[^']|'')*)'$/.exec(text)?.[1];
+  return quoted === undefined ? text : quoted.replaceAll("''", "'");
+}
+
+function classifyTransactionControl(keyword: string, text: string): Statement | undefined {
+  if (keyword === 'ROLLBACK' && /^ROLLBACK\s+(?:WORK\s+|TRANSACTION\s+)?TO\b/i.test(text)) {
+    return create(StatementKind.Write);
+  }
+  if (text.includes(';')) {
+    return undefined;
+  }
+  if (/^(?:COMMIT|ROLLBACK|PREPARE)\s+(?:TRANSACTION\s+'|PREPARED)/i.test(text)) {
+    return { kind: StatementKind.Refused, unclassified: false, feature: 'two-phase commit' };
+  }
+  const kind = KEYWORD_KINDS.get(keyword);
+  return kind === undefined ? undefined : create(kind);
+}
+
+function classifyParsed(text: string): Statement {
+  let statements: ParsedStatement[];
+  try {
+    statements = parse(text);
+  } catch {
+    return create(StatementKind.Write, true);
+  }
+  const feature = statements.map(findSessionFeature).find((found) => found !== undefined);
+  if (feature !== undefined) {
+    return { kind: StatementKind.Refused, unclassified: false, feature };
+  }
+  const kind = statements.every(isReadOnly) ? StatementKind.Read : StatementKind.Write;
+  return create(kind);
+}
+
+function findSessionFeature(statement: ParsedStatement): string | undefined {
+  switch (statement.type) {
+    case 'set':
+      return statement.scope === 'local' ? undefined : 'SET among several statements';
+    case 'set names':
+    case 'set timezone':
+      return 'SET among several statements';
+    case 'prepare':
+    case 'deallocate':
+      return 'SQL-level PREPARE';
+    case 'create table':
+      return statement.temporary === true ? 'a temporary table' : undefined;
+    default:
+      return undefined;
+  }
+}
+
+function isReadOnly(statement: ParsedStatement): boolean {
+  if (!['select', 'union', 'union all', 'values', 'with'].includes(statement.type)) {
+    return false;
+  }
+  let readOnly = true;
+  const refuse = (): void => {
+    readOnly = false;
+  };
+  const visitor = astVisitor((map) => ({
+    call: (call) => {
+      readOnly &&= READ_ONLY_FUNCTIONS.has(call.function.name.toLowerCase());
+      map.super().call(call);
+    },
+    selection: (selection) => {
+      readOnly &&= selection.for === undefined;
+      map.super().selection(selection);
+    },
+    insert: refuse,
+    update: refuse,
+    delete: refuse,
+  }));
+  visitor.statement(statement);
+  return readOnly;
+}
--- /dev/null
+++ b/src/decisions/routing/positionClock.ts
@@ -0,0 +1,42 @@
+import type { LogPosition } from '../../common/ids/index.js';
+
+interface Sample {
+  readonly timeMs: number;
+  readonly position: LogPosition;
+}
+
+const MAXIMUM_SAMPLES = 512;
+
+/** Remembers when the primary had which position, to tell the age of a replica's data. */
+export class PositionClock {
+  private samples: Sample[] = [];
+
+  /** Records the primary's position as seen no later than `timeMs`. */
+  record(position: LogPosition, timeMs: number): void {
+    const last = this.samples.at(-1);
+    if (last !== undefined && position <= last.position) {
+      this.samples[this.samples.length - 1] = { timeMs, position: last.position };
+      return;
+    }
+    this.samples.push({ timeMs, position });
+    if (this.samples.length > MAXIMUM_SAMPLES) {
+      this.samples = this.samples.slice(MAXIMUM_SAMPLES / 2);
+    }
+  }
+
+  /** Forgets all samples, as after a change of primary. */
+  reset(): void {
+    this.samples = [];
+  }
+
+  /** An upper bound on the age in milliseconds of data at a position; infinite when unknown. */
+  getAgeMs(position: LogPosition, nowMs: number): number {
+    for (let index = this.samples.length - 1; index >= 0; index -= 1) {
+      const sample = this.samples[index];
+      if (sample !== undefined && sample.position <= position) {
+        return nowMs - sample.timeMs;
+      }
+    }
+    return Number.POSITIVE_INFINITY;
+  }
+}
--- /dev/null
+++ b/src/decisions/routing/replicaPolicies.ts
@@ -0,0 +1,66 @@
+import { assertInvariant } from '../../common/diagnostics/index.js';
+import type { FailureDomain } from '../../common/ids/index.js';
+import type { RandomSource } from '../../common/random.js';
+import type { InstanceView } from './instanceView.js';
+import { getExpectedDelay, ReplicaPolicy } from './replicaPolicy.js';
+
+/** Picks uniformly at random. */
+export class RandomReplica extends ReplicaPolicy {
+  override choose(
+    eligible: readonly InstanceView[],
+    _domain: FailureDomain,
+    random: RandomSource,
+  ): InstanceView {
+    return pick(eligible, random);
+  }
+}
+
+/** Picks the instance with the smallest expected delay. */
+export class LeastDelayReplica extends ReplicaPolicy {
+  override choose(eligible: readonly InstanceView[]): InstanceView {
+    return eligible.reduce((best, view) => getFaster(best, view));
+  }
+}
+
+/** Picks the faster of two random instances. */
+export class TwoChoicesReplica extends ReplicaPolicy {
+  override choose(
+    eligible: readonly InstanceView[],
+    _domain: FailureDomain,
+    random: RandomSource,
+  ): InstanceView {
+    return getFaster(pick(eligible, random), pick(eligible, random));
+  }
+}
+
+/** Keeps to the holder's failure domain unless the smallest delay elsewhere is far smaller. */
+export class NearReplica extends ReplicaPolicy {
+  constructor(private readonly remotePenaltyMs: number) {
+    super();
+  }
+
+  override choose(eligible: readonly InstanceView[], domain: FailureDomain): InstanceView {
+    let best: InstanceView | undefined;
+    let bestDelayMs = Number.POSITIVE_INFINITY;
+    for (const view of eligible) {
+      const penaltyMs = view.domain === domain ? 0 : this.remotePenaltyMs;
+      const delayMs = getExpectedDelay(view) + penaltyMs;
+      if (best === undefined || delayMs < bestDelayMs) {
+        best = view;
+        bestDelayMs = delayMs;
+      }
+    }
+    assertInvariant(best !== undefined, 'a replica policy is given at least one instance');
+    return best;
+  }
+}
+
+function pick(eligible: readonly InstanceView[], random: RandomSource): InstanceView {
+  const view = eligible[Math.floor(random.next() * eligible.length)];
+  assertInvariant(view !== undefined, 'a replica policy is given at least one instance');
+  return view;
+}
+
+function getFaster(left: InstanceView, right: InstanceView): InstanceView {
+  return getExpectedDelay(right) < getExpectedDelay(left) ? right : left;
+}
--- /dev/null
+++ b/src/decisions/routing/statementClassifier.ts
@@ -0,0 +1,32 @@
+import { classifyStatement } from './classifyStatement.js';
+import type { Statement } from './statement.js';
+
+const MAXIMUM_CACHED_TEXTS = 4096;
+const MAXIMUM_CACHED_CHARACTERS = 4096;
+
+/** Classifies statement texts and remembers the answers of short ones. */
+export class StatementClassifier {
+  private readonly cache = new Map<string, Statement>();
+
+  classify(sql: string): Statement {
+    const known = this.cache.get(sql);
+    if (known !== undefined) {
+      return known;
+    }
+    const statement = classifyStatement(sql);
+    if (sql.length <= MAXIMUM_CACHED_CHARACTERS) {
+      this.remember(sql, statement);
+    }
+    return statement;
+  }
+
+  private remember(sql: string, statement: Statement): void {
+    if (this.cache.size >= MAXIMUM_CACHED_TEXTS) {
+      const oldest = this.cache.keys().next();
+      if (oldest.done !== true) {
+        this.cache.delete(oldest.value);
+      }
+    }
+    this.cache.set(sql, statement);
+  }
+}
