--- /dev/null
+++ b/src/common/tasks/index.ts
@@ -0,0 +1,2 @@
+export * from './mailbox.js';
+export * from './task.js';
