--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -62,6 +62,19 @@
   OutcomeUnknown: error(3006, 'The outcome of the statement is unknown.', '08007'),
   BackendLost: error(3007, 'The connection to the backend server was lost.', '08006'),
 
+  BackendUnreachable: error(3008, 'No connection to the backend server: {reason}.', '08006'),
+  BackendAnswerInvalid: error(3009, 'The backend server sent no valid answer: {reason}.', '08P01'),
+  DeadlineExceeded: refusal(3010, 'The request could not start before its deadline.', '57014'),
+  HolderMoved: refusal(3011, 'This daemon no longer holds group "{group}".', '57P03'),
+  TransactionLost: error(3012, 'The transaction was lost and rolled back.', '40001'),
+  RequestCancelled: refusal(3013, 'The request was cancelled by its caller.', '57014'),
+  TransactionTooLong: error(3014, 'The transaction was open for more than {limit} ms.', '25P03'),
+  PrimaryFenced: message(3015, 'Primary "{instance}" of group "{group}" is fenced in term {term}.'),
+  InstanceUnreachable: warning(3016, 'Instance "{instance}" of group "{group}" is unreachable.'),
+  GroupTaken: message(3017, 'This daemon now holds group "{group}".'),
+  GroupReleased: message(3018, 'This daemon released group "{group}".'),
+  CallerRefused: message(3019, 'A caller was refused: {reason}'),
+
   // 4000: limits and queue
 
   // 5000: consensus and storage
@@ -73,5 +86,13 @@
 
   // 8000: mesh, announcements, operator API
 
+  // 8500: mesh
+  MeshFrameInvalid: warning(8500, 'A frame from another daemon was invalid: {reason}.'),
+  MeshLinkSilent: warning(8501, 'A link gave no sign for {silent} ms and was closed.'),
+  MeshLinkLost: message(8502, 'A link was lost: {reason}.'),
+  MeshLinkOpened: message(8503, 'A link was opened.'),
+  MeshUnreachable: error(8504, 'No link could be opened: {reason}.', '08006'),
+  TaskFailed: error(8505, 'A task failed: {reason}.', 'XX000'),
+
   // 9000: stand-in, bench
 } as const satisfies Record<string, Diagnostic>;
--- /dev/null
+++ b/src/daemon/backend/backendAccess.ts
@@ -0,0 +1,8 @@
+/** How the daemon presents itself to backend servers. */
+export interface BackendAccess {
+  /** The daemon's own IP address, to which outgoing connections are bound. */
+  readonly localIp: string;
+  readonly user: string;
+  readonly password: string | undefined;
+  readonly database: string;
+}
--- /dev/null
+++ b/src/daemon/backend/boundSocket.ts
@@ -0,0 +1,23 @@
+import { Socket } from 'node:net';
+
+/** A socket that connects from the daemon's own address. */
+class BoundSocket extends Socket {
+  constructor(private readonly localIp: string) {
+    super();
+    this.setNoDelay(true);
+  }
+
+  override connect(...parameters: unknown[]): this {
+    const [port, host] = parameters;
+    return super.connect({
+      port: Number(port),
+      host: String(host),
+      localAddress: this.localIp,
+    });
+  }
+}
+
+/** Creates a socket whose connection comes from the given local IP address. */
+export function createBoundSocket(localIp: string): Socket {
+  return new BoundSocket(localIp);
+}
--- /dev/null
+++ b/src/daemon/backend/frameScanner.ts
@@ -0,0 +1,89 @@
+import { FrameType } from './frameType.js';
+
+const HEADER_BYTES = 5;
+const MAXIMUM_KEPT_FRAME_BYTES = 1_048_576;
+
+const KEPT_TYPES: ReadonlySet<FrameType> = new Set<FrameType>([
+  FrameType.ParseComplete,
+  FrameType.Notification,
+  FrameType.CommandComplete,
+  FrameType.Error,
+  FrameType.CopyIn,
+  FrameType.CopyOut,
+  FrameType.EmptyQuery,
+  FrameType.ParameterStatus,
+  FrameType.CopyBoth,
+  FrameType.ReadyForQuery,
+]);
+
+/** What a scanner finds. */
+export interface FrameListener {
+  /** Takes bytes of frames that are passed on unread; not split at frame borders. */
+  passThrough(bytes: Buffer): void;
+  /** Takes one whole frame that decides something. */
+  frame(type: FrameType, bytes: Buffer): void;
+  /** The bytes are no frames. */
+  invalid(reason: string): void;
+}
+
+/** Finds the frames that matter in a backend server's bytes without copying the rows. */
+export class FrameScanner {
+  /** Start of a header or kept frame whose rest is still to come. */
+  private partial: Buffer | undefined;
+  /** Bytes still to come of a frame that is passed on unread. */
+  private remaining = 0;
+
+  constructor(private readonly listener: FrameListener) {}
+
+  /** Scans the next bytes. */
+  push(chunk: Buffer): void {
+    let bytes = chunk;
+    if (this.partial !== undefined) {
+      bytes = Buffer.concat([this.partial, chunk]);
+      this.partial = undefined;
+    }
+    this.scan(bytes);
+  }
+
+  private scan(bytes: Buffer): void {
+    let passStart = 0;
+    let offset = Math.min(this.remaining, bytes.length);
+    this.remaining -= offset;
+    while (offset < bytes.length) {
+      const length = offset + HEADER_BYTES <= bytes.length ? bytes.readUInt32BE(offset + 1) : 0;
+      const type: FrameType = bytes.readUInt8(offset);
+      const end = offset + 1 + length;
+      if (length === 0 || (KEPT_TYPES.has(type) && end > bytes.length)) {
+        this.keep(bytes, passStart, offset, length);
+        return;
+      }
+      if (length < HEADER_BYTES - 1) {
+        this.listener.invalid('a frame is shorter than its header');
+        return;
+      }
+      if (KEPT_TYPES.has(type)) {
+        this.pass(bytes, passStart, offset);
+        this.listener.frame(type, bytes.subarray(offset, end));
+        passStart = end;
+      }
+      this.remaining = Math.max(0, end - bytes.length);
+      offset = Math.min(end, bytes.length);
+    }
+    this.pass(bytes, passStart, offset);
+  }
+
+  private keep(bytes: Buffer, passStart: number, offset: number, length: number): void {
+    this.pass(bytes, passStart, offset);
+    if (length > MAXIMUM_KEPT_FRAME_BYTES) {
+      this.listener.invalid(`a control frame of ${length} bytes is too large`);
+      return;
+    }
+    this.partial = Buffer.from(bytes.subarray(offset));
+  }
+
+  private pass(bytes: Buffer, start: number, end: number): void {
+    if (end > start) {
+      this.listener.passThrough(bytes.subarray(start, end));
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/backend/instanceProbe.ts
@@ -0,0 +1,14 @@
+import type { LogPosition, Term } from '../../common/ids/index.js';
+
+/** What an instance said of itself. */
+export interface ProbeAnswer {
+  readonly inRecovery: boolean;
+  readonly term: Term;
+  readonly position: LogPosition;
+}
+
+/** Reads the position as a primary has it. */
+export const PRIMARY_PROBE = 'SELECT pg_is_in_recovery(), pg_current_wal_lsn(), standin_term()';
+
+/** Reads the position as a replica has it. */
+export const REPLICA_PROBE = 'SELECT pg_is_in_recovery(), pg_last_wal_replay_lsn(), standin_term()';
--- /dev/null
+++ b/src/daemon/backend/openSocket.ts
@@ -0,0 +1,63 @@
+import type { Socket } from 'node:net';
+import pg from 'pg';
+import { createFault, Diagnostics } from '../../common/diagnostics/index.js';
+import type { TimerService } from '../../common/timer/index.js';
+import { splitAddress } from '../splitAddress.js';
+import type { BackendAccess } from './backendAccess.js';
+import { createBoundSocket } from './boundSocket.js';
+
+/** An authenticated connection whose bytes are no longer read by the client library. */
+export interface OpenedSocket {
+  readonly socket: Socket;
+  readonly processId: number;
+  readonly secretKey: number;
+}
+
+/** The fields of the client library that its types leave out. */
+interface ClientInside {
+  readonly processID: number;
+  readonly secretKey: number;
+  readonly connection: { readonly stream: Socket };
+}
+
+/** Connects and authenticates with the client library, then takes the socket over; throws a Fault. */
+export async function openSocket(
+  address: string,
+  access: BackendAccess,
+  timeoutMs: number,
+  timer: TimerService,
+): Promise<OpenedSocket> {
+  const { ip, port } = splitAddress(address);
+  const socket = createBoundSocket(access.localIp);
+  const client = new pg.Client({
+    host: ip,
+    port,
+    user: access.user,
+    password: access.password,
+    database: access.database,
+    stream: () => socket,
+  });
+  client.on('error', () => undefined);
+  const cancelTimeout = timer.once(timeoutMs, () => {
+    socket.destroy(new Error(`no answer within ${timeoutMs} ms`));
+  });
+  try {
+    await client.connect();
+  } catch (cause) {
+    socket.destroy();
+    const reason = cause instanceof Error ? cause.message : String(cause);
+    const context = { step: 'backend.connect', peer: address };
+    throw createFault(Diagnostics.BackendUnreachable, { reason }, context);
+  } finally {
+    cancelTimeout();
+  }
+  return takeOver(client as unknown as ClientInside);
+}
+
+function takeOver(client: ClientInside): OpenedSocket {
+  const socket = client.connection.stream;
+  for (const event of ['data', 'end', 'close', 'error', 'readable']) {
+    socket.removeAllListeners(event);
+  }
+  return { socket, processId: client.processID, secretKey: client.secretKey };
+}
--- /dev/null
+++ b/src/daemon/holder/holderContext.ts
@@ -0,0 +1,20 @@
+import type { FailureDomain } from '../../common/ids/index.js';
+import type { Logger } from '../../common/logging/index.js';
+import type { RandomSource } from '../../common/random.js';
+import type { TimerService } from '../../common/timer/index.js';
+import type { DaemonRecords } from '../../decisions/control/index.js';
+import type { BackendAccess } from '../backend/index.js';
+import type { HolderLease } from './holderLease.js';
+
+/** What the parts of a holder share. */
+export interface HolderContext {
+  readonly domain: FailureDomain;
+  readonly timer: TimerService;
+  readonly logger: Logger;
+  readonly random: RandomSource;
+  readonly records: DaemonRecords;
+  readonly lease: HolderLease;
+  readonly access: Omit<BackendAccess, 'database'>;
+  /** Asks for a lease renewal at once, as when there is something to report. */
+  readonly reportNow: () => void;
+}
--- /dev/null
+++ b/src/daemon/mesh/frameCodec.ts
@@ -0,0 +1,36 @@
+import { Packr } from 'msgpackr';
+import { err, ok, type Result } from 'neverthrow';
+import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import { MeshKind } from './meshKind.js';
+import type { MeshMessage } from './meshMessage.js';
+
+const codec = new Packr({ useRecords: false, int64AsType: 'number' });
+const HIGHEST_KIND: number = MeshKind.ControlAnswer;
+
+/** Encodes a message as one frame. */
+export function encodeFrame(message: MeshMessage): Uint8Array {
+  return codec.pack(message);
+}
+
+/** Decodes a frame; one that is no message of the mesh is refused. */
+export function tryDecodeFrame(frame: Uint8Array, peer: string): Result<MeshMessage, Fault> {
+  let content: unknown;
+  try {
+    content = codec.unpack(frame);
+  } catch (cause) {
+    return err(invalidFrame(cause instanceof Error ? cause.message : 'not decodable', peer));
+  }
+  return isMessage(content) ? ok(content) : err(invalidFrame('no known kind', peer));
+}
+
+function isMessage(content: unknown): content is MeshMessage {
+  if (typeof content !== 'object' || content === null || !('kind' in content)) {
+    return false;
+  }
+  const { kind } = content;
+  return Number.isInteger(kind) && (kind as number) >= 1 && (kind as number) <= HIGHEST_KIND;
+}
+
+function invalidFrame(reason: string, peer: string): Fault {
+  return createFault(Diagnostics.MeshFrameInvalid, { reason }, { step: 'mesh.decode', peer });
+}
--- /dev/null
+++ b/src/daemon/mesh/mesh.ts
@@ -0,0 +1,176 @@
+import { createServer as createHttpServer, type Server } from 'node:http';
+import { createServer as createHttpsServer } from 'node:https';
+import type { AddressInfo } from 'node:net';
+import { WebSocket, WebSocketServer, type ClientOptions } from 'ws';
+import { Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import type { Logger } from '../../common/logging/index.js';
+import { Mailbox } from '../../common/tasks/index.js';
+import type { TimerService } from '../../common/timer/index.js';
+import { splitAddress } from '../splitAddress.js';
+import { MeshKind } from './meshKind.js';
+import { MESH_VERSION, MeshLink, type MeshLinkOwner } from './meshLink.js';
+import type { Hello, MeshMessage } from './meshMessage.js';
+import type { MeshOptions } from './meshOptions.js';
+
+/** A message with the link it came over. */
+export interface MeshDelivery<Message extends MeshMessage = MeshMessage> {
+  readonly link: MeshLink;
+  readonly message: Message;
+}
+
+/** All links of one daemon to the others. */
+export class Mesh implements MeshLinkOwner {
+  /** Links that were lost, with the reason. */
+  readonly lost = new Mailbox<MeshLink>();
+  private readonly mailboxes = new Map<MeshKind, Mailbox<MeshDelivery>>();
+  private readonly outgoing = new Map<string, MeshLink>();
+  private readonly links = new Set<MeshLink>();
+  private readonly web: Server;
+  private readonly server: WebSocketServer;
+  private hello: Hello;
+
+  constructor(
+    private readonly options: MeshOptions,
+    private readonly timer: TimerService,
+    private readonly logger: Logger,
+  ) {
+    this.web = createWebServer(options);
+    this.server = new WebSocketServer({
+      server: this.web,
+      maxPayload: options.maximumFrameBytes,
+      perMessageDeflate: false,
+    });
+    this.hello = createHello(options, options.listen);
+    this.server.on('connection', (socket, request) => {
+      const { remoteAddress, remotePort } = request.socket;
+      this.addLink(`${remoteAddress ?? '?'}:${remotePort ?? 0}`, socket);
+    });
+  }
+
+  /** Mesh address of this daemon, with the port that it got. */
+  get address(): string {
+    return this.hello.address;
+  }
+
+  /** Starts to listen; fails when the address can't be had. */
+  async listen(): Promise<void> {
+    const { ip, port } = splitAddress(this.options.listen);
+    await new Promise<void>((resolve, reject) => {
+      this.web.once('error', reject);
+      this.web.listen(port, ip, resolve);
+    });
+    const bound = this.web.address() as AddressInfo;
+    this.hello = createHello(this.options, `${ip}:${bound.port}`);
+  }
+
+  /** The messages of one kind that other daemons send. */
+  receive<Kind extends MeshMessage['kind']>(
+    kind: Kind,
+    handler: (delivery: MeshDelivery<Extract<MeshMessage, { readonly kind: Kind }>>) => void,
+  ): void {
+    let mailbox = this.mailboxes.get(kind);
+    if (mailbox === undefined) {
+      mailbox = new Mailbox<MeshDelivery>();
+      this.mailboxes.set(kind, mailbox);
+    }
+    void mailbox.stream.observe((delivery) =>
+      handler(delivery as MeshDelivery<Extract<MeshMessage, { readonly kind: Kind }>>),
+    );
+  }
+
+  /** Gets the link to an address, opening one when there is none. */
+  getLink(address: string): MeshLink {
+    const known = this.outgoing.get(address);
+    if (known !== undefined && !known.isClosed) {
+      return known;
+    }
+    const link = this.addLink(address, this.dial(address));
+    this.outgoing.set(address, link);
+    return link;
+  }
+
+  /** Sends a message to the daemon at an address. */
+  send(address: string, message: MeshMessage): void {
+    this.getLink(address).send(message);
+  }
+
+  /** Closes all links and stops to listen. */
+  async close(): Promise<void> {
+    for (const link of [...this.links]) {
+      link.close('shutdown');
+    }
+    this.server.close();
+    this.web.closeAllConnections();
+    await new Promise<void>((resolve) => {
+      this.web.close(() => resolve());
+    });
+  }
+
+  linkOpened(link: MeshLink): void {
+    this.logger.debug('link opened', { step: 'mesh.link', peer: link.peer?.host });
+  }
+
+  messageReceived(link: MeshLink, message: MeshMessage): void {
+    try {
+      this.mailboxes.get(message.kind)?.post({ link, message });
+    } catch (error) {
+      const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
+      this.logger.report(Diagnostics.TaskFailed, { reason }, { step: 'mesh.receive' });
+    }
+  }
+
+  linkClosed(link: MeshLink, fault: Fault): void {
+    this.links.delete(link);
+    if (this.outgoing.get(link.address) === link) {
+      this.outgoing.delete(link.address);
+    }
+    this.logger.debug(fault.message, { step: fault.step, peer: fault.peer });
+    this.lost.post(link);
+  }
+
+  private addLink(address: string, socket: WebSocket): MeshLink {
+    const link = new MeshLink(address, socket, this.hello, this.timer, this);
+    this.links.add(link);
+    return link;
+  }
+
+  private dial(address: string): WebSocket {
+    const { tls, maximumFrameBytes, listen } = this.options;
+    const options: ClientOptions = {
+      localAddress: splitAddress(listen).ip,
+      maxPayload: maximumFrameBytes,
+      perMessageDeflate: false,
+      handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
+    };
+    if (tls === undefined) {
+      return new WebSocket(`ws://${address}`, options);
+    }
+    const secure = { ca: tls.authority, cert: tls.certificate, key: tls.key };
+    return new WebSocket(`wss://${address}`, {
+      ...options,
+      ...secure,
+      // Hosts are known by IP number; membership rests on the fleet's own authority.
+      checkServerIdentity: () => false,
+    });
+  }
+}
+
+const HANDSHAKE_TIMEOUT_MS = 1000;
+
+function createHello(options: MeshOptions, address: string): Hello {
+  const { host, incarnation } = options;
+  return { kind: MeshKind.Hello, version: MESH_VERSION, host, incarnation, address };
+}
+
+function createWebServer({ tls }: MeshOptions): Server {
+  if (tls === undefined) {
+    return createHttpServer();
+  }
+  return createHttpsServer({
+    ca: tls.authority,
+    cert: tls.certificate,
+    key: tls.key,
+    requestCert: true,
+    rejectUnauthorized: true,
+  });
+}
--- /dev/null
+++ b/src/daemon/mesh/meshLink.ts
@@ -0,0 +1,159 @@
+import { WebSocket, type RawData } from 'ws';
+import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
+import { encodeFrame, tryDecodeFrame } from './frameCodec.js';
+import { MeshKind } from './meshKind.js';
+import type { Hello, MeshMessage } from './meshMessage.js';
+import type { MeshPeer } from './meshPeer.js';
+
+const HEARTBEAT_INTERVAL_MS = 200;
+const SILENCE_LIMIT_MS = 800;
+const MAXIMUM_WAITING_FRAMES = 10_000;
+
+/** The version of the mesh protocol; daemons of other versions are refused. */
+export const MESH_VERSION = 1;
+
+/** What a link tells its owner. */
+export interface MeshLinkOwner {
+  linkOpened(link: MeshLink): void;
+  messageReceived(link: MeshLink, message: MeshMessage): void;
+  linkClosed(link: MeshLink, fault: Fault): void;
+}
+
+/** One WebSocket connection to another daemon, condemned on its own when it goes silent. */
+export class MeshLink {
+  peer: MeshPeer | undefined;
+  private waiting: Uint8Array[] = [];
+  private closed = false;
+  private lastHeardMs: number;
+  private lastTickMs: number;
+  private sequence = 0;
+  private readonly stopHeartbeat: Unsubscribe;
+
+  constructor(
+    /** Address of the other side: dialled, or of the incoming socket. */
+    readonly address: string,
+    private readonly socket: WebSocket,
+    private readonly hello: Hello,
+    private readonly timer: TimerService,
+    private readonly owner: MeshLinkOwner,
+  ) {
+    this.lastHeardMs = timer.now();
+    this.lastTickMs = this.lastHeardMs;
+    socket.binaryType = 'nodebuffer';
+    socket.on('open', () => this.greet());
+    socket.on('message', (data) => this.receive(data));
+    socket.on('close', () => this.close('closed by the other side'));
+    socket.on('error', (error) => this.close(error.message));
+    this.stopHeartbeat = timer.subscribe(HEARTBEAT_INTERVAL_MS, (nowMs) => this.beat(nowMs));
+    if (socket.readyState === WebSocket.OPEN) {
+      this.greet();
+    }
+  }
+
+  get isClosed(): boolean {
+    return this.closed;
+  }
+
+  /** Bytes that were sent but not yet taken by the network. */
+  get unsentBytes(): number {
+    return this.socket.bufferedAmount;
+  }
+
+  /** Sends a message, after the greeting when that is still to come. */
+  send(message: MeshMessage): void {
+    if (this.closed) {
+      return;
+    }
+    const frame = encodeFrame(message);
+    if (this.peer !== undefined) {
+      this.socket.send(frame);
+      return;
+    }
+    this.waiting.push(frame);
+    if (this.waiting.length > MAXIMUM_WAITING_FRAMES) {
+      this.close('too many frames wait for the link to open');
+    }
+  }
+
+  /** Closes the link at once and tells the owner. */
+  close(reason: string): void {
+    if (this.closed) {
+      return;
+    }
+    this.closed = true;
+    this.stopHeartbeat();
+    this.waiting = [];
+    this.socket.terminate();
+    const fault = createFault(
+      Diagnostics.MeshLinkLost,
+      { reason },
+      { step: 'mesh.link', peer: this.address },
+    );
+    this.owner.linkClosed(this, fault);
+  }
+
+  private greet(): void {
+    this.socket.send(encodeFrame(this.hello));
+  }
+
+  private receive(data: RawData): void {
+    this.lastHeardMs = this.timer.now();
+    const decoded = tryDecodeFrame(data as Buffer, this.address);
+    if (decoded.isErr()) {
+      this.close(decoded.error.message);
+      return;
+    }
+    this.take(decoded.value);
+  }
+
+  private take(message: MeshMessage): void {
+    switch (message.kind) {
+      case MeshKind.Hello:
+        this.welcome(message);
+        return;
+      case MeshKind.Heartbeat:
+        this.send({ kind: MeshKind.HeartbeatAnswer, sequence: message.sequence });
+        return;
+      case MeshKind.HeartbeatAnswer:
+        return;
+      default:
+        if (this.peer === undefined) {
+          this.close('a message came before the greeting');
+          return;
+        }
+        this.owner.messageReceived(this, message);
+    }
+  }
+
+  private welcome(hello: Hello): void {
+    if (hello.version !== MESH_VERSION || this.peer !== undefined) {
+      this.close(`greeting of version ${hello.version} was not expected`);
+      return;
+    }
+    this.peer = { host: hello.host, incarnation: hello.incarnation, address: hello.address };
+    for (const frame of this.waiting) {
+      this.socket.send(frame);
+    }
+    this.waiting = [];
+    this.owner.linkOpened(this);
+  }
+
+  private beat(nowMs: number): void {
+    const paused = nowMs - this.lastTickMs > 2 * HEARTBEAT_INTERVAL_MS;
+    this.lastTickMs = nowMs;
+    if (paused) {
+      // This process stood still: silence says nothing about the other side.
+      this.lastHeardMs = nowMs;
+    }
+    const silentMs = nowMs - this.lastHeardMs;
+    if (silentMs > SILENCE_LIMIT_MS) {
+      this.close(`no sign for ${Math.round(silentMs)} ms`);
+      return;
+    }
+    this.sequence += 1;
+    if (this.socket.readyState === WebSocket.OPEN) {
+      this.send({ kind: MeshKind.Heartbeat, sequence: this.sequence });
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/requests/executeRequest.ts
@@ -0,0 +1,30 @@
+import type { AccountId, GroupId, LeaseId, RequestId } from '../../common/ids/index.js';
+import type { SessionPosition } from '../../decisions/sessions/index.js';
+import type { PreparedStatement } from './preparedStatement.js';
+import type { RequestKind } from './requestKind.js';
+
+/** One request of a caller on its way to the holder of its database group. */
+export interface ExecuteRequest {
+  /** Unique over the sender's incarnation; the same when the request is sent again. */
+  readonly id: RequestId;
+  readonly group: GroupId;
+  /** The holder's lease that the sender believes in force. */
+  readonly lease: LeaseId;
+  readonly account: AccountId;
+  readonly kind: RequestKind;
+  /** It may be run twice with the effect of once. */
+  readonly idempotent: boolean;
+  /** Data may be committed by it: its position is read before it is acknowledged. */
+  readonly mayCommit: boolean;
+  /** Time left until the deadline when the request was sent, in milliseconds. */
+  readonly remainingMs: number;
+  readonly session?: SessionPosition;
+  readonly maximumStalenessMs?: number;
+  /** The open transaction that the request belongs to. */
+  readonly transaction?: string;
+  /** Effects on the connection are unknown: it is closed after the request. */
+  readonly closesConnection: boolean;
+  readonly prepared: readonly PreparedStatement[];
+  /** Whole frontend messages, ending with a Query or Sync. */
+  readonly payload: Uint8Array;
+}
--- a/src/decisions/routing/index.ts
+++ b/src/decisions/routing/index.ts
@@ -11,3 +11,5 @@
 export * from './groupRouter.js';
 export * from './retryDecision.js';
 export * from './retryBudget.js';
+export * from './instanceHealth.js';
+export * from './writeConfirmations.js';
