Control state, ticket register, lease halves and daemon records

The control quorum needs a deterministic state machine, and daemons a copy of its records. Adds both, the two halves of the daemon lease and ticket validation.

--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -67,6 +67,37 @@
   // 5000: consensus and storage
 
   // 6000: tickets, leases, promotion
+  TicketInvalid: refusal(6000, 'The ticket is not valid at {path}: {expected}'),
+  TicketOutdated: refusal(
+    6001,
+    'Ticket {number} is not above ticket {winner}, which is in force on {subject}.',
+  ),
+  TicketNumberTaken: refusal(
+    6002,
+    'Ticket number {number} belongs to an accepted ticket with other content on {subject}.',
+  ),
+  CommandOutdated: refusal(6003, 'The command expected another state of {record}.'),
+  LeaseRetired: message(6010, 'Lease {lease} of host "{host}" ran out and is retired.'),
+  GroupAssigned: message(6011, 'Group "{group}" is assigned to host "{host}".'),
+  AccountAssigned: message(6012, 'Client account "{account}" is assigned to host "{host}".'),
+  GroupDraining: message(6013, 'Host "{host}" is asked to release group "{group}".'),
+  PrimaryRecorded: message(6020, 'Group "{group}" has primary "{instance}" of term {term}.'),
+  PrimaryLost: warning(6021, 'Primary "{instance}" of group "{group}" is lost: {reason}.'),
+  PromotionBegan: message(6022, 'Promotion of "{instance}" in group "{group}" to term {term}.'),
+  PromotionCompleted: message(
+    6023,
+    'Group "{group}" has primary "{instance}" of term {term} from position {position}.',
+  ),
+  PromotionAbandoned: warning(
+    6024,
+    'Promotion of "{instance}" in group "{group}" to term {term} is abandoned: {reason}.',
+  ),
+  PromotionWaits: warning(6025, 'Group "{group}" has no candidate for promotion: {reason}.'),
+  MoveBegan: message(6026, 'The primary of group "{group}" is moved from "{instance}".'),
+  ForeignPrimary: warning(
+    6027,
+    'Instance "{instance}" of group "{group}" announces itself primary of term {term}.',
+  ),
 
   // 7000: settings and command line
   SettingsInvalid: error(7000, 'Settings file {file}: {key}: {expected}'),
--- a/src/decisions/control/accountAssignment.ts
+++ b/src/decisions/control/accountAssignment.ts
@@ -1,4 +1,4 @@
-import type { AccountId } from '../../common/ids/index.js';
+import type { AccountId, Revision } from '../../common/ids/index.js';
 import type { Holder } from './holder.js';
 import type { RecordKind } from './recordKind.js';
 
@@ -7,5 +7,7 @@
   readonly kind: RecordKind.AccountHolder;
   readonly account: AccountId;
   readonly holder?: Holder;
+  /** Revision at which the holder was assigned; the release's when there is none. */
+  readonly since: Revision;
   readonly draining: boolean;
 }
--- /dev/null
+++ b/src/decisions/control/assignment.ts
@@ -0,0 +1,5 @@
+import type { AccountAssignment } from './accountAssignment.js';
+import type { GroupAssignment } from './groupAssignment.js';
+
+/** Who holds a resource. */
+export type Assignment = GroupAssignment | AccountAssignment;
--- /dev/null
+++ b/src/decisions/control/assignmentCommand.ts
@@ -0,0 +1,55 @@
+import type { AccountId, GroupId, LeaseId, Revision } from '../../common/ids/index.js';
+import type { CommandKind } from './commandKind.js';
+import type { Holder } from './holder.js';
+
+/** Gives a group without a holder to a daemon's lease. */
+export interface AssignGroup {
+  readonly kind: CommandKind.AssignGroup;
+  readonly group: GroupId;
+  readonly holder: Holder;
+  /** Revision of the present assignment record; 0 for none. */
+  readonly expected: Revision;
+}
+
+/** Asks a group's holder to drain and release it. */
+export interface DrainGroup {
+  readonly kind: CommandKind.DrainGroup;
+  readonly group: GroupId;
+  readonly expected: Revision;
+}
+
+/** Takes a group from a holder that gave it up. */
+export interface ReleaseGroup {
+  readonly kind: CommandKind.ReleaseGroup;
+  readonly group: GroupId;
+  readonly lease: LeaseId;
+  readonly expected: Revision;
+}
+
+/** Gives a client account without a holder to a daemon's lease. */
+export interface AssignAccount {
+  readonly kind: CommandKind.AssignAccount;
+  readonly account: AccountId;
+  readonly holder: Holder;
+  /** Revision of the present assignment record; 0 for none. */
+  readonly expected: Revision;
+}
+
+/** Asks a client account's holder to release it. */
+export interface DrainAccount {
+  readonly kind: CommandKind.DrainAccount;
+  readonly account: AccountId;
+  readonly expected: Revision;
+}
+
+/** Takes a client account from a holder that gave it up. */
+export interface ReleaseAccount {
+  readonly kind: CommandKind.ReleaseAccount;
+  readonly account: AccountId;
+  readonly lease: LeaseId;
+  readonly expected: Revision;
+}
+
+/** A command that changes who holds a resource. */
+export type AssignmentCommand =
+  AssignGroup | DrainGroup | ReleaseGroup | AssignAccount | DrainAccount | ReleaseAccount;
--- /dev/null
+++ b/src/decisions/control/commandKind.ts
@@ -0,0 +1,16 @@
+/** Tells the commands of the control log apart. */
+export enum CommandKind {
+  SubmitTicket = 'submit-ticket',
+  RegisterInstance = 'register-instance',
+  AssignGroup = 'assign-group',
+  DrainGroup = 'drain-group',
+  ReleaseGroup = 'release-group',
+  AssignAccount = 'assign-account',
+  DrainAccount = 'drain-account',
+  ReleaseAccount = 'release-account',
+  RetireLease = 'retire-lease',
+  RecordPrimary = 'record-primary',
+  BeginMove = 'begin-move',
+  BeginPromotion = 'begin-promotion',
+  CompletePromotion = 'complete-promotion',
+}
--- /dev/null
+++ b/src/decisions/control/controlState.ts
@@ -0,0 +1,178 @@
+import { Diagnostics } from '../../common/diagnostics/index.js';
+import {
+  toRevision,
+  type AccountId,
+  type GroupId,
+  type LeaseId,
+  type Revision,
+  type TicketNumber,
+} from '../../common/ids/index.js';
+import type { Ticket } from '../tickets/index.js';
+import type { Assignment } from './assignment.js';
+import { AssignmentBook } from './assignmentBook.js';
+import type { Command } from './command.js';
+import type { CommandAnswer } from './commandAnswer.js';
+import { CommandKind } from './commandKind.js';
+import type { ControlRecord, ControlRecordValue } from './controlRecord.js';
+import type { ControlSnapshot } from './controlSnapshot.js';
+import type { Holder } from './holder.js';
+import type { InstanceRecord } from './instanceRecord.js';
+import { PrimaryBook } from './primaryBook.js';
+import { RecordIndex } from './recordIndex.js';
+import { RecordKind } from './recordKind.js';
+import { getInstanceRecordName } from './recordNames.js';
+import { RecordReader } from './recordReader.js';
+import { RecordTable } from './recordTable.js';
+import { TicketRegister } from './ticketRegister.js';
+
+/** The replicated state machine of the control quorum: deterministic over its commands. */
+export class ControlState extends RecordReader {
+  private readonly records = new RecordTable();
+  private readonly index = new RecordIndex();
+  private readonly tickets: TicketRegister;
+  private readonly assignments = new AssignmentBook(this.records);
+  private readonly primaries = new PrimaryBook(this.records, this.assignments);
+  private appliedRevision = toRevision(0);
+
+  constructor(createRegister: () => TicketRegister = () => new TicketRegister()) {
+    super();
+    this.tickets = createRegister();
+  }
+
+  /** Revision of the last applied command. */
+  get revision(): Revision {
+    return this.appliedRevision;
+  }
+
+  /** Revision of the last command that changed a record. */
+  get changeRevision(): Revision {
+    return this.records.revision;
+  }
+
+  /** Applies a committed command; `revision` is its index in the control log. */
+  apply(command: Command, revision: Revision): CommandAnswer {
+    this.appliedRevision = revision;
+    switch (command.kind) {
+      case CommandKind.SubmitTicket:
+        return this.submitTicket(command.ticket, revision);
+      case CommandKind.RegisterInstance:
+        return this.registerInstance(command.instance, command.expected, revision);
+      case CommandKind.RecordPrimary:
+      case CommandKind.BeginMove:
+      case CommandKind.BeginPromotion:
+      case CommandKind.CompletePromotion:
+        return toAnswer(this.primaries.apply(command, revision));
+      default:
+        return toAnswer(this.assignments.apply(command, revision));
+    }
+  }
+
+  /** Every record that changed after a revision, by rising revision. */
+  getRecordsSince(revision: Revision): readonly ControlRecord[] {
+    return this.records.getSince(revision);
+  }
+
+  /** The accepted ticket of that number, while it is in force on at least one subject. */
+  getTicket(number: TicketNumber): Ticket | undefined {
+    return this.tickets.get(number);
+  }
+
+  /** Whether a ticket of that number was accepted, also when it is in force no more. */
+  isAcceptedTicket(number: TicketNumber): boolean {
+    return this.tickets.isAccepted(number);
+  }
+
+  /** The instances of a group. */
+  getInstances(group: GroupId): readonly InstanceRecord[] {
+    return this.index.getInstances(group);
+  }
+
+  /** Every group with a registered instance. */
+  getGroups(): readonly GroupId[] {
+    return this.index.getGroups();
+  }
+
+  /** Every client account. */
+  getAccounts(): readonly AccountId[] {
+    return this.index.getAccounts();
+  }
+
+  /** The leases that hold something, each with one of its holders' records. */
+  getHolders(): readonly Holder[] {
+    return this.assignments.getHolders();
+  }
+
+  /** The resources assigned to a lease. */
+  getHeld(lease: LeaseId): readonly Assignment[] {
+    return this.assignments.getHeld(lease);
+  }
+
+  /** Revision of a record; 0 when there is none. */
+  getRecordRevision(name: string): Revision {
+    return this.records.get(name)?.revision ?? toRevision(0);
+  }
+
+  /** Whether a lease was retired. */
+  isRetired(lease: LeaseId): boolean {
+    return this.assignments.isRetired(lease);
+  }
+
+  /** Copies the state as plain data. */
+  createSnapshot(): ControlSnapshot {
+    return {
+      revision: this.appliedRevision,
+      records: this.records.getSince(toRevision(0)),
+      tickets: this.tickets.createSnapshot(),
+      retiredLeases: this.assignments.getRetiredLeases(),
+    };
+  }
+
+  /** Takes over a copy in place of all that is here. */
+  restore(snapshot: ControlSnapshot): void {
+    this.appliedRevision = snapshot.revision;
+    this.records.clear();
+    this.index.clear();
+    for (const record of snapshot.records) {
+      this.records.put(record);
+      this.index.add(record.value);
+    }
+    this.tickets.restore(snapshot.tickets);
+    this.assignments.restore(snapshot.retiredLeases);
+  }
+
+  private submitTicket(ticket: Ticket, revision: Revision): CommandAnswer {
+    const { answer, isNew } = this.tickets.submit(ticket);
+    if (isNew) {
+      for (const state of ticket.subjects) {
+        this.set({ kind: RecordKind.Subject, ticket: ticket.number, state }, revision);
+      }
+    }
+    return { changed: isNew, ticket: answer };
+  }
+
+  private registerInstance(
+    instance: InstanceRecord,
+    expected: Revision,
+    revision: Revision,
+  ): CommandAnswer {
+    const name = getInstanceRecordName(instance.group, instance.instance);
+    if (this.getRecordRevision(name) !== expected) {
+      return toAnswer(false);
+    }
+    this.set(instance, revision);
+    return toAnswer(true);
+  }
+
+  private set(value: ControlRecordValue, revision: Revision): void {
+    this.records.set(value, revision);
+    this.index.add(value);
+  }
+
+  protected override findValue(name: string): ControlRecordValue | undefined {
+    return this.records.get(name)?.value;
+  }
+}
+
+function toAnswer(changed: boolean): CommandAnswer {
+  return changed ? { changed } : { changed, refusal: Diagnostics.CommandOutdated.code };
+}
--- a/src/decisions/control/groupAssignment.ts
+++ b/src/decisions/control/groupAssignment.ts
@@ -1,4 +1,4 @@
-import type { GroupId } from '../../common/ids/index.js';
+import type { GroupId, Revision } from '../../common/ids/index.js';
 import type { Holder } from './holder.js';
 import type { RecordKind } from './recordKind.js';
 
@@ -7,6 +7,8 @@
   readonly kind: RecordKind.GroupHolder;
   readonly group: GroupId;
   readonly holder?: Holder;
+  /** Revision at which the holder was assigned; the release's when there is none. */
+  readonly since: Revision;
   /** The holder is asked to drain and release, so that the group moves without waiting for a lease. */
   readonly draining: boolean;
 }
--- a/src/decisions/control/groupPrimary.ts
+++ b/src/decisions/control/groupPrimary.ts
@@ -1,4 +1,4 @@
-import type { GroupId, InstanceId, LogPosition, Term } from '../../common/ids/index.js';
+import type { GroupId, InstanceId, LogPosition, Revision, Term } from '../../common/ids/index.js';
 import type { RecordKind } from './recordKind.js';
 
 /** How far a change of primary has come. */
@@ -17,6 +17,16 @@
   readonly position: LogPosition;
 }
 
+/** What a promotion follows on. */
+export interface PromotionBase {
+  /** The last term that served. */
+  readonly term: Term;
+  /** The primary of that term; absent when control never saw one. */
+  readonly instance?: InstanceId;
+  /** Every acknowledged write is at or below this position. */
+  readonly required: LogPosition;
+}
+
 /** The primary of a group as control decided it. */
 export interface GroupPrimary {
   readonly kind: RecordKind.Primary;
@@ -24,6 +34,10 @@
   readonly term: Term;
   readonly instance: InstanceId;
   readonly phase: PrimaryPhase;
+  /** Revision at which the term began to serve; 0 until then. */
+  readonly since: Revision;
+  /** Set while promoting. */
+  readonly base?: PromotionBase;
   /** Where each earlier term ended, oldest first, bounded; a session position beyond its term's end is lost. */
   readonly history: readonly TermEnd[];
 }
--- a/src/decisions/control/groupReport.ts
+++ b/src/decisions/control/groupReport.ts
@@ -15,5 +15,6 @@
   readonly fencedTerm: Term;
   /** Highest position acknowledged to callers under the current term. */
   readonly acknowledged: LogPosition;
+  /** Once a term is fenced, only what was measured after fencing it. */
   readonly sightings: readonly InstanceSighting[];
 }
--- /dev/null
+++ b/src/decisions/control/primaryBook.ts
@@ -0,0 +1,123 @@
+import { toLogPosition, toRevision, type GroupId, type Revision } from '../../common/ids/index.js';
+import type { AssignmentBook } from './assignmentBook.js';
+import { CommandKind } from './commandKind.js';
+import { PrimaryPhase, type GroupPrimary, type PromotionBase } from './groupPrimary.js';
+import type {
+  BeginMove,
+  BeginPromotion,
+  CompletePromotion,
+  PrimaryCommand,
+  RecordPrimary,
+} from './primaryCommand.js';
+import { RecordKind } from './recordKind.js';
+import { getGroupHolderRecordName, getPrimaryRecordName } from './recordNames.js';
+import type { RecordTable } from './recordTable.js';
+
+const MAXIMUM_TERM_ENDS = 32;
+
+/** Each group's primary, over the replicated records. */
+export class PrimaryBook {
+  constructor(
+    private readonly records: RecordTable,
+    private readonly assignments: AssignmentBook,
+  ) {}
+
+  /** Applies a command; false when it was refused. */
+  apply(command: PrimaryCommand, revision: Revision): boolean {
+    const next = this.decide(command, revision);
+    if (next === undefined) {
+      return false;
+    }
+    this.records.set(next, revision);
+    return true;
+  }
+
+  private decide(command: PrimaryCommand, revision: Revision): GroupPrimary | undefined {
+    const present = this.find(command.group);
+    switch (command.kind) {
+      case CommandKind.RecordPrimary:
+        return present === undefined ? recordPrimary(command, revision) : undefined;
+      case CommandKind.BeginMove:
+        return beginMove(command, present);
+      case CommandKind.BeginPromotion:
+        return this.beginPromotion(command, present);
+      case CommandKind.CompletePromotion:
+        return completePromotion(command, present, revision);
+    }
+  }
+
+  private beginPromotion(
+    command: BeginPromotion,
+    present: GroupPrimary | undefined,
+  ): GroupPrimary | undefined {
+    const lease = this.assignments.getLease(getGroupHolderRecordName(command.group));
+    const term = present?.term ?? 0;
+    if (term !== command.expectedTerm || command.term <= term || lease !== command.expectedLease) {
+      return undefined;
+    }
+    return {
+      kind: RecordKind.Primary,
+      group: command.group,
+      term: command.term,
+      instance: command.instance,
+      phase: PrimaryPhase.Promoting,
+      since: toRevision(0),
+      base: createBase(command, present),
+      history: present?.history ?? [],
+    };
+  }
+
+  private find(group: GroupId): GroupPrimary | undefined {
+    return this.records.get(getPrimaryRecordName(group))?.value as GroupPrimary | undefined;
+  }
+}
+
+function createBase(command: BeginPromotion, present: GroupPrimary | undefined): PromotionBase {
+  if (present === undefined) {
+    return { term: command.expectedTerm, required: command.required };
+  }
+  if (present.base !== undefined) {
+    return present.base;
+  }
+  return { term: present.term, instance: present.instance, required: command.required };
+}
+
+function recordPrimary(command: RecordPrimary, revision: Revision): GroupPrimary {
+  return {
+    kind: RecordKind.Primary,
+    group: command.group,
+    term: command.term,
+    instance: command.instance,
+    phase: PrimaryPhase.Serving,
+    since: revision,
+    history: [],
+  };
+}
+
+function beginMove(
+  command: BeginMove,
+  present: GroupPrimary | undefined,
+): GroupPrimary | undefined {
+  if (present?.term !== command.term || present.phase !== PrimaryPhase.Serving) {
+    return undefined;
+  }
+  return { ...present, phase: PrimaryPhase.Moving };
+}
+
+function completePromotion(
+  command: CompletePromotion,
+  present: GroupPrimary | undefined,
+  revision: Revision,
+): GroupPrimary | undefined {
+  if (present?.term !== command.term || present.phase !== PrimaryPhase.Promoting) {
+    return undefined;
+  }
+  const required = present.base?.required ?? toLogPosition(0);
+  if (command.position < required) {
+    return undefined;
+  }
+  const { base, ...rest } = present;
+  const ended = { term: base?.term ?? present.term, position: command.position };
+  const history = [...present.history, ended].slice(-MAXIMUM_TERM_ENDS);
+  return { ...rest, phase: PrimaryPhase.Serving, since: revision, history };
+}
--- /dev/null
+++ b/src/decisions/control/recordIndex.ts
@@ -0,0 +1,43 @@
+import type { AccountId, GroupId } from '../../common/ids/index.js';
+import { SubjectKind } from '../tickets/index.js';
+import type { ControlRecordValue } from './controlRecord.js';
+import type { InstanceRecord } from './instanceRecord.js';
+import { RecordKind } from './recordKind.js';
+
+/** Lists over the replicated records, kept up as records change. */
+export class RecordIndex {
+  private readonly instances = new Map<GroupId, Map<string, InstanceRecord>>();
+  private readonly accounts = new Set<AccountId>();
+
+  /** Takes in a new or changed record. */
+  add(value: ControlRecordValue): void {
+    if (value.kind === RecordKind.Instance) {
+      const group = this.instances.get(value.group) ?? new Map<string, InstanceRecord>();
+      group.set(value.instance, value);
+      this.instances.set(value.group, group);
+    } else if (value.kind === RecordKind.Subject && value.state.kind === SubjectKind.Account) {
+      this.accounts.add(value.state.account);
+    }
+  }
+
+  /** The instances of a group, in the order in which they were registered. */
+  getInstances(group: GroupId): InstanceRecord[] {
+    return [...(this.instances.get(group)?.values() ?? [])];
+  }
+
+  /** Every group with a registered instance. */
+  getGroups(): GroupId[] {
+    return [...this.instances.keys()];
+  }
+
+  /** Every client account. */
+  getAccounts(): AccountId[] {
+    return [...this.accounts];
+  }
+
+  /** Drops all lists. */
+  clear(): void {
+    this.instances.clear();
+    this.accounts.clear();
+  }
+}
--- /dev/null
+++ b/src/decisions/control/recordNames.ts
@@ -0,0 +1,45 @@
+import type { AccountId, GroupId, InstanceId } from '../../common/ids/index.js';
+import { getSubjectName } from '../tickets/index.js';
+import type { ControlRecordValue } from './controlRecord.js';
+import { RecordKind } from './recordKind.js';
+
+/** Name of the record of a ticket's subject. */
+export function getSubjectRecordName(subject: string): string {
+  return `subject/${subject}`;
+}
+
+/** Name of the record of an instance. */
+export function getInstanceRecordName(group: GroupId, instance: InstanceId): string {
+  return `instance/${group}/${instance}`;
+}
+
+/** Name of the record of a group's holder. */
+export function getGroupHolderRecordName(group: GroupId): string {
+  return `group-holder/${group}`;
+}
+
+/** Name of the record of a client account's holder. */
+export function getAccountHolderRecordName(account: AccountId): string {
+  return `account-holder/${account}`;
+}
+
+/** Name of the record of a group's primary. */
+export function getPrimaryRecordName(group: GroupId): string {
+  return `primary/${group}`;
+}
+
+/** Name of the record that a value belongs to. */
+export function getRecordName(value: ControlRecordValue): string {
+  switch (value.kind) {
+    case RecordKind.Subject:
+      return getSubjectRecordName(getSubjectName(value.state));
+    case RecordKind.Instance:
+      return getInstanceRecordName(value.group, value.instance);
+    case RecordKind.GroupHolder:
+      return getGroupHolderRecordName(value.group);
+    case RecordKind.AccountHolder:
+      return getAccountHolderRecordName(value.account);
+    case RecordKind.Primary:
+      return getPrimaryRecordName(value.group);
+  }
+}
--- /dev/null
+++ b/src/decisions/control/ticketRegister.ts
@@ -0,0 +1,175 @@
+import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import type { TicketNumber } from '../../common/ids/index.js';
+import { getContentHash, getSubjectName, type Ticket } from '../tickets/index.js';
+import { TicketOutcome, type TicketAnswer } from './ticketAnswer.js';
+
+const MAXIMUM_REPLACED_TICKETS = 100_000;
+const STEP = 'ticket.submit';
+
+/** An accepted ticket that is in force on no subject any more. */
+export interface ReplacedTicket {
+  readonly number: TicketNumber;
+  readonly hash: string;
+  readonly subject: string;
+}
+
+/** The ticket register as plain data. */
+export interface TicketRegisterSnapshot {
+  /** Tickets in force on at least one subject, in order of acceptance. */
+  readonly inForce: readonly Ticket[];
+  /** Accepted tickets in force on none, oldest first. */
+  readonly replaced: readonly ReplacedTicket[];
+}
+
+interface TicketInForce {
+  readonly ticket: Ticket;
+  readonly hash: string;
+  readonly subjects: Set<string>;
+}
+
+/** The accepted tickets: which is in force on what, and the answer to each that is resent. */
+export class TicketRegister {
+  private readonly inForce = new Map<TicketNumber, TicketInForce>();
+  private readonly bySubject = new Map<string, TicketNumber>();
+  private readonly replaced = new Map<TicketNumber, ReplacedTicket>();
+
+  /** Accepts a ticket, answers again one that was accepted, or refuses. */
+  submit(ticket: Ticket): { readonly answer: TicketAnswer; readonly isNew: boolean } {
+    const known = this.getKnown(ticket.number);
+    if (known !== undefined) {
+      const isSame = this.isSameContent(known.hash, ticket);
+      const answer = isSame ? accept(ticket) : refuseTaken(ticket, known.subject);
+      return { answer, isNew: false };
+    }
+    const refusal = this.findRefusal(ticket);
+    if (refusal !== undefined) {
+      return { answer: refusal, isNew: false };
+    }
+    this.enforce(ticket);
+    return { answer: accept(ticket), isNew: true };
+  }
+
+  /** The ticket of that number, while it is in force on at least one subject. */
+  get(number: TicketNumber): Ticket | undefined {
+    return this.inForce.get(number)?.ticket;
+  }
+
+  /** Whether a ticket of that number was accepted. */
+  isAccepted(number: TicketNumber): boolean {
+    return this.getKnown(number) !== undefined;
+  }
+
+  /** The number of the ticket in force on a subject. */
+  getInForce(subject: string): TicketNumber | undefined {
+    return this.bySubject.get(subject);
+  }
+
+  /** Copies the register as plain data. */
+  createSnapshot(): TicketRegisterSnapshot {
+    return {
+      inForce: [...this.inForce.values()].map((entry) => entry.ticket),
+      replaced: [...this.replaced.values()],
+    };
+  }
+
+  /** Takes over a copy in place of all that is here. */
+  restore(snapshot: TicketRegisterSnapshot): void {
+    this.inForce.clear();
+    this.bySubject.clear();
+    this.replaced.clear();
+    for (const entry of snapshot.replaced) {
+      this.replaced.set(entry.number, entry);
+    }
+    for (const ticket of snapshot.inForce) {
+      this.enforce(ticket);
+    }
+  }
+
+  /** Whether a ticket is the accepted one of its number. */
+  protected isSameContent(hash: string, ticket: Ticket): boolean {
+    return hash === getContentHash(ticket);
+  }
+
+  /** Whether a ticket may replace the one in force on a subject. */
+  protected mayReplace(ticket: TicketNumber, inForce: TicketNumber): boolean {
+    return ticket > inForce;
+  }
+
+  private getKnown(number: TicketNumber): ReplacedTicket | undefined {
+    const entry = this.inForce.get(number);
+    if (entry === undefined) {
+      return this.replaced.get(number);
+    }
+    return { number, hash: entry.hash, subject: getFirstSubject(entry.ticket) };
+  }
+
+  private findRefusal(ticket: Ticket): TicketAnswer | undefined {
+    for (const state of ticket.subjects) {
+      const subject = getSubjectName(state);
+      const winner = this.bySubject.get(subject);
+      if (winner !== undefined && !this.mayReplace(ticket.number, winner)) {
+        return refuseOutdated(ticket, winner, subject);
+      }
+    }
+    return undefined;
+  }
+
+  private enforce(ticket: Ticket): void {
+    const subjects = new Set<string>();
+    this.inForce.set(ticket.number, { ticket, hash: getContentHash(ticket), subjects });
+    for (const state of ticket.subjects) {
+      const subject = getSubjectName(state);
+      const earlier = this.bySubject.get(subject);
+      this.bySubject.set(subject, ticket.number);
+      subjects.add(subject);
+      if (earlier !== undefined) {
+        this.replaceOn(subject, earlier);
+      }
+    }
+  }
+
+  private replaceOn(subject: string, number: TicketNumber): void {
+    const entry = this.inForce.get(number);
+    if (entry === undefined) {
+      return;
+    }
+    entry.subjects.delete(subject);
+    if (entry.subjects.size > 0) {
+      return;
+    }
+    this.inForce.delete(number);
+    this.replaced.set(number, { number, hash: entry.hash, subject });
+    this.dropOldest();
+  }
+
+  private dropOldest(): void {
+    const oldest = this.replaced.keys().next();
+    if (this.replaced.size > MAXIMUM_REPLACED_TICKETS && oldest.done !== true) {
+      this.replaced.delete(oldest.value);
+    }
+  }
+}
+
+function getFirstSubject(ticket: Ticket): string {
+  const [first] = ticket.subjects;
+  return first === undefined ? '' : getSubjectName(first);
+}
+
+function accept(ticket: Ticket): TicketAnswer {
+  return { number: ticket.number, outcome: TicketOutcome.Accepted };
+}
+
+function refuse(ticket: Ticket, fault: Fault): TicketAnswer {
+  const code = fault.diagnostic.code;
+  return { number: ticket.number, outcome: TicketOutcome.Refused, code, reason: fault.message };
+}
+
+function refuseTaken(ticket: Ticket, subject: string): TicketAnswer {
+  const values = { number: ticket.number, subject };
+  return refuse(ticket, createFault(Diagnostics.TicketNumberTaken, values, { step: STEP }));
+}
+
+function refuseOutdated(ticket: Ticket, winner: TicketNumber, subject: string): TicketAnswer {
+  const values = { number: ticket.number, winner, subject };
+  return refuse(ticket, createFault(Diagnostics.TicketOutdated, values, { step: STEP }));
+}
--- /dev/null
+++ b/src/decisions/leases/daemonLeases.ts
@@ -0,0 +1,181 @@
+import { toRevision, type HostId, type LeaseId, type Revision } from '../../common/ids/index.js';
+import type { LeaseRenewal } from '../control/leaseRenewal.js';
+import type { DaemonLease } from './daemonLease.js';
+import { getGranterLengthMs, type LeaseTerms } from './leaseTerms.js';
+
+/** What a renewal came to. */
+export enum RenewalOutcome {
+  Granted = 'granted',
+  /** The lease ran out here or was retired. */
+  Retired = 'retired',
+  /** The daemon has not taken up what was committed. */
+  Outdated = 'outdated',
+  /** A late or repeated renewal. */
+  Stale = 'stale',
+  /** This leader may not grant now. */
+  NotLeader = 'not-leader',
+}
+
+interface Commit {
+  readonly revision: Revision;
+  readonly atMs: number;
+}
+
+/**
+ * The leader's table of daemon leases, in memory only. A renewal is granted when the daemon has
+ * applied every change that was committed more than the take-up time before the renewal came, so
+ * that a change is in force on each daemon with a lease within the take-up time and one lease.
+ */
+export class DaemonLeases {
+  /** By rising expiry: every grant has the same length. */
+  private readonly leases = new Map<LeaseId, DaemonLease>();
+  private readonly byHost = new Map<HostId, LeaseId>();
+  private readonly expired = new Set<LeaseId>();
+  private commits: Commit[] = [];
+  private required = toRevision(0);
+  private waitUntilMs = 0;
+
+  constructor(private readonly terms: LeaseTerms) {}
+
+  /** Begins a leadership: leases that hold something may last one whole length from now. */
+  begin(assigned: Iterable<DaemonLease>, revision: Revision, nowMs: number): void {
+    this.leases.clear();
+    this.byHost.clear();
+    this.expired.clear();
+    this.commits = [];
+    this.required = revision;
+    this.waitUntilMs = nowMs + this.getWaitMs();
+    for (const lease of assigned) {
+      this.leases.set(lease.lease, { ...lease, expiryMs: this.waitUntilMs, isLive: false });
+    }
+  }
+
+  /** Notes a change of the records. */
+  noteCommit(revision: Revision, nowMs: number): void {
+    this.commits.push({ revision, atMs: nowMs });
+  }
+
+  /** Takes in a renewal; `isRetired` says whether the log retired the lease. */
+  renew(
+    renewal: LeaseRenewal,
+    isRetired: boolean,
+    mayGrant: boolean,
+    nowMs: number,
+  ): RenewalOutcome {
+    if (!mayGrant) {
+      return RenewalOutcome.NotLeader;
+    }
+    const present = this.leases.get(renewal.lease);
+    if (isRetired || this.isOver(renewal.lease, present, nowMs)) {
+      return RenewalOutcome.Retired;
+    }
+    if (present !== undefined && renewal.sequence <= present.sequence) {
+      return RenewalOutcome.Stale;
+    }
+    if (renewal.revision < this.getRequiredRevision(nowMs)) {
+      this.noteRefused(renewal, present);
+      return RenewalOutcome.Outdated;
+    }
+    this.grant(renewal, nowMs);
+    return RenewalOutcome.Granted;
+  }
+
+  /** Takes the leases that ran out; each is given once and never renewed again. */
+  takeExpired(nowMs: number): DaemonLease[] {
+    const taken: DaemonLease[] = [];
+    for (const lease of this.leases.values()) {
+      if (lease.expiryMs > nowMs) {
+        break;
+      }
+      taken.push(lease);
+    }
+    for (const lease of taken) {
+      this.drop(lease);
+      this.expired.add(lease.lease);
+    }
+    return taken;
+  }
+
+  /** Forgets a lease that the log retired. */
+  forget(lease: LeaseId): void {
+    const present = this.leases.get(lease);
+    if (present !== undefined) {
+      this.drop(present);
+    }
+    this.expired.delete(lease);
+  }
+
+  /** The lease of that id, while it lasts. */
+  get(lease: LeaseId): DaemonLease | undefined {
+    return this.leases.get(lease);
+  }
+
+  /** The lease that a host renewed last. */
+  getByHost(host: HostId): DaemonLease | undefined {
+    const lease = this.byHost.get(host);
+    return lease === undefined ? undefined : this.leases.get(lease);
+  }
+
+  /** Every lease renewed here that has not run out. */
+  getLive(): DaemonLease[] {
+    return [...this.leases.values()].filter((lease) => lease.isLive);
+  }
+
+  /** Whether leases granted by an earlier leader may still last. */
+  isWaiting(nowMs: number): boolean {
+    return nowMs < this.waitUntilMs;
+  }
+
+  /** The revision that a renewal received now must have reached. */
+  getRequiredRevision(nowMs: number): Revision {
+    let due = 0;
+    for (const commit of this.commits) {
+      if (commit.atMs + this.terms.takeUpMs > nowMs) {
+        break;
+      }
+      this.required = commit.revision;
+      due++;
+    }
+    if (due > 0) {
+      this.commits = this.commits.slice(due);
+    }
+    return this.required;
+  }
+
+  /** How long a new leader counts unknown leases as lasting. */
+  protected getWaitMs(): number {
+    return getGranterLengthMs(this.terms);
+  }
+
+  /** When a lease renewed now runs out. */
+  protected getExpiryMs(nowMs: number): number {
+    return nowMs + getGranterLengthMs(this.terms);
+  }
+
+  private isOver(lease: LeaseId, present: DaemonLease | undefined, nowMs: number): boolean {
+    return this.expired.has(lease) || (present !== undefined && present.expiryMs <= nowMs);
+  }
+
+  private grant(renewal: LeaseRenewal, nowMs: number): void {
+    const { lease, host, domain, address, sequence, revision, stopping } = renewal;
+    const expiryMs = this.getExpiryMs(nowMs);
+    const granted = { lease, host, domain, address, sequence, revision, stopping };
+    this.leases.delete(lease);
+    this.leases.set(lease, { ...granted, grantedAtMs: nowMs, expiryMs, isLive: true });
+    this.byHost.set(host, lease);
+  }
+
+  private noteRefused(renewal: LeaseRenewal, present: DaemonLease | undefined): void {
+    if (present !== undefined) {
+      const { sequence, revision, stopping } = renewal;
+      this.leases.set(renewal.lease, { ...present, sequence, revision, stopping });
+    }
+  }
+
+  private drop(lease: DaemonLease): void {
+    this.leases.delete(lease.lease);
+    if (this.byHost.get(lease.host) === lease.lease) {
+      this.byHost.delete(lease.host);
+    }
+  }
+}
--- /dev/null
+++ b/src/decisions/leases/heldLease.ts
@@ -0,0 +1,91 @@
+import type { LeaseId } from '../../common/ids/index.js';
+import type { LeaseGrant } from '../control/leaseGrant.js';
+
+const MAXIMUM_UNANSWERED = 64;
+
+/** What an answer to a renewal did to a held lease. */
+export enum GrantEffect {
+  /** The lease lasts longer. */
+  Extended = 'extended',
+  /** Late, repeated or of another lease: nothing changed. */
+  Ignored = 'ignored',
+  /** Nothing was granted; the lease lasts as long as before. */
+  Refused = 'refused',
+  /** The lease is over; the daemon needs one under a new id. */
+  Ended = 'ended',
+}
+
+/** The holder's half of a daemon lease: counted from before sending each renewal. */
+export class HeldLease {
+  private sequence = 0;
+  private expiryMs: number | undefined;
+  private ended = false;
+  private readonly sentAtMs = new Map<number, number>();
+
+  constructor(readonly id: LeaseId) {}
+
+  /** Notes that a renewal is about to be sent, and gives its sequence number. */
+  beginRenewal(nowMs: number): number {
+    this.sequence++;
+    this.sentAtMs.set(this.sequence, nowMs);
+    const [oldest] = this.sentAtMs.keys();
+    if (this.sentAtMs.size > MAXIMUM_UNANSWERED && oldest !== undefined) {
+      this.sentAtMs.delete(oldest);
+    }
+    return this.sequence;
+  }
+
+  /** Takes in an answer to a renewal. */
+  receiveGrant(grant: LeaseGrant, nowMs: number): GrantEffect {
+    if (grant.lease !== this.id || this.isOver(nowMs)) {
+      return GrantEffect.Ignored;
+    }
+    if (grant.retired) {
+      this.ended = true;
+      return GrantEffect.Ended;
+    }
+    const sentAtMs = this.sentAtMs.get(grant.sequence);
+    if (sentAtMs === undefined) {
+      return GrantEffect.Ignored;
+    }
+    this.sentAtMs.delete(grant.sequence);
+    return grant.lengthMs > 0 ? this.extend(sentAtMs, grant, nowMs) : GrantEffect.Refused;
+  }
+
+  /** Whether the daemon may act on what it holds under this lease. */
+  isValid(nowMs: number): boolean {
+    return !this.isOver(nowMs) && this.expiryMs !== undefined;
+  }
+
+  /** Whether the lease ran out or was retired; a lease never granted is not over. */
+  isOver(nowMs: number): boolean {
+    if (this.expiryMs !== undefined && nowMs >= this.expiryMs) {
+      this.ended = true;
+    }
+    return this.ended;
+  }
+
+  /** Time left, in milliseconds; 0 when not valid. */
+  getLeftMs(nowMs: number): number {
+    return this.isValid(nowMs) ? (this.expiryMs ?? nowMs) - nowMs : 0;
+  }
+
+  /** Ends the lease, after everything held under it was given up. */
+  end(): void {
+    this.ended = true;
+  }
+
+  /** When the time of a grant begins. */
+  protected getStartMs(sentAtMs: number, receivedAtMs: number): number {
+    return Math.min(sentAtMs, receivedAtMs);
+  }
+
+  private extend(sentAtMs: number, grant: LeaseGrant, nowMs: number): GrantEffect {
+    const expiryMs = this.getStartMs(sentAtMs, nowMs) + grant.lengthMs;
+    if (expiryMs <= nowMs || (this.expiryMs !== undefined && expiryMs <= this.expiryMs)) {
+      return GrantEffect.Ignored;
+    }
+    this.expiryMs = expiryMs;
+    return GrantEffect.Extended;
+  }
+}
--- /dev/null
+++ b/src/decisions/leases/index.ts
@@ -0,0 +1,4 @@
+export * from './leaseTerms.js';
+export * from './heldLease.js';
+export * from './daemonLease.js';
+export * from './daemonLeases.js';
--- /dev/null
+++ b/src/decisions/leases/leaseTerms.ts
@@ -0,0 +1,26 @@
+/** How long daemon leases last and how exactly they are counted. */
+export interface LeaseTerms {
+  /** Length of a lease, in milliseconds, counted by its holder from before sending. */
+  readonly lengthMs: number;
+  /** Largest relative difference between the rates of two hosts' clocks. */
+  readonly driftBound: number;
+  /** Time after a commit by which a renewal must include it, in milliseconds. */
+  readonly takeUpMs: number;
+}
+
+/** The terms used unless set otherwise. */
+export const DEFAULT_LEASE_TERMS: LeaseTerms = {
+  lengthMs: 2000,
+  driftBound: 0.01,
+  takeUpMs: 500,
+};
+
+/** Time after which the granter may count a lease as over, in milliseconds from receiving. */
+export function getGranterLengthMs(terms: LeaseTerms): number {
+  return terms.lengthMs * (1 + terms.driftBound);
+}
+
+/** Time after its commit by which a change is in force on every daemon with a lease. */
+export function getInForceBoundMs(terms: LeaseTerms): number {
+  return terms.takeUpMs + getGranterLengthMs(terms);
+}
--- a/src/decisions/tickets/index.ts
+++ b/src/decisions/tickets/index.ts
@@ -9,3 +9,6 @@
 export * from './controlMembersState.js';
 export * from './subjectState.js';
 export * from './ticket.js';
+export * from './contentHash.js';
+export * from './ticketSchema.js';
+export * from './parseTicket.js';
--- /dev/null
+++ b/src/decisions/tickets/ticketSchema.ts
@@ -0,0 +1,97 @@
+import { z } from 'zod';
+import { Acknowledgement } from './acknowledgement.js';
+import { SubjectKind } from './subjectKind.js';
+
+const MAXIMUM_NUMBER = Number.MAX_SAFE_INTEGER;
+const MAXIMUM_SUBJECTS = 1000;
+const MAXIMUM_KEYS = 100;
+const MAXIMUM_ACCOUNTS = 10_000;
+const MAXIMUM_MEMBERS = 7;
+const MAXIMUM_RATE_PER_SECOND = 100_000_000;
+const MAXIMUM_BURST = 100_000_000;
+const MINIMUM_ITERATIONS = 1;
+const MAXIMUM_ITERATIONS = 10_000_000;
+const MAXIMUM_OPEN_TRANSACTIONS = 1_000_000;
+const MAXIMUM_TRANSACTION_MS = 86_400_000;
+
+const name = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, 'expected a name');
+const base64 = z.base64().min(1).max(256);
+const address = z.string().regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'expected IP:PORT');
+
+const keySchema = z.strictObject({ id: name, storedKey: base64, serverKey: base64 });
+
+const accountSchema = z.strictObject({
+  kind: z.literal(SubjectKind.Account),
+  account: name,
+  rate: z.number().positive().max(MAXIMUM_RATE_PER_SECOND),
+  burst: z.number().min(1).max(MAXIMUM_BURST),
+  salt: base64,
+  iterations: z.int().min(MINIMUM_ITERATIONS).max(MAXIMUM_ITERATIONS),
+  keys: z
+    .array(keySchema)
+    .max(MAXIMUM_KEYS)
+    .refine((keys) => isUnique(keys.map((key) => key.id)), 'expected each key id once'),
+  maximumOpenTransactions: z.int().min(1).max(MAXIMUM_OPEN_TRANSACTIONS),
+});
+
+const groupSchema = z.strictObject({
+  kind: z.literal(SubjectKind.Group),
+  group: name,
+  acknowledgement: z.enum(Acknowledgement),
+  transactionLimitMs: z.number().positive().max(MAXIMUM_TRANSACTION_MS),
+});
+
+const routeSchema = z.strictObject({
+  kind: z.literal(SubjectKind.Route),
+  route: name,
+  group: name,
+  openAs: name.optional(),
+  accounts: z.array(name).max(MAXIMUM_ACCOUNTS).optional(),
+});
+
+const failureDomainSchema = z.strictObject({
+  kind: z.literal(SubjectKind.FailureDomain),
+  domain: name,
+  inService: z.boolean(),
+});
+
+const backendServerSchema = z.strictObject({
+  kind: z.literal(SubjectKind.BackendServer),
+  group: name,
+  instance: name,
+  leaving: z.boolean(),
+});
+
+const memberSchema = z.strictObject({ member: name, host: name, domain: name, address });
+
+const controlMembersSchema = z.strictObject({
+  kind: z.literal(SubjectKind.ControlMembers),
+  members: z
+    .array(memberSchema)
+    .min(1)
+    .max(MAXIMUM_MEMBERS)
+    .refine((members) => isUnique(members.map((each) => each.member)), 'expected each member once')
+    .refine((members) => isUnique(members.map((each) => each.host)), 'expected each host once'),
+});
+
+/** The schema of a ticket as operators write it. */
+export const ticketSchema = z.strictObject({
+  number: z.int().min(1).max(MAXIMUM_NUMBER),
+  subjects: z
+    .array(
+      z.discriminatedUnion('kind', [
+        accountSchema,
+        groupSchema,
+        routeSchema,
+        failureDomainSchema,
+        backendServerSchema,
+        controlMembersSchema,
+      ]),
+    )
+    .min(1)
+    .max(MAXIMUM_SUBJECTS),
+});
+
+function isUnique(values: readonly string[]): boolean {
+  return new Set(values).size === values.length;
+}
