Operators' HTTP interface and metrics

Cause: the daemon needs an HTTP side for operators, announcements, health and metrics. Conclusion: ready to be wired into the daemon.

--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -70,8 +70,31 @@
 
   // 7000: settings and command line
   SettingsInvalid: error(7000, 'Settings file {file}: {key}: {expected}'),
+  UsageInvalid: refusal(7001, '{problem}'),
+  OperatorsUnreachable: error(7002, "No operators' HTTP address answered: {problem}"),
+  AnswerMalformed: error(7003, 'The answer was not understood: {problem}'),
+  SubjectNotInForce: refusal(7004, 'No ticket is in force on {subject}.'),
+  FileUnreadable: refusal(7005, "File {file} can't be read: {problem}"),
+  RaceLost: refusal(
+    7006,
+    'Ticket {number} lost the race to another operator {attempts} times: {problem}',
+  ),
+
+  // 8000: operators' HTTP and announcements
+  OperatorsListening: message(8000, "Operators' HTTP interface listens on {address}."),
+  RequestInvalid: refusal(8001, 'The request is invalid: {problem}'),
+  TokenNeeded: refusal(8002, 'A valid bearer token is needed.'),
+  NotFound: refusal(8003, '{subject} was not found.'),
+  BodyTooLarge: refusal(8004, 'The body exceeds the limit of {limit} bytes.'),
+  TicketRefused: refusal(8005, 'The ticket was refused: {reason}'),
+  RequestFailed: error(8006, 'The request failed: {problem}'),
+  TicketAnswered: message(8007, 'Ticket {number} was {outcome}.'),
+  AccessUnprotected: warning(
+    8008,
+    'No token file is set for {access}; any local process has access.',
+  ),
 
-  // 8000: mesh, announcements, operator API
+  // 8500: mesh
 
   // 9000: stand-in, bench
 } as const satisfies Record<string, Diagnostic>;
--- /dev/null
+++ b/src/common/metrics/accountMetrics.ts
@@ -0,0 +1,87 @@
+import type { Counter, Histogram } from 'prom-client';
+import type { Diagnostic } from '../diagnostics/index.js';
+import { RequestClass } from './requestClass.js';
+import type { RequestTimes } from './requestTimes.js';
+
+const SECONDS_PER_MS = 0.001;
+
+/** The metrics that are kept for each client account. */
+export interface AccountCollectors {
+  readonly wait: Histogram<'account' | 'class'>;
+  readonly service: Histogram<'account' | 'class'>;
+  readonly total: Histogram<'account' | 'class'>;
+  readonly admitted: Counter<'account'>;
+  readonly refused: Counter<'account' | 'code'>;
+  readonly tokensGranted: Counter<'account'>;
+  readonly tokensReturned: Counter<'account'>;
+}
+
+interface ClassHistograms {
+  readonly wait: Histogram.Internal<'account' | 'class'>;
+  readonly service: Histogram.Internal<'account' | 'class'>;
+  readonly total: Histogram.Internal<'account' | 'class'>;
+}
+
+/** Records what happens to one client account's requests; keeps the labelled children at hand. */
+export class AccountMetrics {
+  private readonly classes: Readonly<Record<RequestClass, ClassHistograms>>;
+  private readonly admitted: Counter.Internal;
+  private readonly tokensGranted: Counter.Internal;
+  private readonly tokensReturned: Counter.Internal;
+  private readonly refusals = new Map<number, Counter.Internal>();
+
+  constructor(
+    private readonly label: string,
+    private readonly collectors: AccountCollectors,
+  ) {
+    this.classes = {
+      [RequestClass.Read]: this.createHistograms(RequestClass.Read),
+      [RequestClass.Write]: this.createHistograms(RequestClass.Write),
+      [RequestClass.Transaction]: this.createHistograms(RequestClass.Transaction),
+    };
+    this.admitted = collectors.admitted.labels(label);
+    this.tokensGranted = collectors.tokensGranted.labels(label);
+    this.tokensReturned = collectors.tokensReturned.labels(label);
+  }
+
+  /** Records where the time of an answered request went. */
+  recordRequest(requestClass: RequestClass, times: RequestTimes): void {
+    const histograms = this.classes[requestClass];
+    histograms.wait.observe(times.waitMs * SECONDS_PER_MS);
+    histograms.service.observe(times.serviceMs * SECONDS_PER_MS);
+    histograms.total.observe(times.totalMs * SECONDS_PER_MS);
+  }
+
+  /** Records a request that was admitted under the account's rate. */
+  recordAdmitted(): void {
+    this.admitted.inc();
+  }
+
+  /** Records a refused request under the number of its diagnostic. */
+  recordRefused(diagnostic: Diagnostic): void {
+    let counter = this.refusals.get(diagnostic.code);
+    if (counter === undefined) {
+      counter = this.collectors.refused.labels(this.label, `FP${diagnostic.code}`);
+      this.refusals.set(diagnostic.code, counter);
+    }
+    counter.inc();
+  }
+
+  /** Records tokens of the account's rate that a holder granted. */
+  recordTokensGranted(count: number): void {
+    this.tokensGranted.inc(count);
+  }
+
+  /** Records tokens that came back unused. */
+  recordTokensReturned(count: number): void {
+    this.tokensReturned.inc(count);
+  }
+
+  private createHistograms(requestClass: RequestClass): ClassHistograms {
+    return {
+      wait: this.collectors.wait.labels(this.label, requestClass),
+      service: this.collectors.service.labels(this.label, requestClass),
+      total: this.collectors.total.labels(this.label, requestClass),
+    };
+  }
+}
--- /dev/null
+++ b/src/common/metrics/connectionSide.ts
@@ -0,0 +1,6 @@
+/** Whose connections a gauge counts. */
+export enum ConnectionSide {
+  Callers = 'callers',
+  Backend = 'backend',
+  Mesh = 'mesh',
+}
--- /dev/null
+++ b/src/common/metrics/index.ts
@@ -0,0 +1,6 @@
+export * from './requestClass.js';
+export * from './requestTimes.js';
+export * from './readSource.js';
+export * from './connectionSide.js';
+export * from './accountMetrics.js';
+export * from './metrics.js';
--- /dev/null
+++ b/src/common/metrics/metrics.ts
@@ -0,0 +1,179 @@
+import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client';
+import type { AccountId, GroupId, Revision, Term } from '../ids/index.js';
+import { AccountMetrics, type AccountCollectors } from './accountMetrics.js';
+import { ConnectionSide } from './connectionSide.js';
+import { ReadSource } from './readSource.js';
+
+/** Accounts and groups with labels of their own; those beyond share the label `other`. */
+export const MAXIMUM_LABELS = 1_000;
+
+const OTHER_LABEL = 'other';
+const TIME_BUCKETS_SECONDS = [
+  0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30,
+];
+
+/** The metrics of one daemon, on a registry of its own. */
+export class Metrics {
+  readonly registry = new Registry();
+  private readonly collectors: AccountCollectors;
+  private readonly accounts = new Map<string, AccountMetrics>();
+  private readonly groups = new Set<GroupId>();
+  private readonly reads: Readonly<Record<ReadSource, Counter.Internal>>;
+  private readonly connections: Readonly<Record<ConnectionSide, Gauge.Internal<'side'>>>;
+  private readonly daemonLease: Gauge;
+  private readonly groupLeases: Gauge.Internal<'kind'>;
+  private readonly accountLeases: Gauge.Internal<'kind'>;
+  private readonly revision: Gauge;
+  private readonly controlTerm: Gauge;
+  private readonly groupTerm: Gauge<'group'>;
+
+  constructor(private readonly maximumLabels = MAXIMUM_LABELS) {
+    this.collectors = this.createAccountCollectors();
+    const reads = this.createCounter('reads_total', 'Reads by where they were served.', 'source');
+    this.reads = {
+      [ReadSource.Replica]: reads.labels(ReadSource.Replica),
+      [ReadSource.Primary]: reads.labels(ReadSource.Primary),
+    };
+    const connections = this.createGauge('connections', 'Open connections by side.', 'side');
+    this.connections = {
+      [ConnectionSide.Callers]: connections.labels(ConnectionSide.Callers),
+      [ConnectionSide.Backend]: connections.labels(ConnectionSide.Backend),
+      [ConnectionSide.Mesh]: connections.labels(ConnectionSide.Mesh),
+    };
+    this.daemonLease = this.createGauge('daemon_lease', '1 while the daemon lease is held.');
+    const leases = this.createGauge('resource_leases', 'Resource leases held, by kind.', 'kind');
+    this.groupLeases = leases.labels('group');
+    this.accountLeases = leases.labels('account');
+    this.revision = this.createGauge('configuration_revision', 'Revision that was applied.');
+    this.controlTerm = this.createGauge('control_term', 'Newest term of the control quorum.');
+    this.groupTerm = this.createGauge('group_term', 'Term of each group held here.', 'group');
+  }
+
+  /** Adds the process's own metrics: processor time, memory, event loop delay. */
+  collectProcessMetrics(): void {
+    collectDefaultMetrics({ register: this.registry });
+  }
+
+  /** The metrics of one client account; callers may keep the object. */
+  getAccount(account: AccountId): AccountMetrics {
+    return this.accounts.get(account) ?? this.addAccount(account);
+  }
+
+  /** Records where a read was served. */
+  recordRead(source: ReadSource): void {
+    this.reads[source].inc();
+  }
+
+  /** Sets the number of open connections of one side. */
+  setConnections(side: ConnectionSide, count: number): void {
+    this.connections[side].set(count);
+  }
+
+  /** Sets whether the daemon lease is held. */
+  setDaemonLease(isHeld: boolean): void {
+    this.daemonLease.set(isHeld ? 1 : 0);
+  }
+
+  /** Sets the number of resource leases held under the daemon lease. */
+  setResourceLeases(groups: number, accounts: number): void {
+    this.groupLeases.set(groups);
+    this.accountLeases.set(accounts);
+  }
+
+  /** Sets the configuration revision that was applied last. */
+  setRevision(revision: Revision): void {
+    this.revision.set(revision);
+  }
+
+  /** Sets the newest known term of the control quorum. */
+  setControlTerm(term: number): void {
+    this.controlTerm.set(term);
+  }
+
+  /** Sets the term of a database group that this daemon holds; groups beyond the bound are left out. */
+  setGroupTerm(group: GroupId, term: Term): void {
+    if (this.groups.has(group) || this.groups.size < this.maximumLabels) {
+      this.groups.add(group);
+      this.groupTerm.labels(group).set(term);
+    }
+  }
+
+  /** Removes the term of a database group that this daemon holds no more. */
+  removeGroup(group: GroupId): void {
+    if (this.groups.delete(group)) {
+      this.groupTerm.remove(group);
+    }
+  }
+
+  /** The page in Prometheus text format. */
+  format(): Promise<string> {
+    return this.registry.metrics();
+  }
+
+  private addAccount(account: AccountId): AccountMetrics {
+    const label = this.accounts.size < this.maximumLabels ? account : OTHER_LABEL;
+    let metrics = this.accounts.get(label);
+    if (metrics === undefined) {
+      metrics = new AccountMetrics(label, this.collectors);
+      this.accounts.set(label, metrics);
+    }
+    return metrics;
+  }
+
+  private createAccountCollectors(): AccountCollectors {
+    return {
+      wait: this.createHistogram('request_wait_seconds', 'Time until a request was sent.'),
+      service: this.createHistogram('request_service_seconds', 'Time at the backend server.'),
+      total: this.createHistogram('request_total_seconds', 'Time from arrival to answer.'),
+      admitted: this.createCounter('requests_admitted_total', 'Requests admitted.', 'account'),
+      refused: new Counter({
+        name: 'filbertpoint_requests_refused_total',
+        help: 'Requests refused, by diagnostic number.',
+        labelNames: ['account', 'code'],
+        registers: [this.registry],
+      }),
+      tokensGranted: this.createCounter('tokens_granted_total', 'Rate tokens granted.', 'account'),
+      tokensReturned: this.createCounter(
+        'tokens_returned_total',
+        'Rate tokens returned unused.',
+        'account',
+      ),
+    };
+  }
+
+  private createHistogram(name: string, help: string): Histogram<'account' | 'class'> {
+    return new Histogram({
+      name: `filbertpoint_${name}`,
+      help,
+      labelNames: ['account', 'class'],
+      buckets: TIME_BUCKETS_SECONDS,
+      registers: [this.registry],
+    });
+  }
+
+  private createCounter<Label extends string>(
+    name: string,
+    help: string,
+    ...labelNames: Label[]
+  ): Counter<Label> {
+    return new Counter({
+      name: `filbertpoint_${name}`,
+      help,
+      labelNames,
+      registers: [this.registry],
+    });
+  }
+
+  private createGauge<Label extends string>(
+    name: string,
+    help: string,
+    ...labelNames: Label[]
+  ): Gauge<Label> {
+    return new Gauge({
+      name: `filbertpoint_${name}`,
+      help,
+      labelNames,
+      registers: [this.registry],
+    });
+  }
+}
--- /dev/null
+++ b/src/common/metrics/readSource.ts
@@ -0,0 +1,5 @@
+/** Where a read was served. */
+export enum ReadSource {
+  Replica = 'replica',
+  Primary = 'primary',
+}
--- a/src/common/settings/index.ts
+++ b/src/common/settings/index.ts
@@ -1,2 +1,3 @@
+export * from './address.js';
 export * from './settings.js';
 export * from './readSettings.js';
--- a/src/common/settings/settings.ts
+++ b/src/common/settings/settings.ts
@@ -1,12 +1,16 @@
 import { z } from 'zod';
 
-const address = z.string().regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'expected IP:PORT');
-const name = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, 'expected a name');
+/** An address `ip:port`. */
+export const addressSchema = z.string().regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'expected IP:PORT');
+/** A name of a host, failure domain, group, instance or client account. */
+export const nameSchema = z
+  .string()
+  .regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, 'expected a name of letters, digits, ".", "_", "-"');
 
 const memberSchema = z.strictObject({
-  host: name.describe('Host id of the control host.'),
-  domain: name.describe('Failure domain of the control host.'),
-  address: address.describe('Mesh address of the control host.'),
+  host: nameSchema.describe('Host id of the control host.'),
+  domain: nameSchema.describe('Failure domain of the control host.'),
+  address: addressSchema.describe('Mesh address of the control host.'),
 });
 
 const tlsSchema = z.strictObject({
@@ -17,15 +21,15 @@
 
 /** The schema of a daemon's settings file. */
 export const settingsSchema = z.strictObject({
-  host: name.describe('Id of this host; unique in the fleet.'),
-  domain: name.describe('Failure domain of this host.'),
+  host: nameSchema.describe('Id of this host; unique in the fleet.'),
+  domain: nameSchema.describe('Failure domain of this host.'),
   roles: z
     .array(z.enum(['entry', 'control']))
     .min(1)
     .describe('What this daemon does.'),
   data_folder: z.string().optional().describe('Folder for durable state; needed for control.'),
   mesh: z.strictObject({
-    listen: address.describe('Address for other daemons.'),
+    listen: addressSchema.describe('Address for other daemons.'),
     plain: z.boolean().default(false).describe('Allow the mesh without TLS.'),
     tls: tlsSchema.optional(),
   }),
@@ -35,7 +39,7 @@
   }),
   callers: z
     .strictObject({
-      listen: address.describe('PostgreSQL address for callers.'),
+      listen: addressSchema.describe('PostgreSQL address for callers.'),
       statement_timeout_ms: z.int().min(1).default(30_000).describe('Deadline of a statement.'),
       maximum_message_bytes: z.int().min(1024).default(33_554_432).describe('Largest message.'),
       tls: tlsSchema.optional(),
@@ -43,8 +47,12 @@
     .optional()
     .describe('Needed for the entry role.'),
   operators: z.strictObject({
-    listen: address.describe('HTTP address for operators, announcements and metrics.'),
-    token_file: z.string().optional().describe("File with the operators' bearer token."),
+    listen: addressSchema.describe('HTTP address for operators, announcements and metrics.'),
+    token_file: z.string().optional().describe("File with the operators' bearer tokens."),
+    announcer_token_file: z
+      .string()
+      .optional()
+      .describe("File with the backend servers' bearer tokens for announcements."),
   }),
   backend: z
     .strictObject({
--- /dev/null
+++ b/src/daemon/operators/bodyLimit.ts
@@ -0,0 +1,2 @@
+/** Largest body of a request to the operators' HTTP interface. */
+export const MAXIMUM_BODY_BYTES = 1_048_576;
--- /dev/null
+++ b/src/daemon/operators/httpAnswer.ts
@@ -0,0 +1,30 @@
+import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import { createFaultBody } from './faultBody.js';
+import { getHttpStatus, HttpStatus } from './httpStatus.js';
+
+/** One answer of the HTTP interface. */
+export interface HttpAnswer {
+  readonly status: HttpStatus;
+  readonly body?: unknown;
+  readonly retryAfterMs?: number;
+}
+
+const DEFAULT_RETRY_AFTER_MS = 1_000;
+
+/** Creates the answer for a success. */
+export function createAnswer(body: unknown): HttpAnswer {
+  return { status: HttpStatus.Ok, body };
+}
+
+/** Creates the answer for a fault; a caller who may try again learns when. */
+export function createFaultAnswer(fault: Fault, status = getHttpStatus(fault)): HttpAnswer {
+  const answer = { status, body: createFaultBody(fault) };
+  return status === HttpStatus.ServiceUnavailable
+    ? { ...answer, retryAfterMs: fault.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS }
+    : answer;
+}
+
+/** Creates the answer for something that is not there. */
+export function createNotFoundAnswer(subject: string, step: string): HttpAnswer {
+  return createFaultAnswer(createFault(Diagnostics.NotFound, { subject }, { step }));
+}
--- /dev/null
+++ b/src/daemon/operators/httpStatus.ts
@@ -0,0 +1,46 @@
+import {
+  DiagnosticCategory,
+  Diagnostics,
+  Execution,
+  type Fault,
+} from '../../common/diagnostics/index.js';
+
+/** The HTTP statuses that the interface answers with. */
+export enum HttpStatus {
+  Ok = 200,
+  NoContent = 204,
+  BadRequest = 400,
+  Unauthorized = 401,
+  NotFound = 404,
+  Conflict = 409,
+  ContentTooLarge = 413,
+  InternalServerError = 500,
+  ServiceUnavailable = 503,
+  GatewayTimeout = 504,
+}
+
+const CANNOT_CONNECT_NOW = '57P03';
+
+const STATUS_OF: ReadonlyMap<number, HttpStatus> = new Map([
+  [Diagnostics.RequestInvalid.code, HttpStatus.BadRequest],
+  [Diagnostics.TokenNeeded.code, HttpStatus.Unauthorized],
+  [Diagnostics.NotFound.code, HttpStatus.NotFound],
+  [Diagnostics.BodyTooLarge.code, HttpStatus.ContentTooLarge],
+]);
+
+/** The status for a fault: of its number if listed, else by whether a retry may help. */
+export function getHttpStatus(fault: Fault): HttpStatus {
+  const listed = STATUS_OF.get(fault.diagnostic.code);
+  if (listed !== undefined) {
+    return listed;
+  }
+  if (fault.execution === Execution.Unknown) {
+    return HttpStatus.GatewayTimeout;
+  }
+  if (fault.retryAfterMs !== undefined || fault.diagnostic.sqlState === CANNOT_CONNECT_NOW) {
+    return HttpStatus.ServiceUnavailable;
+  }
+  return fault.diagnostic.category === DiagnosticCategory.Refusal
+    ? HttpStatus.Conflict
+    : HttpStatus.InternalServerError;
+}
--- /dev/null
+++ b/src/daemon/operators/operatorRequests.ts
@@ -0,0 +1,102 @@
+import type { Result } from 'neverthrow';
+import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import { toTicketNumber } from '../../common/ids/index.js';
+import { TicketOutcome, type TicketAnswer } from '../../decisions/control/index.js';
+import type { Ticket } from '../../decisions/tickets/index.js';
+import { tryParseAnnouncement } from './announcementBody.js';
+import type { ControlClient } from './controlClient.js';
+import type { FaultBody } from './faultBody.js';
+import {
+  createAnswer,
+  createFaultAnswer,
+  createNotFoundAnswer,
+  type HttpAnswer,
+} from './httpAnswer.js';
+import { HttpStatus } from './httpStatus.js';
+
+const TICKET_NUMBER = /^[1-9]\d{0,15}$/;
+
+/** Answers the requests of operators and backend servers, apart from HTTP itself. */
+export class OperatorRequests {
+  constructor(
+    private readonly control: ControlClient,
+    private readonly parseTicket: (body: unknown) => Result<Ticket, Fault>,
+  ) {}
+
+  /** Submits a ticket: 200 when accepted, 409 when refused. */
+  async submitTicket(body: unknown): Promise<HttpAnswer> {
+    const ticket = this.parseTicket(body);
+    if (ticket.isErr()) {
+      return createFaultAnswer(ticket.error, HttpStatus.BadRequest);
+    }
+    return this.control.submitTicket(ticket.value).match(createTicketAnswer, createFaultAnswer);
+  }
+
+  /** Reads an accepted ticket back. */
+  async readTicket(number: string): Promise<HttpAnswer> {
+    if (!TICKET_NUMBER.test(number) || !Number.isSafeInteger(Number(number))) {
+      const problem = 'a ticket number is a positive integer';
+      return createFaultAnswer(
+        createFault(Diagnostics.RequestInvalid, { problem }, { step: 'ticket.read' }),
+      );
+    }
+    return this.control
+      .readTicket(toTicketNumber(Number(number)))
+      .match(
+        (ticket) =>
+          ticket === undefined
+            ? createNotFoundAnswer(`Ticket ${number}`, 'ticket.read')
+            : createAnswer(ticket),
+        createFaultAnswer,
+      );
+  }
+
+  /** Reads what is in force on all subjects. */
+  async readAllInForce(): Promise<HttpAnswer> {
+    return this.control
+      .readInForce(undefined)
+      .match((subjects) => createAnswer({ subjects }), createFaultAnswer);
+  }
+
+  /** Reads what is in force on one subject. */
+  async readInForce(subject: string): Promise<HttpAnswer> {
+    return this.control
+      .readInForce(subject)
+      .match(
+        ([reading]) =>
+          reading === undefined
+            ? createNotFoundAnswer(`Subject "${subject}"`, 'ticket.inForce')
+            : createAnswer(reading),
+        createFaultAnswer,
+      );
+  }
+
+  /** Reads the state of the fleet. */
+  async readStatus(): Promise<HttpAnswer> {
+    return this.control.readStatus().match(createAnswer, createFaultAnswer);
+  }
+
+  /** Takes a backend server's announcement. */
+  announce(body: unknown): HttpAnswer {
+    const announcement = tryParseAnnouncement(body);
+    if (announcement.isErr()) {
+      return createFaultAnswer(announcement.error);
+    }
+    this.control.announce(announcement.value);
+    return { status: HttpStatus.NoContent };
+  }
+}
+
+function createTicketAnswer(answer: TicketAnswer): HttpAnswer {
+  if (answer.outcome === TicketOutcome.Accepted) {
+    return createAnswer(answer);
+  }
+  const fault = createFault(
+    Diagnostics.TicketRefused,
+    { reason: answer.reason ?? 'no reason was given' },
+    { step: 'ticket.submit' },
+  );
+  const refusal = createFaultAnswer(fault, HttpStatus.Conflict);
+  const body = refusal.body as FaultBody;
+  return { ...refusal, body: { ...body, code: answer.code ?? body.code } };
+}
--- /dev/null
+++ b/src/daemon/operators/operatorServer.test.ts
@@ -0,0 +1,230 @@
+import { err, ok, type Result } from 'neverthrow';
+import { afterEach, beforeEach, expect, test } from 'vitest';
+import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
+import { Logger } from '../../common/logging/index.js';
+import { Metrics } from '../../common/metrics/index.js';
+import { SystemTimerService } from '../../common/timer/index.js';
+import type { Ticket } from '../../decisions/tickets/index.js';
+import { BearerTokens, OperatorServer, Readiness, type ReadinessReport } from './index.js';
+import { MemoryControlClient } from '../../../tests/support/memoryControlClient.js';
+
+class SettableReadiness extends Readiness {
+  report: ReadinessReport = { hasLease: true, hasCurrentConfiguration: true };
+
+  override read(): ReadinessReport {
+    return this.report;
+  }
+}
+
+const TICKET = {
+  number: 5,
+  subjects: [{ kind: 'failure-domain', domain: 'adigrat', inService: false }],
+};
+const ANNOUNCEMENT = {
+  group: 'ledger-1',
+  instance: 'ledger-1-a',
+  domain: 'mekelle',
+  address: '127.0.1.1:5432',
+  platform: '127.0.1.1:8008',
+  role: 'primary',
+  term: 4,
+  position: 1200,
+  slots: 5,
+  connectionLimit: 50,
+  leaving: false,
+};
+
+let control: MemoryControlClient;
+let readiness: SettableReadiness;
+let server: OperatorServer;
+let lines: string[];
+let url: string;
+
+function parseTicket(body: unknown): Result<Ticket, Fault> {
+  const isTicket = typeof body === 'object' && body !== null && 'subjects' in body;
+  return isTicket
+    ? ok(body as Ticket)
+    : err(createFault(Diagnostics.RequestInvalid, { problem: 'no subjects' }, { step: 'parse' }));
+}
+
+beforeEach(async () => {
+  control = new MemoryControlClient();
+  readiness = new SettableReadiness();
+  lines = [];
+  server = new OperatorServer({
+    listen: '127.0.0.1:0',
+    control,
+    readiness,
+    metrics: new Metrics(),
+    timer: new SystemTimerService(),
+    logger: new Logger('info', { host: 'a1' }, (line) => lines.push(line)),
+    parseTicket,
+    operatorTokens: new BearerTokens(['operator-1', 'operator-2']),
+    announcerTokens: new BearerTokens(['announcer']),
+  });
+  const address = (await server.start())._unsafeUnwrap();
+  url = `http://${address.host}:${address.port}`;
+});
+
+afterEach(() => server.close());
+
+async function request(
+  method: string,
+  path: string,
+  body?: unknown,
+  token = 'operator-2',
+): Promise<{ status: number; body: unknown; headers: Headers }> {
+  const answer = await fetch(`${url}${path}`, {
+    method,
+    headers: {
+      authorization: `Bearer ${token}`,
+      ...(body === undefined ? {} : { 'content-type': 'application/json' }),
+    },
+    ...(body === undefined ? {} : { body: typeof body === 'string' ? body : JSON.stringify(body) }),
+  });
+  const text = await answer.text();
+  const isJson = answer.headers.get('content-type')?.startsWith('application/json') ?? false;
+  return { status: answer.status, body: isJson ? JSON.parse(text) : text, headers: answer.headers };
+}
+
+test('a ticket is submitted, resent, read back and shown in force', async () => {
+  const first = await request('POST', '/tickets', TICKET);
+  const second = await request('POST', '/tickets', TICKET);
+  expect(first).toMatchObject({ status: 200, body: { number: 5, outcome: 'accepted' } });
+  expect(second.body).toEqual(first.body);
+  expect(await request('GET', '/tickets/5')).toMatchObject({ status: 200, body: TICKET });
+  const reading = { subject: 'failure-domain/adigrat', ticket: 5, everywhere: true };
+  expect(await request('GET', '/in-force/failure-domain/adigrat')).toMatchObject({
+    status: 200,
+    body: reading,
+  });
+  expect(await request('GET', '/in-force')).toMatchObject({ body: { subjects: [reading] } });
+  expect(lines.join('\n')).toContain('code=FP8007');
+});
+
+test('a refused ticket is a conflict that carries its reason', async () => {
+  await request('POST', '/tickets', TICKET);
+  const other = { ...TICKET, subjects: [{ ...TICKET.subjects[0], inService: true }] };
+  const { status, body } = await request('POST', '/tickets', other);
+  expect({ status, body }).toMatchInlineSnapshot(`
+    {
+      "body": {
+        "code": 6000,
+        "detail": "not run",
+        "message": "The ticket was refused: Number 5 is not above the number in force.",
+        "step": "ticket.submit",
+      },
+      "status": 409,
+    }
+  `);
+});
+
+test('what is not there is not found', async () => {
+  expect((await request('GET', '/tickets/9')).status).toBe(404);
+  expect((await request('GET', '/in-force/account/mill-7')).status).toBe(404);
+  const { status, body } = await request('GET', '/nothing');
+  expect({ status, body }).toMatchInlineSnapshot(`
+    {
+      "body": {
+        "code": 8003,
+        "detail": "not run",
+        "message": "GET /nothing was not found.",
+        "step": "http.route",
+      },
+      "status": 404,
+    }
+  `);
+});
+
+test.each([
+  ['POST', '/tickets', '{"number":', 400],
+  ['POST', '/tickets', { number: 5 }, 400],
+  ['POST', '/tickets', 'x'.repeat(1_048_577), 413],
+  ['GET', '/tickets/0', undefined, 400],
+  ['GET', '/tickets/9999999999999999', undefined, 400],
+  ['GET', '/in-force/%zz', undefined, 400],
+])('bad input is refused with a clear body: %s %s', async (method, path, sent, expected) => {
+  const { status, body } = await request(method, path, sent);
+  expect({ status, body }).toMatchObject({ status: expected, body: { detail: 'not run' } });
+  expect(body).toMatchSnapshot();
+});
+
+test('no leader is 503 with the time to try again; an unknown outcome is 504', async () => {
+  const context = { step: 'control.submit', peer: 'a2', retryAfterMs: 1_500 };
+  control.fault = createFault(Diagnostics.LeaseExpired, {}, context);
+  const { status, body, headers } = await request('POST', '/tickets', TICKET);
+  expect({ status, body, retryAfter: headers.get('retry-after') }).toMatchInlineSnapshot(`
+    {
+      "body": {
+        "code": 3005,
+        "detail": "not run",
+        "message": "This daemon holds no lease.",
+        "peer": "a2",
+        "step": "control.submit",
+      },
+      "retryAfter": "2",
+      "status": 503,
+    }
+  `);
+  control.fault = createFault(
+    Diagnostics.OutcomeUnknown,
+    {},
+    { ...context, execution: Execution.Unknown },
+  );
+  expect(await request('POST', '/tickets', TICKET)).toMatchObject({
+    status: 504,
+    body: { detail: 'unknown' },
+  });
+});
+
+test('operators and backend servers have tokens of their own', async () => {
+  for (const token of ['announcer', 'operator-3', '']) {
+    expect((await request('GET', '/status', undefined, token)).status).toBe(401);
+    expect((await request('POST', '/tickets', TICKET, token)).status).toBe(401);
+  }
+  expect((await request('POST', '/announcements', ANNOUNCEMENT, 'operator-1')).status).toBe(401);
+  expect(control.submitted).toEqual([]);
+  expect(control.announcements).toEqual([]);
+  expect((await request('GET', '/status', undefined, 'operator-1')).status).toBe(200);
+});
+
+test('an announcement reaches control; a malformed one does not', async () => {
+  const newer = { ...ANNOUNCEMENT, version: 2 };
+  expect((await request('POST', '/announcements', newer, 'announcer')).status).toBe(204);
+  const broken = { ...ANNOUNCEMENT, term: -1, address: 'nowhere' };
+  const { status, body } = await request('POST', '/announcements', broken, 'announcer');
+  expect({ status, body }).toMatchInlineSnapshot(`
+    {
+      "body": {
+        "code": 8001,
+        "detail": "not run",
+        "message": "The request is invalid: address: expected IP:PORT; term: Too small: expected number to be >=0",
+        "step": "announcement.parse",
+      },
+      "status": 400,
+    }
+  `);
+  expect(control.announcements).toEqual([ANNOUNCEMENT]);
+});
+
+test('health and metrics are open; ready only with a lease and a current configuration', async () => {
+  expect((await request('GET', '/healthz', undefined, '')).status).toBe(200);
+  expect((await request('GET', '/metrics', undefined, '')).body).toContain(
+    '# TYPE filbertpoint_request_wait_seconds histogram',
+  );
+  expect((await request('GET', '/readyz', undefined, '')).status).toBe(200);
+  readiness.report = { hasLease: false, hasCurrentConfiguration: true };
+  expect((await request('GET', '/readyz', undefined, '')).status).toBe(503);
+  readiness.report = { hasLease: true, hasCurrentConfiguration: false };
+  const { status, body } = await request('GET', '/readyz', undefined, '');
+  expect({ status, body }).toMatchInlineSnapshot(`
+    {
+      "body": {
+        "hasCurrentConfiguration": false,
+        "hasLease": true,
+        "isReady": false,
+      },
+      "status": 503,
+    }
+  `);
+});
--- /dev/null
+++ b/tests/support/memoryControlClient.ts
@@ -0,0 +1,80 @@
+import { errAsync, okAsync } from 'neverthrow';
+import type { Outcome } from '../../src/common/result.js';
+import type { Fault } from '../../src/common/diagnostics/index.js';
+import { toHostId, toRevision, type TicketNumber } from '../../src/common/ids/index.js';
+import {
+  TicketOutcome,
+  type Announcement,
+  type SubjectReading,
+  type TicketAnswer,
+} from '../../src/decisions/control/index.js';
+import { getSubjectName, type Ticket } from '../../src/decisions/tickets/index.js';
+import { ControlClient, type FleetStatus } from '../../src/daemon/operators/index.js';
+
+/** A control client for tests: one register in memory, which can be made to fail. */
+export class MemoryControlClient extends ControlClient {
+  readonly announcements: Announcement[] = [];
+  readonly submitted: Ticket[] = [];
+  /** When set, every request ends with it. */
+  fault: Fault | undefined;
+  status: FleetStatus = {
+    leader: toHostId('a1'),
+    controlTerm: 3,
+    revision: toRevision(40),
+    daemons: [],
+    groups: [],
+    accounts: [],
+  };
+  private readonly tickets = new Map<TicketNumber, Ticket>();
+  private readonly readings = new Map<string, SubjectReading>();
+
+  override submitTicket(ticket: Ticket): Outcome<TicketAnswer> {
+    this.submitted.push(ticket);
+    return this.answer(() => this.accept(ticket));
+  }
+
+  override readTicket(number: TicketNumber): Outcome<Ticket | undefined> {
+    return this.answer(() => this.tickets.get(number));
+  }
+
+  override readInForce(subject: string | undefined): Outcome<readonly SubjectReading[]> {
+    return this.answer(() =>
+      [...this.readings.values()].filter(
+        (reading) => subject === undefined || reading.subject === subject,
+      ),
+    );
+  }
+
+  override readStatus(): Outcome<FleetStatus> {
+    return this.answer(() => this.status);
+  }
+
+  override announce(announcement: Announcement): void {
+    this.announcements.push(announcement);
+  }
+
+  private answer<Value>(compute: () => Value): Outcome<Value> {
+    return this.fault === undefined ? okAsync(compute()) : errAsync(this.fault);
+  }
+
+  private accept(ticket: Ticket): TicketAnswer {
+    const known = this.tickets.get(ticket.number);
+    if (known !== undefined && JSON.stringify(known) === JSON.stringify(ticket)) {
+      return { number: ticket.number, outcome: TicketOutcome.Accepted };
+    }
+    const isOutdated = ticket.subjects.some(
+      (state) => (this.readings.get(getSubjectName(state))?.ticket ?? 0) >= ticket.number,
+    );
+    if (known !== undefined || isOutdated) {
+      const reason = `Number ${ticket.number} is not above the number in force.`;
+      return { number: ticket.number, outcome: TicketOutcome.Refused, code: 6000, reason };
+    }
+    this.tickets.set(ticket.number, ticket);
+    for (const state of ticket.subjects) {
+      const subject = getSubjectName(state);
+      const reading = { subject, ticket: ticket.number, state, everywhere: true, missing: [] };
+      this.readings.set(subject, reading);
+    }
+    return { number: ticket.number, outcome: TicketOutcome.Accepted };
+  }
+}
