Consensus member: terms, pre-vote, lease, read barrier, membership

Change: src/decisions/consensus with ConsensusMember (pure; input and time in, ordered outputs out), its settings, rules, messages, in-memory log, durability tracking, replication, membership changes, read barriers and transfer. Conclusion: a usable interface for the shell; property tests follow.

--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -65,6 +65,17 @@
   // 4000: limits and queue
 
   // 5000: consensus and storage
+  NotControlLeader: refusal(5000, 'This host does not lead control; the leader is "{leader}".'),
+  MembershipChangePending: refusal(5001, 'An earlier membership change is not yet committed.'),
+  LearnerBehind: refusal(5002, 'Learner "{member}" has not caught up yet.'),
+  MemberKnown: refusal(5003, 'Member "{member}" is already there.'),
+  MemberUnknown: refusal(5004, 'Member "{member}" is not known.'),
+  LastVoter: refusal(5005, 'Member "{member}" is the last voter.'),
+  CommandTooLarge: refusal(5006, 'A command of {size} bytes exceeds the limit of {limit}.'),
+  LeadershipTransferring: refusal(5007, 'Leadership is being handed over.'),
+  RecordCorrupt: error(5100, 'Stored file {file} is corrupt at offset {offset}: {reason}.'),
+  StorageFailed: error(5101, 'Storage failed on {file}: {reason}.'),
+  LogTailRepaired: warning(5102, 'Dropped {size} bytes of an unfinished record from {file}.'),
 
   // 6000: tickets, leases, promotion
 
--- /dev/null
+++ b/src/decisions/consensus/durability.ts
@@ -0,0 +1,95 @@
+import { assertInvariant } from '../../common/diagnostics/index.js';
+import type { HardState } from './hardState.js';
+import type { LogEntry } from './logEntry.js';
+import type { ConsensusMessage } from './message.js';
+import { OutputKind, type PersistOutput } from './output.js';
+import type { Snapshot } from './snapshot.js';
+
+interface PendingPersist {
+  readonly sequence: number;
+  readonly hardState: HardState | undefined;
+  /** Last index that this and the earlier changes make durable. */
+  lastIndex: number;
+}
+
+interface HeldMessage<Command> {
+  readonly sequence: number;
+  readonly message: ConsensusMessage<Command>;
+}
+
+/** A change to be made durable. */
+export interface DurableChange<Command> {
+  readonly hardState?: HardState;
+  readonly snapshot?: Snapshot;
+  readonly truncateFrom?: number;
+  readonly entries?: readonly LogEntry<Command>[];
+}
+
+/** Follows which changes are durable, and holds back the messages that depend on them. */
+export class Durability<Command> {
+  private sequence = 0;
+  private pending: PendingPersist[] = [];
+  private held: HeldMessage<Command>[] = [];
+
+  constructor(
+    private durableHardState: HardState,
+    private durableIndex: number,
+  ) {}
+
+  /** The elections state that survives a crash now. */
+  get hardState(): HardState {
+    return this.durableHardState;
+  }
+
+  /** The last entry that survives a crash now, and all before it. */
+  get lastIndex(): number {
+    return this.durableIndex;
+  }
+
+  /** Starts a change; `lastIndex` is the end of the log with it. */
+  begin(change: DurableChange<Command>, lastIndex: number): PersistOutput<Command> {
+    if (change.truncateFrom !== undefined) {
+      this.forgetFrom(change.truncateFrom);
+    }
+    this.sequence++;
+    this.pending.push({ sequence: this.sequence, hardState: change.hardState, lastIndex });
+    return {
+      kind: OutputKind.Persist,
+      sequence: this.sequence,
+      hardState: change.hardState,
+      snapshot: change.snapshot,
+      truncateFrom: change.truncateFrom,
+      entries: change.entries ?? [],
+    };
+  }
+
+  /** Holds a message until the changes so far are durable; returns false when they are. */
+  tryHold(message: ConsensusMessage<Command>): boolean {
+    if (this.pending.length === 0) {
+      return false;
+    }
+    this.held.push({ sequence: this.sequence, message });
+    return true;
+  }
+
+  /** Notes that the changes up to the sequence are durable; returns the released messages. */
+  complete(sequence: number): readonly ConsensusMessage<Command>[] {
+    assertInvariant(sequence <= this.sequence, 'only changes that were begun become durable');
+    for (const change of this.pending.filter((candidate) => candidate.sequence <= sequence)) {
+      this.durableHardState = change.hardState ?? this.durableHardState;
+      this.durableIndex = change.lastIndex;
+    }
+    this.pending = this.pending.filter((change) => change.sequence > sequence);
+    const released = this.held.filter((entry) => entry.sequence <= sequence);
+    this.held = this.held.filter((entry) => entry.sequence > sequence);
+    return released.map((entry) => entry.message);
+  }
+
+  /** Counts the entries from the index on as not durable, because others replace them. */
+  forgetFrom(index: number): void {
+    this.durableIndex = Math.min(this.durableIndex, index - 1);
+    for (const change of this.pending) {
+      change.lastIndex = Math.min(change.lastIndex, index - 1);
+    }
+  }
+}
--- /dev/null
+++ b/src/decisions/consensus/election.ts
@@ -0,0 +1,172 @@
+import { assertInvariant } from '../../common/diagnostics/index.js';
+import type { MemberCore } from './memberCore.js';
+import type { MemberId } from './memberId.js';
+import { getPeers, hasQuorum, isVoter } from './membership.js';
+import {
+  MessageKind,
+  type PreVoteRequest,
+  type PreVoteResponse,
+  type VoteRequest,
+  type VoteResponse,
+} from './message.js';
+import { Role } from './role.js';
+
+/** Campaigns for leadership and answers the campaigns of others. */
+export class Election<Command> {
+  private campaign = 0;
+  private readonly grants = new Set<MemberId>();
+
+  constructor(private readonly core: MemberCore<Command>) {}
+
+  /** Starts a campaign when no leader has been heard for an election timeout. */
+  tick(): void {
+    const { core } = this;
+    if (core.role === Role.Leader || core.nowMs < core.electionDeadlineMs) {
+      return;
+    }
+    if (!core.isVoter) {
+      core.becomeFollower(core.term, undefined);
+    } else if (core.rules.usesPreVote()) {
+      this.startPreVote();
+    } else {
+      this.startVote(false);
+    }
+  }
+
+  /** Becomes a candidate of the next term. */
+  startVote(isTransfer: boolean): void {
+    const { core } = this;
+    this.startCampaign(Role.Candidate);
+    core.setHardState({ term: core.term + 1, votedFor: core.identity });
+    for (const to of getPeers({ ...core.log.membership, learners: [] }, core.identity)) {
+      core.sendWhenDurable({
+        ...this.createCandidacy(to),
+        kind: MessageKind.VoteRequest,
+        isTransfer,
+      });
+    }
+  }
+
+  /** Counts the own vote once it is durable; returns whether the election is won. */
+  countOwnVote(): boolean {
+    const { core } = this;
+    const { hardState } = core.durability;
+    const isDurable = hardState.term === core.term && hardState.votedFor === core.identity;
+    return core.role === Role.Candidate && isDurable && this.count(core.identity);
+  }
+
+  /** Counts a vote; returns whether the election is won. */
+  receiveVote(message: VoteResponse): boolean {
+    const { core } = this;
+    const isCurrent = message.term === core.term && message.campaign === this.campaign;
+    return core.role === Role.Candidate && isCurrent && message.granted && this.count(message.from);
+  }
+
+  /** Counts a pre-vote and starts the election when it is granted by a quorum. */
+  receivePreVote(message: PreVoteResponse): void {
+    const isCurrent = message.campaign === this.campaign;
+    if (this.core.role === Role.PreCandidate && isCurrent && message.granted) {
+      if (this.count(message.from)) {
+        this.startVote(false);
+      }
+    }
+  }
+
+  /** Answers whether the sender would get the vote; changes no state. */
+  answerPreVote(message: PreVoteRequest, isLoyal: boolean): void {
+    const { core } = this;
+    const granted =
+      !isLoyal && message.term >= core.term && this.isUpToDate(message.lastTerm, message.lastIndex);
+    core.send({
+      kind: MessageKind.PreVoteResponse,
+      from: core.identity,
+      to: message.from,
+      term: core.term,
+      campaign: message.campaign,
+      granted,
+    });
+  }
+
+  /** Votes at most once a term, for a candidate whose log is not behind. */
+  answerVote(message: VoteRequest, isLoyal: boolean): void {
+    const { core } = this;
+    if (isLoyal && !message.isTransfer) {
+      return;
+    }
+    if (message.term > core.term) {
+      core.becomeFollower(message.term, undefined);
+    }
+    const granted = message.term === core.term && this.canVoteFor(message);
+    if (granted) {
+      this.vote(message.from);
+    }
+    const response: VoteResponse = {
+      kind: MessageKind.VoteResponse,
+      from: core.identity,
+      to: message.from,
+      term: core.term,
+      campaign: message.campaign,
+      granted,
+    };
+    if (core.rules.mustPersistVote()) {
+      core.sendWhenDurable(response);
+    } else {
+      core.send(response);
+    }
+  }
+
+  private canVoteFor(message: VoteRequest): boolean {
+    const { votedFor } = this.core;
+    const isFree = votedFor === undefined || votedFor === message.from;
+    return isFree && this.isUpToDate(message.lastTerm, message.lastIndex);
+  }
+
+  private vote(candidate: MemberId): void {
+    const { core } = this;
+    if (core.votedFor === undefined) {
+      core.setHardState({ term: core.term, votedFor: candidate });
+    }
+    core.resetElectionDeadline();
+  }
+
+  private startPreVote(): void {
+    const { core } = this;
+    this.startCampaign(Role.PreCandidate);
+    if (this.count(core.identity)) {
+      this.startVote(false);
+      return;
+    }
+    for (const to of getPeers({ ...core.log.membership, learners: [] }, core.identity)) {
+      core.send({ ...this.createCandidacy(to), kind: MessageKind.PreVoteRequest });
+    }
+  }
+
+  private startCampaign(role: Role.PreCandidate | Role.Candidate): void {
+    const { core } = this;
+    assertInvariant(core.isVoter, 'only voters campaign');
+    core.role = role;
+    core.leader = undefined;
+    core.resetElectionDeadline();
+    this.campaign++;
+    this.grants.clear();
+  }
+
+  private createCandidacy(to: MemberId): Omit<PreVoteRequest, 'kind'> {
+    const { core, campaign } = this;
+    const { lastIndex, lastTerm } = core.log;
+    return { from: core.identity, to, term: core.term, campaign, lastIndex, lastTerm };
+  }
+
+  private count(member: MemberId): boolean {
+    const { membership } = this.core.log;
+    if (isVoter(membership, member)) {
+      this.grants.add(member);
+    }
+    return hasQuorum(membership, this.grants);
+  }
+
+  private isUpToDate(lastTerm: number, lastIndex: number): boolean {
+    const { log } = this.core;
+    return lastTerm > log.lastTerm || (lastTerm === log.lastTerm && lastIndex >= log.lastIndex);
+  }
+}
--- /dev/null
+++ b/src/decisions/consensus/follower.ts
@@ -0,0 +1,152 @@
+import { assertInvariant } from '../../common/diagnostics/index.js';
+import type { LogEntry } from './logEntry.js';
+import type { MemberCore } from './memberCore.js';
+import {
+  MessageKind,
+  type AppendRequest,
+  type AppendResponse,
+  type SnapshotRequest,
+} from './message.js';
+import { OutputKind } from './output.js';
+
+/** Follows the leader's log. */
+export class Follower<Command> {
+  constructor(private readonly core: MemberCore<Command>) {}
+
+  /** Appends the leader's entries after the matching prefix, or refuses with a hint. */
+  receiveAppend(message: AppendRequest<Command>): void {
+    const { core } = this;
+    if (!this.acceptLeader(message)) {
+      return;
+    }
+    if (message.previousIndex < core.log.firstKnownIndex) {
+      this.acknowledgeDurable(message, core.commitIndex);
+    } else if (core.log.getTerm(message.previousIndex) !== message.previousTerm) {
+      this.refuse(message, this.getHint(message.previousIndex));
+    } else {
+      this.append(message);
+    }
+  }
+
+  /** Takes over the leader's snapshot unless everything in it is already committed here. */
+  receiveSnapshot(message: SnapshotRequest): void {
+    const { core } = this;
+    if (!this.acceptLeader(message)) {
+      return;
+    }
+    const { snapshot } = message;
+    if (snapshot.index <= core.commitIndex) {
+      this.acknowledgeDurable(message, core.commitIndex);
+      return;
+    }
+    const keepsSuffix = core.log.install(snapshot);
+    if (!keepsSuffix) {
+      core.durability.forgetFrom(core.commitIndex + 1);
+    }
+    core.commitSnapshot(snapshot.index);
+    core.persist(keepsSuffix ? { snapshot } : { snapshot, truncateFrom: snapshot.index + 1 });
+    core.emit({ kind: OutputKind.RestoreSnapshot, snapshot });
+    core.sendWhenDurable(this.createResponse(message, { matchIndex: snapshot.index }));
+  }
+
+  private acceptLeader(message: AppendRequest<Command> | SnapshotRequest): boolean {
+    const { core } = this;
+    if (message.term < core.term) {
+      this.refuse(message, 0);
+      return false;
+    }
+    assertInvariant(
+      core.leader === undefined || core.leader === message.from || message.term > core.term,
+      'a term has one leader',
+    );
+    core.becomeFollower(message.term, message.from);
+    core.leaderContactMs = core.nowMs;
+    return true;
+  }
+
+  private append(message: AppendRequest<Command>): void {
+    const { core } = this;
+    const fresh = this.getFresh(message.entries);
+    const matchIndex = message.previousIndex + message.entries.length;
+    if (fresh.length > 0) {
+      this.store(fresh);
+    }
+    core.commitTo(Math.max(core.commitIndex, Math.min(message.commitIndex, matchIndex)));
+    if (fresh.length === 0) {
+      this.acknowledgeDurable(message, matchIndex);
+    } else if (core.rules.mustPersistEntries()) {
+      core.sendWhenDurable(this.createResponse(message, { matchIndex }));
+    } else {
+      core.send(this.createResponse(message, { matchIndex }));
+    }
+  }
+
+  /** The entries from the first one that the log lacks or has with another term. */
+  private getFresh(entries: readonly LogEntry<Command>[]): readonly LogEntry<Command>[] {
+    const { log } = this.core;
+    const start = entries.findIndex((entry) => log.getTerm(entry.index) !== entry.term);
+    return start === -1 ? [] : entries.slice(start);
+  }
+
+  private store(fresh: readonly LogEntry<Command>[]): void {
+    const { core } = this;
+    const firstIndex = fresh[0]?.index ?? core.log.lastIndex + 1;
+    const conflicts = firstIndex <= core.log.lastIndex;
+    if (conflicts) {
+      assertInvariant(firstIndex > core.commitIndex, 'a committed entry is never overwritten');
+      core.log.truncateFrom(firstIndex);
+    }
+    core.log.append(fresh);
+    core.persist(conflicts ? { truncateFrom: firstIndex, entries: fresh } : { entries: fresh });
+  }
+
+  /** Acknowledges at once what is durable, so that heartbeats do not wait for the disk. */
+  private acknowledgeDurable(
+    message: AppendRequest<Command> | SnapshotRequest,
+    matchIndex: number,
+  ): void {
+    const { core } = this;
+    const durableIndex = Math.min(matchIndex, core.durability.lastIndex);
+    const response = this.createResponse(message, { matchIndex: durableIndex });
+    if (core.durability.hardState.term === core.term) {
+      core.send(response);
+    } else {
+      core.sendWhenDurable(response);
+    }
+  }
+
+  private getHint(previousIndex: number): number {
+    const { log, commitIndex } = this.core;
+    if (previousIndex > log.lastIndex) {
+      return log.lastIndex + 1;
+    }
+    return Math.max(commitIndex + 1, log.getFirstIndexOfTerm(previousIndex));
+  }
+
+  private refuse(message: AppendRequest<Command> | SnapshotRequest, nextIndex: number): void {
+    const refusedIndex =
+      message.kind === MessageKind.AppendRequest ? message.previousIndex : message.snapshot.index;
+    const refusal = { accepted: false, refusedIndex, nextIndex };
+    this.core.send(this.createResponse(message, refusal));
+  }
+
+  private createResponse(
+    message: AppendRequest<Command> | SnapshotRequest,
+    outcome: Partial<AppendResponse>,
+  ): AppendResponse {
+    const { core } = this;
+    return {
+      kind: MessageKind.AppendResponse,
+      from: core.identity,
+      to: message.from,
+      term: core.term,
+      round: message.round,
+      sentMs: message.sentMs,
+      accepted: true,
+      matchIndex: 0,
+      refusedIndex: 0,
+      nextIndex: 0,
+      ...outcome,
+    };
+  }
+}
--- /dev/null
+++ b/src/decisions/consensus/index.ts
@@ -0,0 +1,15 @@
+export * from './memberId.js';
+export * from './consensusSettings.js';
+export * from './consensusRules.js';
+export * from './membership.js';
+export * from './membershipChange.js';
+export * from './logEntry.js';
+export * from './hardState.js';
+export * from './snapshot.js';
+export * from './storedState.js';
+export * from './role.js';
+export * from './message.js';
+export * from './input.js';
+export * from './output.js';
+export { type ConsensusMemberOptions } from './memberCore.js';
+export * from './consensusMember.js';
--- /dev/null
+++ b/src/decisions/consensus/logEntry.ts
@@ -0,0 +1,37 @@
+import type { Membership } from './membership.js';
+
+/** What a log entry carries. */
+export enum EntryKind {
+  Command = 'command',
+  Membership = 'membership',
+  /** Written by a new leader so that an entry of its own term can be committed. */
+  Empty = 'empty',
+}
+
+interface EntryPlace {
+  /** Position in the log, from 1. */
+  readonly index: number;
+  /** Term of the leader that wrote the entry. */
+  readonly term: number;
+}
+
+/** An entry with a command of the replicated state machine. */
+export interface CommandEntry<Command> extends EntryPlace {
+  readonly kind: EntryKind.Command;
+  readonly command: Command;
+  readonly sizeBytes: number;
+}
+
+/** An entry with the whole new membership, in force from being appended. */
+export interface MembershipEntry extends EntryPlace {
+  readonly kind: EntryKind.Membership;
+  readonly membership: Membership;
+}
+
+/** An entry without content. */
+export interface EmptyEntry extends EntryPlace {
+  readonly kind: EntryKind.Empty;
+}
+
+/** One entry of the replicated log. */
+export type LogEntry<Command> = CommandEntry<Command> | MembershipEntry | EmptyEntry;
--- /dev/null
+++ b/src/decisions/consensus/memberLog.ts
@@ -0,0 +1,166 @@
+import { assertInvariant } from '../../common/diagnostics/index.js';
+import { EntryKind, type LogEntry } from './logEntry.js';
+import { emptyMembership, type Membership } from './membership.js';
+import type { Snapshot } from './snapshot.js';
+import type { StoredState } from './storedState.js';
+
+interface MembershipAt {
+  readonly index: number;
+  readonly membership: Membership;
+}
+
+/** The part of the log that a member keeps in memory, with the memberships in it. */
+export class MemberLog<Command> {
+  private baseIndex: number;
+  private baseTerm: number;
+  private entries: LogEntry<Command>[];
+  private snapshotValue: Snapshot | undefined;
+  private memberships: MembershipAt[];
+
+  constructor(stored: StoredState<Command>) {
+    this.snapshotValue = stored.snapshot;
+    this.baseIndex = stored.snapshot?.index ?? 0;
+    this.baseTerm = stored.snapshot?.term ?? 0;
+    this.entries = [];
+    this.memberships = [toMembershipAt(stored.snapshot)];
+    this.append(stored.entries);
+  }
+
+  /** The index before the first entry that is kept. */
+  get firstKnownIndex(): number {
+    return this.baseIndex;
+  }
+
+  get lastIndex(): number {
+    return this.baseIndex + this.entries.length;
+  }
+
+  get lastTerm(): number {
+    return this.entries.at(-1)?.term ?? this.baseTerm;
+  }
+
+  get snapshot(): Snapshot | undefined {
+    return this.snapshotValue;
+  }
+
+  get snapshotIndex(): number {
+    return this.snapshotValue?.index ?? 0;
+  }
+
+  /** The membership in force: that of the last membership entry, committed or not. */
+  get membership(): Membership {
+    return this.memberships.at(-1)?.membership ?? emptyMembership;
+  }
+
+  /** The index of the entry that set the membership in force. */
+  get membershipIndex(): number {
+    return this.memberships.at(-1)?.index ?? 0;
+  }
+
+  /** The term of the entry at the index; undefined when unknown. */
+  getTerm(index: number): number | undefined {
+    return index === this.baseIndex ? this.baseTerm : this.getEntry(index)?.term;
+  }
+
+  /** The entry at the index; undefined when it is not kept. */
+  getEntry(index: number): LogEntry<Command> | undefined {
+    return index > this.baseIndex ? this.entries[index - this.baseIndex - 1] : undefined;
+  }
+
+  /** The entries after `previousIndex`, up to and including `lastIndex`. */
+  getEntries(previousIndex: number, lastIndex: number): readonly LogEntry<Command>[] {
+    return this.entries.slice(previousIndex - this.baseIndex, lastIndex - this.baseIndex);
+  }
+
+  /** A batch after `previousIndex` within both bounds; a single entry always fits. */
+  getBatch(
+    previousIndex: number,
+    maximumEntries: number,
+    maximumBytes: number,
+  ): readonly LogEntry<Command>[] {
+    const batch = this.getEntries(previousIndex, previousIndex + maximumEntries);
+    let bytes = 0;
+    const count = batch.findIndex((entry) => {
+      bytes += getEntryBytes(entry);
+      return bytes > maximumBytes;
+    });
+    return count === -1 ? batch : batch.slice(0, Math.max(1, count));
+  }
+
+  /** The first index that has the same term as the entry at the index. */
+  getFirstIndexOfTerm(index: number): number {
+    const term = this.getTerm(index);
+    let first = index;
+    while (first - 1 > this.baseIndex && this.getTerm(first - 1) === term) {
+      first--;
+    }
+    return first;
+  }
+
+  /** Appends entries that follow the last one. */
+  append(entries: readonly LogEntry<Command>[]): void {
+    for (const entry of entries) {
+      assertInvariant(entry.index === this.lastIndex + 1, 'log entries are contiguous');
+      this.entries.push(entry);
+      if (entry.kind === EntryKind.Membership) {
+        this.memberships.push({ index: entry.index, membership: entry.membership });
+      }
+    }
+  }
+
+  /** Drops the entries from the index on. */
+  truncateFrom(index: number): void {
+    this.entries.length = Math.max(0, Math.min(this.entries.length, index - this.baseIndex - 1));
+    this.memberships = this.memberships.filter((at, order) => order === 0 || at.index < index);
+  }
+
+  /** Creates a snapshot of a committed index that is still kept. */
+  createSnapshot(index: number, state: Uint8Array): Snapshot {
+    const term = this.getTerm(index);
+    assertInvariant(term !== undefined, 'a snapshot covers a known entry');
+    return { index, term, membership: this.getMembershipAt(index), state };
+  }
+
+  /** Takes over an own snapshot and drops the entries far behind it. */
+  compact(snapshot: Snapshot, trailingEntries: number): void {
+    this.snapshotValue = snapshot;
+    const newBase = Math.max(this.baseIndex, snapshot.index - trailingEntries);
+    const newBaseTerm = this.getTerm(newBase);
+    assertInvariant(newBaseTerm !== undefined, 'a log is compacted within its entries');
+    this.entries = this.entries.slice(newBase - this.baseIndex);
+    this.baseIndex = newBase;
+    this.baseTerm = newBaseTerm;
+    this.forgetMembershipsBefore(snapshot);
+  }
+
+  /** Takes over the leader's snapshot; returns whether entries after it were kept. */
+  install(snapshot: Snapshot): boolean {
+    const keepsSuffix = this.getTerm(snapshot.index) === snapshot.term;
+    const suffix = keepsSuffix ? this.getEntries(snapshot.index, this.lastIndex) : [];
+    this.snapshotValue = snapshot;
+    this.baseIndex = snapshot.index;
+    this.baseTerm = snapshot.term;
+    this.entries = [];
+    this.memberships = [toMembershipAt(snapshot)];
+    this.append(suffix);
+    return keepsSuffix;
+  }
+
+  private getMembershipAt(index: number): Membership {
+    const at = this.memberships.findLast((candidate) => candidate.index <= index);
+    return at?.membership ?? emptyMembership;
+  }
+
+  private forgetMembershipsBefore(snapshot: Snapshot): void {
+    const later = this.memberships.filter((at) => at.index > snapshot.index);
+    this.memberships = [toMembershipAt(snapshot), ...later];
+  }
+}
+
+function toMembershipAt(snapshot: Snapshot | undefined): MembershipAt {
+  return { index: snapshot?.index ?? 0, membership: snapshot?.membership ?? emptyMembership };
+}
+
+function getEntryBytes<Command>(entry: LogEntry<Command>): number {
+  return entry.kind === EntryKind.Command ? entry.sizeBytes : 0;
+}
--- /dev/null
+++ b/src/decisions/consensus/replication.ts
@@ -0,0 +1,183 @@
+import type { MemberCore } from './memberCore.js';
+import type { MemberId } from './memberId.js';
+import { getPeers, getQuorumValue } from './membership.js';
+import { MessageKind, type AppendResponse } from './message.js';
+import { Progress, ReplicationMode } from './progress.js';
+
+/** The leader's side of log replication: one progress per peer, heartbeats and quorums. */
+export class Replication<Command> {
+  private readonly peers = new Map<MemberId, Progress>();
+  private roundValue = 0;
+
+  constructor(private readonly core: MemberCore<Command>) {
+    this.followMembership();
+  }
+
+  /** Number of the last heartbeat round. */
+  get round(): number {
+    return this.roundValue;
+  }
+
+  /** Takes up new members and forgets removed ones. */
+  followMembership(): void {
+    const { core } = this;
+    const members = getPeers(core.log.membership, core.identity);
+    for (const member of members) {
+      if (!this.peers.has(member)) {
+        this.peers.set(member, new Progress(core.log.lastIndex + 1, core.nowMs));
+      }
+    }
+    for (const member of this.peers.keys()) {
+      if (!members.includes(member)) {
+        this.peers.delete(member);
+      }
+    }
+  }
+
+  /** What is known of a peer. */
+  getProgress(member: MemberId): Progress | undefined {
+    return this.peers.get(member);
+  }
+
+  /** Starts a heartbeat round to all peers. */
+  sendHeartbeats(): void {
+    this.roundValue++;
+    for (const [member, progress] of this.peers) {
+      progress.renewProbe();
+      if (!this.trySendEntries(member, progress)) {
+        this.sendHeartbeat(member, progress);
+      }
+    }
+  }
+
+  /** Sends what the peers may be sent now. */
+  sendEntries(): void {
+    for (const [member, progress] of this.peers) {
+      let sent = true;
+      while (sent) {
+        sent = this.trySendEntries(member, progress);
+      }
+    }
+  }
+
+  /** Takes in a peer's answer. */
+  receive(response: AppendResponse): void {
+    const { core } = this;
+    const progress = this.peers.get(response.from);
+    if (progress === undefined) {
+      return;
+    }
+    const loyalSinceMs = core.rules.getLeaseStart({
+      sentMs: response.sentMs,
+      receivedMs: core.nowMs,
+    });
+    progress.loyalSinceMs = Math.max(progress.loyalSinceMs, loyalSinceMs);
+    progress.acknowledgedRound = Math.max(progress.acknowledgedRound, response.round);
+    progress.receivedMs = core.nowMs;
+    if (response.accepted) {
+      progress.accept(response);
+    } else {
+      progress.refuse(response);
+    }
+  }
+
+  /** The highest index that a quorum of the voters holds durably. */
+  getQuorumIndex(): number {
+    return this.getQuorumValue(this.core.durability.lastIndex, (peer) => peer.matchIndex);
+  }
+
+  /** The last heartbeat round that a quorum of the voters acknowledged. */
+  getQuorumRound(): number {
+    return this.getQuorumValue(this.roundValue, (peer) => peer.acknowledgedRound);
+  }
+
+  /** The leader's time from which a quorum of the voters is loyal to it. */
+  getQuorumLoyalSince(): number {
+    return this.getQuorumValue(this.core.nowMs, (peer) => peer.loyalSinceMs);
+  }
+
+  /** When a quorum of the voters was last heard. */
+  getQuorumReceived(): number {
+    return this.getQuorumValue(this.core.nowMs, (peer) => peer.receivedMs);
+  }
+
+  private getQuorumValue(own: number, getValue: (peer: Progress) => number): number {
+    const { core } = this;
+    const value = getQuorumValue(core.log.membership, (voter) => {
+      const progress = this.peers.get(voter);
+      const reached = progress === undefined ? Number.NEGATIVE_INFINITY : getValue(progress);
+      return voter === core.identity ? own : reached;
+    });
+    return value ?? Number.NEGATIVE_INFINITY;
+  }
+
+  private trySendEntries(member: MemberId, progress: Progress): boolean {
+    const { core } = this;
+    const { settings, log } = core;
+    const hasEntries = progress.nextIndex <= log.lastIndex;
+    if (!hasEntries || !progress.canSend(settings.maximumInflightRequests)) {
+      return false;
+    }
+    if (progress.nextIndex <= log.firstKnownIndex) {
+      this.sendSnapshot(member, progress);
+      return true;
+    }
+    const previousIndex = progress.nextIndex - 1;
+    const { maximumBatchEntries, maximumBatchBytes } = settings;
+    const entries = log.getBatch(previousIndex, maximumBatchEntries, maximumBatchBytes);
+    progress.noteSent(previousIndex + entries.length);
+    this.sendAppend(member, previousIndex, entries);
+    return true;
+  }
+
+  private sendHeartbeat(member: MemberId, progress: Progress): void {
+    const { core } = this;
+    if (progress.mode !== ReplicationMode.Snapshot) {
+      const previousIndex = Math.max(progress.nextIndex - 1, core.log.firstKnownIndex);
+      this.sendAppend(member, previousIndex, []);
+      return;
+    }
+    this.sendAppend(member, 0, []);
+    if (progress.isSnapshotDue(core.nowMs, core.settings.snapshotRetryMs)) {
+      this.sendSnapshot(member, progress);
+    }
+  }
+
+  private sendAppend(
+    to: MemberId,
+    previousIndex: number,
+    entries: ReturnType<MemberCore<Command>['log']['getEntries']>,
+  ): void {
+    const { core } = this;
+    core.send({
+      kind: MessageKind.AppendRequest,
+      from: core.identity,
+      to,
+      term: core.term,
+      round: this.roundValue,
+      sentMs: core.nowMs,
+      previousIndex,
+      previousTerm: previousIndex === 0 ? 0 : (core.log.getTerm(previousIndex) ?? 0),
+      entries,
+      commitIndex: core.commitIndex,
+    });
+  }
+
+  private sendSnapshot(to: MemberId, progress: Progress): void {
+    const { core } = this;
+    const { snapshot } = core.log;
+    if (snapshot === undefined) {
+      return;
+    }
+    progress.noteSnapshotSent(core.nowMs, snapshot.index);
+    core.send({
+      kind: MessageKind.SnapshotRequest,
+      from: core.identity,
+      to,
+      term: core.term,
+      round: this.roundValue,
+      sentMs: core.nowMs,
+      snapshot,
+    });
+  }
+}
