--- a/src/daemon/backend/connectionPool.ts
+++ b/src/daemon/backend/connectionPool.ts
@@ -77,9 +77,8 @@
     }
   }
 
-  /** Closes all connections; requests that run on them are lost. */
-  close(fault: Fault): void {
-    this.closed = true;
+  /** Closes all connections and fails all waiters; new connections may be opened later. */
+  reset(fault: Fault): void {
     for (const waiter of this.waiters.splice(0)) {
       waiter.failed(fault);
     }
@@ -88,6 +87,12 @@
     }
   }
 
+  /** Closes the pool for good; requests that run on its connections are lost. */
+  close(fault: Fault): void {
+    this.closed = true;
+    this.reset(fault);
+  }
+
   private takeIdle(): BackendConnection | undefined {
     for (let connection = this.idle.pop(); connection; connection = this.idle.pop()) {
       if (!connection.isWorn) {
--- /dev/null
+++ b/src/daemon/holder/groupWrites.ts
@@ -0,0 +1,212 @@
+import type { LogPosition } from '../../common/ids/index.js';
+import { Diagnostics } from '../../common/diagnostics/index.js';
+import { toLogPosition, toTerm, type GroupId, type InstanceId, type Term } from '../../common/ids/index.js';
+import { PrimaryPhase, type GroupPrimary } from '../../decisions/control/index.js';
+import { WriteConfirmations, type PendingWrite } from '../../decisions/routing/index.js';
+import {
+  getFurthest,
+  getPositionStatus,
+  PositionStatus,
+  type SessionPosition,
+} from '../../decisions/sessions/index.js';
+import { Acknowledgement } from '../../decisions/tickets/index.js';
+import type { ProbeAnswer } from '../backend/index.js';
+import { createUnknownOutcome, type HeldRequest } from './heldRequest.js';
+import type { HolderContext } from './holderContext.js';
+
+/** What the acknowledgement of writes needs to know of its group. */
+export interface GroupWritesOwner {
+  /** Instances of the group other than the primary. */
+  getReplicaCount(): number;
+  /** Replica positions are wanted as fast as possible, or no longer. */
+  setUrgent(urgent: boolean): void;
+}
+
+/** Decides when committed writes of a held group are acknowledged, and when none are any more. */
+export class GroupWrites {
+  /** Highest term under which this holder will never acknowledge a write again. */
+  fencedTerm: Term = toTerm(0);
+  /** The furthest position acknowledged to callers; absent until it is known. */
+  acknowledged: SessionPosition | undefined;
+  primary: GroupPrimary | undefined;
+  private readonly confirmations = new WriteConfirmations();
+  private readonly requests = new Map<PendingWrite['id'], HeldRequest>();
+
+  constructor(
+    private readonly group: GroupId,
+    private readonly context: HolderContext,
+    private readonly owner: GroupWritesOwner,
+  ) {}
+
+  get isFenced(): boolean {
+    return this.primary === undefined || this.fencedTerm >= this.primary.term;
+  }
+
+  /** Committed writes that wait for a replica. */
+  get pendingCount(): number {
+    return this.requests.size;
+  }
+
+  get acknowledgedPosition(): LogPosition {
+    return this.acknowledged?.position ?? toLogPosition(0);
+  }
+
+  /** Takes on the primary that control decided, and settles writes of earlier terms. */
+  setPrimary(primary: GroupPrimary): void {
+    const changed = this.primary !== undefined && primary.term > this.primary.term;
+    this.primary = primary;
+    if (changed) {
+      this.acknowledged = undefined;
+    }
+    if (primary.phase === PrimaryPhase.Serving) {
+      this.settleEarlierTerms(primary);
+    }
+  }
+
+  /** Stops acknowledging writes of the primary's term, for good. */
+  fence(reason: string): void {
+    if (this.primary === undefined || this.isFenced) {
+      return;
+    }
+    const { term, instance } = this.primary;
+    this.fencedTerm = term;
+    this.context.logger.report(
+      Diagnostics.PrimaryFenced,
+      { instance, group: this.group, term },
+      { step: 'holder.fence', reason },
+    );
+    this.context.reportNow();
+  }
+
+  /** Acknowledges a committed write, at once or when a replica has it. */
+  confirm(request: HeldRequest, written: ProbeAnswer | undefined): void {
+    if (written === undefined || written.inRecovery || !this.mayAcknowledge(written.term)) {
+      this.keepOrGiveUp(request, written);
+      return;
+    }
+    const position = { term: written.term, position: written.position };
+    const write = { id: request.request.id, position, deadlineMs: request.deadlineMs };
+    if (!this.needsReplica() || this.confirmations.add(write)) {
+      this.acknowledge(request, position);
+      return;
+    }
+    this.requests.set(write.id, request);
+    this.owner.setUrgent(true);
+  }
+
+  /** Takes in a replica's position. */
+  replicaReached(instance: InstanceId, position: SessionPosition): void {
+    for (const write of this.confirmations.replicaReached(instance, position)) {
+      this.settle(write);
+    }
+    this.updateUrgency();
+  }
+
+  forgetReplica(instance: InstanceId): void {
+    this.confirmations.forgetReplica(instance);
+  }
+
+  /** Takes in the primary's own position. */
+  primaryReached(position: SessionPosition): void {
+    if (position.term === this.primary?.term) {
+      this.acknowledged ??= position;
+    }
+  }
+
+  /** Gives up writes whose deadline has passed. */
+  tick(nowMs: number): void {
+    for (const write of this.confirmations.expire(nowMs)) {
+      this.giveUp(write);
+    }
+    this.updateUrgency();
+  }
+
+  /** Gives up all writes that wait. */
+  stop(): void {
+    for (const write of this.confirmations.clear()) {
+      this.giveUp(write);
+    }
+  }
+
+  private mayAcknowledge(term: Term): boolean {
+    return (
+      this.primary?.term === term &&
+      this.primary.phase !== PrimaryPhase.Promoting &&
+      !this.isFenced &&
+      this.context.lease.isValid()
+    );
+  }
+
+  private needsReplica(): boolean {
+    const acknowledgement = this.context.records.getAcknowledgement(this.group);
+    return acknowledgement === Acknowledgement.Replica && this.owner.getReplicaCount() > 0;
+  }
+
+  /** A fenced write waits for the next term, which may contain it. */
+  private keepOrGiveUp(request: HeldRequest, written: ProbeAnswer | undefined): void {
+    const nowMs = this.context.timer.now();
+    const isOwnTerm = written?.term === this.primary?.term && written?.inRecovery === false;
+    if (written === undefined || !isOwnTerm || !this.isFenced || nowMs >= request.deadlineMs) {
+      this.failUnknown(request);
+      return;
+    }
+    const { id } = request.request;
+    const position = { term: written.term, position: written.position };
+    this.confirmations.hold({ id, position, deadlineMs: request.deadlineMs });
+    this.requests.set(id, request);
+  }
+
+  private settle(write: PendingWrite): void {
+    const request = this.take(write);
+    if (request === undefined) {
+      return;
+    }
+    if (this.mayAcknowledge(write.position.term)) {
+      this.acknowledge(request, write.position);
+    } else if (this.isFenced && this.context.timer.now() < write.deadlineMs) {
+      this.requests.set(write.id, request);
+      this.confirmations.hold(write);
+    } else {
+      this.failUnknown(request);
+    }
+  }
+
+  private settleEarlierTerms(primary: GroupPrimary): void {
+    for (const write of this.confirmations.takeBefore(primary.term)) {
+      const request = this.take(write);
+      const included = getPositionStatus(write.position, primary) === PositionStatus.Included;
+      if (request !== undefined && included && this.mayAcknowledge(primary.term)) {
+        this.acknowledge(request, write.position);
+      } else if (request !== undefined) {
+        this.failUnknown(request);
+      }
+    }
+  }
+
+  private acknowledge(request: HeldRequest, position: SessionPosition): void {
+    this.acknowledged = getFurthest(this.acknowledged, position);
+    request.finish({ nowMs: this.context.timer.now(), position });
+  }
+
+  private giveUp(write: PendingWrite): void {
+    const request = this.take(write);
+    if (request !== undefined) {
+      this.failUnknown(request);
+    }
+  }
+
+  private failUnknown(request: HeldRequest): void {
+    const fault = createUnknownOutcome('holder.acknowledge', this.primary?.instance);
+    request.fail(fault, { nowMs: this.context.timer.now() });
+  }
+
+  private take(write: PendingWrite): HeldRequest | undefined {
+    const request = this.requests.get(write.id);
+    this.requests.delete(write.id);
+    return request;
+  }
+
+  private updateUrgency(): void {
+    this.owner.setUrgent(this.confirmations.isWaiting && !this.isFenced);
+  }
+}
--- a/src/daemon/requests/executeRequest.ts
+++ b/src/daemon/requests/executeRequest.ts
@@ -24,6 +24,8 @@
   readonly transaction?: string;
   /** Effects on the connection are unknown: it is closed after the request. */
   readonly closesConnection: boolean;
+  /** Names statements of similar cost. */
+  readonly costClass: string;
   readonly prepared: readonly PreparedStatement[];
   /** Whole frontend messages, ending with a Query or Sync. */
   readonly payload: Uint8Array;
--- a/src/decisions/routing/writeConfirmations.ts
+++ b/src/decisions/routing/writeConfirmations.ts
@@ -1,4 +1,4 @@
-import type { InstanceId, RequestId } from '../../common/ids/index.js';
+import type { InstanceId, RequestId, Term } from '../../common/ids/index.js';
 import type { SessionPosition } from '../sessions/index.js';
 
 /** A committed write whose acknowledgement waits. */
@@ -29,6 +29,16 @@
     return false;
   }
 
+  /** Keeps a write without confirming it, until a later term settles it. */
+  hold(write: PendingWrite): void {
+    this.pending.set(write.id, write);
+  }
+
+  /** Returns the writes of earlier terms than the given one. */
+  takeBefore(term: Term): readonly PendingWrite[] {
+    return this.takeWhere((write) => write.position.term < term);
+  }
+
   /** Notes a replica's position and returns the writes that it confirms. */
   replicaReached(instance: InstanceId, position: SessionPosition): readonly PendingWrite[] {
     this.reached.set(instance, position);
