--- /dev/null
+++ b/bench/experiment/tokenFleet.test.ts
@@ -0,0 +1,85 @@
+import { expect, test } from 'vitest';
+import { toAccountId, toRequestId } from '../../src/common/ids/index.js';
+import type { Admit } from '../../src/decisions/limits/index.js';
+import { findExcess } from './admissionBound.js';
+import { EventLoop } from './eventLoop.js';
+import { FakeNetwork } from './fakeNetwork.js';
+import { FleetDaemon, ProductLimiterFactory } from './fleetDaemon.js';
+import { SeededRandom } from './seededRandom.js';
+import { AdmissionObserver, TokenFleet } from './tokenFleet.js';
+
+class Tally extends AdmissionObserver {
+  readonly waits: number[] = [];
+  readonly daemons = new Set<number>();
+  refusals = 0;
+
+  override admitted(daemon: number, admit: Admit): void {
+    this.daemons.add(daemon);
+    this.waits.push(admit.waitedMs);
+  }
+
+  override refused(): void {
+    this.refusals += 1;
+  }
+}
+
+const mill = toAccountId('mill');
+
+function createFleet(size: number) {
+  const loop = new EventLoop();
+  const random = new SeededRandom(7);
+  const conditions = { delayMs: 1.5, jitterMs: 0.2, loss: 0, duplication: 0 };
+  const network = new FakeNetwork(loop, random, conditions, (daemon) => daemon);
+  const factory = new ProductLimiterFactory();
+  const daemons = Array.from({ length: size }, (_, i) => new FleetDaemon(i, 1000 * i, 0, factory));
+  const tally = new Tally();
+  const fleet = new TokenFleet(loop, network, daemons, factory, tally);
+  return { loop, random, network, fleet, tally };
+}
+
+/** Sends at a rate to the daemons in turn, or to one. */
+function load(
+  { loop, random, fleet }: ReturnType<typeof createFleet>,
+  rate: number,
+  untilMs: number,
+  pick: () => number,
+): () => number {
+  let sent = 0;
+  const next = () => {
+    sent += 1;
+    fleet.request(pick(), toRequestId(`${rate}-${sent}`), mill, 1, 2000);
+    if (loop.nowMs < untilMs) {
+      loop.after(random.nextExponential(1000 / rate), next);
+    }
+  };
+  loop.after(0, next);
+  return () => sent;
+}
+
+test('an account inside its rate is admitted without refusal and seldom waits', () => {
+  const run = createFleet(6);
+  run.fleet.setLimit(mill, { rate: 100, burst: 20 });
+  run.fleet.assign(mill, 0);
+  run.loop.runUntil(1000);
+  const getSent = load(run, 80, 21_000, () => Math.floor(run.random.next() * 6));
+  run.loop.runUntil(25_000);
+  expect(run.tally.refusals).toBe(0);
+  expect(run.tally.waits.length).toBe(getSent());
+  expect(run.tally.daemons.size).toBe(6);
+  const late = run.tally.waits.filter((wait) => wait > 0).length;
+  expect(late / run.tally.waits.length).toBeLessThan(0.1);
+  const limit = { rate: 100, burst: 20 };
+  expect(findExcess(run.fleet.admissions, [{ fromMs: 0, limit }])).toBeUndefined();
+});
+
+test('an account at five times its rate is admitted its rate and no more', () => {
+  const run = createFleet(6);
+  run.fleet.setLimit(mill, { rate: 100, burst: 20 });
+  run.fleet.assign(mill, 0);
+  run.loop.runUntil(1000);
+  load(run, 500, 21_000, () => Math.floor(run.random.next() * 6));
+  run.loop.runUntil(21_000);
+  expect(run.fleet.admissions.length).toBeGreaterThan(0.95 * 2000);
+  const limit = { rate: 100, burst: 20 };
+  expect(findExcess(run.fleet.admissions, [{ fromMs: 0, limit }])).toBeUndefined();
+});
--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -63,6 +63,51 @@
   BackendLost: error(3007, 'The connection to the backend server was lost.', '08006'),
 
   // 4000: limits and queue
+  RateExceeded: refusal(
+    4000,
+    'Client account "{account}" is above its rate of {rate} requests a second.',
+    '53400',
+  ),
+  CostAboveBurst: refusal(
+    4001,
+    'A request of cost {cost} can never fit the burst of {burst} of client account "{account}".',
+    '54000',
+  ),
+  TokensUnavailable: refusal(
+    4002,
+    'No rate tokens of client account "{account}" arrived in time.',
+    '57P03',
+  ),
+  TooManyWaiting: refusal(
+    4003,
+    'Client account "{account}" already has {limit} requests waiting for its rate.',
+    '53400',
+  ),
+  AccountWithoutLimit: refusal(
+    4004,
+    'No rate is in force for client account "{account}".',
+    '57P03',
+  ),
+  QueueFull: refusal(
+    4010,
+    'Client account "{account}" already has {limit} requests queued at this instance.',
+    '53400',
+  ),
+  QueueDeadline: refusal(
+    4011,
+    'The request of client account "{account}" cannot start within its deadline.',
+    '53000',
+  ),
+  QueueWaitExceeded: refusal(
+    4012,
+    'The request of client account "{account}" waited longer than {limit} ms for a slot.',
+    '53000',
+  ),
+  TransactionTimeLimit: refusal(
+    4013,
+    'A transaction of client account "{account}" was open longer than {limit} ms.',
+    '25P04',
+  ),
 
   // 5000: consensus and storage
 
--- /dev/null
+++ b/src/decisions/limits/admissionCounts.ts
@@ -0,0 +1,15 @@
+/** What one account's limiter at one entry daemon has done so far. */
+export interface AdmissionCounts {
+  admitted: number;
+  /** Refused requests by diagnostic number. */
+  readonly refused: Map<number, number>;
+  /** Tokens received in grants. */
+  granted: number;
+  /** Tokens given back unused. */
+  returned: number;
+}
+
+/** Creates counts that are all zero. */
+export function createAdmissionCounts(): AdmissionCounts {
+  return { admitted: 0, refused: new Map(), granted: 0, returned: 0 };
+}
--- /dev/null
+++ b/src/decisions/limits/entryAccount.ts
@@ -0,0 +1,258 @@
+import { Diagnostics, type Diagnostic } from '../../common/diagnostics/index.js';
+import type { AccountId, HostId, Incarnation } from '../../common/ids/index.js';
+import { Fifo } from '../queue/fifo.js';
+import type { AccountLimit } from './accountLimit.js';
+import { type AdmissionCounts, createAdmissionCounts } from './admissionCounts.js';
+import type { AdmissionRequest } from './admissionRequest.js';
+import { DemandEstimate } from './demandEstimate.js';
+import { type EntryOutput, LimiterOutputKind } from './limiterOutput.js';
+import {
+  MAXIMUM_WAITING,
+  PREFETCH_HORIZON_MS,
+  PREFETCH_MARGIN_MS,
+  WARM_MS,
+} from './limitTiming.js';
+import type { TokenGrant } from './tokenGrant.js';
+import { type AccountHolder, TokenLink } from './tokenLink.js';
+import type { MessageToHolder } from './tokenMessage.js';
+import { type ClosedPortion, TokenStock } from './tokenStock.js';
+import { createWaitingRequest, type WaitingRequest } from './waitingRequest.js';
+
+const MINIMUM_SHARE = 1e-6;
+
+/** One account at one entry daemon: its tokens, its waiting requests and its exchange. */
+export class EntryAccount {
+  readonly counts: AdmissionCounts = createAdmissionCounts();
+  private readonly stock = new TokenStock();
+  private readonly demand = new DemandEstimate();
+  private readonly waiting = new Fifo<WaitingRequest>();
+  private readonly link: TokenLink;
+  private waitingCost = 0;
+  private waitingCount = 0;
+  private share: number;
+  private lastRequestMs = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    readonly account: AccountId,
+    entry: HostId,
+    incarnation: Incarnation,
+    private limit: AccountLimit,
+  ) {
+    this.link = this.createLink(entry, incarnation);
+    this.share = limit.rate;
+  }
+
+  /** Nothing is left to do for this account. */
+  isIdle(nowMs: number): boolean {
+    const isWarm = nowMs - this.lastRequestMs < WARM_MS;
+    return !isWarm && this.waitingCount === 0 && this.stock.isEmpty && !this.link.hasNews;
+  }
+
+  setLimit(limit: AccountLimit): void {
+    this.share = Math.min(limit.rate, this.share * (limit.rate / this.limit.rate) || limit.rate);
+    this.limit = limit;
+  }
+
+  setHolder(holder: AccountHolder | undefined, nowMs: number, outputs: EntryOutput[]): void {
+    this.link.setHolder(holder);
+    this.ask(nowMs, outputs);
+  }
+
+  /** Admits, refuses or keeps a request; returns it if it waits. */
+  request(
+    request: AdmissionRequest,
+    nowMs: number,
+    outputs: EntryOutput[],
+  ): WaitingRequest | undefined {
+    this.closeExpired(nowMs);
+    this.demand.record(request.cost, nowMs);
+    this.lastRequestMs = nowMs;
+    const waiting = createWaitingRequest(request, nowMs);
+    if (this.waitingCount === 0 && this.stock.getRemaining() >= request.cost) {
+      this.admit(waiting, nowMs, outputs);
+    } else if (!this.refuseEarly(waiting, nowMs, outputs)) {
+      this.waiting.push(waiting);
+      this.waitingCost += request.cost;
+      this.waitingCount += 1;
+    }
+    this.ask(nowMs, outputs);
+    return waiting.isDone ? undefined : waiting;
+  }
+
+  /** Refuses a waiting request whose time has passed. */
+  expireRequest(waiting: WaitingRequest, nowMs: number, outputs: EntryOutput[]): void {
+    this.leave(waiting);
+    const diagnostic =
+      this.link.getHolder() === undefined
+        ? Diagnostics.TokensUnavailable
+        : Diagnostics.RateExceeded;
+    this.refuse(waiting, diagnostic, this.getWaitMs(waiting.request.cost), outputs);
+    this.serve(nowMs, outputs);
+  }
+
+  /** Refuses every waiting request, for the account is no longer in force. */
+  refuseAll(outputs: EntryOutput[]): void {
+    for (let first = this.getFirst(); first !== undefined; first = this.getFirst()) {
+      this.leave(first);
+      this.refuse(first, Diagnostics.AccountWithoutLimit, 0, outputs);
+    }
+  }
+
+  /** Takes a waiting request out. */
+  leave(waiting: WaitingRequest): void {
+    waiting.isDone = true;
+    this.waitingCost -= waiting.request.cost;
+    this.waitingCount -= 1;
+  }
+
+  receiveGrant(grant: TokenGrant, nowMs: number, outputs: EntryOutput[]): void {
+    const expiresMs = this.link.accept(grant, nowMs);
+    if (expiresMs === undefined) {
+      return;
+    }
+    this.share = Math.max(MINIMUM_SHARE, grant.share);
+    if (grant.amount > 0) {
+      this.counts.granted += grant.amount;
+      this.stock.add(grant.sequence, grant.amount, expiresMs);
+    }
+    this.closeExpired(nowMs);
+    this.serve(nowMs, outputs);
+    this.ask(nowMs, outputs);
+  }
+
+  /** Gives back what no request waits for. */
+  recall(nowMs: number, outputs: EntryOutput[]): void {
+    if (this.waitingCount === 0 && !this.stock.isEmpty) {
+      this.returned(this.stock.surrender(), nowMs);
+      this.report(nowMs, outputs);
+    }
+  }
+
+  tick(nowMs: number, outputs: EntryOutput[]): void {
+    this.closeExpired(nowMs);
+    this.serve(nowMs, outputs);
+    this.ask(nowMs, outputs);
+    if (this.link.hasNews && !this.link.isWaitingForAnswer) {
+      this.report(nowMs, outputs);
+    }
+  }
+
+  /** Creates the exchange with the account's holder. */
+  protected createLink(entry: HostId, incarnation: Incarnation): TokenLink {
+    return new TokenLink(this.account, entry, incarnation);
+  }
+
+  /** Estimated wait of a request that is queued now, in milliseconds. */
+  private getWaitMs(cost: number): number {
+    const missing = Math.max(0, this.waitingCost + cost - this.stock.getRemaining());
+    return (missing / this.share) * 1000;
+  }
+
+  private refuseEarly(waiting: WaitingRequest, nowMs: number, outputs: EntryOutput[]): boolean {
+    const { cost } = waiting.request;
+    if (cost > this.limit.burst) {
+      return this.refuse(waiting, Diagnostics.CostAboveBurst, WARM_MS, outputs);
+    }
+    const waitMs = this.getWaitMs(cost);
+    const excessMs = nowMs + waitMs - waiting.latestMs;
+    if (excessMs > 0) {
+      return this.refuse(waiting, Diagnostics.RateExceeded, excessMs, outputs);
+    }
+    if (this.waitingCount >= MAXIMUM_WAITING) {
+      return this.refuse(waiting, Diagnostics.TooManyWaiting, waitMs / 2, outputs);
+    }
+    return false;
+  }
+
+  private refuse(
+    waiting: WaitingRequest,
+    diagnostic: Diagnostic,
+    retryAfterMs: number,
+    outputs: EntryOutput[],
+  ): true {
+    waiting.isDone = true;
+    const { requestId, cost } = waiting.request;
+    const { rate, burst } = this.limit;
+    this.counts.refused.set(diagnostic.code, (this.counts.refused.get(diagnostic.code) ?? 0) + 1);
+    outputs.push({
+      kind: LimiterOutputKind.Refuse,
+      requestId,
+      account: this.account,
+      diagnostic,
+      values: { account: this.account, cost, rate, burst, limit: MAXIMUM_WAITING },
+      retryAfterMs: Math.ceil(Math.max(retryAfterMs, (cost / this.share) * 1000)),
+    });
+    return true;
+  }
+
+  private serve(nowMs: number, outputs: EntryOutput[]): void {
+    for (let first = this.getFirst(); first !== undefined; first = this.getFirst()) {
+      if (this.stock.getRemaining() < first.request.cost) {
+        return;
+      }
+      this.leave(first);
+      this.admit(first, nowMs, outputs);
+    }
+  }
+
+  private getFirst(): WaitingRequest | undefined {
+    while (this.waiting.peek()?.isDone === true) {
+      this.waiting.shift();
+    }
+    return this.waiting.peek();
+  }
+
+  private admit(waiting: WaitingRequest, nowMs: number, outputs: EntryOutput[]): void {
+    waiting.isDone = true;
+    this.link.close(this.stock.spend(waiting.request.cost), nowMs);
+    this.counts.admitted += 1;
+    outputs.push({
+      kind: LimiterOutputKind.Admit,
+      requestId: waiting.request.requestId,
+      account: this.account,
+      waitedMs: nowMs - waiting.sinceMs,
+    });
+  }
+
+  private closeExpired(nowMs: number): void {
+    this.returned(this.stock.expire(nowMs), nowMs);
+  }
+
+  private returned(closed: readonly ClosedPortion[], nowMs: number): void {
+    this.link.close(closed, nowMs);
+    for (const portion of closed) {
+      this.counts.returned += portion.unused;
+    }
+  }
+
+  private ask(nowMs: number, outputs: EntryOutput[]): void {
+    const urgent = this.waitingCost;
+    const demand = this.demand.getRate(nowMs);
+    const reserve = nowMs - this.lastRequestMs < WARM_MS ? 1 : 0;
+    const leadMs = 2 * this.link.getRoundTripMs() + PREFETCH_MARGIN_MS;
+    const fresh = this.stock.getRemainingAt(nowMs + leadMs);
+    const isLow = fresh < (demand * leadMs) / 1000 + reserve;
+    if ((urgent === 0 && !isLow) || !this.link.canAsk(urgent, nowMs)) {
+      return;
+    }
+    const target = urgent + (demand * PREFETCH_HORIZON_MS) / 1000 + reserve;
+    const wanted = Math.ceil(target - fresh);
+    if (wanted > 0) {
+      const head = this.getFirst()?.request.cost ?? 0;
+      const missing = Math.max(head, urgent - this.stock.getRemaining());
+      const need = { head, urgent: urgent > 0 ? missing : 0, wanted, demand };
+      this.send(this.link.createRequest(need, nowMs), outputs);
+    }
+  }
+
+  private report(nowMs: number, outputs: EntryOutput[]): void {
+    this.send(this.link.createReturn(nowMs), outputs);
+  }
+
+  private send(message: MessageToHolder | undefined, outputs: EntryOutput[]): void {
+    const holder = this.link.getHolder();
+    if (message !== undefined && holder !== undefined) {
+      outputs.push({ kind: LimiterOutputKind.Send, to: holder.host, message });
+    }
+  }
+}
--- /dev/null
+++ b/src/decisions/limits/limitTiming.ts
@@ -0,0 +1,44 @@
+/** Life of a grant, counted by the entry daemon from when it sent its request. */
+export const GRANT_VALIDITY_MS = 500;
+
+/** Bound on how far any clock's speed differs from real time. */
+export const CLOCK_DRIFT = 0.01;
+
+/** The time after which a grant is over on every clock, measured on the clock of another host. */
+export const GRANT_SETTLED_MS = (GRANT_VALIDITY_MS * (1 + CLOCK_DRIFT)) / (1 - CLOCK_DRIFT);
+
+/** How long an entry daemon waits for a grant before it sends a new request. */
+export const REQUEST_RETRY_MS = GRANT_VALIDITY_MS / 4;
+
+/** How long a holder keeps an unanswered request. */
+export const REQUEST_PARKED_MS = GRANT_VALIDITY_MS / 2;
+
+/** How often tokens are asked back from one entry daemon at most. */
+export const RECALL_INTERVAL_MS = 50;
+
+/** Demand that a prefetched portion covers. */
+export const PREFETCH_HORIZON_MS = 100;
+
+/** Time beyond two round trips for which tokens are kept in stock. */
+export const PREFETCH_MARGIN_MS = 10;
+
+/** How long after its last request an account keeps a token in stock. */
+export const WARM_MS = 2000;
+
+/** Time constant of the demand estimate. */
+export const DEMAND_WINDOW_MS = 500;
+
+/** Round-trip time assumed before the first was measured. */
+export const INITIAL_ROUND_TRIP_MS = 5;
+
+/** Largest part of a deadline that is kept for running the request. */
+export const RUN_RESERVE_MS = 50;
+
+/** Share of a short deadline that is kept for running the request. */
+export const RUN_RESERVE_SHARE = 0.1;
+
+/** Requests of one account that may wait at one entry daemon. */
+export const MAXIMUM_WAITING = 10_000;
+
+/** How long a holder remembers an entry daemon that holds no grant and sends nothing. */
+export const LEDGER_RETENTION_MS = 2000;
--- /dev/null
+++ b/src/decisions/limits/limiterOutput.ts
@@ -0,0 +1,41 @@
+import type { Diagnostic, DiagnosticArguments } from '../../common/diagnostics/index.js';
+import type { AccountId, HostId, RequestId } from '../../common/ids/index.js';
+import type { MessageToEntry, MessageToHolder } from './tokenMessage.js';
+
+/** Tells the outputs of the limiter apart. */
+export enum LimiterOutputKind {
+  Admit = 'admit',
+  Refuse = 'refuse',
+  Send = 'send',
+}
+
+/** The request may run now; its tokens are spent. */
+export interface Admit {
+  readonly kind: LimiterOutputKind.Admit;
+  readonly requestId: RequestId;
+  readonly account: AccountId;
+  readonly waitedMs: number;
+}
+
+/** The request was not run and is refused. */
+export interface RefuseAdmission {
+  readonly kind: LimiterOutputKind.Refuse;
+  readonly requestId: RequestId;
+  readonly account: AccountId;
+  readonly diagnostic: Diagnostic;
+  readonly values: DiagnosticArguments;
+  readonly retryAfterMs: number;
+}
+
+/** A message to send; may be lost. */
+export interface Send<Message> {
+  readonly kind: LimiterOutputKind.Send;
+  readonly to: HostId;
+  readonly message: Message;
+}
+
+/** What an entry limiter wants done. */
+export type EntryOutput = Admit | RefuseAdmission | Send<MessageToHolder>;
+
+/** What a rate bucket wants done. */
+export type BucketOutput = Send<MessageToEntry>;
--- /dev/null
+++ b/src/decisions/limits/rateBucket.ts
@@ -0,0 +1,287 @@
+import type { AccountId, LeaseId } from '../../common/ids/index.js';
+import type { AccountLimit } from './accountLimit.js';
+import { createLedger, getLedgerKey, type EntryLedger, type ParkedRequest } from './entryLedger.js';
+import { type BucketOutput, LimiterOutputKind } from './limiterOutput.js';
+import {
+  GRANT_SETTLED_MS,
+  GRANT_VALIDITY_MS,
+  LEDGER_RETENTION_MS,
+  RECALL_INTERVAL_MS,
+  REQUEST_PARKED_MS,
+} from './limitTiming.js';
+import type { Settlement } from './settlement.js';
+import type { MessageToEntry, MessageToHolder } from './tokenMessage.js';
+import { TokenMessageKind } from './tokenMessageKind.js';
+import { TokenPool } from './tokenPool.js';
+import type { TokenRequest } from './tokenRequest.js';
+
+interface OpenGrant {
+  readonly ledger: EntryLedger;
+  readonly sequence: number;
+  readonly endsMs: number;
+}
+
+/** What a rate bucket is created with. */
+export interface RateBucketOptions {
+  readonly account: AccountId;
+  /** The lease under which this daemon holds the account. */
+  readonly lease: LeaseId;
+  readonly limit: AccountLimit;
+  /** When this daemon learned that it holds the account, by its own clock. */
+  readonly assignedMs: number;
+}
+
+/**
+ * The bucket of one account at the account's holder. It hands out the account's rate in small
+ * grants. It starts empty, after every grant of an earlier holder has expired.
+ */
+export class RateBucket {
+  readonly account: AccountId;
+  readonly lease: LeaseId;
+  protected readonly pool: TokenPool;
+  private readonly startMs: number;
+  private readonly ledgers = new Map<string, EntryLedger>();
+  private readonly parked = new Map<string, ParkedRequest>();
+  private openGrants: OpenGrant[] = [];
+  private totalDemand = 0;
+  private rate: number;
+  private leaseEndMs = Number.POSITIVE_INFINITY;
+  private sweptMs: number;
+
+  constructor(options: RateBucketOptions) {
+    this.account = options.account;
+    this.lease = options.lease;
+    this.rate = options.limit.rate;
+    this.startMs = options.assignedMs + this.getStartDelayMs();
+    this.pool = this.createPool(options.limit, this.startMs);
+    this.sweptMs = options.assignedMs;
+  }
+
+  /** Sets the time, by this daemon's clock, from which nothing is granted any more. */
+  setLeaseEnd(leaseEndMs: number): void {
+    this.leaseEndMs = leaseEndMs;
+  }
+
+  /** Takes on another rate and burst; outstanding grants count against the new burst. */
+  setLimit(limit: AccountLimit, nowMs: number): BucketOutput[] {
+    this.advance(nowMs);
+    this.rate = limit.rate;
+    this.pool.setLimit(limit);
+    return this.distribute(nowMs);
+  }
+
+  /** Handles a message of an entry daemon. */
+  receive(message: MessageToHolder, nowMs: number): BucketOutput[] {
+    this.advance(nowMs);
+    if (message.lease !== this.lease || message.account !== this.account) {
+      return [];
+    }
+    const ledger = this.getLedger(message, nowMs);
+    this.settleAll(ledger, message.settled);
+    if (message.kind === TokenMessageKind.Request && message.sequence > ledger.lastSequence) {
+      this.park(ledger, message, nowMs);
+    }
+    return this.distribute(nowMs);
+  }
+
+  /** Grants what the rate has given since the last call; call it every few milliseconds. */
+  tick(nowMs: number): BucketOutput[] {
+    this.advance(nowMs);
+    this.forgetIdle(nowMs);
+    return this.distribute(nowMs);
+  }
+
+  /** Tokens granted and not settled. */
+  getOutstanding(): number {
+    return this.pool.getOutstanding();
+  }
+
+  /** Tokens that could be granted now. */
+  getAvailable(): number {
+    return this.pool.getAvailable();
+  }
+
+  /** How long after its assignment a holder grants nothing. */
+  protected getStartDelayMs(): number {
+    return GRANT_SETTLED_MS;
+  }
+
+  /** How long after it was issued a grant can still be used somewhere. */
+  protected getGrantLifeMs(): number {
+    return GRANT_SETTLED_MS;
+  }
+
+  /** Creates the pool that is empty at `startMs`. */
+  protected createPool(limit: AccountLimit, startMs: number): TokenPool {
+    return new TokenPool(limit, startMs);
+  }
+
+  /** Closes a grant once; later settlements of it change nothing. */
+  protected settle(ledger: EntryLedger, settlement: Settlement): void {
+    const amount = ledger.grants.get(settlement.sequence);
+    if (amount === undefined) {
+      return;
+    }
+    ledger.grants.delete(settlement.sequence);
+    const used = Math.min(amount, Math.max(0, settlement.used));
+    this.pool.settle(amount, amount - used);
+  }
+
+  /** Closes a grant that no settlement came for: all of it may have been used. */
+  protected expire(ledger: EntryLedger, sequence: number): void {
+    this.settle(ledger, { sequence, used: ledger.grants.get(sequence) ?? 0 });
+  }
+
+  private settleAll(ledger: EntryLedger, settlements: readonly Settlement[]): void {
+    for (const settlement of settlements) {
+      this.settle(ledger, settlement);
+    }
+  }
+
+  private getLedger(message: MessageToHolder, nowMs: number): EntryLedger {
+    const key = getLedgerKey(message.entry, message.incarnation);
+    let ledger = this.ledgers.get(key);
+    if (ledger === undefined) {
+      ledger = createLedger(message.entry, message.incarnation, nowMs);
+      this.ledgers.set(key, ledger);
+    }
+    ledger.lastSeenMs = nowMs;
+    return ledger;
+  }
+
+  private park(ledger: EntryLedger, request: TokenRequest, nowMs: number): void {
+    ledger.lastSequence = request.sequence;
+    this.totalDemand += request.demand - ledger.demand;
+    ledger.demand = request.demand;
+    this.parked.set(ledger.key, { request, receivedMs: nowMs });
+  }
+
+  private advance(nowMs: number): void {
+    this.pool.refill(nowMs);
+    let expired = 0;
+    for (const grant of this.openGrants) {
+      if (grant.endsMs > nowMs) {
+        break;
+      }
+      expired += 1;
+      this.expire(grant.ledger, grant.sequence);
+    }
+    if (expired > 0) {
+      this.openGrants = this.openGrants.slice(expired);
+    }
+  }
+
+  private distribute(nowMs: number): BucketOutput[] {
+    const outputs: BucketOutput[] = [];
+    if (nowMs < this.startMs || nowMs >= this.leaseEndMs) {
+      return outputs;
+    }
+    this.dropStale(nowMs);
+    const urgent = [...this.parked.values()].filter((parked) => parked.request.urgent > 0);
+    for (const [index, parked] of urgent.entries()) {
+      const amount = this.getUrgentAmount(parked.request, urgent.length - index);
+      if (amount === 0) {
+        this.recall(nowMs, outputs);
+        return outputs;
+      }
+      outputs.push(this.grant(parked, amount, nowMs));
+    }
+    this.distributePrefetch(nowMs, outputs);
+    return outputs;
+  }
+
+  private distributePrefetch(nowMs: number, outputs: BucketOutput[]): void {
+    for (const parked of this.parked.values()) {
+      const amount = Math.min(parked.request.wanted, this.getPrefetchable());
+      if (amount > 0) {
+        outputs.push(this.grant(parked, amount, nowMs));
+      }
+    }
+  }
+
+  private getUrgentAmount(request: TokenRequest, contenders: number): number {
+    const whole = this.pool.getWhole();
+    if (whole < request.head) {
+      return 0;
+    }
+    const fairPart = Math.max(request.head, Math.floor(whole / contenders));
+    const amount = Math.min(request.urgent, fairPart);
+    if (contenders > 1 || amount < request.urgent) {
+      return amount;
+    }
+    const prefetch = Math.min(request.wanted - amount, Math.floor((whole - amount) / 2));
+    return amount + Math.max(0, prefetch);
+  }
+
+  private getPrefetchable(): number {
+    return Math.floor(this.pool.getWhole() / 2);
+  }
+
+  private grant(parked: ParkedRequest, amount: number, nowMs: number): BucketOutput {
+    const { request, receivedMs } = parked;
+    const ledger = this.getLedger(request, nowMs);
+    this.parked.delete(ledger.key);
+    this.pool.grant(amount);
+    ledger.grants.set(request.sequence, amount);
+    this.openGrants.push({
+      ledger,
+      sequence: request.sequence,
+      endsMs: nowMs + this.getGrantLifeMs(),
+    });
+    return this.send(ledger, {
+      kind: TokenMessageKind.Grant,
+      account: this.account,
+      lease: this.lease,
+      sequence: request.sequence,
+      amount,
+      validityMs: GRANT_VALIDITY_MS,
+      heldMs: nowMs - receivedMs,
+      share: this.getShare(ledger),
+    });
+  }
+
+  private getShare(ledger: EntryLedger): number {
+    const equal = this.rate / Math.max(1, this.ledgers.size);
+    return Math.max(equal, this.rate - (this.totalDemand - ledger.demand));
+  }
+
+  private recall(nowMs: number, outputs: BucketOutput[]): void {
+    for (const ledger of this.ledgers.values()) {
+      const idle = ledger.grants.size > 0 && !this.isWaiting(ledger);
+      if (idle && nowMs - ledger.recalledMs >= RECALL_INTERVAL_MS) {
+        ledger.recalledMs = nowMs;
+        const { account, lease } = this;
+        outputs.push(this.send(ledger, { kind: TokenMessageKind.Recall, account, lease }));
+      }
+    }
+  }
+
+  private isWaiting(ledger: EntryLedger): boolean {
+    return (this.parked.get(ledger.key)?.request.urgent ?? 0) > 0;
+  }
+
+  private send(ledger: EntryLedger, message: MessageToEntry): BucketOutput {
+    return { kind: LimiterOutputKind.Send, to: ledger.entry, message };
+  }
+
+  private dropStale(nowMs: number): void {
+    for (const [key, parked] of this.parked) {
+      if (nowMs - parked.receivedMs > REQUEST_PARKED_MS) {
+        this.parked.delete(key);
+      }
+    }
+  }
+
+  private forgetIdle(nowMs: number): void {
+    if (nowMs - this.sweptMs < LEDGER_RETENTION_MS / 10) {
+      return;
+    }
+    this.sweptMs = nowMs;
+    for (const [key, ledger] of this.ledgers) {
+      if (ledger.grants.size === 0 && nowMs - ledger.lastSeenMs > LEDGER_RETENTION_MS) {
+        this.totalDemand -= ledger.demand;
+        this.ledgers.delete(key);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/decisions/limits/tokenReturn.ts
@@ -0,0 +1,13 @@
+import type { AccountId, HostId, Incarnation, LeaseId } from '../../common/ids/index.js';
+import type { Settlement } from './settlement.js';
+import type { TokenMessageKind } from './tokenMessageKind.js';
+
+/** Gives back unused tokens without asking for more. */
+export interface TokenReturn {
+  readonly kind: TokenMessageKind.Return;
+  readonly account: AccountId;
+  readonly entry: HostId;
+  readonly incarnation: Incarnation;
+  readonly lease: LeaseId;
+  readonly settled: readonly Settlement[];
+}
--- /dev/null
+++ b/src/decisions/limits/waitingRequest.ts
@@ -0,0 +1,19 @@
+import type { AdmissionRequest } from './admissionRequest.js';
+import { RUN_RESERVE_MS, RUN_RESERVE_SHARE } from './limitTiming.js';
+
+/** A request that waits for tokens. */
+export interface WaitingRequest {
+  readonly request: AdmissionRequest;
+  readonly sinceMs: number;
+  /** The last moment at which admission still leaves time to run the request. */
+  readonly latestMs: number;
+  /** Admitted, refused or cancelled. */
+  isDone: boolean;
+}
+
+/** Creates a waiting request. */
+export function createWaitingRequest(request: AdmissionRequest, nowMs: number): WaitingRequest {
+  const left = request.deadlineMs - nowMs;
+  const reserve = Math.min(RUN_RESERVE_MS, left * RUN_RESERVE_SHARE);
+  return { request, sinceMs: nowMs, latestMs: request.deadlineMs - reserve, isDone: false };
+}
--- /dev/null
+++ b/src/decisions/queue/accountBacklog.ts
@@ -0,0 +1,50 @@
+import type { AccountId } from '../../common/ids/index.js';
+import { Fifo } from './fifo.js';
+import { type QueuedItem, QueuedState } from './queuedItem.js';
+
+/** The waiting items of one account, in order. */
+export class AccountBacklog {
+  private readonly items = new Fifo<QueuedItem>();
+  /** Estimated cost of all waiting items in milliseconds. */
+  backlogMs = 0;
+  weight = 1;
+
+  constructor(readonly account: AccountId) {}
+
+  add(item: QueuedItem): void {
+    this.items.push(item);
+    this.backlogMs += item.estimateMs;
+    this.weight = item.item.weight;
+  }
+
+  addFirst(item: QueuedItem): void {
+    this.items.unshift(item);
+    this.backlogMs += item.estimateMs;
+  }
+
+  /** The first item that still waits. */
+  peek(): QueuedItem | undefined {
+    for (let first = this.items.peek(); first !== undefined; first = this.items.peek()) {
+      if (first.state === QueuedState.Waiting) {
+        return first;
+      }
+      this.items.shift();
+    }
+    return undefined;
+  }
+
+  /** Removes the first item that still waits. */
+  shift(): QueuedItem | undefined {
+    const first = this.peek();
+    if (first !== undefined) {
+      this.items.shift();
+      this.left(first);
+    }
+    return first;
+  }
+
+  /** Notes that an item waits no more. */
+  left(item: QueuedItem): void {
+    this.backlogMs = Math.max(0, this.backlogMs - item.estimateMs);
+  }
+}
--- /dev/null
+++ b/src/decisions/queue/deficitRoundRobin.ts
@@ -0,0 +1,131 @@
+import type { AccountId } from '../../common/ids/index.js';
+import { AccountBacklog } from './accountBacklog.js';
+import { Fifo } from './fifo.js';
+import type { QueuedItem } from './queuedItem.js';
+import { QueuePolicy } from './queuePolicy.js';
+
+const QUANTUM_MS = 4;
+
+class RoundAccount extends AccountBacklog {
+  deficitMs = 0;
+  isActive = false;
+}
+
+/**
+ * Deficit round robin over client accounts. An account in credit starts requests and is billed
+ * their estimated cost at once and the difference to the measured cost later.
+ */
+export class DeficitRoundRobin extends QueuePolicy {
+  private readonly accounts = new Map<AccountId, RoundAccount>();
+  private readonly round = new Fifo<RoundAccount>();
+  private readonly active = new Set<RoundAccount>();
+  private maximumWeight = 0;
+
+  override add(item: QueuedItem): void {
+    const account = this.getAccount(item);
+    account.add(item);
+    this.activate(account);
+  }
+
+  override addFirst(item: QueuedItem): void {
+    const account = this.getAccount(item);
+    account.addFirst(item);
+    this.activate(account);
+  }
+
+  override next(): QueuedItem | undefined {
+    let passed = 0;
+    for (let account = this.round.peek(); account !== undefined; account = this.round.peek()) {
+      if (account.peek() === undefined) {
+        this.deactivate(account);
+        continue;
+      }
+      if (account.deficitMs > 0) {
+        return this.take(account);
+      }
+      this.round.shift();
+      this.round.push(account);
+      account.deficitMs += this.getQuantum(account);
+      passed += 1;
+      if (passed > this.round.size) {
+        this.skipRounds();
+        passed = 0;
+      }
+    }
+    return undefined;
+  }
+
+  override charge(item: QueuedItem, measuredMs: number): void {
+    const account = this.accounts.get(item.item.account);
+    if (account !== undefined) {
+      account.deficitMs -= measuredMs - item.estimateMs;
+    }
+  }
+
+  override getWaitMs(accountId: AccountId, weight: number, slots: number): number {
+    const own = this.accounts.get(accountId)?.backlogMs ?? 0;
+    let ahead = own;
+    for (const other of this.active) {
+      if (other.account !== accountId) {
+        ahead += Math.min(other.backlogMs, (own * other.weight) / weight);
+      }
+    }
+    return ahead / Math.max(1, slots);
+  }
+
+  override left(item: QueuedItem): void {
+    this.accounts.get(item.item.account)?.left(item);
+  }
+
+  private take(account: RoundAccount): QueuedItem | undefined {
+    const item = account.shift();
+    if (item !== undefined) {
+      account.deficitMs -= item.estimateMs;
+    }
+    return item;
+  }
+
+  private getAccount(item: QueuedItem): RoundAccount {
+    const id = item.item.account;
+    let account = this.accounts.get(id);
+    if (account === undefined) {
+      account = new RoundAccount(id);
+      this.accounts.set(id, account);
+    }
+    account.weight = item.item.weight;
+    this.maximumWeight = Math.max(this.maximumWeight, account.weight);
+    return account;
+  }
+
+  private activate(account: RoundAccount): void {
+    if (!account.isActive) {
+      account.isActive = true;
+      account.deficitMs = Math.min(0, account.deficitMs);
+      this.active.add(account);
+      this.round.push(account);
+    }
+  }
+
+  private deactivate(account: RoundAccount): void {
+    this.round.shift();
+    this.active.delete(account);
+    account.isActive = false;
+    account.backlogMs = 0;
+  }
+
+  /** The heaviest account gets one quantum a round, so that no account runs long alone. */
+  private getQuantum(account: RoundAccount): number {
+    return (QUANTUM_MS * account.weight) / this.maximumWeight;
+  }
+
+  /** Gives every active account at once the rounds after which the first is in credit. */
+  private skipRounds(): void {
+    let rounds = Number.POSITIVE_INFINITY;
+    for (const account of this.active) {
+      rounds = Math.min(rounds, Math.floor(-account.deficitMs / this.getQuantum(account)));
+    }
+    for (const account of this.active) {
+      account.deficitMs += Math.max(0, rounds) * this.getQuantum(account);
+    }
+  }
+}
--- /dev/null
+++ b/src/decisions/queue/instanceQueue.test.ts
@@ -0,0 +1,138 @@
+import { expect, test } from 'vitest';
+import { toAccountId, toRequestId } from '../../common/ids/index.js';
+import { InstanceQueue, type QueueItem, type QueueOutput, QueueOutputKind } from './index.js';
+
+function createItem(id: string, values: Partial<QueueItem> = {}): QueueItem {
+  return {
+    requestId: toRequestId(id),
+    account: toAccountId('mill'),
+    weight: 1,
+    deadlineMs: 1000,
+    costClass: 'select',
+    isTransaction: false,
+    ...values,
+  };
+}
+
+function describeOutputs(outputs: readonly QueueOutput[]): string[] {
+  return outputs.map((output) => {
+    const end = output.kind === QueueOutputKind.Start ? '' : ` FP${output.diagnostic.code}`;
+    return `${output.kind} ${output.requestId}${end}`;
+  });
+}
+
+test('requests start as slots become free, in the order of their account', () => {
+  const queue = new InstanceQueue({ slots: 2 });
+  const started = ['a', 'b', 'c', 'd'].flatMap((id) => queue.enqueue(createItem(id), 0));
+  expect(describeOutputs(started)).toEqual(['start a', 'start b']);
+  expect(describeOutputs(queue.complete(toRequestId('b'), 5))).toEqual(['start c']);
+  expect(describeOutputs(queue.cancel(toRequestId('c'), 6))).toEqual(['start d']);
+  expect(queue.runningCount).toBe(2);
+  expect(queue.waitingCount).toBe(0);
+});
+
+test('a request id that is already present is ignored', () => {
+  const queue = new InstanceQueue({ slots: 1 });
+  queue.enqueue(createItem('a'), 0);
+  queue.enqueue(createItem('b'), 0);
+  expect(queue.enqueue(createItem('b'), 1)).toEqual([]);
+  expect(queue.waitingCount).toBe(1);
+});
+
+test('what cannot start within its deadline is refused early with a time to retry', () => {
+  const queue = new InstanceQueue({ slots: 1, limits: { initialCostMs: 100 } });
+  for (const id of ['a', 'b', 'c', 'd', 'e']) {
+    queue.enqueue(createItem(id, { deadlineMs: 5000 }), 0);
+  }
+  const [refusal] = queue.enqueue(createItem('late', { deadlineMs: 300 }), 0);
+  expect(refusal).toMatchObject({
+    kind: QueueOutputKind.Refuse,
+    requestId: 'late',
+    retryAfterMs: 200,
+  });
+});
+
+test('a request whose time passes while it waits is refused and never started', () => {
+  const queue = new InstanceQueue({ slots: 1 });
+  queue.enqueue(createItem('long', { deadlineMs: 5000 }), 0);
+  queue.enqueue(createItem('a', { deadlineMs: 200 }), 0);
+  expect(describeOutputs(queue.tick(100))).toEqual([]);
+  expect(describeOutputs(queue.tick(199))).toEqual(['refuse a FP4011']);
+  expect(describeOutputs(queue.complete(toRequestId('long'), 210))).toEqual([]);
+});
+
+test('the queue of one account is bounded in length and time', () => {
+  const limits = { maximumLength: 2, maximumWaitMs: 50 };
+  const queue = new InstanceQueue({ slots: 1, limits });
+  const outputs = ['a', 'b', 'c', 'd'].flatMap((id) => queue.enqueue(createItem(id), 0));
+  expect(describeOutputs(outputs)).toEqual(['start a', 'refuse d FP4010']);
+  const other = createItem('e', { account: toAccountId('press') });
+  expect(describeOutputs(queue.enqueue(other, 0))).toEqual([]);
+  expect(describeOutputs(queue.tick(50))).toEqual([
+    'refuse b FP4012',
+    'refuse c FP4012',
+    'refuse e FP4012',
+  ]);
+});
+
+test('open transactions are bounded per account without stopping other requests', () => {
+  const queue = new InstanceQueue({ slots: 3 });
+  const transaction = { isTransaction: true, maximumOpenTransactions: 1 };
+  const outputs = [
+    ...queue.enqueue(createItem('t1', transaction), 0),
+    ...queue.enqueue(createItem('t2', transaction), 0),
+    ...queue.enqueue(createItem('s'), 0),
+  ];
+  expect(describeOutputs(outputs)).toEqual(['start t1', 'start s']);
+  expect(describeOutputs(queue.complete(toRequestId('t1'), 10))).toEqual(['start t2']);
+});
+
+test('a paused transaction holds no slot, stays counted and resumes before its account', () => {
+  const queue = new InstanceQueue({ slots: 1 });
+  const transaction = { isTransaction: true, maximumOpenTransactions: 1 };
+  queue.enqueue(createItem('t1', transaction), 0);
+  queue.enqueue(createItem('t2', transaction), 0);
+  queue.enqueue(createItem('a'), 0);
+  queue.enqueue(createItem('b'), 0);
+  expect(describeOutputs(queue.pause(toRequestId('t1'), 5))).toEqual(['start a']);
+  expect(describeOutputs(queue.resume(toRequestId('t1'), 1000, 6))).toEqual([]);
+  expect(describeOutputs(queue.complete(toRequestId('a'), 8))).toEqual(['start t1']);
+  expect(describeOutputs(queue.complete(toRequestId('t1'), 9))).toEqual(['start t2']);
+});
+
+test('a transaction that is open for too long is reported once', () => {
+  const queue = new InstanceQueue({ slots: 1, limits: { transactionLimitMs: 100 } });
+  queue.enqueue(createItem('t', { isTransaction: true }), 0);
+  queue.pause(toRequestId('t'), 10);
+  expect(describeOutputs(queue.tick(99))).toEqual([]);
+  expect(describeOutputs(queue.tick(100))).toEqual(['abort-transaction t FP4013']);
+  expect(describeOutputs(queue.tick(200))).toEqual([]);
+});
+
+test('drained requests come out in order of arrival and run elsewhere', () => {
+  const queue = new InstanceQueue({ slots: 1 });
+  queue.enqueue(createItem('running'), 0);
+  for (const [index, id] of ['a', 'b', 'c', 'd'].entries()) {
+    const account = toAccountId(index % 2 === 0 ? 'mill' : 'press');
+    queue.enqueue(createItem(id, { account, weight: 1 + index }), index);
+  }
+  const drained = queue.drain(5);
+  expect(drained.map((item) => item.requestId)).toEqual(['a', 'b', 'c', 'd']);
+  expect(queue.waitingCount).toBe(0);
+  expect(queue.runningCount).toBe(1);
+  const next = new InstanceQueue({ slots: 4 });
+  const outputs = drained.flatMap((item) => next.enqueue(item, 6));
+  expect(describeOutputs(outputs)).toEqual(['start a', 'start b', 'start c', 'start d']);
+});
+
+test('more slots start what waits at once and fewer slots cut nothing', () => {
+  const queue = new InstanceQueue({ slots: 0 });
+  for (const id of ['a', 'b', 'c']) {
+    queue.enqueue(createItem(id), 0);
+  }
+  expect(describeOutputs(queue.setSlots(2, 1))).toEqual(['start a', 'start b']);
+  expect(describeOutputs(queue.setSlots(1, 2))).toEqual([]);
+  expect(queue.runningCount).toBe(2);
+  expect(describeOutputs(queue.complete(toRequestId('a'), 3))).toEqual([]);
+  expect(describeOutputs(queue.complete(toRequestId('b'), 4))).toEqual(['start c']);
+});
--- /dev/null
+++ b/src/decisions/queue/instanceQueue.ts
@@ -0,0 +1,307 @@
+import { assertInvariant, Diagnostics } from '../../common/diagnostics/index.js';
+import type { RequestId } from '../../common/ids/index.js';
+import { type AccountRecord, AccountRecords } from './accountRecord.js';
+import { CostEstimate } from './costEstimate.js';
+import { DeficitRoundRobin } from './deficitRoundRobin.js';
+import { OpenTransactions } from './openTransactions.js';
+import { isWaiting, opensTransaction, type QueuedItem, QueuedState } from './queuedItem.js';
+import type { QueueItem } from './queueItem.js';
+import { DEFAULT_QUEUE_LIMITS, type QueueLimits } from './queueLimits.js';
+import { createAbort, createRefusal, type QueueOutput, QueueOutputKind } from './queueOutput.js';
+import type { QueuePolicy } from './queuePolicy.js';
+import { StartLimits } from './startLimits.js';
+
+const MAXIMUM_RESERVE_SHARE = 0.5;
+
+/** What an instance queue is created with. */
+export interface InstanceQueueOptions {
+  /** Requests that the instance runs at once. */
+  readonly slots: number;
+  readonly policy?: QueuePolicy;
+  readonly limits?: Partial<QueueLimits>;
+}
+
+/** The requests that wait for, or hold, the slots of one database instance. */
+export class InstanceQueue {
+  private readonly policy: QueuePolicy;
+  private readonly limits: QueueLimits;
+  private readonly estimate: CostEstimate;
+  private readonly items = new Map<RequestId, QueuedItem>();
+  private readonly accounts = new AccountRecords();
+  private readonly startLimits = new StartLimits();
+  private readonly openTransactions: OpenTransactions;
+  private slots: number;
+  private running = 0;
+  private waiting = 0;
+  private arrivals = 0;
+
+  constructor(options: InstanceQueueOptions) {
+    this.slots = options.slots;
+    this.policy = options.policy ?? new DeficitRoundRobin();
+    this.limits = { ...DEFAULT_QUEUE_LIMITS, ...options.limits };
+    this.estimate = new CostEstimate(this.limits.initialCostMs);
+    this.openTransactions = new OpenTransactions(this.limits.transactionLimitMs);
+  }
+
+  /** Requests that hold a slot. */
+  get runningCount(): number {
+    return this.running;
+  }
+
+  /** Requests that wait for a slot. */
+  get waitingCount(): number {
+    return this.waiting;
+  }
+
+  /** Adds a request; it starts, waits or is refused. A request id already present is ignored. */
+  enqueue(item: QueueItem, nowMs: number): QueueOutput[] {
+    const outputs: QueueOutput[] = [];
+    if (this.items.has(item.requestId)) {
+      return outputs;
+    }
+    const queued = this.createQueued(item, nowMs);
+    const record = this.accounts.get(item.account);
+    if (this.refuseEarly(queued, record, nowMs, outputs)) {
+      return outputs;
+    }
+    this.items.set(item.requestId, queued);
+    this.policy.add(queued);
+    this.wait(queued, record);
+    this.startReady(nowMs, outputs);
+    return outputs;
+  }
+
+  /** Ends a request, and its transaction if it opened one; frees its slot. */
+  complete(requestId: RequestId, nowMs: number): QueueOutput[] {
+    const outputs: QueueOutput[] = [];
+    const queued = this.items.get(requestId);
+    if (queued === undefined) {
+      return outputs;
+    }
+    this.takeOut(queued, nowMs);
+    this.startReady(nowMs, outputs);
+    return outputs;
+  }
+
+  /** Takes a request out wherever it stands; its slot, if any, counts as free. */
+  cancel(requestId: RequestId, nowMs: number): QueueOutput[] {
+    return this.complete(requestId, nowMs);
+  }
+
+  /** Frees the slot of an open transaction until its next statement. */
+  pause(requestId: RequestId, nowMs: number): QueueOutput[] {
+    const outputs: QueueOutput[] = [];
+    const queued = this.items.get(requestId);
+    if (queued?.state === QueuedState.Running && queued.openedMs !== undefined) {
+      this.endService(queued, nowMs);
+      queued.state = QueuedState.Paused;
+      this.startReady(nowMs, outputs);
+    }
+    return outputs;
+  }
+
+  /** Queues the next statement of a paused transaction, before other requests of its account. */
+  resume(requestId: RequestId, deadlineMs: number, nowMs: number): QueueOutput[] {
+    const outputs: QueueOutput[] = [];
+    const queued = this.items.get(requestId);
+    if (queued?.state === QueuedState.Paused) {
+      queued.state = QueuedState.Waiting;
+      queued.queuedMs = nowMs;
+      queued.latestStartMs = this.getLatestStart(deadlineMs, queued.estimateMs, nowMs);
+      this.policy.addFirst(queued);
+      this.wait(queued, this.accounts.get(queued.item.account));
+      this.startReady(nowMs, outputs);
+    }
+    return outputs;
+  }
+
+  /** Refuses what can no longer start in time and reports transactions that took too long. */
+  tick(nowMs: number): QueueOutput[] {
+    const outputs: QueueOutput[] = [];
+    for (;;) {
+      const overdue = this.startLimits.takeOverdue(nowMs);
+      if (overdue === undefined) {
+        break;
+      }
+      this.refuseWaiting(overdue, nowMs, outputs);
+    }
+    this.abortOverdue(nowMs, outputs);
+    this.startReady(nowMs, outputs);
+    return outputs;
+  }
+
+  /** Changes the number of slots; running requests are not touched. */
+  setSlots(slots: number, nowMs: number): QueueOutput[] {
+    const outputs: QueueOutput[] = [];
+    this.slots = slots;
+    this.startReady(nowMs, outputs);
+    return outputs;
+  }
+
+  /** Takes out every request that was not started, in order of arrival. */
+  drain(nowMs: number): QueueItem[] {
+    const drained = [...this.items.values()]
+      .filter((queued) => isWaiting(queued) && queued.openedMs === undefined)
+      .sort((left, right) => left.order - right.order);
+    for (const queued of drained) {
+      this.takeOut(queued, nowMs);
+    }
+    return drained.map((queued) => queued.item);
+  }
+
+  private createQueued(item: QueueItem, nowMs: number): QueuedItem {
+    const estimateMs = this.estimate.get(item.costClass);
+    this.arrivals += 1;
+    return {
+      item,
+      order: this.arrivals,
+      state: QueuedState.Waiting,
+      queuedMs: nowMs,
+      latestStartMs: this.getLatestStart(item.deadlineMs, estimateMs, nowMs),
+      estimateMs,
+      startedMs: nowMs,
+      openedMs: undefined,
+    };
+  }
+
+  private getLatestStart(deadlineMs: number, estimateMs: number, nowMs: number): number {
+    const reserveMs = Math.min(estimateMs, (deadlineMs - nowMs) * MAXIMUM_RESERVE_SHARE);
+    return Math.min(deadlineMs - reserveMs, nowMs + this.limits.maximumWaitMs);
+  }
+
+  private refuseEarly(
+    queued: QueuedItem,
+    record: AccountRecord,
+    nowMs: number,
+    outputs: QueueOutput[],
+  ): boolean {
+    if (this.waiting === 0 && this.running < this.slots && queued.latestStartMs >= nowMs) {
+      return false;
+    }
+    const { item } = queued;
+    const waitMs = this.policy.getWaitMs(item.account, item.weight, this.slots);
+    const { maximumLength, maximumWaitMs } = this.limits;
+    if (record.waiting >= maximumLength) {
+      outputs.push(createRefusal(item, Diagnostics.QueueFull, maximumLength, waitMs / 2));
+      return true;
+    }
+    const excessMs = nowMs + waitMs - queued.latestStartMs;
+    if (excessMs > 0) {
+      outputs.push(createRefusal(item, Diagnostics.QueueDeadline, maximumWaitMs, excessMs));
+      return true;
+    }
+    return false;
+  }
+
+  private wait(queued: QueuedItem, record: AccountRecord): void {
+    record.waiting += 1;
+    this.waiting += 1;
+    this.startLimits.add(queued);
+  }
+
+  private startReady(nowMs: number, outputs: QueueOutput[]): void {
+    while (this.running < this.slots && this.waiting > 0) {
+      const queued = this.policy.next(nowMs);
+      if (queued === undefined) {
+        return;
+      }
+      const record = this.accounts.get(queued.item.account);
+      if (queued.latestStartMs < nowMs) {
+        this.policy.charge(queued, 0);
+        this.refuseWaiting(queued, nowMs, outputs);
+      } else if (this.mustHoldBack(queued, record)) {
+        this.policy.charge(queued, 0);
+        record.holdBack(queued);
+      } else {
+        outputs.push(this.start(queued, record, nowMs));
+      }
+    }
+  }
+
+  private mustHoldBack(queued: QueuedItem, record: AccountRecord): boolean {
+    const maximum = queued.item.maximumOpenTransactions ?? Number.POSITIVE_INFINITY;
+    return opensTransaction(queued) && record.openTransactions >= maximum;
+  }
+
+  private start(queued: QueuedItem, record: AccountRecord, nowMs: number): QueueOutput {
+    queued.state = QueuedState.Running;
+    queued.startedMs = nowMs;
+    this.running += 1;
+    this.waiting -= 1;
+    record.waiting -= 1;
+    assertInvariant(this.running <= this.slots, 'no more requests run than there are slots');
+    if (opensTransaction(queued)) {
+      queued.openedMs = nowMs;
+      record.openTransactions += 1;
+      this.openTransactions.add(queued);
+    }
+    return {
+      kind: QueueOutputKind.Start,
+      requestId: queued.item.requestId,
+      account: queued.item.account,
+      waitedMs: nowMs - queued.queuedMs,
+    };
+  }
+
+  private takeOut(queued: QueuedItem, nowMs: number): void {
+    const record = this.accounts.get(queued.item.account);
+    if (queued.state === QueuedState.Running) {
+      this.endService(queued, nowMs);
+    } else if (isWaiting(queued)) {
+      this.leaveWaiting(queued, record);
+    }
+    queued.state = QueuedState.Done;
+    this.items.delete(queued.item.requestId);
+    if (queued.openedMs !== undefined) {
+      record.openTransactions -= 1;
+      this.releaseHeldBack(record);
+    }
+  }
+
+  private releaseHeldBack(record: AccountRecord): void {
+    const released = record.release();
+    if (released !== undefined) {
+      released.state = QueuedState.Waiting;
+      this.policy.addFirst(released);
+    }
+  }
+
+  private endService(queued: QueuedItem, nowMs: number): void {
+    const measuredMs = nowMs - queued.startedMs;
+    this.running -= 1;
+    this.policy.charge(queued, measuredMs);
+    this.estimate.record(queued.item.costClass, measuredMs);
+  }
+
+  private leaveWaiting(queued: QueuedItem, record: AccountRecord): void {
+    if (queued.state === QueuedState.Waiting) {
+      this.policy.left(queued);
+    }
+    this.waiting -= 1;
+    record.waiting -= 1;
+  }
+
+  private refuseWaiting(queued: QueuedItem, nowMs: number, outputs: QueueOutput[]): void {
+    const { account, weight } = queued.item;
+    const waitMs = this.policy.getWaitMs(account, weight, this.slots);
+    const waitedLong = nowMs - queued.queuedMs >= this.limits.maximumWaitMs;
+    const diagnostic = waitedLong ? Diagnostics.QueueWaitExceeded : Diagnostics.QueueDeadline;
+    outputs.push(createRefusal(queued.item, diagnostic, this.limits.maximumWaitMs, waitMs));
+    if (queued.openedMs === undefined) {
+      this.takeOut(queued, nowMs);
+    } else {
+      this.leaveWaiting(queued, this.accounts.get(account));
+      queued.state = QueuedState.Paused;
+    }
+  }
+
+  private abortOverdue(nowMs: number, outputs: QueueOutput[]): void {
+    for (;;) {
+      const overdue = this.openTransactions.takeOverdue(nowMs);
+      if (overdue === undefined) {
+        return;
+      }
+      outputs.push(createAbort(overdue.item, this.limits.transactionLimitMs));
+    }
+  }
+}
--- /dev/null
+++ b/src/decisions/queue/openTransactions.ts
@@ -0,0 +1,29 @@
+import { Fifo } from './fifo.js';
+import { type QueuedItem, QueuedState } from './queuedItem.js';
+
+/** The open transactions, in the order in which they were opened. */
+export class OpenTransactions {
+  private readonly items = new Fifo<QueuedItem>();
+
+  constructor(private readonly limitMs: number) {}
+
+  /** Adds a transaction that was opened now. */
+  add(item: QueuedItem): void {
+    this.items.push(item);
+  }
+
+  /** Removes and returns a transaction that has been open for too long. */
+  takeOverdue(nowMs: number): QueuedItem | undefined {
+    for (let first = this.items.peek(); first !== undefined; first = this.items.peek()) {
+      const isOpen = first.state !== QueuedState.Done;
+      if (isOpen && nowMs - (first.openedMs ?? nowMs) < this.limitMs) {
+        return undefined;
+      }
+      this.items.shift();
+      if (isOpen) {
+        return first;
+      }
+    }
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/decisions/queue/queueOutput.ts
@@ -0,0 +1,76 @@
+import {
+  Diagnostics,
+  type Diagnostic,
+  type DiagnosticArguments,
+} from '../../common/diagnostics/index.js';
+import type { AccountId, RequestId } from '../../common/ids/index.js';
+import type { QueueItem } from './queueItem.js';
+
+const MINIMUM_RETRY_MS = 1;
+
+/** Tells the outputs of the queue apart. */
+export enum QueueOutputKind {
+  Start = 'start',
+  Refuse = 'refuse',
+  AbortTransaction = 'abort-transaction',
+}
+
+/** The request has a slot: run it now. */
+export interface Start {
+  readonly kind: QueueOutputKind.Start;
+  readonly requestId: RequestId;
+  readonly account: AccountId;
+  readonly waitedMs: number;
+}
+
+/** The request was not run and is refused. */
+export interface RefuseItem {
+  readonly kind: QueueOutputKind.Refuse;
+  readonly requestId: RequestId;
+  readonly account: AccountId;
+  readonly diagnostic: Diagnostic;
+  readonly values: DiagnosticArguments;
+  readonly retryAfterMs: number;
+}
+
+/** The transaction exceeded its time: roll it back, close its connection, then call `complete`. */
+export interface AbortTransaction {
+  readonly kind: QueueOutputKind.AbortTransaction;
+  readonly requestId: RequestId;
+  readonly account: AccountId;
+  readonly diagnostic: Diagnostic;
+  readonly values: DiagnosticArguments;
+}
+
+/** What an instance queue wants done. */
+export type QueueOutput = Start | RefuseItem | AbortTransaction;
+
+/** Creates the refusal of a request that was not run. */
+export function createRefusal(
+  item: QueueItem,
+  diagnostic: Diagnostic,
+  limit: number,
+  retryAfterMs: number,
+): RefuseItem {
+  const { requestId, account } = item;
+  return {
+    kind: QueueOutputKind.Refuse,
+    requestId,
+    account,
+    diagnostic,
+    values: { account, limit },
+    retryAfterMs: Math.ceil(Math.max(MINIMUM_RETRY_MS, retryAfterMs)),
+  };
+}
+
+/** Creates the report of a transaction that was open for too long. */
+export function createAbort(item: QueueItem, limitMs: number): AbortTransaction {
+  const { requestId, account } = item;
+  return {
+    kind: QueueOutputKind.AbortTransaction,
+    requestId,
+    account,
+    diagnostic: Diagnostics.TransactionTimeLimit,
+    values: { account, limit: limitMs },
+  };
+}
--- /dev/null
+++ b/src/decisions/queue/startLimits.ts
@@ -0,0 +1,36 @@
+import { BinaryHeap } from './binaryHeap.js';
+import { isWaiting, type QueuedItem } from './queuedItem.js';
+
+interface StartLimit {
+  readonly item: QueuedItem;
+  readonly atMs: number;
+}
+
+/** Finds waiting items whose last moment to start has passed. */
+export class StartLimits {
+  private readonly heap = new BinaryHeap<StartLimit>(isBefore);
+
+  /** Watches an item that began to wait. */
+  add(item: QueuedItem): void {
+    this.heap.push({ item, atMs: item.latestStartMs });
+  }
+
+  /** Removes and returns an item that is overdue. */
+  takeOverdue(nowMs: number): QueuedItem | undefined {
+    for (let next = this.heap.peek(); next !== undefined; next = this.heap.peek()) {
+      const isCurrent = isWaiting(next.item) && next.item.latestStartMs === next.atMs;
+      if (isCurrent && next.atMs > nowMs) {
+        return undefined;
+      }
+      this.heap.pop();
+      if (isCurrent) {
+        return next.item;
+      }
+    }
+    return undefined;
+  }
+}
+
+function isBefore(left: StartLimit, right: StartLimit): boolean {
+  return left.atMs === right.atMs ? left.item.order < right.item.order : left.atMs < right.atMs;
+}
