--- /dev/null
+++ b/src/daemon/holder/executeServer.ts
@@ -0,0 +1,94 @@
+import type { Incarnation } from '../../common/ids/index.js';
+import type { TimerService } from '../../common/timer/index.js';
+import { MeshKind, type Execute, type Mesh, type MeshLink } from '../mesh/index.js';
+import type { GroupHolder } from './groupHolder.js';
+import { ServedRequest } from './servedRequest.js';
+
+/** How long a whole answer is kept for a sender that lost its link. */
+export const ANSWER_RETENTION_MS = 8000;
+const SWEEP_INTERVAL_MS = 500;
+const OWNER_GRACE_MS = 3000;
+
+/** Runs requests that other daemons send; a repeated one gets its first outcome. */
+export class ExecuteServer {
+  private readonly served = new Map<string, ServedRequest>();
+  /** Senders without a link, with the time at which the last one was lost. */
+  private readonly missing = new Map<Incarnation, number>();
+
+  constructor(
+    private readonly mesh: Mesh,
+    private readonly holder: GroupHolder,
+    private readonly timer: TimerService,
+  ) {
+    mesh.receive(MeshKind.Execute, ({ link, message }) => this.execute(link, message));
+    mesh.receive(MeshKind.ResponseCredit, ({ link, message }) => {
+      this.find(link, message.id)?.consume(message.consumed);
+    });
+    mesh.receive(MeshKind.Cancel, ({ link, message }) => {
+      const running = this.find(link, message.id)?.running;
+      if (message.abandoned) {
+        running?.abandon();
+      } else {
+        running?.cancel();
+      }
+    });
+    mesh.receive(MeshKind.AbortTransaction, ({ message }) => {
+      holder.abortTransaction(message.group, message.transaction);
+    });
+    void mesh.lost.stream.observe((link) => this.linkLost(link));
+    timer.subscribe(SWEEP_INTERVAL_MS, (nowMs) => this.sweep(nowMs));
+  }
+
+  private execute(link: MeshLink, { request, received }: Execute): void {
+    const key = getKey(link, request.id);
+    if (link.peer !== undefined) {
+      this.missing.delete(link.peer.incarnation);
+    }
+    const known = this.served.get(key);
+    if (known !== undefined) {
+      known.attach(link, received);
+      return;
+    }
+    const served = new ServedRequest(request.id, link, () => this.timer.now());
+    this.served.set(key, served);
+    served.running = this.holder.execute(request, served);
+  }
+
+  private find(link: MeshLink, id: string): ServedRequest | undefined {
+    return this.served.get(getKey(link, id));
+  }
+
+  private linkLost(link: MeshLink): void {
+    if (link.peer !== undefined && !this.mesh.hasLinkTo(link.peer.incarnation)) {
+      this.missing.set(link.peer.incarnation, this.timer.now());
+    }
+  }
+
+  private sweep(nowMs: number): void {
+    for (const [key, served] of this.served) {
+      if (served.endedMs !== undefined && nowMs - served.endedMs > ANSWER_RETENTION_MS) {
+        this.served.delete(key);
+      }
+    }
+    for (const [incarnation, sinceMs] of this.missing) {
+      if (nowMs - sinceMs > OWNER_GRACE_MS) {
+        this.missing.delete(incarnation);
+        this.abandonAll(incarnation);
+      }
+    }
+  }
+
+  /** Ends the work of a daemon that did not come back. */
+  private abandonAll(incarnation: Incarnation): void {
+    for (const [key, served] of this.served) {
+      if (key.startsWith(`${incarnation}/`) && served.endedMs === undefined) {
+        served.running?.abandon();
+      }
+    }
+    this.holder.abortOwned(incarnation);
+  }
+}
+
+function getKey(link: MeshLink, id: string): string {
+  return `${link.peer?.incarnation ?? ''}/${id}`;
+}
--- /dev/null
+++ b/src/daemon/holder/groupHolder.ts
@@ -0,0 +1,167 @@
+import {
+  createFault,
+  Diagnostics,
+  type Diagnostic,
+  type Fault,
+} from '../../common/diagnostics/index.js';
+import type { GroupId, Incarnation, LeaseId } from '../../common/ids/index.js';
+import type { GroupReport } from '../../decisions/control/index.js';
+import {
+  createRefusedOutcome,
+  type ExecuteRequest,
+  type ResponseReceiver,
+  type RunningRequest,
+} from '../requests/index.js';
+import { HeldGroup } from './heldGroup.js';
+import type { HolderContext } from './holderContext.js';
+
+const TICK_INTERVAL_MS = 5;
+
+/** All database groups that this daemon holds under its lease. */
+export class GroupHolder {
+  private readonly groups = new Map<GroupId, HeldGroup>();
+  private readonly released = new Set<GroupId>();
+  private lease: LeaseId | undefined;
+
+  constructor(private readonly context: HolderContext) {
+    context.timer.subscribe(TICK_INTERVAL_MS, (nowMs) => this.tick(nowMs));
+  }
+
+  /** Groups that are held now. */
+  get count(): number {
+    return this.groups.size;
+  }
+
+  /** Groups given up under the present lease. */
+  get releasedGroups(): readonly GroupId[] {
+    return [...this.released];
+  }
+
+  /** Runs a request, or returns undefined after refusing it as not run. */
+  execute(request: ExecuteRequest, receiver: ResponseReceiver): RunningRequest | undefined {
+    const group = this.groups.get(request.group);
+    if (!this.context.lease.isValid()) {
+      return this.refuse(request, receiver, Diagnostics.LeaseExpired);
+    }
+    if (group === undefined || request.lease !== this.context.lease.id) {
+      return this.refuse(request, receiver, Diagnostics.HolderMoved);
+    }
+    return group.execute(request, receiver);
+  }
+
+  /** Rolls a transaction back whose caller is gone. */
+  abortTransaction(group: GroupId, transaction: string): void {
+    this.groups.get(group)?.abortTransaction(transaction);
+  }
+
+  /** Rolls back the transactions of a daemon that is gone. */
+  abortOwned(owner: Incarnation): void {
+    for (const group of this.groups.values()) {
+      group.abortOwned(owner);
+    }
+  }
+
+  /** Takes on assignments and everything else that control decided. */
+  recordsChanged(): void {
+    this.checkLease();
+    if (!this.context.lease.isValid()) {
+      return;
+    }
+    for (const group of this.context.records.getGroups()) {
+      this.updateGroup(group);
+    }
+    for (const group of this.groups.values()) {
+      group.recordsChanged();
+    }
+  }
+
+  /** What the control leader is to know of the held groups. */
+  getReports(): readonly GroupReport[] {
+    return [...this.groups.values()].map((group) => group.getReport());
+  }
+
+  /** Gives all groups up as soon as what runs in them has ended. */
+  drain(): void {
+    for (const group of this.groups.values()) {
+      group.drain();
+    }
+  }
+
+  private updateGroup(id: GroupId): void {
+    const assignment = this.context.records.getGroupAssignment(id);
+    const isOwn = assignment?.holder !== undefined && assignment.holder.lease === this.lease;
+    if (!isOwn) {
+      this.released.delete(id);
+      this.remove(id);
+      return;
+    }
+    if (this.released.has(id)) {
+      return;
+    }
+    if (!this.groups.has(id)) {
+      this.groups.set(id, new HeldGroup(id, this.context));
+      this.context.logger.report(Diagnostics.GroupTaken, { group: id }, { step: 'holder.take' });
+    }
+    if (assignment.draining) {
+      this.groups.get(id)?.drain();
+    }
+  }
+
+  private tick(nowMs: number): void {
+    this.checkLease();
+    for (const [id, group] of this.groups) {
+      group.tick(nowMs);
+      if (group.isDrained) {
+        this.release(id);
+      }
+    }
+  }
+
+  private release(id: GroupId): void {
+    this.remove(id);
+    this.released.add(id);
+    this.context.reportNow();
+  }
+
+  /** Everything held under a lease ends with it. */
+  private checkLease(): void {
+    const { lease } = this.context;
+    const current = lease.isValid() ? lease.id : undefined;
+    if (current === this.lease) {
+      return;
+    }
+    for (const id of [...this.groups.keys()]) {
+      this.remove(id);
+    }
+    this.released.clear();
+    this.lease = current;
+  }
+
+  private remove(id: GroupId): void {
+    const group = this.groups.get(id);
+    if (group === undefined) {
+      return;
+    }
+    this.groups.delete(id);
+    group.stop();
+    this.context.logger.report(
+      Diagnostics.GroupReleased,
+      { group: id },
+      { step: 'holder.release' },
+    );
+  }
+
+  private refuse(
+    request: ExecuteRequest,
+    receiver: ResponseReceiver,
+    diagnostic: Diagnostic,
+  ): undefined {
+    const values = { group: request.group };
+    receiver.finish(createRefusedOutcome(createNotRun(diagnostic, values)));
+    return undefined;
+  }
+}
+
+function createNotRun(diagnostic: Diagnostic, values: { readonly group: GroupId }): Fault {
+  return createFault(diagnostic, values, { step: 'holder.execute' });
+}
--- /dev/null
+++ b/src/daemon/holder/groupRequests.ts
@@ -0,0 +1,311 @@
+import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
+import type { InstanceId, RequestId } from '../../common/ids/index.js';
+import { mayRetry, RouteKind, type RouteDecision } from '../../decisions/routing/index.js';
+import type { SessionPosition } from '../../decisions/sessions/index.js';
+import type { BackendConnection, ProbeAnswer } from '../backend/index.js';
+import {
+  RequestKind,
+  TransactionStatus,
+  type ExecuteRequest,
+  type ResponseReceiver,
+  type RunningRequest,
+} from '../requests/index.js';
+import { GroupTransactions } from './groupTransactions.js';
+import type { GroupWrites } from './groupWrites.js';
+import type { HeldInstance } from './heldInstance.js';
+import { HeldRequest, type HeldRequestOwner } from './heldRequest.js';
+import { HeldRequestHandle } from './heldRequestHandle.js';
+import type { HolderContext } from './holderContext.js';
+
+/** What the requests of a group need of it. */
+export interface RequestPlaces {
+  route(request: ExecuteRequest): RouteDecision;
+  getInstance(id: InstanceId): HeldInstance | undefined;
+  /** Whether a request may be sent to an instance at this very moment. */
+  mayStart(held: HeldRequest, instance: HeldInstance): boolean;
+  /** A request has ended. */
+  requestEnded(): void;
+}
+
+/** The requests of a held group, from arrival to answer. */
+export class GroupRequests implements HeldRequestOwner {
+  readonly transactions: GroupTransactions;
+  private readonly requests = new Map<RequestId, HeldRequest>();
+  private readonly waiting = new Set<HeldRequest>();
+  private closingFault: Fault | undefined;
+
+  constructor(
+    private readonly context: HolderContext,
+    private readonly places: RequestPlaces,
+    private readonly writes: GroupWrites,
+  ) {
+    this.transactions = new GroupTransactions(context.timer);
+  }
+
+  /** No request runs or waits and no transaction is open. */
+  get isIdle(): boolean {
+    return this.requests.size === 0 && this.transactions.count === 0;
+  }
+
+  /** Requests that were sent to an instance and may change data there. */
+  hasStartedWrites(): boolean {
+    for (const held of this.requests.values()) {
+      if (held.startedMs !== undefined && held.request.kind !== RequestKind.Read) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Runs a request; the answer goes to the receiver. */
+  execute(request: ExecuteRequest, receiver: ResponseReceiver): RunningRequest {
+    const held = new HeldRequest(request, receiver, this.context.timer.now());
+    held.onFinished = () => {
+      this.requests.delete(request.id);
+      this.waiting.delete(held);
+      this.places.requestEnded();
+    };
+    this.requests.set(request.id, held);
+    if (request.transaction === undefined) {
+      this.place(held);
+    } else {
+      this.transactions.continue(request.transaction, held);
+    }
+    return new HeldRequestHandle(held, () => this.cancel(held));
+  }
+
+  /** Takes no new requests; what has not started is refused as not run. */
+  close(fault: Fault): void {
+    this.closingFault = fault;
+    for (const held of [...this.requests.values()]) {
+      if (held.startedMs === undefined && held.request.transaction === undefined) {
+        held.instance?.complete(held.request.id);
+        this.failNotRun(held, fault);
+      }
+    }
+  }
+
+  /** Ends every request that is left, as after all connections were closed. */
+  failRemaining(fault: Fault): void {
+    for (const held of [...this.requests.values()]) {
+      held.fail(fault, { nowMs: this.context.timer.now() });
+    }
+  }
+
+  /** Routes again what waits for an instance. */
+  retryWaiting(): void {
+    for (const held of [...this.waiting]) {
+      this.place(held);
+    }
+  }
+
+  /** Routes again what is queued but not started on an instance. */
+  requeue(instance: HeldInstance): void {
+    for (const item of instance.queue.drain(this.context.timer.now())) {
+      const held = this.requests.get(item.requestId);
+      if (held !== undefined) {
+        this.place(held);
+      }
+    }
+  }
+
+  /** Refuses what has waited beyond its deadline. */
+  tick(nowMs: number): void {
+    for (const held of [...this.waiting]) {
+      if (held.deadlineMs <= nowMs) {
+        const context = { step: 'holder.wait' };
+        this.failNotRun(held, createFault(Diagnostics.DeadlineExceeded, {}, context));
+      } else {
+        this.place(held);
+      }
+    }
+  }
+
+  /** A queued request has a slot of its instance. */
+  slotGranted(instance: HeldInstance, id: RequestId): void {
+    const transaction = this.transactions.get(id);
+    if (transaction?.current !== undefined) {
+      transaction.current.run(transaction.connection, this, this.context.timer.now());
+      return;
+    }
+    const held = this.requests.get(id);
+    if (held === undefined) {
+      instance.complete(id);
+      return;
+    }
+    instance.pool.acquire({
+      connected: (connection) => this.start(held, instance, connection),
+      failed: (fault) => this.startFailed(held, instance, fault),
+    });
+  }
+
+  /** A queued request will get no slot. */
+  slotRefused(id: RequestId, fault: Fault): void {
+    const held = this.transactions.takeCurrent(id) ?? this.requests.get(id);
+    if (held !== undefined) {
+      this.failNotRun(held, fault);
+    }
+  }
+
+  requestRan(held: HeldRequest, written: ProbeAnswer | undefined): void {
+    const nowMs = this.context.timer.now();
+    held.endedMs = nowMs;
+    held.instance?.recordLatency(nowMs - (held.startedMs ?? nowMs));
+    if (held.status !== TransactionStatus.Idle) {
+      this.transactions.keepOpen(held);
+      return;
+    }
+    this.releaseAfter(held);
+    if (held.request.mayCommit && !held.failedOnServer) {
+      this.writes.confirm(held, written);
+    } else {
+      held.finish(this.withPosition(held, nowMs));
+    }
+  }
+
+  requestLost(held: HeldRequest, fault: Fault): void {
+    const { instance, request } = held;
+    instance?.monitor.check();
+    if (this.transactions.lost(held)) {
+      return;
+    }
+    instance?.complete(request.id);
+    // An opened transaction ends with its connection: nothing was changed.
+    const isHarmless = request.kind === RequestKind.Begin && !request.mayCommit;
+    if (!held.abandoned && this.mayRunAgain(held, isHarmless)) {
+      held.reset();
+      this.waiting.add(held);
+      return;
+    }
+    const execution = isHarmless ? Execution.NotRun : Execution.Unknown;
+    const { diagnostic, values, step, peer } = fault;
+    const context = { step, execution, ...(peer === undefined ? {} : { peer }) };
+    const known = request.kind === RequestKind.Read || isHarmless;
+    const shown = known ? diagnostic : Diagnostics.OutcomeUnknown;
+    held.fail(createFault(shown, values, context), { nowMs: this.context.timer.now() });
+  }
+
+  private place(held: HeldRequest): void {
+    if (held.finished) {
+      return;
+    }
+    if (this.closingFault !== undefined) {
+      this.failNotRun(held, this.closingFault);
+      return;
+    }
+    const decision = this.places.route(held.request);
+    switch (decision.kind) {
+      case RouteKind.Instance:
+        this.waiting.delete(held);
+        held.onReplica = !decision.isPrimary;
+        this.enqueue(held, decision.instance);
+        return;
+      case RouteKind.Wait:
+        this.waiting.add(held);
+        return;
+      case RouteKind.Refuse:
+        this.failNotRun(held, decision.fault);
+    }
+  }
+
+  private enqueue(held: HeldRequest, id: InstanceId): void {
+    const instance = this.places.getInstance(id);
+    if (instance === undefined) {
+      this.waiting.add(held);
+      return;
+    }
+    const { request } = held;
+    const account = this.context.records.getAccount(request.account);
+    held.instance = instance;
+    instance.enqueue({
+      requestId: request.id,
+      account: request.account,
+      weight: account?.rate ?? 1,
+      deadlineMs: held.deadlineMs,
+      costClass: request.costClass,
+      isTransaction: request.kind === RequestKind.Begin,
+      maximumOpenTransactions: Math.min(
+        account?.maximumOpenTransactions ?? 1,
+        instance.maximumTransactions,
+      ),
+    });
+  }
+
+  private start(held: HeldRequest, instance: HeldInstance, connection: BackendConnection): void {
+    if (held.finished || !this.places.mayStart(held, instance)) {
+      instance.pool.release(connection, true);
+      instance.complete(held.request.id);
+      this.waitAgain(held);
+      return;
+    }
+    held.run(connection, this, this.context.timer.now());
+  }
+
+  private startFailed(held: HeldRequest, instance: HeldInstance, fault: Fault): void {
+    instance.complete(held.request.id);
+    instance.monitor.check();
+    this.context.logger.debug(fault.message, { step: fault.step, peer: fault.peer });
+    this.waitAgain(held);
+  }
+
+  /** Leaves the next routing to the next tick or probe, when more is known. */
+  private waitAgain(held: HeldRequest): void {
+    if (!held.finished) {
+      this.waiting.add(held);
+    }
+  }
+
+  private releaseAfter(held: HeldRequest): void {
+    const { connection, instance, request } = held;
+    const opener = this.transactions.get(request.transaction ?? '')?.id ?? request.id;
+    this.transactions.forget(opener);
+    instance?.complete(opener);
+    if (connection !== undefined) {
+      instance?.pool.release(connection, !request.closesConnection && !held.abandoned);
+    }
+  }
+
+  private withPosition(
+    held: HeldRequest,
+    nowMs: number,
+  ): { readonly nowMs: number; readonly position?: SessionPosition } {
+    const seen = held.onReplica ? held.instance?.position : this.writes.acknowledged;
+    return seen === undefined ? { nowMs } : { nowMs, position: seen };
+  }
+
+  private cancel(held: HeldRequest): void {
+    if (held.finished) {
+      return;
+    }
+    if (held.startedMs !== undefined) {
+      held.connection?.cancel();
+      return;
+    }
+    if (held.request.transaction === undefined) {
+      held.instance?.complete(held.request.id);
+    } else {
+      this.transactions.takeCurrent(held.request.transaction);
+    }
+    this.failNotRun(held, createFault(Diagnostics.RequestCancelled, {}, { step: 'holder.cancel' }));
+  }
+
+  private failNotRun(held: HeldRequest, fault: Fault): void {
+    const transaction = this.transactions.get(held.request.transaction ?? '');
+    if (transaction !== undefined) {
+      this.transactions.failInside(held, transaction, fault);
+      return;
+    }
+    held.fail(fault, { nowMs: this.context.timer.now() });
+  }
+
+  private mayRunAgain(held: HeldRequest, isHarmless: boolean): boolean {
+    return mayRetry({
+      execution: isHarmless ? Execution.NotRun : Execution.Unknown,
+      idempotent: held.request.idempotent,
+      answered: held.answered,
+      inTransaction: held.request.transaction !== undefined,
+      nowMs: this.context.timer.now(),
+      deadlineMs: held.deadlineMs,
+    });
+  }
+}
--- /dev/null
+++ b/src/daemon/holder/groupTransactions.ts
@@ -0,0 +1,163 @@
+import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
+import type { Incarnation, InstanceId } from '../../common/ids/index.js';
+import type { TimerService } from '../../common/timer/index.js';
+import { isRequestOf, RequestKind, TransactionStatus } from '../requests/index.js';
+import { createUnknownOutcome, type HeldRequest } from './heldRequest.js';
+import type { HeldTransaction } from './heldTransaction.js';
+
+/** The open transactions of a held group; each holds one backend connection. */
+export class GroupTransactions {
+  private readonly open = new Map<string, HeldTransaction>();
+
+  constructor(private readonly timer: TimerService) {}
+
+  get count(): number {
+    return this.open.size;
+  }
+
+  get(id: string): HeldTransaction | undefined {
+    return this.open.get(id);
+  }
+
+  /** Transactions that are open on an instance. */
+  getOpenOn(instance: InstanceId): readonly HeldTransaction[] {
+    return [...this.open.values()].filter((transaction) => transaction.instance.id === instance);
+  }
+
+  /** Queues a request inside its transaction. */
+  continue(id: string, held: HeldRequest): void {
+    const transaction = this.open.get(id);
+    if (transaction === undefined) {
+      this.failLost(held);
+      return;
+    }
+    if (transaction.current !== undefined) {
+      const fault = createFault(
+        Diagnostics.FeatureNotSupported,
+        { feature: 'a second request at once in one transaction' },
+        { step: 'holder.transaction' },
+      );
+      this.failInside(held, transaction, fault);
+      return;
+    }
+    transaction.current = held;
+    held.instance = transaction.instance;
+    transaction.instance.resume(transaction.id, held.deadlineMs);
+  }
+
+  /** Keeps the connection of a request after which a transaction is open. */
+  keepOpen(held: HeldRequest): void {
+    const { request, instance, connection } = held;
+    const known =
+      request.transaction === undefined ? undefined : this.open.get(request.transaction);
+    if (known !== undefined) {
+      this.pause(known, held);
+      return;
+    }
+    if (request.kind !== RequestKind.Begin || instance === undefined || connection === undefined) {
+      this.refuseUnexpected(held);
+      return;
+    }
+    const created: HeldTransaction = { id: request.id, instance, connection, current: undefined };
+    this.open.set(created.id, created);
+    this.pause(created, held);
+  }
+
+  /** Takes a statement that will not run out of its transaction, which stays open. */
+  takeCurrent(id: string): HeldRequest | undefined {
+    const transaction = this.open.get(id);
+    const held = transaction?.current;
+    if (transaction !== undefined) {
+      transaction.current = undefined;
+    }
+    return held;
+  }
+
+  /** Forgets a transaction that has ended. */
+  forget(id: string): void {
+    this.open.delete(id);
+  }
+
+  /** Ends the transaction of a request whose connection was lost; false when it is in none. */
+  lost(held: HeldRequest): boolean {
+    const { transaction: id, mayCommit } = held.request;
+    if (id === undefined) {
+      return false;
+    }
+    this.end(id);
+    if (mayCommit) {
+      held.fail(createUnknownOutcome('holder.commit', held.instance?.id), this.getDetails());
+    } else {
+      this.failLost(held);
+    }
+    return true;
+  }
+
+  /** Closes a transaction's connection, so that the backend server rolls it back. */
+  abort(id: string): void {
+    const transaction = this.open.get(id);
+    if (transaction === undefined) {
+      return;
+    }
+    const waiting = transaction.current?.startedMs === undefined ? transaction.current : undefined;
+    this.end(id);
+    transaction.connection.close();
+    if (waiting !== undefined) {
+      this.failLost(waiting);
+    }
+  }
+
+  /** Aborts every transaction that a daemon's callers opened. */
+  abortOwned(owner: Incarnation): void {
+    for (const id of [...this.open.keys()]) {
+      if (isRequestOf(id, owner)) {
+        this.abort(id);
+      }
+    }
+  }
+
+  /** Ends a request that did not run while its transaction stays open. */
+  failInside(held: HeldRequest, transaction: HeldTransaction, fault: Fault): void {
+    held.status = TransactionStatus.Open;
+    held.fail(fault, { ...this.getDetails(), transaction: transaction.id });
+  }
+
+  private end(id: string): void {
+    const transaction = this.open.get(id);
+    if (transaction !== undefined) {
+      this.open.delete(id);
+      transaction.instance.complete(transaction.id);
+    }
+  }
+
+  private pause(transaction: HeldTransaction, held: HeldRequest): void {
+    transaction.current = undefined;
+    transaction.instance.pause(transaction.id);
+    held.finish({ ...this.getDetails(), transaction: transaction.id });
+    if (held.abandoned) {
+      this.abort(transaction.id);
+    }
+  }
+
+  private refuseUnexpected(held: HeldRequest): void {
+    held.connection?.close();
+    held.instance?.complete(held.request.id);
+    held.status = TransactionStatus.Idle;
+    const feature = 'a transaction opened inside a statement';
+    const context = { step: 'holder.transaction' };
+    held.fail(
+      createFault(Diagnostics.FeatureNotSupported, { feature }, context),
+      this.getDetails(),
+    );
+  }
+
+  private failLost(held: HeldRequest): void {
+    const context = { step: 'holder.transaction', execution: Execution.NotRun };
+    held.status = TransactionStatus.Idle;
+    held.fail(createFault(Diagnostics.TransactionLost, {}, context), this.getDetails());
+  }
+
+  private getDetails(): { readonly nowMs: number } {
+    return { nowMs: this.timer.now() };
+  }
+}
--- a/src/daemon/holder/groupWrites.ts
+++ b/src/daemon/holder/groupWrites.ts
@@ -1,6 +1,12 @@
 import type { LogPosition } from '../../common/ids/index.js';
 import { Diagnostics } from '../../common/diagnostics/index.js';
-import { toLogPosition, toTerm, type GroupId, type InstanceId, type Term } from '../../common/ids/index.js';
+import {
+  toLogPosition,
+  toTerm,
+  type GroupId,
+  type InstanceId,
+  type Term,
+} from '../../common/ids/index.js';
 import { PrimaryPhase, type GroupPrimary } from '../../decisions/control/index.js';
 import { WriteConfirmations, type PendingWrite } from '../../decisions/routing/index.js';
 import {
@@ -26,6 +32,8 @@
 export class GroupWrites {
   /** Highest term under which this holder will never acknowledge a write again. */
   fencedTerm: Term = toTerm(0);
+  /** When that was decided. */
+  fencedMs = 0;
   /** The furthest position acknowledged to callers; absent until it is known. */
   acknowledged: SessionPosition | undefined;
   primary: GroupPrimary | undefined;
@@ -70,6 +78,7 @@
     }
     const { term, instance } = this.primary;
     this.fencedTerm = term;
+    this.fencedMs = this.context.timer.now();
     this.context.logger.report(
       Diagnostics.PrimaryFenced,
       { instance, group: this.group, term },
--- /dev/null
+++ b/src/daemon/holder/heldGroup.ts
@@ -0,0 +1,277 @@
+import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import type { GroupId, Incarnation, InstanceId, RequestId } from '../../common/ids/index.js';
+import {
+  PrimaryPhase,
+  type GroupReport,
+  type InstanceRecord,
+} from '../../decisions/control/index.js';
+import {
+  GroupRouter,
+  NearReplica,
+  PositionClock,
+  type GroupView,
+  type RouteDecision,
+} from '../../decisions/routing/index.js';
+import type { ProbeAnswer } from '../backend/index.js';
+import {
+  RequestKind,
+  type ExecuteRequest,
+  type ResponseReceiver,
+  type RunningRequest,
+} from '../requests/index.js';
+import { createReport } from './createReport.js';
+import { GroupRequests, type RequestPlaces } from './groupRequests.js';
+import { GroupWrites, type GroupWritesOwner } from './groupWrites.js';
+import { HeldInstance, type HeldInstanceListener } from './heldInstance.js';
+import { createUnknownOutcome, type HeldRequest } from './heldRequest.js';
+import type { HolderContext } from './holderContext.js';
+
+const REMOTE_DOMAIN_PENALTY_MS = 2;
+const DEFAULT_TRANSACTION_LIMIT_MS = 30_000;
+const MOVE_GRACE_MS = 2000;
+
+/** A database group that this daemon holds: its instances, its primary, its requests. */
+export class HeldGroup implements HeldInstanceListener, GroupWritesOwner, RequestPlaces {
+  private readonly instances = new Map<InstanceId, HeldInstance>();
+  private readonly writes: GroupWrites;
+  private readonly requests: GroupRequests;
+  private readonly router: GroupRouter;
+  private readonly clock = new PositionClock();
+  private draining = false;
+  private moveSinceMs: number | undefined;
+
+  constructor(
+    readonly group: GroupId,
+    private readonly context: HolderContext,
+  ) {
+    this.writes = new GroupWrites(group, context, this);
+    this.requests = new GroupRequests(context, this, this.writes);
+    const policy = new NearReplica(REMOTE_DOMAIN_PENALTY_MS);
+    this.router = new GroupRouter(policy, context.domain, context.random);
+    this.recordsChanged();
+  }
+
+  /** It takes no new requests, and what ran in it has ended. */
+  get isDrained(): boolean {
+    return this.draining && this.requests.isIdle;
+  }
+
+  /** Runs a request; the answer goes to the receiver. */
+  execute(request: ExecuteRequest, receiver: ResponseReceiver): RunningRequest {
+    return this.requests.execute(request, receiver);
+  }
+
+  /** Takes on what control says of the group, its instances and its primary. */
+  recordsChanged(): void {
+    const { records } = this.context;
+    const primary = records.getPrimary(this.group);
+    const previousTerm = this.writes.primary?.term;
+    if (primary !== undefined) {
+      this.writes.setPrimary(primary);
+    }
+    for (const record of records.getInstances(this.group)) {
+      this.updateInstance(record);
+    }
+    if (primary?.term !== previousTerm) {
+      this.primaryMoved();
+    }
+    this.requests.retryWaiting();
+    this.checkMove();
+  }
+
+  /** Takes no new requests; what has not started is refused as not run. */
+  drain(): void {
+    this.draining = true;
+    this.requests.close(this.createMovedFault());
+  }
+
+  /** Gives the group up at once: closes every connection. */
+  stop(): void {
+    this.drain();
+    this.writes.stop();
+    for (const instance of this.instances.values()) {
+      instance.stop(this.createMovedFault());
+    }
+    this.requests.failRemaining(createUnknownOutcome('holder.stop', undefined));
+  }
+
+  /** Rolls a caller's transaction back, as when the caller is gone. */
+  abortTransaction(id: string): void {
+    this.requests.transactions.abort(id);
+  }
+
+  /** Rolls back the transactions of a daemon that is gone. */
+  abortOwned(owner: Incarnation): void {
+    this.requests.transactions.abortOwned(owner);
+  }
+
+  tick(nowMs: number): void {
+    for (const instance of this.instances.values()) {
+      instance.tick(nowMs);
+    }
+    this.writes.tick(nowMs);
+    this.requests.tick(nowMs);
+    this.checkMove();
+  }
+
+  /** What the control leader is to know. */
+  getReport(): GroupReport {
+    return createReport(this.group, this.writes, this.instances.values());
+  }
+
+  getReplicaCount(): number {
+    return this.instances.size - 1;
+  }
+
+  setUrgent(urgent: boolean): void {
+    for (const instance of this.instances.values()) {
+      instance.monitor.setUrgent(urgent && instance.id !== this.writes.primary?.instance);
+    }
+  }
+
+  route(request: ExecuteRequest): RouteDecision {
+    const { session, maximumStalenessMs } = request;
+    return request.kind === RequestKind.Read
+      ? this.router.routeRead(this.getView(), { session, maximumStalenessMs })
+      : this.router.routeWrite(this.getView(), session);
+  }
+
+  getInstance(id: InstanceId): HeldInstance | undefined {
+    return this.instances.get(id);
+  }
+
+  mayStart(held: HeldRequest, instance: HeldInstance): boolean {
+    if (!this.context.lease.isValid()) {
+      return false;
+    }
+    const { primary, isFenced } = this.writes;
+    const isServing = primary?.phase === PrimaryPhase.Serving && !isFenced;
+    return held.onReplica || (isServing && primary.instance === instance.id);
+  }
+
+  requestEnded(): void {
+    this.checkMove();
+  }
+
+  slotGranted(instance: HeldInstance, id: RequestId): void {
+    this.requests.slotGranted(instance, id);
+  }
+
+  slotRefused(_instance: HeldInstance, id: RequestId, fault: Fault): void {
+    this.requests.slotRefused(id, fault);
+  }
+
+  transactionOverdue(_instance: HeldInstance, id: RequestId): void {
+    this.requests.transactions.abort(id);
+  }
+
+  probeAnswered(instance: HeldInstance, answer: ProbeAnswer): void {
+    const { primary } = this.writes;
+    const position = { term: answer.term, position: answer.position };
+    if (instance.id !== primary?.instance) {
+      this.writes.replicaReached(instance.id, position);
+    } else if (answer.term === primary.term && !answer.inRecovery) {
+      this.clock.record(answer.position, instance.probedMs);
+      this.writes.primaryReached(position);
+    }
+    this.requests.retryWaiting();
+  }
+
+  connectionCondemned(instance: HeldInstance): void {
+    this.writes.forgetReplica(instance.id);
+  }
+
+  instanceLost(instance: HeldInstance): void {
+    if (instance.id === this.writes.primary?.instance) {
+      this.writes.fence('unreachable');
+    }
+    const { id, record } = instance;
+    const context = { step: 'holder.instance', peer: record.address };
+    const values = { reason: `instance ${id} is unreachable` };
+    instance.pool.reset(createFault(Diagnostics.BackendUnreachable, values, context));
+  }
+
+  private updateInstance(record: InstanceRecord): void {
+    const known = this.instances.get(record.instance);
+    const isSame =
+      known?.record.address === record.address &&
+      known.record.slots === record.slots &&
+      known.record.connectionLimit === record.connectionLimit;
+    if (isSame) {
+      return;
+    }
+    if (known !== undefined) {
+      this.requests.requeue(known);
+      known.stop(this.createMovedFault());
+    }
+    const limitMs = this.context.records.getGroup(this.group)?.transactionLimitMs;
+    const created = new HeldInstance(
+      record,
+      { ...this.context.access, database: this.group },
+      limitMs ?? DEFAULT_TRANSACTION_LIMIT_MS,
+      this.context,
+      this,
+      this.clock,
+      this.writes.primary?.instance === record.instance,
+    );
+    this.instances.set(record.instance, created);
+    created.start();
+  }
+
+  /** Another term began: what was queued or known under the earlier one is void. */
+  private primaryMoved(): void {
+    this.moveSinceMs = undefined;
+    this.clock.reset();
+    for (const instance of this.instances.values()) {
+      const isPrimary = instance.id === this.writes.primary?.instance;
+      for (const transaction of this.requests.transactions.getOpenOn(instance.id)) {
+        this.requests.transactions.abort(transaction.id);
+      }
+      instance.position = undefined;
+      instance.monitor.setExpectsPrimary(isPrimary);
+      instance.monitor.check();
+      this.requests.requeue(instance);
+    }
+  }
+
+  /** During a planned move, fences the primary once its running writes have ended. */
+  private checkMove(): void {
+    const { primary } = this.writes;
+    if (primary?.phase !== PrimaryPhase.Moving || this.writes.isFenced) {
+      return;
+    }
+    const nowMs = this.context.timer.now();
+    if (this.moveSinceMs === undefined) {
+      this.moveSinceMs = nowMs;
+      this.requeuePrimary();
+    }
+    const open = this.requests.transactions.getOpenOn(primary.instance);
+    if (nowMs - this.moveSinceMs > MOVE_GRACE_MS) {
+      for (const transaction of open) {
+        this.requests.transactions.abort(transaction.id);
+      }
+    }
+    if (open.length === 0 && this.writes.pendingCount === 0 && !this.requests.hasStartedWrites()) {
+      this.writes.fence('planned move');
+    }
+  }
+
+  private requeuePrimary(): void {
+    const id = this.writes.primary?.instance;
+    const instance = id === undefined ? undefined : this.instances.get(id);
+    if (instance !== undefined) {
+      this.requests.requeue(instance);
+    }
+  }
+
+  private getView(): GroupView {
+    const nowMs = this.context.timer.now();
+    const instances = [...this.instances.values()].map((instance) => instance.getView(nowMs));
+    const { primary, isFenced, acknowledged } = this.writes;
+    return { primary, fenced: isFenced, acknowledged, instances };
+  }
+
+  private createMovedFault(): Fault {
+    return createFault(Diagnostics.HolderMoved, { group: this.group }, { step: 'holder.group' });
+  }
+}
--- a/src/daemon/holder/heldInstance.ts
+++ b/src/daemon/holder/heldInstance.ts
@@ -27,6 +27,8 @@
   /** A transaction was open for too long. */
   transactionOverdue(instance: HeldInstance, id: RequestId, fault: Fault): void;
   probeAnswered(instance: HeldInstance, answer: ProbeAnswer): void;
+  /** The monitor's connection gave no answer; new ones may. */
+  connectionCondemned(instance: HeldInstance): void;
   instanceLost(instance: HeldInstance): void;
 }
 
@@ -55,13 +57,7 @@
       openTimeoutMs: OPEN_TIMEOUT_MS,
     };
     this.pool = new ConnectionPool(record.address, access, limits, context.timer);
-    this.monitor = new InstanceMonitor(
-      record.address,
-      access,
-      context.timer,
-      this,
-      expectsPrimary,
-    );
+    this.monitor = new InstanceMonitor(record.address, access, context.timer, this, expectsPrimary);
   }
 
   get id(): InstanceId {
@@ -148,6 +144,7 @@
   connectionCondemned(): void {
     this.position = undefined;
     this.pool.closeIdle();
+    this.listener.connectionCondemned(this);
   }
 
   instanceLost(): void {
--- a/src/daemon/holder/heldRequest.ts
+++ b/src/daemon/holder/heldRequest.ts
@@ -1,11 +1,6 @@
 import { Parser } from 'pg-protocol/dist/parser.js';
 import type { DataRowMessage } from 'pg-protocol/dist/messages.js';
-import {
-  createFault,
-  Diagnostics,
-  Execution,
-  type Fault,
-} from '../../common/diagnostics/index.js';
+import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
 import { toTerm } from '../../common/ids/index.js';
 import { tryParseLogPosition } from '../../common/logPosition.js';
 import type { SessionPosition } from '../../decisions/sessions/index.js';
@@ -18,6 +13,7 @@
   type RequestOutcome,
   type ResponseReceiver,
 } from '../requests/index.js';
+import type { HeldInstance } from './heldInstance.js';
 import { POSITION_QUERY } from './positionQuery.js';
 
 const WINDOW_BYTES = 262_144;
@@ -36,12 +32,16 @@
   override payload: readonly Uint8Array[] = [];
   override addedParses: readonly string[] = [];
   connection: BackendConnection | undefined;
+  instance: HeldInstance | undefined;
+  /** Called once when the answer has ended. */
+  onFinished: (() => void) | undefined;
   status = TransactionStatus.Idle;
   onReplica = false;
   /** Some byte of an answer has gone to the receiver. */
   answered = false;
   finished = false;
-  cancelled = false;
+  /** Nobody waits for the answer; the connection is closed after it. */
+  abandoned = false;
   startedMs: number | undefined;
   endedMs: number | undefined;
   private heldBack: Buffer[] = [];
@@ -167,6 +167,7 @@
       return;
     }
     this.finished = true;
+    this.onFinished?.();
     const startedMs = this.startedMs ?? nowMs;
     const endedMs = this.endedMs ?? nowMs;
     this.receiver.finish({
--- a/src/daemon/holder/heldTransaction.ts
+++ b/src/daemon/holder/heldTransaction.ts
@@ -1,12 +1,13 @@
-import type { InstanceId, RequestId } from '../../common/ids/index.js';
+import type { RequestId } from '../../common/ids/index.js';
 import type { BackendConnection } from '../backend/index.js';
+import type { HeldInstance } from './heldInstance.js';
 import type { HeldRequest } from './heldRequest.js';
 
 /** An open transaction and the backend connection that it holds. */
 export interface HeldTransaction {
   /** Named by the caller's next request; the id of the request that opened it. */
   readonly id: RequestId;
-  readonly instance: InstanceId;
+  readonly instance: HeldInstance;
   readonly connection: BackendConnection;
   /** The request that runs or waits in it. */
   current: HeldRequest | undefined;
--- /dev/null
+++ b/src/daemon/holder/servedRequest.ts
@@ -0,0 +1,98 @@
+import type { RequestId } from '../../common/ids/index.js';
+import { MeshKind, type MeshLink } from '../mesh/index.js';
+import { ResponseReceiver, type RequestOutcome, type RunningRequest } from '../requests/index.js';
+
+const FLUSH_BYTES = 32_768;
+
+interface Chunk {
+  readonly offset: number;
+  readonly bytes: Uint8Array;
+}
+
+/** A request run for another daemon; keeps the unconsumed answer until it is taken. */
+export class ServedRequest extends ResponseReceiver {
+  running: RunningRequest | undefined;
+  /** When the answer was whole. */
+  endedMs: number | undefined;
+  private chunks: Chunk[] = [];
+  private pending: Uint8Array[] = [];
+  private pendingBytes = 0;
+  private sentOffset = 0;
+  private outcome: RequestOutcome | undefined;
+  private flushScheduled = false;
+
+  constructor(
+    private readonly id: RequestId,
+    private link: MeshLink,
+    private readonly getNowMs: () => number,
+  ) {
+    super();
+  }
+
+  /** Sends the answer over another link, from where the receiver stands. */
+  attach(link: MeshLink, received: number): void {
+    this.link = link;
+    this.consume(received);
+    for (const chunk of this.chunks) {
+      this.sendChunk(chunk);
+    }
+    if (this.outcome !== undefined) {
+      this.sendEnd(this.outcome, new Uint8Array(0));
+    }
+  }
+
+  /** Drops what the receiver has consumed. */
+  consume(consumed: number): void {
+    this.chunks = this.chunks.filter(({ offset, bytes }) => offset + bytes.length > consumed);
+    this.running?.consume(consumed);
+  }
+
+  override accept(bytes: Uint8Array): void {
+    this.pending.push(bytes);
+    this.pendingBytes += bytes.length;
+    if (this.pendingBytes >= FLUSH_BYTES) {
+      this.flush();
+    } else if (!this.flushScheduled) {
+      this.flushScheduled = true;
+      queueMicrotask(() => this.flush());
+    }
+  }
+
+  override finish(outcome: RequestOutcome): void {
+    this.endedMs = this.getNowMs();
+    this.outcome = outcome;
+    const last = this.takePending();
+    if (last !== undefined) {
+      this.chunks.push(last);
+    }
+    this.sendEnd(outcome, last?.bytes ?? new Uint8Array(0), last?.offset);
+  }
+
+  private flush(): void {
+    this.flushScheduled = false;
+    const chunk = this.takePending();
+    if (chunk !== undefined) {
+      this.chunks.push(chunk);
+      this.sendChunk(chunk);
+    }
+  }
+
+  private takePending(): Chunk | undefined {
+    if (this.pendingBytes === 0) {
+      return undefined;
+    }
+    const chunk = { offset: this.sentOffset, bytes: Buffer.concat(this.pending) };
+    this.sentOffset += this.pendingBytes;
+    this.pending = [];
+    this.pendingBytes = 0;
+    return chunk;
+  }
+
+  private sendChunk({ offset, bytes }: Chunk): void {
+    this.link.send({ kind: MeshKind.ResponseBytes, id: this.id, offset, bytes });
+  }
+
+  private sendEnd(outcome: RequestOutcome, bytes: Uint8Array, offset = this.sentOffset): void {
+    this.link.send({ kind: MeshKind.ResponseEnd, id: this.id, offset, bytes, outcome });
+  }
+}
--- a/src/daemon/mesh/mesh.ts
+++ b/src/daemon/mesh/mesh.ts
@@ -2,6 +2,7 @@
 import { createServer as createHttpsServer } from 'node:https';
 import type { AddressInfo } from 'node:net';
 import { WebSocket, WebSocketServer, type ClientOptions } from 'ws';
+import type { Incarnation } from '../../common/ids/index.js';
 import { Diagnostics, type Fault } from '../../common/diagnostics/index.js';
 import type { Logger } from '../../common/logging/index.js';
 import { Mailbox } from '../../common/tasks/index.js';
@@ -94,6 +95,16 @@
     this.getLink(address).send(message);
   }
 
+  /** Whether some open link leads to a life of a daemon. */
+  hasLinkTo(incarnation: Incarnation): boolean {
+    for (const link of this.links) {
+      if (link.peer?.incarnation === incarnation) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Closes all links and stops to listen. */
   async close(): Promise<void> {
     for (const link of [...this.links]) {
--- a/src/daemon/mesh/meshKind.ts
+++ b/src/daemon/mesh/meshKind.ts
@@ -8,6 +8,7 @@
   ResponseEnd,
   ResponseCredit,
   Cancel,
+  AbortTransaction,
   TokenMessage,
   LeaseRenewal,
   LeaseGrant,
--- a/src/daemon/mesh/meshMessage.ts
+++ b/src/daemon/mesh/meshMessage.ts
@@ -1,4 +1,4 @@
-import type { HostId, Incarnation, RequestId, Revision } from '../../common/ids/index.js';
+import type { GroupId, HostId, Incarnation, RequestId, Revision } from '../../common/ids/index.js';
 import type { LeaseGrant, LeaseRenewal, RecordUpdate } from '../../decisions/control/index.js';
 import type { ExecuteRequest } from '../requests/executeRequest.js';
 import type { RequestOutcome } from '../requests/requestOutcome.js';
@@ -41,6 +41,8 @@
   readonly kind: MeshKind.ResponseEnd;
   readonly id: RequestId;
   readonly offset: number;
+  /** The last bytes of the answer. */
+  readonly bytes: Uint8Array;
   readonly outcome: RequestOutcome;
 }
 
@@ -51,10 +53,18 @@
   readonly consumed: number;
 }
 
-/** The sender no longer wants the answer. */
+/** The caller cancels its request, or is gone and wants no answer. */
 export interface Cancel {
   readonly kind: MeshKind.Cancel;
   readonly id: RequestId;
+  readonly abandoned: boolean;
+}
+
+/** Rolls back a transaction whose caller is gone. */
+export interface AbortTransaction {
+  readonly kind: MeshKind.AbortTransaction;
+  readonly group: GroupId;
+  readonly transaction: string;
 }
 
 /** A message between an entry limiter and a rate holder. */
@@ -122,6 +132,7 @@
   | ResponseEnd
   | ResponseCredit
   | Cancel
+  | AbortTransaction
   | TokenEnvelope
   | RenewalEnvelope
   | GrantEnvelope
--- a/src/daemon/requests/index.ts
+++ b/src/daemon/requests/index.ts
@@ -6,3 +6,5 @@
 export * from './requestOutcome.js';
 export * from './responseReceiver.js';
 export * from './runningRequest.js';
+export * from './createRefusedOutcome.js';
+export * from './requestIds.js';
--- a/src/daemon/requests/runningRequest.ts
+++ b/src/daemon/requests/runningRequest.ts
@@ -2,6 +2,8 @@
 export abstract class RunningRequest {
   /** Says how many bytes of the answer were consumed in all. */
   abstract consume(consumed: number): void;
-  /** Gives the request up: it is not started any more, or is cancelled on the backend server. */
+  /** Cancels the request as its caller asked; its answer still comes. */
   abstract cancel(): void;
+  /** Gives the request up: nobody waits for its answer any more. */
+  abstract abandon(): void;
 }
