--- /dev/null
+++ b/standin/instance/index.ts
@@ -0,0 +1,4 @@
+export * from './faults.js';
+export * from './instanceStatus.js';
+export * from './standinInstance.js';
+export * from './createStandinInstance.js';
--- /dev/null
+++ b/standin/log/index.ts
@@ -0,0 +1,4 @@
+export * from './change.js';
+export * from './logRecord.js';
+export * from './termStart.js';
+export * from './instanceLog.js';
--- /dev/null
+++ b/standin/replication/index.ts
@@ -0,0 +1,3 @@
+export * from './replicationState.js';
+export * from './recordLine.js';
+export * from './follower.js';
--- /dev/null
+++ b/standin/settings/index.ts
@@ -0,0 +1,2 @@
+export * from './standinSettings.js';
+export * from './readStandinSettings.js';
--- /dev/null
+++ b/standin/wire/index.ts
@@ -0,0 +1,2 @@
+export * from './postgresServer.js';
+export * from './receivedRecorder.js';
