--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -46,6 +46,16 @@
     'A message of {size} bytes exceeds the limit of {limit}.',
     '54000',
   ),
+  ParameterInvalid: refusal(2007, 'Parameter "{parameter}" needs {expected}.', '22023'),
+  AuthenticationTimeout: refusal(2008, 'The caller did not authenticate in time.', '08006'),
+  TooManyRequests: refusal(2009, 'Too many requests wait on this connection.', '54000'),
+  RouteForbidden: refusal(
+    2010,
+    'Client account "{account}" may not use database "{database}".',
+    '42501',
+  ),
+  AccountUnknown: refusal(2011, 'No client account "{account}" is in force.', '28000'),
+  MessageMalformed: refusal(2012, 'A message of the caller was malformed.', '08P01'),
   StatementTimeout: error(2006, 'The statement exceeded its deadline of {deadline} ms.', '57014'),
 
   // 3000: sessions and routing
--- a/src/daemon/backend/frameScanner.ts
+++ b/src/daemon/backend/frameScanner.ts
@@ -3,18 +3,20 @@
 const HEADER_BYTES = 5;
 const MAXIMUM_KEPT_FRAME_BYTES = 1_048_576;
 
-const KEPT_TYPES: ReadonlySet<FrameType> = new Set<FrameType>([
-  FrameType.ParseComplete,
-  FrameType.Notification,
-  FrameType.CommandComplete,
-  FrameType.Error,
-  FrameType.CopyIn,
-  FrameType.CopyOut,
-  FrameType.EmptyQuery,
-  FrameType.ParameterStatus,
-  FrameType.CopyBoth,
-  FrameType.ReadyForQuery,
-]);
+const KEPT_TYPES: ReadonlyMap<number, FrameType> = new Map(
+  [
+    FrameType.ParseComplete,
+    FrameType.Notification,
+    FrameType.CommandComplete,
+    FrameType.Error,
+    FrameType.CopyIn,
+    FrameType.CopyOut,
+    FrameType.EmptyQuery,
+    FrameType.ParameterStatus,
+    FrameType.CopyBoth,
+    FrameType.ReadyForQuery,
+  ].map((type) => [type, type]),
+);
 
 /** What a scanner finds. */
 export interface FrameListener {
@@ -51,9 +53,9 @@
     this.remaining -= offset;
     while (offset < bytes.length) {
       const length = offset + HEADER_BYTES <= bytes.length ? bytes.readUInt32BE(offset + 1) : 0;
-      const type: FrameType = bytes.readUInt8(offset);
+      const kept = KEPT_TYPES.get(bytes.readUInt8(offset));
       const end = offset + 1 + length;
-      if (length === 0 || (KEPT_TYPES.has(type) && end > bytes.length)) {
+      if (length === 0 || (kept !== undefined && end > bytes.length)) {
         this.keep(bytes, passStart, offset, length);
         return;
       }
@@ -61,9 +63,9 @@
         this.listener.invalid('a frame is shorter than its header');
         return;
       }
-      if (KEPT_TYPES.has(type)) {
+      if (kept !== undefined) {
         this.pass(bytes, passStart, offset);
-        this.listener.frame(type, bytes.subarray(offset, end));
+        this.listener.frame(kept, bytes.subarray(offset, end));
         passStart = end;
       }
       this.remaining = Math.max(0, end - bytes.length);
--- /dev/null
+++ b/src/daemon/entry/dispatchedRequest.ts
@@ -0,0 +1,123 @@
+import { Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
+import { mayRetry } from '../../decisions/routing/index.js';
+import {
+  ResponseReceiver,
+  toFault,
+  type RequestOutcome,
+  RunningRequest,
+} from '../requests/index.js';
+import type { RequestDraft } from './dispatcher.js';
+
+const RETRY_DELAY_MS = 10;
+
+/** Refusals after which another holder, or the same one later, may run the request. */
+const RETRIED_REFUSALS: ReadonlySet<number> = new Set([
+  Diagnostics.HolderMoved.code,
+  Diagnostics.LeaseExpired.code,
+  Diagnostics.NoHolder.code,
+  Diagnostics.MeshUnreachable.code,
+  Diagnostics.BackendLost.code,
+  Diagnostics.BackendUnreachable.code,
+]);
+
+/** What a dispatched request needs of its dispatcher. */
+export interface DispatchPlaces {
+  now(): number;
+  /** Places the request again later. */
+  waitForHolder(dispatched: DispatchedRequest): void;
+}
+
+/** One caller's request over all its attempts. */
+export class DispatchedRequest extends ResponseReceiver {
+  isEnded = false;
+  retryAtMs = 0;
+  /** The last refusal, shown when no attempt succeeds before the deadline. */
+  lastFault: Fault | undefined;
+  private running: RunningRequest | undefined;
+  private answered = false;
+  private cancelled = false;
+
+  constructor(
+    readonly draft: RequestDraft,
+    readonly deadlineMs: number,
+    private readonly receiver: ResponseReceiver,
+    private readonly places: DispatchPlaces,
+  ) {
+    super();
+  }
+
+  /** An attempt began; it may have ended already. */
+  started(running: RunningRequest | undefined): void {
+    this.running = running;
+  }
+
+  override accept(bytes: Uint8Array): void {
+    this.answered = true;
+    this.receiver.accept(bytes);
+  }
+
+  override finish(outcome: RequestOutcome): void {
+    if (this.isEnded) {
+      return;
+    }
+    if (this.shouldRetry(outcome)) {
+      this.retryAtMs = this.places.now() + RETRY_DELAY_MS;
+      this.places.waitForHolder(this);
+      return;
+    }
+    this.isEnded = true;
+    this.receiver.finish(outcome);
+  }
+
+  consume(consumed: number): void {
+    this.running?.consume(consumed);
+  }
+
+  cancel(): void {
+    this.cancelled = true;
+    this.running?.cancel();
+  }
+
+  abandon(): void {
+    this.cancelled = true;
+    this.running?.abandon();
+  }
+
+  private shouldRetry({ fault }: RequestOutcome): boolean {
+    if (fault === undefined || this.cancelled) {
+      return false;
+    }
+    this.lastFault = toFault(fault);
+    const isBlocked = RETRIED_REFUSALS.has(fault.code) || fault.execution !== Execution.NotRun;
+    return (
+      isBlocked &&
+      mayRetry({
+        execution: fault.execution,
+        idempotent: this.draft.idempotent,
+        answered: this.answered,
+        inTransaction: this.draft.transaction !== undefined,
+        nowMs: this.places.now(),
+        deadlineMs: this.deadlineMs,
+      })
+    );
+  }
+}
+
+/** The caller's side of a dispatched request. */
+export class DispatchHandle extends RunningRequest {
+  constructor(private readonly dispatched: DispatchedRequest) {
+    super();
+  }
+
+  override consume(consumed: number): void {
+    this.dispatched.consume(consumed);
+  }
+
+  override cancel(): void {
+    this.dispatched.cancel();
+  }
+
+  override abandon(): void {
+    this.dispatched.abandon();
+  }
+}
--- /dev/null
+++ b/src/daemon/entry/dispatcher.ts
@@ -0,0 +1,115 @@
+import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
+import type { TimerService } from '../../common/timer/index.js';
+import type { DaemonRecords, Holder } from '../../decisions/control/index.js';
+import type { GroupHolder, HolderLease } from '../holder/index.js';
+import {
+  createRefusedOutcome,
+  type ExecuteRequest,
+  type RequestIds,
+  type ResponseReceiver,
+  type RunningRequest,
+} from '../requests/index.js';
+import { DispatchHandle, DispatchedRequest, type DispatchPlaces } from './dispatchedRequest.js';
+import type { RemoteRequests } from './remoteRequests.js';
+
+const TICK_INTERVAL_MS = 10;
+
+/** A request before its holder is known. */
+export type RequestDraft = Omit<ExecuteRequest, 'id' | 'lease' | 'remainingMs'>;
+
+/** Brings requests to the holders of their groups, again while they were not run. */
+export class Dispatcher implements DispatchPlaces {
+  private readonly waiting = new Set<DispatchedRequest>();
+
+  constructor(
+    private readonly ids: RequestIds,
+    private readonly timer: TimerService,
+    private readonly records: DaemonRecords,
+    private readonly lease: HolderLease,
+    private readonly holder: GroupHolder,
+    private readonly remote: RemoteRequests,
+  ) {
+    timer.subscribe(TICK_INTERVAL_MS, (nowMs) => this.tick(nowMs));
+  }
+
+  /** Runs a request; its answer, or a fault that says whether it was run, goes to the receiver. */
+  dispatch(draft: RequestDraft, deadlineMs: number, receiver: ResponseReceiver): RunningRequest {
+    const dispatched = new DispatchedRequest(draft, deadlineMs, receiver, this);
+    this.place(dispatched);
+    return new DispatchHandle(dispatched);
+  }
+
+  /** Tries again what waits for a holder. */
+  recordsChanged(): void {
+    for (const dispatched of [...this.waiting]) {
+      this.place(dispatched);
+    }
+  }
+
+  now(): number {
+    return this.timer.now();
+  }
+
+  waitForHolder(dispatched: DispatchedRequest): void {
+    this.waiting.add(dispatched);
+  }
+
+  private place(dispatched: DispatchedRequest): void {
+    this.waiting.delete(dispatched);
+    const nowMs = this.timer.now();
+    if (dispatched.isEnded) {
+      return;
+    }
+    if (nowMs >= dispatched.deadlineMs) {
+      dispatched.finish(createRefusedOutcome(this.createWaitFault(dispatched)));
+      return;
+    }
+    const holder = this.findHolder(dispatched.draft);
+    if (holder === undefined) {
+      this.waiting.add(dispatched);
+      return;
+    }
+    const request: ExecuteRequest = {
+      ...dispatched.draft,
+      id: this.ids.next(),
+      lease: holder.lease,
+      remainingMs: dispatched.deadlineMs - nowMs,
+    };
+    dispatched.started(this.send(holder, request, dispatched));
+  }
+
+  private findHolder(draft: RequestDraft): Holder | undefined {
+    if (!this.lease.isValid()) {
+      return undefined;
+    }
+    return this.records.getGroupAssignment(draft.group)?.holder;
+  }
+
+  private send(
+    holder: Holder,
+    request: ExecuteRequest,
+    dispatched: DispatchedRequest,
+  ): RunningRequest | undefined {
+    return holder.lease === this.lease.id
+      ? this.holder.execute(request, dispatched)
+      : this.remote.send(holder.address, request, dispatched);
+  }
+
+  private tick(nowMs: number): void {
+    for (const dispatched of [...this.waiting]) {
+      if (dispatched.retryAtMs <= nowMs) {
+        this.place(dispatched);
+      }
+    }
+  }
+
+  private createWaitFault({ draft, lastFault }: DispatchedRequest): Fault {
+    const context = { step: 'entry.dispatch', execution: Execution.NotRun };
+    if (lastFault !== undefined) {
+      return lastFault;
+    }
+    return this.lease.isValid()
+      ? createFault(Diagnostics.NoHolder, { group: draft.group }, context)
+      : createFault(Diagnostics.LeaseExpired, {}, context);
+  }
+}
--- /dev/null
+++ b/src/daemon/entry/remoteRequest.ts
@@ -0,0 +1,122 @@
+import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
+import { MeshKind, type MeshLink } from '../mesh/index.js';
+import {
+  createRefusedOutcome,
+  RequestKind,
+  RunningRequest,
+  type ExecuteRequest,
+  type RequestOutcome,
+  type ResponseReceiver,
+} from '../requests/index.js';
+
+const CREDIT_BYTES = 65_536;
+
+/** Refusals of a daemon that may not have seen an earlier attempt. */
+const BLIND_REFUSALS: ReadonlySet<number> = new Set([
+  Diagnostics.HolderMoved.code,
+  Diagnostics.LeaseExpired.code,
+]);
+
+/** A request of this daemon's caller that another daemon runs. */
+export class RemoteRequest extends RunningRequest {
+  finished = false;
+  /** When the link was lost over which an answer was awaited. */
+  lostMs: number | undefined;
+  /** When the holder was first seen to hold the group no longer. */
+  movedMs: number | undefined;
+  private received = 0;
+  private credited = 0;
+  private attempts = 0;
+
+  constructor(
+    readonly request: ExecuteRequest,
+    readonly address: string,
+    readonly firstSentMs: number,
+    private readonly receiver: ResponseReceiver,
+    private readonly getLink: () => MeshLink,
+    private readonly onFinished: () => void,
+  ) {
+    super();
+  }
+
+  /** Sends the request, or asks again for the rest of its answer. */
+  send(nowMs: number): void {
+    this.attempts += 1;
+    this.lostMs = undefined;
+    const remainingMs = Math.max(0, this.request.remainingMs - (nowMs - this.firstSentMs));
+    const request = { ...this.request, remainingMs };
+    this.getLink().send({ kind: MeshKind.Execute, request, received: this.received });
+  }
+
+  /** Takes bytes of the answer; bytes that are known already are left out. */
+  takeBytes(offset: number, bytes: Uint8Array): void {
+    const fresh = bytes.subarray(Math.max(0, this.received - offset));
+    if (offset > this.received || fresh.length === 0) {
+      return;
+    }
+    this.received += fresh.length;
+    this.receiver.accept(fresh);
+  }
+
+  /** Takes the end of the answer. */
+  takeEnd(offset: number, bytes: Uint8Array, outcome: RequestOutcome): void {
+    this.takeBytes(offset, bytes);
+    if (offset + bytes.length !== this.received) {
+      return;
+    }
+    const { fault } = outcome;
+    if (fault !== undefined && this.attempts > 1 && BLIND_REFUSALS.has(fault.code)) {
+      this.giveUp('the holder changed while the answer was awaited');
+      return;
+    }
+    this.end(outcome);
+  }
+
+  /** Ends the request without an answer: a write may or may not have been run. */
+  giveUp(reason: string): void {
+    this.end(createRefusedOutcome(this.createLostFault(reason)));
+  }
+
+  override consume(consumed: number): void {
+    if (!this.finished && consumed - this.credited >= CREDIT_BYTES) {
+      this.credited = consumed;
+      this.getLink().send({ kind: MeshKind.ResponseCredit, id: this.request.id, consumed });
+    }
+  }
+
+  override cancel(): void {
+    this.sendCancel(false);
+  }
+
+  override abandon(): void {
+    this.sendCancel(true);
+  }
+
+  private sendCancel(abandoned: boolean): void {
+    if (!this.finished) {
+      this.getLink().send({ kind: MeshKind.Cancel, id: this.request.id, abandoned });
+    }
+  }
+
+  private end(outcome: RequestOutcome): void {
+    if (!this.finished) {
+      this.finished = true;
+      this.onFinished();
+      this.receiver.finish(outcome);
+    }
+  }
+
+  private createLostFault(reason: string): Fault {
+    const step = 'entry.forward';
+    const context = { step, peer: this.address, execution: Execution.Unknown };
+    const { kind, transaction, mayCommit } = this.request;
+    if (transaction !== undefined && !mayCommit) {
+      // The holder rolls back what it does not commit.
+      const notRun = { ...context, execution: Execution.NotRun };
+      return createFault(Diagnostics.TransactionLost, {}, notRun);
+    }
+    return kind === RequestKind.Read
+      ? createFault(Diagnostics.MeshUnreachable, { reason }, context)
+      : createFault(Diagnostics.OutcomeUnknown, {}, context);
+  }
+}
--- /dev/null
+++ b/src/daemon/entry/remoteRequests.ts
@@ -0,0 +1,86 @@
+import type { RequestId } from '../../common/ids/index.js';
+import type { TimerService } from '../../common/timer/index.js';
+import { MeshKind, type Mesh, type MeshLink } from '../mesh/index.js';
+import type { ExecuteRequest, ResponseReceiver, RunningRequest } from '../requests/index.js';
+import { RemoteRequest } from './remoteRequest.js';
+
+const SWEEP_INTERVAL_MS = 25;
+const RESEND_INTERVAL_MS = 50;
+/** Shorter than the time for which a holder remembers the ids of its requests. */
+const RESEND_LIMIT_MS = 4000;
+const ANSWER_GRACE_MS = 500;
+
+/** Requests that this daemon has sent to holders elsewhere. */
+export class RemoteRequests {
+  private readonly requests = new Map<RequestId, RemoteRequest>();
+
+  constructor(
+    private readonly mesh: Mesh,
+    private readonly timer: TimerService,
+    private readonly isHolding: (request: ExecuteRequest) => boolean,
+  ) {
+    mesh.receive(MeshKind.ResponseBytes, ({ message }) => {
+      this.requests.get(message.id)?.takeBytes(message.offset, message.bytes);
+    });
+    mesh.receive(MeshKind.ResponseEnd, ({ message }) => {
+      const { id, offset, bytes, outcome } = message;
+      this.requests.get(id)?.takeEnd(offset, bytes, outcome);
+    });
+    void mesh.lost.stream.observe((link) => this.linkLost(link));
+    timer.subscribe(SWEEP_INTERVAL_MS, (nowMs) => this.sweep(nowMs));
+  }
+
+  /** Sends a request to the daemon at an address. */
+  send(address: string, request: ExecuteRequest, receiver: ResponseReceiver): RunningRequest {
+    const nowMs = this.timer.now();
+    const remote = new RemoteRequest(
+      request,
+      address,
+      nowMs,
+      receiver,
+      () => this.mesh.getLink(address),
+      () => this.requests.delete(request.id),
+    );
+    this.requests.set(request.id, remote);
+    remote.send(nowMs);
+    return remote;
+  }
+
+  private linkLost(link: MeshLink): void {
+    const nowMs = this.timer.now();
+    for (const remote of this.requests.values()) {
+      if (remote.address === link.address) {
+        remote.lostMs ??= nowMs;
+      }
+    }
+  }
+
+  private sweep(nowMs: number): void {
+    for (const remote of [...this.requests.values()]) {
+      this.check(remote, nowMs);
+    }
+  }
+
+  private check(remote: RemoteRequest, nowMs: number): void {
+    const { request, lostMs, firstSentMs } = remote;
+    const isHolding = this.isHolding(request);
+    const ageMs = nowMs - firstSentMs;
+    if (ageMs > request.remainingMs + ANSWER_GRACE_MS) {
+      remote.giveUp('no answer came before the deadline');
+    } else if (lostMs !== undefined && (!isHolding || ageMs > RESEND_LIMIT_MS)) {
+      remote.giveUp('the link to the holder was lost');
+    } else if (lostMs !== undefined && nowMs - lostMs >= RESEND_INTERVAL_MS) {
+      remote.send(nowMs);
+    } else if (!isHolding) {
+      this.checkMoved(remote, nowMs);
+    }
+  }
+
+  /** A holder that gave its lease up answers what it ran; one that lost it may not. */
+  private checkMoved(remote: RemoteRequest, nowMs: number): void {
+    remote.movedMs ??= nowMs;
+    if (nowMs - remote.movedMs > ANSWER_GRACE_MS) {
+      remote.giveUp('the holder lost its lease');
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/gateway/messageReader.ts
@@ -0,0 +1,38 @@
+import { createFault, Diagnostics } from '../../common/diagnostics/index.js';
+
+const HEADER_BYTES = 5;
+
+/** Reads the fields of one caller's message; throws a Fault where the message is too short. */
+export class MessageReader {
+  private offset = HEADER_BYTES;
+
+  constructor(private readonly message: Buffer) {}
+
+  /** Everything that was not read yet. */
+  get rest(): Buffer {
+    return this.message.subarray(this.offset);
+  }
+
+  byte(): number {
+    if (this.offset >= this.message.length) {
+      throw createMalformed();
+    }
+    const value = this.message.readUInt8(this.offset);
+    this.offset += 1;
+    return value;
+  }
+
+  cstring(): string {
+    const end = this.message.indexOf(0, this.offset);
+    if (end < 0) {
+      throw createMalformed();
+    }
+    const text = this.message.toString('utf8', this.offset, end);
+    this.offset = end + 1;
+    return text;
+  }
+}
+
+function createMalformed(): Error {
+  return createFault(Diagnostics.MessageMalformed, {}, { step: 'caller.read' });
+}
--- a/src/daemon/holder/groupHolder.ts
+++ b/src/daemon/holder/groupHolder.ts
@@ -41,10 +41,12 @@
   execute(request: ExecuteRequest, receiver: ResponseReceiver): RunningRequest | undefined {
     const group = this.groups.get(request.group);
     if (!this.context.lease.isValid()) {
-      return this.refuse(request, receiver, Diagnostics.LeaseExpired);
+      this.refuse(request, receiver, Diagnostics.LeaseExpired);
+      return undefined;
     }
     if (group === undefined || request.lease !== this.context.lease.id) {
-      return this.refuse(request, receiver, Diagnostics.HolderMoved);
+      this.refuse(request, receiver, Diagnostics.HolderMoved);
+      return undefined;
     }
     return group.execute(request, receiver);
   }
@@ -155,10 +157,9 @@
     request: ExecuteRequest,
     receiver: ResponseReceiver,
     diagnostic: Diagnostic,
-  ): undefined {
+  ): void {
     const values = { group: request.group };
     receiver.finish(createRefusedOutcome(createNotRun(diagnostic, values)));
-    return undefined;
   }
 }
 
--- a/src/daemon/holder/heldRequest.ts
+++ b/src/daemon/holder/heldRequest.ts
@@ -1,5 +1,4 @@
 import { Parser } from 'pg-protocol/dist/parser.js';
-import type { DataRowMessage } from 'pg-protocol/dist/messages.js';
 import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
 import { toTerm } from '../../common/ids/index.js';
 import { tryParseLogPosition } from '../../common/logPosition.js';
@@ -19,6 +18,11 @@
 const WINDOW_BYTES = 262_144;
 const MAXIMUM_HELD_BACK_BYTES = 33_554_432;
 
+/** A row in text form. */
+interface Row {
+  readonly fields: readonly (string | null)[];
+}
+
 /** What the owner of a request learns from its run. */
 export interface HeldRequestOwner {
   /** The answer is whole; `written` is the position after a commit that is to be confirmed. */
@@ -213,7 +217,7 @@
   private readPosition(bytes: Buffer): void {
     new Parser().parse(bytes, (message) => {
       if (message.name === 'dataRow') {
-        this.written = toProbeAnswer((message as DataRowMessage).fields as (string | null)[]);
+        this.written = toProbeAnswer((message as unknown as Row).fields);
       }
     });
   }
--- /dev/null
+++ b/src/daemon/holder/index.ts
@@ -0,0 +1,4 @@
+export * from './executeServer.js';
+export * from './groupHolder.js';
+export * from './holderContext.js';
+export * from './holderLease.js';
--- a/src/decisions/routing/classifyStatement.ts
+++ b/src/decisions/routing/classifyStatement.ts
@@ -3,7 +3,8 @@
 import type { Statement } from './statement.js';
 import { StatementKind } from './statementKind.js';
 
-const COMMENTS = /--[^\n]*|\/\*[^]*?\*\//g;
+/** Comments before the statement; those inside are left to the parser, which knows quotes. */
+const LEADING_COMMENTS = /^(?:\s+|--[^\n]*(?:\n|$)|\/\*[^]*?\*\/)+/;
 const SET = /^SET\s+(?:SESSION\s+)?([a-z_][\w.]*)\s*(?:=|\s+TO\s)\s*([^]*)$/i;
 const RESET = /^RESET\s+([a-z_][\w.]*)$/i;
 const SHOW = /^SHOW\s+([a-z_][\w.]*)$/i;
@@ -32,16 +33,23 @@
   ['LOAD', 'LOAD'],
 ]);
 
+const TRANSACTION_TYPES: ReadonlySet<string> = new Set([
+  'begin',
+  'start transaction',
+  'commit',
+  'rollback',
+]);
+
 /** Classifies one statement text; what can't be classified is a write that may not be repeated. */
 export function classifyStatement(sql: string): Statement {
-  const text = sql.replace(COMMENTS, ' ').replace(/;\s*$/, '').trim();
+  const text = sql.replace(LEADING_COMMENTS, '').replace(/[;\s]+$/, '');
   const keyword = /^[a-z]+/i.exec(text)?.[0].toUpperCase() ?? '';
   if (text === '') {
     return create(StatementKind.Empty);
   }
   const refused = findRefusedFeature(keyword, text);
   if (refused !== undefined) {
-    return { kind: StatementKind.Refused, unclassified: false, feature: refused };
+    return createRefused(refused);
   }
   return (
     classifySetting(keyword, text) ??
@@ -50,8 +58,12 @@
   );
 }
 
-function create(kind: StatementKind, unclassified = false): Statement {
-  return { kind, unclassified };
+function create(kind: StatementKind): Statement {
+  return { kind, unclassified: false, controlsTransaction: false };
+}
+
+function createRefused(feature: string): Statement {
+  return { ...create(StatementKind.Refused), feature };
 }
 
 function findRefusedFeature(keyword: string, text: string): string | undefined {
@@ -84,17 +96,16 @@
     return undefined;
   }
   const match = SET.exec(text);
-  if (match?.[1] === undefined || match[2] === undefined) {
-    return { kind: StatementKind.Refused, unclassified: false, feature: 'this form of SET' };
+  if (match?.[1] === undefined || match[2] === undefined || match[2].includes(';')) {
+    return createRefused('this form of SET');
   }
   return withParameter(StatementKind.Set, match[1], readSettingValue(match[2].trim()));
 }
 
 function withParameter(kind: StatementKind, name: string, value?: string): Statement {
   const parameter = name.toLowerCase();
-  return value === undefined
-    ? { kind, unclassified: false, parameter }
-    : { kind, unclassified: false, parameter, value };
+  const statement = { ...create(kind), parameter };
+  return value === undefined ? statement : { ...statement, value };
 }
 
 function readSettingValue(text: string): string | undefined {
@@ -113,7 +124,7 @@
     return undefined;
   }
   if (/^(?:COMMIT|ROLLBACK|PREPARE)\s+(?:TRANSACTION\s+'|PREPARED)/i.test(text)) {
-    return { kind: StatementKind.Refused, unclassified: false, feature: 'two-phase commit' };
+    return createRefused('two-phase commit');
   }
   const kind = KEYWORD_KINDS.get(keyword);
   return kind === undefined ? undefined : create(kind);
@@ -124,14 +135,15 @@
   try {
     statements = parse(text);
   } catch {
-    return create(StatementKind.Write, true);
+    return { kind: StatementKind.Write, unclassified: true, controlsTransaction: true };
   }
   const feature = statements.map(findSessionFeature).find((found) => found !== undefined);
   if (feature !== undefined) {
-    return { kind: StatementKind.Refused, unclassified: false, feature };
+    return createRefused(feature);
   }
   const kind = statements.every(isReadOnly) ? StatementKind.Read : StatementKind.Write;
-  return create(kind);
+  const controlsTransaction = statements.some(({ type }) => TRANSACTION_TYPES.has(type));
+  return { ...create(kind), controlsTransaction };
 }
 
 function findSessionFeature(statement: ParsedStatement): string | undefined {
