--- a/src/decisions/control/controlState.ts
+++ b/src/decisions/control/controlState.ts
@@ -23,6 +23,7 @@
 import { getInstanceRecordName } from './recordNames.js';
 import { RecordReader } from './recordReader.js';
 import { RecordTable } from './recordTable.js';
+import type { SubjectInForce } from './subjectInForce.js';
 import { TicketRegister } from './ticketRegister.js';
 
 /** The replicated state machine of the control quorum: deterministic over its commands. */
@@ -97,6 +98,14 @@
     return this.index.getAccounts();
   }
 
+  /** Every subject in force. */
+  getSubjects(): readonly SubjectInForce[] {
+    return this.index
+      .getSubjects()
+      .map((name) => this.getSubject(name))
+      .filter((each) => each !== undefined);
+  }
+
   /** The leases that hold something, each with one of its holders' records. */
   getHolders(): readonly Holder[] {
     return this.assignments.getHolders();
--- /dev/null
+++ b/src/decisions/control/leader/commandKey.ts
@@ -0,0 +1,38 @@
+import type { Command } from '../command.js';
+import { CommandKind } from '../commandKind.js';
+import {
+  getAccountHolderRecordName,
+  getGroupHolderRecordName,
+  getInstanceRecordName,
+  getPrimaryRecordName,
+} from '../recordNames.js';
+
+/** Name of the record that a proposal is about; undefined for tickets. */
+export function getCommandKey(command: Command): string | undefined {
+  switch (command.kind) {
+    case CommandKind.SubmitTicket:
+      return undefined;
+    case CommandKind.RegisterInstance:
+      return getInstanceRecordName(command.instance.group, command.instance.instance);
+    case CommandKind.AssignGroup:
+    case CommandKind.DrainGroup:
+    case CommandKind.ReleaseGroup:
+      return getGroupHolderRecordName(command.group);
+    case CommandKind.AssignAccount:
+    case CommandKind.DrainAccount:
+    case CommandKind.ReleaseAccount:
+      return getAccountHolderRecordName(command.account);
+    case CommandKind.RetireLease:
+      return getLeaseKey(command.lease);
+    case CommandKind.RecordPrimary:
+    case CommandKind.BeginMove:
+    case CommandKind.BeginPromotion:
+    case CommandKind.CompletePromotion:
+      return getPrimaryRecordName(command.group);
+  }
+}
+
+/** Name under which the retirement of a lease is proposed. */
+export function getLeaseKey(lease: string): string {
+  return `lease/${lease}`;
+}
--- /dev/null
+++ b/src/decisions/control/leader/commitIntake.ts
@@ -0,0 +1,188 @@
+import { Diagnostics } from '../../../common/diagnostics/index.js';
+import { toRevision } from '../../../common/ids/index.js';
+import { SubjectKind } from '../../tickets/index.js';
+import type { Assignment } from '../assignment.js';
+import { CommandKind } from '../commandKind.js';
+import type { ControlRecord } from '../controlRecord.js';
+import { PrimaryPhase, type GroupPrimary } from '../groupPrimary.js';
+import { RecordKind } from '../recordKind.js';
+import type { SubjectInForce } from '../subjectInForce.js';
+import type { Committed } from './controlInput.js';
+import { ControlOutputKind } from './controlOutput.js';
+import { getCommandKey } from './commandKey.js';
+import type { HostRegister } from './hostRegister.js';
+import { getWatch, type LeaderContext } from './leaderContext.js';
+
+/** Takes in committed commands: pushes the changes and notes what has to be looked at. */
+export class CommitIntake {
+  private pushedRevision = toRevision(0);
+
+  constructor(
+    private readonly context: LeaderContext,
+    private readonly hosts: HostRegister,
+  ) {}
+
+  /** Begins a leadership: every record counts as changed, and none is pushed. */
+  begin(nowMs: number): void {
+    const { state } = this.context;
+    for (const record of state.getRecordsSince(toRevision(0))) {
+      this.noteRecord(record, nowMs);
+    }
+    this.pushedRevision = state.changeRevision;
+  }
+
+  /** Takes in one committed command. */
+  receive(committed: Committed, nowMs: number): void {
+    const { outbox, leases } = this.context;
+    const { command, answer } = committed;
+    const key = getCommandKey(command);
+    if (key !== undefined) {
+      outbox.settle(key);
+    }
+    if (command.kind === CommandKind.RetireLease) {
+      leases.forget(command.lease);
+    }
+    if (!answer.changed) {
+      this.undoPlacement(committed);
+    }
+    this.push(nowMs);
+  }
+
+  private push(nowMs: number): void {
+    const { state, leases, outbox } = this.context;
+    const revision = state.changeRevision;
+    const since = this.pushedRevision;
+    if (revision <= since) {
+      return;
+    }
+    const records = state.getRecordsSince(since);
+    this.pushedRevision = revision;
+    leases.noteCommit(revision, nowMs);
+    const hosts = leases.getLive().map((lease) => lease.host);
+    const update = { since, revision, records };
+    outbox.add({ kind: ControlOutputKind.Update, hosts, update });
+    for (const record of records) {
+      this.logRecord(record);
+      this.noteRecord(record, nowMs);
+    }
+  }
+
+  /** A refused assignment leaves the resource where the state says. */
+  private undoPlacement(committed: Committed): void {
+    const { state } = this.context;
+    const { command } = committed;
+    if (command.kind === CommandKind.AssignGroup) {
+      this.place(state.getGroupAssignment(command.group), getCommandKey(command));
+      this.context.groupAgenda.add(command.group);
+    } else if (command.kind === CommandKind.AssignAccount) {
+      this.place(state.getAccountAssignment(command.account), getCommandKey(command));
+      this.context.accountAgenda.add(command.account);
+    }
+  }
+
+  private noteRecord(record: ControlRecord, nowMs: number): void {
+    const { value, name } = record;
+    switch (value.kind) {
+      case RecordKind.Subject:
+        this.noteSubject(value, nowMs);
+        break;
+      case RecordKind.Instance:
+        this.context.groupAgenda.add(value.group);
+        break;
+      case RecordKind.GroupHolder: {
+        const watch = getWatch(this.context, value.group);
+        watch.unheldSinceMs = value.holder === undefined ? nowMs : undefined;
+        if (watch.reporter !== value.holder?.lease) {
+          watch.forgetReport();
+        }
+        this.place(value, name);
+        this.context.groupAgenda.add(value.group);
+        break;
+      }
+      case RecordKind.AccountHolder:
+        this.place(value, name);
+        this.context.accountAgenda.add(value.account);
+        break;
+      case RecordKind.Primary:
+        this.notePrimary(value, nowMs);
+        break;
+    }
+  }
+
+  private logRecord(record: ControlRecord): void {
+    const { value } = record;
+    if (value.kind !== RecordKind.Primary) {
+      return;
+    }
+    const { group, instance, term } = value;
+    const position = value.history.at(-1)?.position ?? 0;
+    const values = { group, instance, term, position };
+    this.context.outbox.log(getPrimaryDiagnostic(value), values);
+  }
+
+  private notePrimary(primary: GroupPrimary, nowMs: number): void {
+    const { group } = primary;
+    const watch = getWatch(this.context, group);
+    const wasMoving = watch.movingSinceMs !== undefined;
+    watch.movingSinceMs = primary.phase === PrimaryPhase.Moving ? nowMs : undefined;
+    if (wasMoving && watch.movingSinceMs === undefined) {
+      watch.moveEndedMs = nowMs;
+    }
+    if (primary.phase === PrimaryPhase.Promoting) {
+      const failed = watch.order === undefined ? undefined : watch.orderedInstance;
+      watch.failedInstances =
+        failed === undefined ? [] : [...new Set([...watch.failedInstances, failed])];
+    } else {
+      watch.order = undefined;
+      watch.failedInstances = [];
+    }
+    this.context.groupAgenda.add(group);
+  }
+
+  private noteSubject(value: SubjectInForce, nowMs: number): void {
+    const { state } = value;
+    switch (state.kind) {
+      case SubjectKind.Account:
+        this.context.accountAgenda.add(state.account);
+        break;
+      case SubjectKind.Group:
+      case SubjectKind.BackendServer:
+        this.context.groupAgenda.add(state.group);
+        break;
+      case SubjectKind.FailureDomain:
+        this.hosts.refreshAll(nowMs);
+        for (const group of this.context.state.getGroups()) {
+          this.context.groupAgenda.add(group);
+        }
+        break;
+      case SubjectKind.Route:
+      case SubjectKind.ControlMembers:
+        break;
+    }
+  }
+
+  private place(assignment: Assignment | undefined, name: string | undefined): void {
+    const { groupPlacement, accountPlacement } = this.context;
+    if (name === undefined) {
+      return;
+    }
+    const isGroup = name.startsWith(RecordKind.GroupHolder);
+    const placement = isGroup ? groupPlacement : accountPlacement;
+    placement.place(name, assignment?.holder?.host);
+  }
+}
+
+function getPrimaryDiagnostic(
+  primary: GroupPrimary,
+): (typeof Diagnostics)[keyof typeof Diagnostics] {
+  switch (primary.phase) {
+    case PrimaryPhase.Moving:
+      return Diagnostics.MoveBegan;
+    case PrimaryPhase.Promoting:
+      return Diagnostics.PromotionBegan;
+    case PrimaryPhase.Serving:
+      return primary.history.length === 0
+        ? Diagnostics.PrimaryRecorded
+        : Diagnostics.PromotionCompleted;
+  }
+}
--- /dev/null
+++ b/src/decisions/control/leader/controlLeader.ts
@@ -0,0 +1,214 @@
+import { Diagnostics } from '../../../common/diagnostics/index.js';
+import {
+  toFailureDomain,
+  toHostId,
+  toRevision,
+  type GroupId,
+  type AccountId,
+} from '../../../common/ids/index.js';
+import { DaemonLeases } from '../../leases/daemonLeases.js';
+import type { DaemonLease } from '../../leases/daemonLease.js';
+import { PromotionRules } from '../../promotion/index.js';
+import type { ControlState } from '../controlState.js';
+import { CommandKind } from '../commandKind.js';
+import type { FleetStatus } from '../fleetStatus.js';
+import type { Holder } from '../holder.js';
+import { LeastLoadedNear, Placement } from '../placement/index.js';
+import { getPrimaryRecordName } from '../recordNames.js';
+import type { SubjectReading } from '../subjectReading.js';
+import { AccountPlacement } from './accountPlacement.js';
+import { Agenda } from './agenda.js';
+import { getLeaseKey } from './commandKey.js';
+import { CommitIntake } from './commitIntake.js';
+import { ControlInputKind, type ControlInput, type PromotionResult } from './controlInput.js';
+import type { ControlOutput } from './controlOutput.js';
+import { DEFAULT_CONTROL_SETTINGS, type ControlSettings } from './controlSettings.js';
+import { FleetReader } from './fleetReader.js';
+import { GroupDecisions } from './groupDecisions.js';
+import { GroupPlacement } from './groupPlacement.js';
+import { HostRegister } from './hostRegister.js';
+import { getWatch, type LeaderContext } from './leaderContext.js';
+import { Outbox } from './outbox.js';
+import { Rebalancer } from './rebalancer.js';
+import { RenewalIntake } from './renewalIntake.js';
+
+const UNKNOWN_DOMAIN = toFailureDomain('');
+
+/** The replaceable parts of a control leader. */
+export interface ControlLeaderParts {
+  readonly settings?: ControlSettings;
+  readonly createLeases?: (settings: ControlSettings) => DaemonLeases;
+  readonly createRules?: (settings: ControlSettings) => PromotionRules;
+  readonly createPlacement?: () => Placement;
+}
+
+/**
+ * The control leader's decisions over the control state: leases, placement, promotion. Pure:
+ * inputs and time in, outputs out. The state is applied before a command is handed in.
+ */
+export class ControlLeader {
+  private readonly context: LeaderContext;
+  private readonly hosts: HostRegister;
+  private readonly commits: CommitIntake;
+  private readonly renewals: RenewalIntake;
+  private readonly groups: GroupDecisions;
+  private readonly accounts: AccountPlacement;
+  private readonly rebalancer: Rebalancer;
+  private readonly reader: FleetReader;
+  private isLeader = false;
+  private controlTerm = 0;
+
+  constructor(state: ControlState, parts: ControlLeaderParts = {}) {
+    this.context = createContext(state, parts);
+    const { settings } = this.context;
+    this.hosts = new HostRegister(this.context);
+    this.commits = new CommitIntake(this.context, this.hosts);
+    this.renewals = new RenewalIntake(this.context, this.hosts);
+    const rules = parts.createRules?.(settings) ?? new PromotionRules(settings.promotion);
+    this.groups = new GroupDecisions(this.context, rules, new GroupPlacement(this.context));
+    this.accounts = new AccountPlacement(this.context);
+    this.rebalancer = new Rebalancer(this.context);
+    this.reader = new FleetReader(this.context);
+  }
+
+  /** Takes in one input and gives what is to be done. */
+  handle(input: ControlInput, nowMs: number): ControlOutput[] {
+    if (input.kind === ControlInputKind.BecameLeader) {
+      this.begin(nowMs);
+      this.context.host = input.host;
+      this.controlTerm = input.controlTerm;
+    } else if (this.isLeader) {
+      this.receive(input, nowMs);
+    }
+    if (this.isLeader) {
+      this.look(input.kind === ControlInputKind.Tick, nowMs);
+    }
+    return this.context.outbox.take();
+  }
+
+  /** The state of the fleet; meaningful while leader. */
+  getStatus(nowMs: number): FleetStatus {
+    return this.reader.getStatus(this.controlTerm, nowMs);
+  }
+
+  /** What is in force on one subject, or on all when none is named. */
+  getReadings(subject: string | undefined, nowMs: number): readonly SubjectReading[] {
+    return this.reader.getReadings(subject, nowMs);
+  }
+
+  private receive(input: ControlInput, nowMs: number): void {
+    switch (input.kind) {
+      case ControlInputKind.BecameLeader:
+        break;
+      case ControlInputKind.LostLeadership:
+        this.isLeader = false;
+        break;
+      case ControlInputKind.Committed:
+        this.commits.receive(input, nowMs);
+        break;
+      case ControlInputKind.Renewal:
+        this.renewals.receive(input.renewal, input.mayGrant, nowMs);
+        break;
+      case ControlInputKind.PromotionResult:
+        this.receiveResult(input, nowMs);
+        break;
+      case ControlInputKind.Tick:
+        this.expire(nowMs);
+        this.rebalancer.run(nowMs);
+        break;
+    }
+  }
+
+  private begin(nowMs: number): void {
+    const { context } = this;
+    this.isLeader = true;
+    context.sinceMs = nowMs;
+    context.watches.clear();
+    context.outbox.clear();
+    context.groupAgenda.clear();
+    context.accountAgenda.clear();
+    this.hosts.clear();
+    const held = context.state.getHolders().map(createUnknownLease);
+    context.leases.begin(held, context.state.changeRevision, nowMs);
+    this.commits.begin(nowMs);
+    this.rebalancer.reset(nowMs);
+  }
+
+  /** Looks at what changed; on a tick also at what waits. */
+  private look(isTick: boolean, nowMs: number): void {
+    const { groupAgenda, accountAgenda, settings } = this.context;
+    const lookAtGroup = (group: GroupId) => this.groups.look(group, nowMs);
+    const lookAtAccount = (account: AccountId) => this.accounts.look(account, nowMs);
+    let budget = isTick ? settings.decisionsPerTick : settings.decisionsPerInput;
+    budget = groupAgenda.runChanged(budget, lookAtGroup);
+    budget = accountAgenda.runChanged(budget, lookAtAccount);
+    if (isTick) {
+      budget = groupAgenda.runWaiting(budget, lookAtGroup);
+      accountAgenda.runWaiting(budget, lookAtAccount);
+    }
+  }
+
+  /** Has the log retire the leases that ran out; their resources move after that. */
+  private expire(nowMs: number): void {
+    const { leases, outbox } = this.context;
+    for (const { lease, host } of leases.takeExpired(nowMs)) {
+      outbox.log(Diagnostics.LeaseRetired, { lease, host });
+      this.hosts.refresh(host, nowMs);
+    }
+    for (const lease of leases.getExpired()) {
+      outbox.propose(getLeaseKey(lease), { kind: CommandKind.RetireLease, lease }, nowMs);
+    }
+  }
+
+  private receiveResult(result: PromotionResult, nowMs: number): void {
+    const { state, outbox, groupAgenda } = this.context;
+    const { group, term, instance, position } = result;
+    const watch = getWatch(this.context, group);
+    const primary = state.getPrimary(group);
+    if (primary?.term !== term || primary.instance !== instance || watch.order?.term !== term) {
+      return;
+    }
+    if (result.ok) {
+      const command = { kind: CommandKind.CompletePromotion, group, term, position } as const;
+      outbox.propose(getPrimaryRecordName(group), command, nowMs);
+    } else {
+      watch.order = { ...watch.order, failed: true };
+      groupAgenda.add(group);
+    }
+  }
+}
+
+function createContext(state: ControlState, parts: ControlLeaderParts): LeaderContext {
+  const settings = parts.settings ?? DEFAULT_CONTROL_SETTINGS;
+  const createPlacement = parts.createPlacement ?? (() => new Placement(new LeastLoadedNear()));
+  return {
+    settings,
+    state,
+    leases: parts.createLeases?.(settings) ?? new DaemonLeases(settings.lease),
+    groupPlacement: createPlacement(),
+    accountPlacement: createPlacement(),
+    groupAgenda: new Agenda(),
+    accountAgenda: new Agenda(),
+    watches: new Map(),
+    outbox: new Outbox(settings.proposalTimeoutMs),
+    sinceMs: 0,
+    host: toHostId(''),
+  };
+}
+
+/** A lease that holds something but has not been renewed at this leader. */
+function createUnknownLease(holder: Holder): DaemonLease {
+  const { lease, host, address } = holder;
+  return {
+    lease,
+    host,
+    address,
+    domain: UNKNOWN_DOMAIN,
+    sequence: 0,
+    revision: toRevision(0),
+    stopping: false,
+    grantedAtMs: 0,
+    expiryMs: 0,
+    isLive: false,
+  };
+}
--- /dev/null
+++ b/src/decisions/control/leader/fleetReader.ts
@@ -0,0 +1,92 @@
+import type { AccountId, GroupId } from '../../../common/ids/index.js';
+import { toTerm } from '../../../common/ids/index.js';
+import type { DaemonLease } from '../../leases/daemonLease.js';
+import { getSubjectName } from '../../tickets/index.js';
+import type {
+  AccountStatus,
+  DaemonStatus,
+  FleetStatus,
+  GroupStatus,
+  InstanceStatus,
+} from '../fleetStatus.js';
+import type { SubjectInForce } from '../subjectInForce.js';
+import type { SubjectReading } from '../subjectReading.js';
+import { getSubjectRecordName } from '../recordNames.js';
+import type { LeaderContext } from './leaderContext.js';
+
+/** Reads the fleet as the leader sees it. */
+export class FleetReader {
+  constructor(private readonly context: LeaderContext) {}
+
+  /** The state of the fleet. */
+  getStatus(controlTerm: number, nowMs: number): FleetStatus {
+    const { state, host, leases } = this.context;
+    return {
+      leader: host,
+      controlTerm,
+      revision: state.revision,
+      daemons: leases.getLive().map((lease) => createDaemonStatus(lease, nowMs)),
+      groups: this.getGroups().map((group) => this.getGroupStatus(group, nowMs)),
+      accounts: state.getAccounts().map((account) => this.getAccountStatus(account)),
+    };
+  }
+
+  /** What is in force on one subject, or on all, and which daemons have not applied it. */
+  getReadings(subject: string | undefined, nowMs: number): SubjectReading[] {
+    const { state, leases } = this.context;
+    const live = leases.getLive();
+    const isSettled = !leases.isWaiting(nowMs);
+    const found = subject === undefined ? state.getSubjects() : [state.getSubject(subject)];
+    return found
+      .filter((each) => each !== undefined)
+      .map((each) => this.createReading(each, live, isSettled));
+  }
+
+  private createReading(
+    value: SubjectInForce,
+    live: readonly DaemonLease[],
+    isSettled: boolean,
+  ): SubjectReading {
+    const subject = getSubjectName(value.state);
+    const revision = this.context.state.getRecordRevision(getSubjectRecordName(subject));
+    const missing = live.filter((lease) => lease.revision < revision).map((lease) => lease.host);
+    const everywhere = isSettled && missing.length === 0;
+    return { subject, ticket: value.ticket, state: value.state, everywhere, missing };
+  }
+
+  private getGroups(): GroupId[] {
+    const { state, watches } = this.context;
+    return [...new Set([...state.getGroups(), ...watches.keys()])];
+  }
+
+  private getGroupStatus(group: GroupId, nowMs: number): GroupStatus {
+    const { state } = this.context;
+    const primary = state.getPrimary(group);
+    const holder = state.getGroupAssignment(group)?.holder?.host;
+    return {
+      group,
+      ...(holder === undefined ? {} : { holder }),
+      ...(primary === undefined ? {} : { primary: primary.instance, phase: primary.phase }),
+      term: primary?.term ?? toTerm(0),
+      instances: this.getInstances(group, nowMs),
+    };
+  }
+
+  private getInstances(group: GroupId, nowMs: number): InstanceStatus[] {
+    const received = this.context.watches.get(group)?.announcements.values() ?? [];
+    return [...received].map(({ announcement, receivedAtMs }) => {
+      const { instance, domain, role, term, position } = announcement;
+      return { instance, domain, role, term, position, announcedAgoMs: nowMs - receivedAtMs };
+    });
+  }
+
+  private getAccountStatus(account: AccountId): AccountStatus {
+    const holder = this.context.state.getAccountAssignment(account)?.holder?.host;
+    return holder === undefined ? { account } : { account, holder };
+  }
+}
+
+function createDaemonStatus(lease: DaemonLease, nowMs: number): DaemonStatus {
+  const { host, domain, address, revision, expiryMs } = lease;
+  return { host, domain, address, revision, leaseLeftMs: Math.max(0, expiryMs - nowMs) };
+}
--- /dev/null
+++ b/src/decisions/control/leader/groupDecisions.ts
@@ -0,0 +1,135 @@
+import { Diagnostics } from '../../../common/diagnostics/index.js';
+import { toTerm, type GroupId } from '../../../common/ids/index.js';
+import {
+  PromotionStep,
+  type GroupView,
+  type PromoteDecision,
+  type PromotionRules,
+  type RecordDecision,
+  type WaitDecision,
+} from '../../promotion/index.js';
+import { CommandKind } from '../commandKind.js';
+import { PrimaryPhase } from '../groupPrimary.js';
+import { getPrimaryRecordName } from '../recordNames.js';
+import { ControlOutputKind } from './controlOutput.js';
+import { createGroupView } from './createGroupView.js';
+import type { GroupPlacement } from './groupPlacement.js';
+import { getWatch, type LeaderContext } from './leaderContext.js';
+
+const NO_TERM = toTerm(0);
+
+/** Decides on one group at a time: its primary, then its holder. */
+export class GroupDecisions {
+  constructor(
+    private readonly context: LeaderContext,
+    private readonly rules: PromotionRules,
+    private readonly placement: GroupPlacement,
+  ) {}
+
+  /** Looks at a group; true when it has to be looked at again without a change. */
+  look(group: GroupId, nowMs: number): boolean {
+    const view = createGroupView(this.context, group, nowMs);
+    const isWaiting = this.decidePrimary(view);
+    return this.placement.look(view) || isWaiting;
+  }
+
+  private decidePrimary(view: GroupView): boolean {
+    if (this.context.outbox.isUnderWay(getPrimaryRecordName(view.group), view.nowMs)) {
+      return true;
+    }
+    const decision = this.rules.decide(view);
+    switch (decision.step) {
+      case PromotionStep.Rest:
+        getWatch(this.context, view.group).blockedReason = undefined;
+        return false;
+      case PromotionStep.Wait:
+        this.noteWait(view, decision);
+        return true;
+      case PromotionStep.Record:
+        this.record(view, decision);
+        return true;
+      case PromotionStep.Move:
+        this.move(view);
+        return true;
+      case PromotionStep.Promote:
+        this.promote(view, decision);
+        return true;
+      case PromotionStep.Order:
+        this.order(view);
+        return true;
+    }
+  }
+
+  private noteWait(view: GroupView, decision: WaitDecision): void {
+    const watch = getWatch(this.context, view.group);
+    const { group } = view;
+    const { reason } = decision;
+    if (decision.isBlocked && watch.blockedReason !== reason) {
+      this.context.outbox.log(Diagnostics.PromotionWaits, { group, reason });
+    }
+    watch.blockedReason = decision.isBlocked ? reason : undefined;
+  }
+
+  private record(view: GroupView, decision: RecordDecision): void {
+    const { group, nowMs } = view;
+    const { term, instance } = decision;
+    const kind = CommandKind.RecordPrimary;
+    const command = { kind, group, term, instance } as const;
+    this.context.outbox.propose(getPrimaryRecordName(group), command, nowMs);
+  }
+
+  private move(view: GroupView): void {
+    const { group, nowMs, primary } = view;
+    if (primary !== undefined) {
+      const command = { kind: CommandKind.BeginMove, group, term: primary.term } as const;
+      this.context.outbox.propose(getPrimaryRecordName(group), command, nowMs);
+    }
+  }
+
+  private promote(view: GroupView, decision: PromoteDecision): void {
+    const { group, nowMs, primary, holder } = view;
+    const { term, instance, required, reason } = decision;
+    this.logBefore(view, reason);
+    const command = {
+      kind: CommandKind.BeginPromotion,
+      group,
+      term,
+      instance,
+      required,
+      expectedTerm: primary?.term ?? NO_TERM,
+      ...(holder === undefined ? {} : { expectedLease: holder.lease }),
+    } as const;
+    this.context.outbox.propose(getPrimaryRecordName(group), command, nowMs);
+  }
+
+  private logBefore(view: GroupView, reason: string): void {
+    const { group, primary } = view;
+    if (primary === undefined) {
+      return;
+    }
+    const { instance, term } = primary;
+    if (primary.phase === PrimaryPhase.Promoting) {
+      const values = { group, instance, term, reason };
+      this.context.outbox.log(Diagnostics.PromotionAbandoned, values);
+    } else if (primary.phase === PrimaryPhase.Serving) {
+      this.context.outbox.log(Diagnostics.PrimaryLost, { group, instance, reason });
+    }
+  }
+
+  private order(view: GroupView): void {
+    const { group, nowMs, primary } = view;
+    const record = primary && this.context.state.getInstance(group, primary.instance);
+    if (primary === undefined || record === undefined) {
+      return;
+    }
+    const watch = getWatch(this.context, group);
+    const { term, instance } = primary;
+    const before = watch.order?.term === term ? watch.order : undefined;
+    const firstMs = before?.firstMs ?? nowMs;
+    watch.order = { term, firstMs, lastMs: nowMs, failed: before?.failed ?? false };
+    watch.orderedInstance = instance;
+    const { platform } = record;
+    const output = { kind: ControlOutputKind.Promote, group, instance, term, platform } as const;
+    this.context.outbox.add(output);
+  }
+}
--- /dev/null
+++ b/src/decisions/control/leader/groupWatch.ts
@@ -0,0 +1,93 @@
+import { toLogPosition, toTerm, type InstanceId, type LeaseId } from '../../../common/ids/index.js';
+import type { PromotionOrder, SightedPlace } from '../../promotion/index.js';
+import type { Announcement } from '../announcement.js';
+import type { GroupReport } from '../groupReport.js';
+
+/** An announcement and when this leader received it. */
+export interface ReceivedAnnouncement {
+  readonly announcement: Announcement;
+  readonly receivedAtMs: number;
+}
+
+/** What an announcement changed. */
+export enum AnnouncementEffect {
+  /** Late: an earlier one was further. */
+  Ignored = 'ignored',
+  /** Only the position or the time moved. */
+  Renewed = 'renewed',
+  /** The role, the term, leaving or the instance itself is new. */
+  Changed = 'changed',
+}
+
+/** What a leader knows of one group besides the records, in memory only. */
+export class GroupWatch {
+  readonly announcements = new Map<InstanceId, ReceivedAnnouncement>();
+  readonly sightings = new Map<InstanceId, SightedPlace>();
+  reporter: LeaseId | undefined;
+  fencedTerm = toTerm(0);
+  fencedAtMs: number | undefined;
+  acknowledged = toLogPosition(0);
+  firstSeenMs: number | undefined;
+  unheldSinceMs: number | undefined;
+  movingSinceMs: number | undefined;
+  moveEndedMs: number | undefined;
+  order: PromotionOrder | undefined;
+  /** Instance of the last order. */
+  orderedInstance: InstanceId | undefined;
+  failedInstances: InstanceId[] = [];
+  blockedReason: string | undefined;
+
+  /** Takes in an announcement; one that goes back counts only once the earlier one is old. */
+  announce(announcement: Announcement, nowMs: number, missingMs: number): AnnouncementEffect {
+    this.firstSeenMs ??= nowMs;
+    const present = this.announcements.get(announcement.instance);
+    if (present !== undefined && goesBack(present.announcement, announcement)) {
+      if (nowMs - present.receivedAtMs < missingMs) {
+        return AnnouncementEffect.Ignored;
+      }
+    }
+    this.announcements.set(announcement.instance, { announcement, receivedAtMs: nowMs });
+    const isMissing = present !== undefined && nowMs - present.receivedAtMs >= missingMs;
+    return present === undefined || isMissing || differs(present.announcement, announcement)
+      ? AnnouncementEffect.Changed
+      : AnnouncementEffect.Renewed;
+  }
+
+  /** Takes in the present holder's report. */
+  report(report: GroupReport, lease: LeaseId, nowMs: number): void {
+    if (this.reporter !== lease) {
+      this.forgetReport();
+      this.reporter = lease;
+    }
+    if (report.fencedTerm > this.fencedTerm) {
+      this.fencedTerm = report.fencedTerm;
+      this.fencedAtMs = nowMs;
+      this.sightings.clear();
+    }
+    this.acknowledged = report.acknowledged;
+    for (const { instance, reachable, term, position } of report.sightings) {
+      this.sightings.set(instance, { reachable, term, position, receivedAtMs: nowMs });
+    }
+  }
+
+  /** Forgets what a holder reported, when it holds the group no more. */
+  forgetReport(): void {
+    this.reporter = undefined;
+    this.fencedTerm = toTerm(0);
+    this.fencedAtMs = undefined;
+    this.acknowledged = toLogPosition(0);
+    this.sightings.clear();
+  }
+}
+
+function goesBack(before: Announcement, after: Announcement): boolean {
+  return (
+    after.term < before.term || (after.term === before.term && after.position < before.position)
+  );
+}
+
+function differs(before: Announcement, after: Announcement): boolean {
+  return (
+    before.role !== after.role || before.term !== after.term || before.leaving !== after.leaving
+  );
+}
--- /dev/null
+++ b/src/decisions/control/leader/hostRegister.ts
@@ -0,0 +1,90 @@
+import type { FailureDomain, HostId } from '../../../common/ids/index.js';
+import { RecordKind } from '../recordKind.js';
+import type { LeaderContext } from './leaderContext.js';
+
+interface EligibleHost {
+  readonly domain: FailureDomain;
+}
+
+/** Which hosts may be given resources: those with a live lease, not stopping, in service. */
+export class HostRegister {
+  private readonly eligible = new Map<HostId, EligibleHost>();
+  private readonly leaving = new Set<HostId>();
+
+  constructor(private readonly context: LeaderContext) {}
+
+  /** Brings a host in line with its lease. */
+  refresh(host: HostId, nowMs: number): void {
+    const { leases, state } = this.context;
+    const lease = leases.getByHost(host);
+    const isLive = lease?.isLive === true;
+    const mustLeave = isLive && (lease.stopping || !state.isInService(lease.domain));
+    if (mustLeave && !this.leaving.has(host)) {
+      this.leaving.add(host);
+      this.lookAtHeld(host);
+    } else if (!mustLeave) {
+      this.leaving.delete(host);
+    }
+    if (isLive && !mustLeave) {
+      this.add(host, lease.domain, nowMs);
+    } else {
+      this.remove(host);
+    }
+  }
+
+  /** Brings every host in line, after a failure domain went out or came back. */
+  refreshAll(nowMs: number): void {
+    const hosts = new Set([...this.context.leases.getLive()].map((lease) => lease.host));
+    for (const host of this.eligible.keys()) {
+      hosts.add(host);
+    }
+    for (const host of hosts) {
+      this.refresh(host, nowMs);
+    }
+  }
+
+  /** Forgets all hosts. */
+  clear(): void {
+    for (const host of [...this.eligible.keys()]) {
+      this.remove(host);
+    }
+    this.leaving.clear();
+  }
+
+  private add(host: HostId, domain: FailureDomain, nowMs: number): void {
+    if (this.eligible.has(host)) {
+      return;
+    }
+    this.eligible.set(host, { domain });
+    const warmAtMs = this.isFleetStarting(nowMs)
+      ? nowMs
+      : nowMs + this.context.settings.slowStartMs;
+    const added = { host, domain, sinceMs: nowMs, warmAtMs };
+    this.context.groupPlacement.addHost(added);
+    this.context.accountPlacement.addHost(added);
+  }
+
+  private remove(host: HostId): void {
+    if (this.eligible.delete(host)) {
+      this.context.groupPlacement.removeHost(host);
+      this.context.accountPlacement.removeHost(host);
+    }
+  }
+
+  /** Hosts that appear while a new leader gets to know the fleet were there before. */
+  private isFleetStarting(nowMs: number): boolean {
+    return this.context.leases.isWaiting(nowMs);
+  }
+
+  private lookAtHeld(host: HostId): void {
+    const { leases, state, groupAgenda, accountAgenda } = this.context;
+    const lease = leases.getByHost(host);
+    for (const held of lease === undefined ? [] : state.getHeld(lease.lease)) {
+      if (held.kind === RecordKind.GroupHolder) {
+        groupAgenda.add(held.group);
+      } else {
+        accountAgenda.add(held.account);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/decisions/control/leader/index.ts
@@ -0,0 +1,4 @@
+export * from './controlSettings.js';
+export * from './controlInput.js';
+export * from './controlOutput.js';
+export * from './controlLeader.js';
--- /dev/null
+++ b/src/decisions/control/leader/rebalancer.ts
@@ -0,0 +1,73 @@
+import { Diagnostics } from '../../../common/diagnostics/index.js';
+import { CommandKind } from '../commandKind.js';
+import { RecordKind } from '../recordKind.js';
+import { getAccountHolderRecordName, getGroupHolderRecordName } from '../recordNames.js';
+import type { LeaderContext } from './leaderContext.js';
+
+/** Moves groups and accounts, a few at a time, from loaded hosts to idle ones. */
+export class Rebalancer {
+  private lastMs = 0;
+
+  constructor(private readonly context: LeaderContext) {}
+
+  /** Begins at most one move of a group and one of an account. */
+  run(nowMs: number): void {
+    const { settings, leases } = this.context;
+    if (nowMs - this.lastMs < settings.rebalanceIntervalMs || leases.isWaiting(nowMs)) {
+      return;
+    }
+    this.lastMs = nowMs;
+    this.moveGroup(nowMs);
+    this.moveAccount(nowMs);
+  }
+
+  /** Waits a whole interval from now. */
+  reset(nowMs: number): void {
+    this.lastMs = nowMs;
+  }
+
+  private moveGroup(nowMs: number): void {
+    const { groupPlacement, leases, state, outbox } = this.context;
+    const move = groupPlacement.findMove(nowMs);
+    const lease = move && leases.getByHost(move.from);
+    if (lease === undefined) {
+      return;
+    }
+    const held = state
+      .getHeld(lease.lease)
+      .filter((each) => each.kind === RecordKind.GroupHolder)
+      .filter((each) => !each.draining);
+    const far = held.find((each) => {
+      const primary = state.getPrimary(each.group);
+      const record = primary && state.getInstance(each.group, primary.instance);
+      return record !== undefined && record.domain !== lease.domain;
+    });
+    const chosen = far ?? held[0];
+    if (chosen === undefined) {
+      return;
+    }
+    const { group } = chosen;
+    const name = getGroupHolderRecordName(group);
+    const expected = state.getRecordRevision(name);
+    if (outbox.propose(name, { kind: CommandKind.DrainGroup, group, expected }, nowMs)) {
+      outbox.log(Diagnostics.GroupDraining, { group, host: lease.host });
+    }
+  }
+
+  private moveAccount(nowMs: number): void {
+    const { accountPlacement, leases, state, outbox } = this.context;
+    const move = accountPlacement.findMove(nowMs);
+    const lease = move && leases.getByHost(move.from);
+    const held = lease === undefined ? [] : state.getHeld(lease.lease);
+    const chosen = held
+      .filter((each) => each.kind === RecordKind.AccountHolder)
+      .find((each) => !each.draining);
+    if (chosen === undefined) {
+      return;
+    }
+    const { account } = chosen;
+    const name = getAccountHolderRecordName(account);
+    const expected = state.getRecordRevision(name);
+    outbox.propose(name, { kind: CommandKind.DrainAccount, account, expected }, nowMs);
+  }
+}
--- /dev/null
+++ b/src/decisions/control/leader/renewalIntake.ts
@@ -0,0 +1,153 @@
+import type { LeaseId } from '../../../common/ids/index.js';
+import { RenewalOutcome } from '../../leases/daemonLeases.js';
+import type { Announcement } from '../announcement.js';
+import type { Assignment } from '../assignment.js';
+import { CommandKind } from '../commandKind.js';
+import type { GroupReport } from '../groupReport.js';
+import type { LeaseRenewal } from '../leaseRenewal.js';
+import { RecordKind } from '../recordKind.js';
+import {
+  getAccountHolderRecordName,
+  getGroupHolderRecordName,
+  getInstanceRecordName,
+} from '../recordNames.js';
+import { ControlOutputKind } from './controlOutput.js';
+import { AnnouncementEffect } from './groupWatch.js';
+import type { HostRegister } from './hostRegister.js';
+import { getWatch, type LeaderContext } from './leaderContext.js';
+
+/** Takes in renewals: answers them and notes what they report. */
+export class RenewalIntake {
+  constructor(
+    private readonly context: LeaderContext,
+    private readonly hosts: HostRegister,
+  ) {}
+
+  /** Takes in one renewal. */
+  receive(renewal: LeaseRenewal, mayGrant: boolean, nowMs: number): void {
+    const { leases, state } = this.context;
+    const isRetired = state.isRetired(renewal.lease);
+    const outcome = leases.renew(renewal, isRetired, mayGrant, nowMs);
+    if (outcome === RenewalOutcome.NotLeader || outcome === RenewalOutcome.Stale) {
+      return;
+    }
+    this.answer(renewal, outcome);
+    if (leases.get(renewal.lease)?.isLive === true) {
+      this.hosts.refresh(renewal.host, nowMs);
+      this.noteReports(renewal, nowMs);
+    }
+  }
+
+  private answer(renewal: LeaseRenewal, outcome: RenewalOutcome): void {
+    const { state, settings, outbox } = this.context;
+    const { host, lease, sequence } = renewal;
+    const isGranted = outcome === RenewalOutcome.Granted;
+    const grant = {
+      lease,
+      sequence,
+      lengthMs: isGranted ? settings.lease.lengthMs : 0,
+      retired: outcome === RenewalOutcome.Retired,
+      revision: state.changeRevision,
+      records: state.getRecordsSince(renewal.revision),
+    };
+    outbox.add({ kind: ControlOutputKind.Grant, host, grant });
+  }
+
+  private noteReports(renewal: LeaseRenewal, nowMs: number): void {
+    for (const announcement of renewal.announcements) {
+      this.noteAnnouncement(announcement, nowMs);
+    }
+    this.noteGroupReports(renewal, nowMs);
+    this.noteReleases(renewal, nowMs);
+  }
+
+  private noteAnnouncement(announcement: Announcement, nowMs: number): void {
+    const { settings, groupAgenda } = this.context;
+    const { group } = announcement;
+    const watch = getWatch(this.context, group);
+    const effect = watch.announce(announcement, nowMs, settings.promotion.missingMs);
+    if (effect === AnnouncementEffect.Ignored) {
+      return;
+    }
+    this.register(announcement, nowMs);
+    if (effect === AnnouncementEffect.Changed) {
+      groupAgenda.add(group);
+    }
+  }
+
+  private register(announcement: Announcement, nowMs: number): void {
+    const { state, outbox } = this.context;
+    const { group, instance, domain, address, platform, slots, connectionLimit } = announcement;
+    const present = state.getInstance(group, instance);
+    const isKnown =
+      present?.domain === domain &&
+      present.address === address &&
+      present.platform === platform &&
+      present.slots === slots &&
+      present.connectionLimit === connectionLimit;
+    if (isKnown) {
+      return;
+    }
+    const kind = RecordKind.Instance;
+    const name = getInstanceRecordName(group, instance);
+    const command = {
+      kind: CommandKind.RegisterInstance,
+      instance: { kind, group, instance, domain, address, platform, slots, connectionLimit },
+      expected: state.getRecordRevision(name),
+    } as const;
+    outbox.propose(name, command, nowMs);
+  }
+
+  private noteGroupReports(renewal: LeaseRenewal, nowMs: number): void {
+    const { state, groupAgenda } = this.context;
+    for (const report of renewal.reports) {
+      const assignment = state.getGroupAssignment(report.group);
+      if (this.speaksFor(renewal, assignment)) {
+        const watch = getWatch(this.context, report.group);
+        watch.report(report, renewal.lease, nowMs);
+        if (this.isPrimaryInDoubt(report)) {
+          groupAgenda.add(report.group);
+        }
+      }
+    }
+  }
+
+  /** Whether a holder fenced the present term or can't reach the primary. */
+  private isPrimaryInDoubt(report: GroupReport): boolean {
+    const primary = this.context.state.getPrimary(report.group);
+    if (primary === undefined) {
+      return false;
+    }
+    const sighting = report.sightings.find((each) => each.instance === primary.instance);
+    return report.fencedTerm >= primary.term || sighting?.reachable === false;
+  }
+
+  private noteReleases(renewal: LeaseRenewal, nowMs: number): void {
+    const { state, outbox } = this.context;
+    const { lease } = renewal;
+    for (const group of renewal.releasedGroups) {
+      if (this.speaksFor(renewal, state.getGroupAssignment(group))) {
+        const name = getGroupHolderRecordName(group);
+        const expected = state.getRecordRevision(name);
+        const command = { kind: CommandKind.ReleaseGroup, group, lease, expected } as const;
+        outbox.propose(name, command, nowMs);
+      }
+    }
+    for (const account of renewal.releasedAccounts) {
+      if (this.speaksFor(renewal, state.getAccountAssignment(account))) {
+        const name = getAccountHolderRecordName(account);
+        const expected = state.getRecordRevision(name);
+        const command = { kind: CommandKind.ReleaseAccount, account, lease, expected } as const;
+        outbox.propose(name, command, nowMs);
+      }
+    }
+  }
+
+  /** Whether a renewal was sent by a resource's present holder, aware that it holds it. */
+  private speaksFor(renewal: LeaseRenewal, assignment: Assignment | undefined): boolean {
+    const lease: LeaseId | undefined = assignment?.holder?.lease;
+    return (
+      assignment !== undefined && lease === renewal.lease && renewal.revision >= assignment.since
+    );
+  }
+}
--- /dev/null
+++ b/src/decisions/control/placement/leastLoadedNear.ts
@@ -0,0 +1,16 @@
+import type { HostId } from '../../../common/ids/index.js';
+import type { PlacementRequest } from './placementHost.js';
+import { PlacementPolicy } from './placementPolicy.js';
+
+/** The least loaded host of the near failure domain, unless another carries much less. */
+export class LeastLoadedNear extends PlacementPolicy {
+  protected override chooseWarm(request: PlacementRequest): HostId | undefined {
+    const least = this.warm.getLeast();
+    const domain = request.near === undefined ? undefined : this.warmByDomain.get(request.near);
+    const near = domain?.getLeast();
+    if (near === undefined || least === undefined) {
+      return least;
+    }
+    return this.getLoad(near) - this.getLoad(least) > this.getSlack() ? least : near;
+  }
+}
--- /dev/null
+++ b/src/decisions/control/placement/placementPolicy.ts
@@ -0,0 +1,155 @@
+import type { FailureDomain, HostId } from '../../../common/ids/index.js';
+import { LoadBuckets } from './loadBuckets.js';
+import type { PlacementHost, PlacementMove, PlacementRequest } from './placementHost.js';
+
+const MINIMUM_MOVE_DIFFERENCE = 2;
+const MOVE_SHARE_OF_MEAN = 0.25;
+
+/** Chooses a host for each resource, over an index of hosts by load. */
+export abstract class PlacementPolicy {
+  protected readonly hosts = new Map<HostId, PlacementHost>();
+  protected readonly loads = new Map<HostId, number>();
+  protected readonly warm = new LoadBuckets();
+  protected readonly warmByDomain = new Map<FailureDomain, LoadBuckets>();
+  private readonly warming = new Set<HostId>();
+  private totalLoad = 0;
+
+  /** Adds an eligible host with what it carries already. */
+  addHost(host: PlacementHost, load: number): void {
+    this.removeHost(host.host);
+    this.hosts.set(host.host, host);
+    this.loads.set(host.host, load);
+    this.totalLoad += load;
+    if (host.warmAtMs > host.sinceMs) {
+      this.warming.add(host.host);
+    } else {
+      this.index(host, load);
+    }
+  }
+
+  /** Removes a host that is eligible no more. */
+  removeHost(id: HostId): void {
+    const host = this.hosts.get(id);
+    if (host === undefined) {
+      return;
+    }
+    const load = this.getLoad(id);
+    this.totalLoad -= load;
+    if (!this.warming.delete(id)) {
+      this.unindex(host, load);
+    }
+    this.hosts.delete(id);
+    this.loads.delete(id);
+  }
+
+  /** Notes how much an eligible host carries. */
+  setLoad(id: HostId, load: number): void {
+    const host = this.hosts.get(id);
+    if (host === undefined) {
+      return;
+    }
+    const before = this.getLoad(id);
+    this.totalLoad += load - before;
+    this.loads.set(id, load);
+    if (!this.warming.has(id)) {
+      this.unindex(host, before);
+      this.index(host, load);
+    }
+  }
+
+  /** Chooses a host for a resource; undefined when no host is eligible. */
+  choose(request: PlacementRequest, nowMs: number): HostId | undefined {
+    this.finishWarming(nowMs);
+    return (
+      this.chooseWarming(request, nowMs) ?? this.chooseWarm(request) ?? this.chooseAnyWarming()
+    );
+  }
+
+  /** Finds a host that carries too much; undefined while the load is balanced. */
+  findMove(nowMs: number): PlacementMove | undefined {
+    this.finishWarming(nowMs);
+    const from = this.warm.getMost();
+    const to = this.chooseWarming({ key: '' }, nowMs) ?? this.warm.getLeast();
+    if (from === undefined || to === undefined) {
+      return undefined;
+    }
+    const difference = this.getLoad(from) - this.getLoad(to);
+    return difference > this.getSlack() ? { from, to } : undefined;
+  }
+
+  /** Whether a host is eligible. */
+  isEligible(host: HostId): boolean {
+    return this.hosts.has(host);
+  }
+
+  /** Number of eligible hosts. */
+  get hostCount(): number {
+    return this.hosts.size;
+  }
+
+  /** Chooses among the hosts that are past their slow start. */
+  protected abstract chooseWarm(request: PlacementRequest): HostId | undefined;
+
+  /** What a host carries. */
+  protected getLoad(host: HostId): number {
+    return this.loads.get(host) ?? 0;
+  }
+
+  /** Mean load of the eligible hosts. */
+  protected getMean(): number {
+    return this.hosts.size === 0 ? 0 : this.totalLoad / this.hosts.size;
+  }
+
+  /** Difference of load that is not worth a move or a way to another failure domain. */
+  protected getSlack(): number {
+    return Math.max(MINIMUM_MOVE_DIFFERENCE, Math.ceil(this.getMean() * MOVE_SHARE_OF_MEAN));
+  }
+
+  /** A host in slow start that carries less than its growing share of the mean. */
+  private chooseWarming(request: PlacementRequest, nowMs: number): HostId | undefined {
+    const mean = this.getMean();
+    for (const id of this.warming) {
+      const host = this.hosts.get(id);
+      if (host === undefined || (request.near !== undefined && request.near !== host.domain)) {
+        continue;
+      }
+      const progress = (nowMs - host.sinceMs) / (host.warmAtMs - host.sinceMs);
+      if (this.getLoad(id) < Math.floor(mean * progress)) {
+        return id;
+      }
+    }
+    return undefined;
+  }
+
+  private chooseAnyWarming(): HostId | undefined {
+    let least: HostId | undefined;
+    for (const id of this.warming) {
+      if (least === undefined || this.getLoad(id) < this.getLoad(least)) {
+        least = id;
+      }
+    }
+    return least;
+  }
+
+  private finishWarming(nowMs: number): void {
+    for (const id of this.warming) {
+      const host = this.hosts.get(id);
+      if (host !== undefined && host.warmAtMs <= nowMs) {
+        this.warming.delete(id);
+        this.index(host, this.getLoad(id));
+      }
+    }
+  }
+
+  private index(host: PlacementHost, load: number): void {
+    const domain = this.warmByDomain.get(host.domain) ?? new LoadBuckets();
+    domain.add(host.host, load);
+    this.warmByDomain.set(host.domain, domain);
+    this.warm.add(host.host, load);
+  }
+
+  private unindex(host: PlacementHost, load: number): void {
+    this.warmByDomain.get(host.domain)?.remove(host.host, load);
+    this.warm.remove(host.host, load);
+  }
+}
--- a/src/decisions/control/recordIndex.ts
+++ b/src/decisions/control/recordIndex.ts
@@ -1,5 +1,5 @@
 import type { AccountId, GroupId } from '../../common/ids/index.js';
-import { SubjectKind } from '../tickets/index.js';
+import { getSubjectName, SubjectKind, type SubjectState } from '../tickets/index.js';
 import type { ControlRecordValue } from './controlRecord.js';
 import type { InstanceRecord } from './instanceRecord.js';
 import { RecordKind } from './recordKind.js';
@@ -7,6 +7,7 @@
 /** Lists over the replicated records, kept up as records change. */
 export class RecordIndex {
   private readonly instances = new Map<GroupId, Map<string, InstanceRecord>>();
+  private readonly subjects = new Set<string>();
   private readonly accounts = new Set<AccountId>();
 
   /** Takes in a new or changed record. */
@@ -15,11 +16,16 @@
       const group = this.instances.get(value.group) ?? new Map<string, InstanceRecord>();
       group.set(value.instance, value);
       this.instances.set(value.group, group);
-    } else if (value.kind === RecordKind.Subject && value.state.kind === SubjectKind.Account) {
-      this.accounts.add(value.state.account);
+    } else if (value.kind === RecordKind.Subject) {
+      this.addSubject(value.state);
     }
   }
 
+  /** The name of every subject in force. */
+  getSubjects(): string[] {
+    return [...this.subjects];
+  }
+
   /** The instances of a group, in the order in which they were registered. */
   getInstances(group: GroupId): InstanceRecord[] {
     return [...(this.instances.get(group)?.values() ?? [])];
@@ -39,5 +45,13 @@
   clear(): void {
     this.instances.clear();
     this.accounts.clear();
+    this.subjects.clear();
+  }
+
+  private addSubject(state: SubjectState): void {
+    this.subjects.add(getSubjectName(state));
+    if (state.kind === SubjectKind.Account) {
+      this.accounts.add(state.account);
+    }
   }
 }
--- a/src/decisions/leases/daemonLeases.ts
+++ b/src/decisions/leases/daemonLeases.ts
@@ -96,6 +96,11 @@
     return taken;
   }
 
+  /** The leases that ran out and that the log has not retired yet. */
+  getExpired(): LeaseId[] {
+    return [...this.expired];
+  }
+
   /** Forgets a lease that the log retired. */
   forget(lease: LeaseId): void {
     const present = this.leases.get(lease);
--- /dev/null
+++ b/src/decisions/promotion/fence.ts
@@ -0,0 +1,45 @@
+import type { Term } from '../../common/ids/index.js';
+import type { GroupView } from './groupView.js';
+import { pickFurther } from './places.js';
+import type { InstanceView, Measurement } from './instanceView.js';
+import type { PromotionSettings } from './promotionSettings.js';
+
+/** When control knew that no write of a term will be acknowledged any more. */
+export interface Fence {
+  readonly atMs: number;
+  /** The holder lives and reported; otherwise its lease is released or has run out. */
+  readonly isReported: boolean;
+}
+
+/** Finds the fence of a term, if there is one. */
+export function findFence(view: GroupView, term: Term): Fence | undefined {
+  const { holder } = view;
+  if (holder === undefined) {
+    const atMs = view.unheldSinceMs;
+    return atMs === undefined ? undefined : { atMs, isReported: false };
+  }
+  if (holder.fencedTerm < term || holder.fencedAtMs === undefined) {
+    return undefined;
+  }
+  return { atMs: holder.fencedAtMs, isReported: true };
+}
+
+/**
+ * The furthest place of an instance that was measured after the fence: what the holder sighted
+ * after fencing, or announcements that came after the fence by more than their longest way.
+ */
+export function getPlaceAfter(
+  instance: InstanceView,
+  fence: Fence,
+  settings: PromotionSettings,
+): Measurement | undefined {
+  const { announced, sighted } = instance;
+  const isLate =
+    announced !== undefined && announced.receivedAtMs >= fence.atMs + settings.settleMs;
+  const isSeen =
+    fence.isReported &&
+    sighted !== undefined &&
+    sighted.reachable &&
+    sighted.receivedAtMs >= fence.atMs;
+  return pickFurther(isLate ? announced : undefined, isSeen ? sighted : undefined);
+}
--- /dev/null
+++ b/src/decisions/promotion/history.ts
@@ -0,0 +1,25 @@
+import type { LogPosition, Term } from '../../common/ids/index.js';
+import { PrimaryPhase, type GroupPrimary } from '../control/groupPrimary.js';
+
+/** The last term of a group that served. */
+export function getServedTerm(primary: GroupPrimary): Term | undefined {
+  return primary.phase === PrimaryPhase.Promoting ? primary.base?.term : primary.term;
+}
+
+/** The position at which the last term that served began. */
+export function getServedStart(primary: GroupPrimary): number {
+  return primary.history.at(-1)?.position ?? 0;
+}
+
+/**
+ * Whether a place lies on the history that ends in the last term that served, or in a promotion
+ * since then. What lies beyond the end of an earlier term is on another history.
+ */
+export function isOnHistory(primary: GroupPrimary, term: Term, position: LogPosition): boolean {
+  const served = getServedTerm(primary) ?? 0;
+  if (term >= served) {
+    return term <= primary.term;
+  }
+  const end = primary.history.find((each) => each.term === term);
+  return end !== undefined && position <= end.position;
+}
--- /dev/null
+++ b/src/decisions/promotion/instanceView.ts
@@ -0,0 +1,32 @@
+import type { FailureDomain, InstanceId, LogPosition, Term } from '../../common/ids/index.js';
+import type { InstanceRole } from '../control/announcement.js';
+
+/** A measured place in a history, and when control received it. */
+export interface Measurement {
+  readonly term: Term;
+  readonly position: LogPosition;
+  readonly receivedAtMs: number;
+}
+
+/** What a backend server announced last. */
+export interface AnnouncedPlace extends Measurement {
+  readonly role: InstanceRole;
+  readonly leaving: boolean;
+}
+
+/** What the holder saw last of an instance. */
+export interface SightedPlace extends Measurement {
+  readonly reachable: boolean;
+}
+
+/** One instance as the choice of a primary sees it. */
+export interface InstanceView {
+  readonly instance: InstanceId;
+  readonly domain: FailureDomain;
+  /** Its failure domain takes new work. */
+  readonly inService: boolean;
+  /** A ticket says that it is leaving. */
+  readonly leaving: boolean;
+  readonly announced: AnnouncedPlace | undefined;
+  readonly sighted: SightedPlace | undefined;
+}
--- /dev/null
+++ b/src/decisions/promotion/places.ts
@@ -0,0 +1,40 @@
+import { InstanceRole } from '../control/announcement.js';
+import type { GroupView } from './groupView.js';
+import type { InstanceView, Measurement } from './instanceView.js';
+import type { PromotionSettings } from './promotionSettings.js';
+
+/** The furthest place that is known of an instance. */
+export function getPlace(instance: InstanceView): Measurement | undefined {
+  return pickFurther(instance.announced, instance.sighted);
+}
+
+/** The further of two places of one instance. */
+export function pickFurther(
+  first: Measurement | undefined,
+  second: Measurement | undefined,
+): Measurement | undefined {
+  if (first === undefined || second === undefined) {
+    return first ?? second;
+  }
+  return comparePlaces(first, second) >= 0 ? first : second;
+}
+
+/** Orders places by term, then by position. */
+export function comparePlaces(first: Measurement, second: Measurement): number {
+  return first.term - second.term || first.position - second.position;
+}
+
+/** Whether an instance announced itself lately. */
+export function isAnnouncing(
+  view: GroupView,
+  instance: InstanceView,
+  settings: PromotionSettings,
+): boolean {
+  const { announced } = instance;
+  return announced !== undefined && view.nowMs - announced.receivedAtMs < settings.missingMs;
+}
+
+/** Whether an instance says that it is the primary of a term. */
+export function isAnnouncedPrimary(instance: InstanceView): boolean {
+  return instance.announced?.role === InstanceRole.Primary;
+}
--- /dev/null
+++ b/src/decisions/promotion/promotionRules.ts
@@ -0,0 +1,280 @@
+import { toLogPosition, toTerm, type LogPosition, type Term } from '../../common/ids/index.js';
+import { PrimaryPhase, type GroupPrimary } from '../control/groupPrimary.js';
+import { Acknowledgement } from '../tickets/index.js';
+import { findFence, getPlaceAfter, type Fence } from './fence.js';
+import { decideFirst } from './firstSight.js';
+import type { GroupView } from './groupView.js';
+import { getServedStart, getServedTerm, isOnHistory } from './history.js';
+import type { InstanceView } from './instanceView.js';
+import { comparePlaces, getPlace, isAnnouncedPrimary, isAnnouncing } from './places.js';
+import {
+  createBlocked,
+  createWait,
+  PromotionStep,
+  REST,
+  type PromotionDecision,
+} from './promotionDecision.js';
+import type { PromotionSettings } from './promotionSettings.js';
+
+/** Decides on a group's primary: whether it is lost or has to move, and which instance follows. */
+export class PromotionRules {
+  constructor(protected readonly settings: PromotionSettings) {}
+
+  /** Decides what to do next about a group's primary. */
+  decide(view: GroupView): PromotionDecision {
+    const { primary } = view;
+    if (primary === undefined) {
+      return decideFirst(view, this.settings);
+    }
+    switch (primary.phase) {
+      case PrimaryPhase.Serving:
+        return this.decideServing(view, primary);
+      case PrimaryPhase.Moving:
+        return this.decideMoving(view, primary);
+      case PrimaryPhase.Promoting:
+        return this.decidePromoting(view, primary);
+    }
+  }
+
+  /** Finds the fence after which no write of the last served term is acknowledged. */
+  protected findFence(view: GroupView, term: Term): Fence | undefined {
+    return findFence(view, term);
+  }
+
+  /**
+   * The position that holds every write acknowledged under the safe setting, or undefined while
+   * it can't be told. Each such write is on the primary and on at least one other instance.
+   */
+  protected findRequired(
+    view: GroupView,
+    primary: GroupPrimary,
+    fence: Fence,
+  ): LogPosition | undefined {
+    const start = getServedStart(primary);
+    const { holder } = view;
+    if (holder?.sinceTermBegan === true) {
+      return toLogPosition(Math.max(start, holder.acknowledged));
+    }
+    let furthest = start;
+    for (const instance of view.instances) {
+      const place = getPlaceAfter(instance, fence, this.settings);
+      if (instance.instance === primary.instance || this.isGone(view, instance)) {
+        continue;
+      }
+      if (place === undefined) {
+        return undefined;
+      }
+      if (place.term === primary.term) {
+        furthest = Math.max(furthest, place.position);
+      }
+    }
+    return toLogPosition(furthest);
+  }
+
+  private decideServing(view: GroupView, primary: GroupPrimary): PromotionDecision {
+    const fence = this.findFence(view, primary.term);
+    const instance = findInstance(view, primary);
+    const isLost = this.isLost(view, primary, instance);
+    if (fence !== undefined && (fence.isReported || isLost)) {
+      const reason = fence.isReported ? 'fenced by its holder' : 'no announcements';
+      return this.choose(view, primary, fence, reason);
+    }
+    if (isLost || this.hasToMove(instance)) {
+      return this.decideMove(view, primary, isLost);
+    }
+    return view.holder === undefined ? createWait('no holder') : REST;
+  }
+
+  /** A planned move begins when another instance can follow; a lost primary's holder is to fence. */
+  private decideMove(view: GroupView, primary: GroupPrimary, isLost: boolean): PromotionDecision {
+    const { moveEndedMs, nowMs } = view;
+    const isEarly = moveEndedMs !== undefined && nowMs - moveEndedMs < this.settings.moveIntervalMs;
+    if (isEarly && !isLost) {
+      return createWait('a planned move ended a short time ago');
+    }
+    const candidates = this.getCandidates(view, primary, false);
+    return candidates.length === 0
+      ? createBlocked('no instance can follow the primary')
+      : { step: PromotionStep.Move };
+  }
+
+  private decideMoving(view: GroupView, primary: GroupPrimary): PromotionDecision {
+    const fence = this.findFence(view, primary.term);
+    if (fence === undefined) {
+      return createWait('the holder has not fenced the term');
+    }
+    const { movingSinceMs, nowMs } = view;
+    const isLate = movingSinceMs !== undefined && nowMs - movingSinceMs >= this.settings.moveMs;
+    const instance = findInstance(view, primary);
+    const last = instance && getPlaceAfter(instance, fence, this.settings);
+    if (isLate || this.isLost(view, primary, instance)) {
+      return this.choose(view, primary, fence, 'the move took too long');
+    }
+    if (last?.term !== primary.term) {
+      return createWait('the last position of the primary is not known');
+    }
+    const [best] = this.getCandidates(view, primary, false);
+    const place = best && getPlace(best);
+    if (best === undefined || place === undefined || place.position < last.position) {
+      return createWait('no replica has reached the last position of the primary');
+    }
+    return this.createPromotion(view, best, last.position, 'planned move');
+  }
+
+  private decidePromoting(view: GroupView, primary: GroupPrimary): PromotionDecision {
+    const { order, nowMs } = view;
+    if (order?.term !== primary.term) {
+      return { step: PromotionStep.Order };
+    }
+    const isLate = nowMs - order.firstMs >= this.settings.abandonMs;
+    const next = order.failed || isLate ? this.findAlternative(view, primary) : undefined;
+    if (next !== undefined) {
+      const required = primary.base?.required ?? toLogPosition(0);
+      return this.createPromotion(view, next, required, 'the promotion failed');
+    }
+    return nowMs - order.lastMs >= this.settings.orderIntervalMs
+      ? { step: PromotionStep.Order }
+      : createWait('the platform has not answered');
+  }
+
+  /** Another instance for an unfinished promotion; one that failed before comes last. */
+  private findAlternative(view: GroupView, primary: GroupPrimary): InstanceView | undefined {
+    const required = primary.base?.required ?? 0;
+    const others = this.getCandidates(view, primary, false).filter(
+      (each) => (getPlace(each)?.position ?? -1) >= required,
+    );
+    return others.find((each) => !view.failedInstances.includes(each.instance)) ?? others[0];
+  }
+
+  /** Chooses an instance that has every acknowledged write; otherwise the last primary goes on. */
+  private choose(
+    view: GroupView,
+    primary: GroupPrimary,
+    fence: Fence,
+    reason: string,
+  ): PromotionDecision {
+    const [best] = this.getCandidates(view, primary, true);
+    const place = best && getPlace(best);
+    const required = this.getRequired(view, primary, fence);
+    if (best !== undefined && place !== undefined && required !== undefined) {
+      if (place.position >= required) {
+        return this.createPromotion(view, best, required, reason);
+      }
+    }
+    const own = findInstance(view, primary);
+    const ownPlace = own && getPlaceAfter(own, fence, this.settings);
+    if (own !== undefined && ownPlace?.term === primary.term) {
+      if (this.mayServeAgain(view, primary, own)) {
+        return this.createPromotion(view, own, ownPlace.position, 'the last primary goes on');
+      }
+    }
+    return createBlocked(
+      required === undefined ? 'not every position is known' : 'no candidate has every write',
+    );
+  }
+
+  private getRequired(
+    view: GroupView,
+    primary: GroupPrimary,
+    fence: Fence,
+  ): LogPosition | undefined {
+    return view.acknowledgement === Acknowledgement.Primary
+      ? toLogPosition(0)
+      : this.findRequired(view, primary, fence);
+  }
+
+  /** The instances that may be promoted, the furthest first. */
+  private getCandidates(
+    view: GroupView,
+    primary: GroupPrimary,
+    withPrimary: boolean,
+  ): InstanceView[] {
+    return view.instances
+      .filter((each) => withPrimary || each.instance !== primary.instance)
+      .filter((each) => this.isCandidate(view, primary, each))
+      .sort(compareCandidates);
+  }
+
+  private isCandidate(view: GroupView, primary: GroupPrimary, instance: InstanceView): boolean {
+    const place = getPlace(instance);
+    if (place === undefined || !isOnHistory(primary, place.term, place.position)) {
+      return false;
+    }
+    const isServed = instance.instance === (primary.base?.instance ?? primary.instance);
+    if (isServed && !this.mayServeAgain(view, primary, instance)) {
+      return false;
+    }
+    return !this.hasToMove(instance) && this.isReachable(view, instance);
+  }
+
+  /** The last primary may go on under a new term when it is announced and not out of reach. */
+  private mayServeAgain(view: GroupView, primary: GroupPrimary, instance: InstanceView): boolean {
+    const isHidden = instance.sighted !== undefined && !instance.sighted.reachable;
+    const isSame = instance.announced?.term === getServedTerm(primary);
+    return isSame && isAnnouncing(view, instance, this.settings) && !isHidden;
+  }
+
+  private isReachable(view: GroupView, instance: InstanceView): boolean {
+    return instance.sighted?.reachable ?? isAnnouncing(view, instance, this.settings);
+  }
+
+  private isLost(
+    view: GroupView,
+    primary: GroupPrimary,
+    instance: InstanceView | undefined,
+  ): boolean {
+    if (instance === undefined || !isAnnouncing(view, instance, this.settings)) {
+      const isSighted = view.holder !== undefined && instance?.sighted?.reachable !== false;
+      return !isSighted && this.isWatched(view);
+    }
+    const term = instance.announced?.term ?? primary.term;
+    return !isAnnouncedPrimary(instance) || term < primary.term;
+  }
+
+  /** Announcements are only missed once this leader had time to receive them. */
+  private isWatched(view: GroupView): boolean {
+    return view.nowMs - view.leaderSinceMs >= this.settings.missingMs;
+  }
+
+  private hasToMove(instance: InstanceView | undefined): boolean {
+    if (instance === undefined) {
+      return false;
+    }
+    return !instance.inService || instance.leaving || instance.announced?.leaving === true;
+  }
+
+  /** Operators took the instance out for good and it is silent. */
+  private isGone(view: GroupView, instance: InstanceView): boolean {
+    return instance.leaving && !isAnnouncing(view, instance, this.settings);
+  }
+
+  private createPromotion(
+    view: GroupView,
+    instance: InstanceView,
+    required: LogPosition,
+    reason: string,
+  ): PromotionDecision {
+    const term = getNextTerm(view);
+    return { step: PromotionStep.Promote, instance: instance.instance, term, required, reason };
+  }
+}
+
+/** A term above every term that is known of the group. */
+export function getNextTerm(view: GroupView): Term {
+  let highest = view.primary?.term ?? 0;
+  for (const { announced, sighted } of view.instances) {
+    highest = Math.max(highest, announced?.term ?? 0, sighted?.term ?? 0);
+  }
+  return toTerm(highest + 1);
+}
+
+function findInstance(view: GroupView, primary: GroupPrimary): InstanceView | undefined {
+  return view.instances.find((each) => each.instance === primary.instance);
+}
+
+function compareCandidates(first: InstanceView, second: InstanceView): number {
+  const firstPlace = getPlace(first);
+  const secondPlace = getPlace(second);
+  const order = firstPlace && secondPlace ? comparePlaces(secondPlace, firstPlace) : 0;
+  return order || (first.instance < second.instance ? -1 : 1);
+}
--- /dev/null
+++ b/src/decisions/promotion/promotionSettings.ts
@@ -0,0 +1,31 @@
+/** Bounds in time for detecting a lost primary and for promoting another. */
+export interface PromotionSettings {
+  /** Without announcements for this long an instance counts as missing. */
+  readonly missingMs: number;
+  /** Longest time from when an instance measures its position until control has received it. */
+  readonly settleMs: number;
+  /** Time from a group's first announcement until its primary is decided. */
+  readonly firstSightMs: number;
+  /** Time from the first announcement after which a group without a primary gets one. */
+  readonly firstPromotionMs: number;
+  /** Time between orders to the platform. */
+  readonly orderIntervalMs: number;
+  /** Time after which an unfinished promotion is abandoned for another candidate. */
+  readonly abandonMs: number;
+  /** Time after which a planned move is given up. */
+  readonly moveMs: number;
+  /** Time between planned moves of one group. */
+  readonly moveIntervalMs: number;
+}
+
+/** The bounds used unless set otherwise. */
+export const DEFAULT_PROMOTION_SETTINGS: PromotionSettings = {
+  missingMs: 1200,
+  settleMs: 200,
+  firstSightMs: 300,
+  firstPromotionMs: 2000,
+  orderIntervalMs: 500,
+  abandonMs: 1500,
+  moveMs: 2000,
+  moveIntervalMs: 5000,
+};
