--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -62,9 +62,78 @@
   OutcomeUnknown: error(3006, 'The outcome of the statement is unknown.', '08007'),
   BackendLost: error(3007, 'The connection to the backend server was lost.', '08006'),
 
+  BackendUnreachable: error(3008, 'No connection to the backend server: {reason}.', '08006'),
+  BackendAnswerInvalid: error(3009, 'The backend server sent no valid answer: {reason}.', '08P01'),
+  DeadlineExceeded: refusal(3010, 'The request could not start before its deadline.', '57014'),
+  HolderMoved: refusal(3011, 'This daemon no longer holds group "{group}".', '57P03'),
+  TransactionLost: error(3012, 'The transaction was lost and rolled back.', '40001'),
+  RequestCancelled: refusal(3013, 'The request was cancelled by its caller.', '57014'),
+  TransactionTooLong: error(3014, 'The transaction was open for more than {limit} ms.', '25P03'),
+  PrimaryFenced: message(3015, 'Primary "{instance}" of group "{group}" is fenced in term {term}.'),
+  InstanceUnreachable: warning(3016, 'Instance "{instance}" of group "{group}" is unreachable.'),
+  GroupTaken: message(3017, 'This daemon now holds group "{group}".'),
+  GroupReleased: message(3018, 'This daemon released group "{group}".'),
+  CallerRefused: message(3019, 'A caller was refused: {reason}'),
+
   // 4000: limits and queue
+  RateExceeded: refusal(
+    4000,
+    'Client account "{account}" is above its rate of {rate} requests a second.',
+    '53400',
+  ),
+  CostAboveBurst: refusal(
+    4001,
+    'A request of cost {cost} can never fit the burst of {burst} of client account "{account}".',
+    '54000',
+  ),
+  TokensUnavailable: refusal(
+    4002,
+    'No rate tokens of client account "{account}" arrived in time.',
+    '57P03',
+  ),
+  TooManyWaiting: refusal(
+    4003,
+    'Client account "{account}" already has {limit} requests waiting for its rate.',
+    '53400',
+  ),
+  AccountWithoutLimit: refusal(
+    4004,
+    'No rate is in force for client account "{account}".',
+    '57P03',
+  ),
+  QueueFull: refusal(
+    4010,
+    'Client account "{account}" already has {limit} requests queued at this instance.',
+    '53400',
+  ),
+  QueueDeadline: refusal(
+    4011,
+    'The request of client account "{account}" cannot start within its deadline.',
+    '53000',
+  ),
+  QueueWaitExceeded: refusal(
+    4012,
+    'The request of client account "{account}" waited longer than {limit} ms for a slot.',
+    '53000',
+  ),
+  TransactionTimeLimit: refusal(
+    4013,
+    'A transaction of client account "{account}" was open longer than {limit} ms.',
+    '25P04',
+  ),
 
   // 5000: consensus and storage
+  NotControlLeader: refusal(5000, 'This host does not lead control; the leader is "{leader}".'),
+  MembershipChangePending: refusal(5001, 'An earlier membership change is not yet committed.'),
+  LearnerBehind: refusal(5002, 'Learner "{member}" has not caught up yet.'),
+  MemberKnown: refusal(5003, 'Member "{member}" is already there.'),
+  MemberUnknown: refusal(5004, 'Member "{member}" is not known.'),
+  LastVoter: refusal(5005, 'Member "{member}" is the last voter.'),
+  CommandTooLarge: refusal(5006, 'A command of {size} bytes exceeds the limit of {limit}.'),
+  LeadershipTransferring: refusal(5007, 'Leadership is being handed over.'),
+  RecordCorrupt: error(5100, 'Stored file {file} is corrupt at offset {offset}: {reason}.'),
+  StorageFailed: error(5101, 'Storage failed on {file}: {reason}.'),
+  LogTailRepaired: warning(5102, 'Dropped {size} bytes of an unfinished record from {file}.'),
 
   // 6000: tickets, leases, promotion
   TicketInvalid: refusal(6000, 'The ticket is not valid at {path}: {expected}'),
@@ -101,8 +170,39 @@
 
   // 7000: settings and command line
   SettingsInvalid: error(7000, 'Settings file {file}: {key}: {expected}'),
+  UsageInvalid: refusal(7001, '{problem}'),
+  OperatorsUnreachable: error(7002, "No operators' HTTP address answered: {problem}"),
+  AnswerMalformed: error(7003, 'The answer was not understood: {problem}'),
+  SubjectNotInForce: refusal(7004, 'No ticket is in force on {subject}.'),
+  FileUnreadable: refusal(7005, "File {file} can't be read: {problem}"),
+  RaceLost: refusal(
+    7006,
+    'Ticket {number} lost the race to another operator {attempts} times: {problem}',
+  ),
+
+  // 8000: operators' HTTP and announcements
+  OperatorsListening: message(8000, "Operators' HTTP interface listens on {address}."),
+  RequestInvalid: refusal(8001, 'The request is invalid: {problem}'),
+  TokenNeeded: refusal(8002, 'A valid bearer token is needed.'),
+  NotFound: refusal(8003, '{subject} was not found.'),
+  BodyTooLarge: refusal(8004, 'The body exceeds the limit of {limit} bytes.'),
+  TicketRefused: refusal(8005, 'The ticket was refused: {reason}'),
+  RequestFailed: error(8006, 'The request failed: {problem}'),
+  TicketAnswered: message(8007, 'Ticket {number} was {outcome}.'),
+  AccessUnprotected: warning(
+    8008,
+    'No token file is set for {access}; any local process has access.',
+  ),
+
+  // 8500: mesh
 
-  // 8000: mesh, announcements, operator API
+  // 8500: mesh
+  MeshFrameInvalid: warning(8500, 'A frame from another daemon was invalid: {reason}.'),
+  MeshLinkSilent: warning(8501, 'A link gave no sign for {silent} ms and was closed.'),
+  MeshLinkLost: message(8502, 'A link was lost: {reason}.'),
+  MeshLinkOpened: message(8503, 'A link was opened.'),
+  MeshUnreachable: error(8504, 'No link could be opened: {reason}.', '08006'),
+  TaskFailed: error(8505, 'A task failed: {reason}.', 'XX000'),
 
   // 9000: stand-in, bench
 } as const satisfies Record<string, Diagnostic>;
