Renewals bound from below when an announcement was measured

A late renewal could bring a position measured before the old holder was fenced, and the choice of a primary relied on the time of arrival. A renewal now echoes the last answer, so that the leader knows the earliest time at which its announcements can have been received.

--- a/src/daemon/holder/groupWrites.ts
+++ b/src/daemon/holder/groupWrites.ts
@@ -1,6 +1,12 @@
 import type { LogPosition } from '../../common/ids/index.js';
 import { Diagnostics } from '../../common/diagnostics/index.js';
-import { toLogPosition, toTerm, type GroupId, type InstanceId, type Term } from '../../common/ids/index.js';
+import {
+  toLogPosition,
+  toTerm,
+  type GroupId,
+  type InstanceId,
+  type Term,
+} from '../../common/ids/index.js';
 import { PrimaryPhase, type GroupPrimary } from '../../decisions/control/index.js';
 import { WriteConfirmations, type PendingWrite } from '../../decisions/routing/index.js';
 import {
--- a/src/daemon/holder/heldInstance.ts
+++ b/src/daemon/holder/heldInstance.ts
@@ -55,13 +55,7 @@
       openTimeoutMs: OPEN_TIMEOUT_MS,
     };
     this.pool = new ConnectionPool(record.address, access, limits, context.timer);
-    this.monitor = new InstanceMonitor(
-      record.address,
-      access,
-      context.timer,
-      this,
-      expectsPrimary,
-    );
+    this.monitor = new InstanceMonitor(record.address, access, context.timer, this, expectsPrimary);
   }
 
   get id(): InstanceId {
--- a/src/daemon/holder/heldRequest.ts
+++ b/src/daemon/holder/heldRequest.ts
@@ -1,11 +1,6 @@
 import { Parser } from 'pg-protocol/dist/parser.js';
 import type { DataRowMessage } from 'pg-protocol/dist/messages.js';
-import {
-  createFault,
-  Diagnostics,
-  Execution,
-  type Fault,
-} from '../../common/diagnostics/index.js';
+import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
 import { toTerm } from '../../common/ids/index.js';
 import { tryParseLogPosition } from '../../common/logPosition.js';
 import type { SessionPosition } from '../../decisions/sessions/index.js';
--- a/src/decisions/control/groupReport.ts
+++ b/src/decisions/control/groupReport.ts
@@ -13,7 +13,10 @@
   readonly group: GroupId;
   /** Highest term under which this holder will never again acknowledge a write: 0 for none. */
   readonly fencedTerm: Term;
-  /** Highest position acknowledged to callers under the current term. */
+  /**
+   * Highest position acknowledged to callers under the current term, and at least the primary's
+   * position when this holder took the group up; 0 until it is known.
+   */
   readonly acknowledged: LogPosition;
   /** Once a term is fenced, only what was measured after fencing it. */
   readonly sightings: readonly InstanceSighting[];
--- a/src/decisions/control/leader/createGroupView.ts
+++ b/src/decisions/control/leader/createGroupView.ts
@@ -70,5 +70,6 @@
 
 function createAnnouncedPlace(received: ReceivedAnnouncement): AnnouncedPlace {
   const { term, position, role, leaving } = received.announcement;
-  return { term, position, role, leaving, receivedAtMs: received.receivedAtMs };
+  const { receivedAtMs, measuredFromMs } = received;
+  return { term, position, role, leaving, receivedAtMs, measuredFromMs };
 }
--- a/src/decisions/control/leader/groupWatch.ts
+++ b/src/decisions/control/leader/groupWatch.ts
@@ -7,6 +7,8 @@
 export interface ReceivedAnnouncement {
   readonly announcement: Announcement;
   readonly receivedAtMs: number;
+  /** Earliest time at which a daemon can have received it; -Infinity when that can't be told. */
+  readonly measuredFromMs: number;
 }
 
 /** What an announcement changed. */
@@ -38,7 +40,8 @@
   blockedReason: string | undefined;
 
   /** Takes in an announcement; one that goes back counts only once the earlier one is old. */
-  announce(announcement: Announcement, nowMs: number, missingMs: number): AnnouncementEffect {
+  announce(received: ReceivedAnnouncement, missingMs: number): AnnouncementEffect {
+    const { announcement, receivedAtMs: nowMs } = received;
     this.firstSeenMs ??= nowMs;
     const present = this.announcements.get(announcement.instance);
     if (present !== undefined && goesBack(present.announcement, announcement)) {
@@ -46,7 +49,10 @@
         return AnnouncementEffect.Ignored;
       }
     }
-    this.announcements.set(announcement.instance, { announcement, receivedAtMs: nowMs });
+    const isBack = present === undefined || goesBack(present.announcement, announcement);
+    const knownFromMs = isBack ? -Infinity : present.measuredFromMs;
+    const measuredFromMs = Math.max(received.measuredFromMs, knownFromMs);
+    this.announcements.set(announcement.instance, { ...received, measuredFromMs });
     const isMissing = present !== undefined && nowMs - present.receivedAtMs >= missingMs;
     return present === undefined || isMissing || differs(present.announcement, announcement)
       ? AnnouncementEffect.Changed
--- a/src/decisions/control/leader/renewalIntake.ts
+++ b/src/decisions/control/leader/renewalIntake.ts
@@ -12,7 +12,7 @@
   getInstanceRecordName,
 } from '../recordNames.js';
 import { ControlOutputKind } from './controlOutput.js';
-import { AnnouncementEffect } from './groupWatch.js';
+import { AnnouncementEffect, type ReceivedAnnouncement } from './groupWatch.js';
 import type { HostRegister } from './hostRegister.js';
 import { getWatch, type LeaderContext } from './leaderContext.js';
 
@@ -31,10 +31,12 @@
     if (outcome === RenewalOutcome.NotLeader || outcome === RenewalOutcome.Stale) {
       return;
     }
+    const sentFromMs = leases.getSentFromMs(renewal);
     this.answer(renewal, outcome);
+    leases.noteAnswer(renewal, nowMs);
     if (leases.get(renewal.lease)?.isLive === true) {
       this.hosts.refresh(renewal.host, nowMs);
-      this.noteReports(renewal, nowMs);
+      this.noteReports(renewal, sentFromMs, nowMs);
     }
   }
 
@@ -53,23 +55,24 @@
     outbox.add({ kind: ControlOutputKind.Grant, host, grant });
   }
 
-  private noteReports(renewal: LeaseRenewal, nowMs: number): void {
-    for (const announcement of renewal.announcements) {
-      this.noteAnnouncement(announcement, nowMs);
+  private noteReports(renewal: LeaseRenewal, sentFromMs: number | undefined, nowMs: number): void {
+    for (const { announcement, ageMs } of renewal.announcements) {
+      const measuredFromMs = sentFromMs === undefined ? -Infinity : sentFromMs - ageMs;
+      this.noteAnnouncement({ announcement, receivedAtMs: nowMs, measuredFromMs });
     }
     this.noteGroupReports(renewal, nowMs);
     this.noteReleases(renewal, nowMs);
   }
 
-  private noteAnnouncement(announcement: Announcement, nowMs: number): void {
+  private noteAnnouncement(received: ReceivedAnnouncement): void {
     const { settings, groupAgenda } = this.context;
-    const { group } = announcement;
+    const { group } = received.announcement;
     const watch = getWatch(this.context, group);
-    const effect = watch.announce(announcement, nowMs, settings.promotion.missingMs);
+    const effect = watch.announce(received, settings.promotion.missingMs);
     if (effect === AnnouncementEffect.Ignored) {
       return;
     }
-    this.register(announcement, nowMs);
+    this.register(received.announcement, received.receivedAtMs);
     if (effect === AnnouncementEffect.Changed) {
       groupAgenda.add(group);
     }
--- a/src/decisions/control/leaseRenewal.ts
+++ b/src/decisions/control/leaseRenewal.ts
@@ -7,7 +7,7 @@
   LeaseId,
   Revision,
 } from '../../common/ids/index.js';
-import type { Announcement } from './announcement.js';
+import type { ForwardedAnnouncement } from './forwardedAnnouncement.js';
 import type { GroupReport } from './groupReport.js';
 
 /** A daemon's request to take or renew its lease; also carries all that it reports to control. */
@@ -19,9 +19,14 @@
   readonly address: string;
   /** Counts this lease's renewals, so that late answers are told apart. */
   readonly sequence: number;
+  /** Highest sequence of this lease whose answer came; 0 for none. */
+  readonly answered: number;
+  /** Time between that answer and sending this, in milliseconds. */
+  readonly sinceAnsweredMs: number;
   /** The revision up to which the daemon applied all records. */
   readonly revision: Revision;
-  readonly announcements: readonly Announcement[];
+  /** The newest announcement of each instance since the last renewal. */
+  readonly announcements: readonly ForwardedAnnouncement[];
   readonly reports: readonly GroupReport[];
   /** Resources that the daemon gave up: it acts on them no more. */
   readonly releasedGroups: readonly GroupId[];
--- a/src/decisions/leases/daemonLeases.ts
+++ b/src/decisions/leases/daemonLeases.ts
@@ -1,5 +1,6 @@
 import { toRevision, type HostId, type LeaseId, type Revision } from '../../common/ids/index.js';
 import type { LeaseRenewal } from '../control/leaseRenewal.js';
+import { AnswerTimes } from './answerTimes.js';
 import type { DaemonLease } from './daemonLease.js';
 import { getGranterLengthMs, type LeaseTerms } from './leaseTerms.js';
 
@@ -31,6 +32,7 @@
   private readonly leases = new Map<LeaseId, DaemonLease>();
   private readonly byHost = new Map<HostId, LeaseId>();
   private readonly expired = new Set<LeaseId>();
+  private readonly answers = new Map<LeaseId, AnswerTimes>();
   private commits: Commit[] = [];
   private required = toRevision(0);
   private waitUntilMs = 0;
@@ -42,6 +44,7 @@
     this.leases.clear();
     this.byHost.clear();
     this.expired.clear();
+    this.answers.clear();
     this.commits = [];
     this.required = revision;
     this.waitUntilMs = nowMs + this.getWaitMs();
@@ -110,6 +113,20 @@
     this.expired.delete(lease);
   }
 
+  /** The earliest time at which a renewal can have been sent; undefined when that can't be told. */
+  getSentFromMs(renewal: LeaseRenewal): number | undefined {
+    return this.answers.get(renewal.lease)?.getSentFromMs(renewal, this.terms.driftBound);
+  }
+
+  /** Notes that a renewal is answered now. */
+  noteAnswer(renewal: LeaseRenewal, nowMs: number): void {
+    if (this.leases.has(renewal.lease)) {
+      const times = this.answers.get(renewal.lease) ?? new AnswerTimes();
+      times.note(renewal.sequence, nowMs);
+      this.answers.set(renewal.lease, times);
+    }
+  }
+
   /** The lease of that id, while it lasts. */
   get(lease: LeaseId): DaemonLease | undefined {
     return this.leases.get(lease);
@@ -178,6 +195,7 @@
   }
 
   private drop(lease: DaemonLease): void {
+    this.answers.delete(lease.lease);
     this.leases.delete(lease.lease);
     if (this.byHost.get(lease.host) === lease.lease) {
       this.byHost.delete(lease.host);
--- a/src/decisions/leases/heldLease.ts
+++ b/src/decisions/leases/heldLease.ts
@@ -1,5 +1,6 @@
 import type { LeaseId } from '../../common/ids/index.js';
 import type { LeaseGrant } from '../control/leaseGrant.js';
+import type { RenewalStart } from './renewalStart.js';
 
 const MAXIMUM_UNANSWERED = 64;
 
@@ -18,21 +19,24 @@
 /** The holder's half of a daemon lease: counted from before sending each renewal. */
 export class HeldLease {
   private sequence = 0;
+  private answered = 0;
+  private answeredAtMs = 0;
   private expiryMs: number | undefined;
   private ended = false;
   private readonly sentAtMs = new Map<number, number>();
 
   constructor(readonly id: LeaseId) {}
 
-  /** Notes that a renewal is about to be sent, and gives its sequence number. */
-  beginRenewal(nowMs: number): number {
+  /** Notes that a renewal is about to be sent, and gives what it is to carry. */
+  beginRenewal(nowMs: number): RenewalStart {
     this.sequence++;
     this.sentAtMs.set(this.sequence, nowMs);
     const [oldest] = this.sentAtMs.keys();
     if (this.sentAtMs.size > MAXIMUM_UNANSWERED && oldest !== undefined) {
       this.sentAtMs.delete(oldest);
     }
-    return this.sequence;
+    const { sequence, answered, answeredAtMs } = this;
+    return { sequence, answered, sinceAnsweredMs: nowMs - answeredAtMs };
   }
 
   /** Takes in an answer to a renewal. */
@@ -40,6 +44,7 @@
     if (grant.lease !== this.id || this.isOver(nowMs)) {
       return GrantEffect.Ignored;
     }
+    this.noteAnswer(grant, nowMs);
     if (grant.retired) {
       this.ended = true;
       return GrantEffect.Ended;
@@ -80,6 +85,13 @@
     return Math.min(sentAtMs, receivedAtMs);
   }
 
+  private noteAnswer(grant: LeaseGrant, nowMs: number): void {
+    if (grant.sequence > this.answered && grant.sequence <= this.sequence) {
+      this.answered = grant.sequence;
+      this.answeredAtMs = nowMs;
+    }
+  }
+
   private extend(sentAtMs: number, grant: LeaseGrant, nowMs: number): GrantEffect {
     const expiryMs = this.getStartMs(sentAtMs, nowMs) + grant.lengthMs;
     if (expiryMs <= nowMs || (this.expiryMs !== undefined && expiryMs <= this.expiryMs)) {
--- a/src/decisions/promotion/fence.ts
+++ b/src/decisions/promotion/fence.ts
@@ -26,7 +26,7 @@
 
 /**
  * The furthest place of an instance that was measured after the fence: what the holder sighted
- * after fencing, or announcements that came after the fence by more than their longest way.
+ * after fencing, or announcements that a daemon received after the fence by more than their longest way.
  */
 export function getPlaceAfter(
   instance: InstanceView,
@@ -35,7 +35,7 @@
 ): Measurement | undefined {
   const { announced, sighted } = instance;
   const isLate =
-    announced !== undefined && announced.receivedAtMs >= fence.atMs + settings.settleMs;
+    announced !== undefined && announced.measuredFromMs >= fence.atMs + settings.settleMs;
   const isSeen =
     fence.isReported &&
     sighted !== undefined &&
--- a/src/decisions/promotion/instanceView.ts
+++ b/src/decisions/promotion/instanceView.ts
@@ -10,6 +10,8 @@
 
 /** What a backend server announced last. */
 export interface AnnouncedPlace extends Measurement {
+  /** Earliest time at which a daemon can have received it; -Infinity when that can't be told. */
+  readonly measuredFromMs: number;
   readonly role: InstanceRole;
   readonly leaving: boolean;
 }
--- a/src/decisions/promotion/promotionRules.ts
+++ b/src/decisions/promotion/promotionRules.ts
@@ -50,12 +50,21 @@
     primary: GroupPrimary,
     fence: Fence,
   ): LogPosition | undefined {
-    const start = getServedStart(primary);
-    const { holder } = view;
-    if (holder?.sinceTermBegan === true) {
-      return toLogPosition(Math.max(start, holder.acknowledged));
+    const reported = getReported(view, primary);
+    const found = this.findFurthestOther(view, primary, fence);
+    if (reported === undefined || found === undefined) {
+      return reported ?? found;
     }
-    let furthest = start;
+    return toLogPosition(Math.min(reported, found));
+  }
+
+  /** The furthest position of the other instances, once all of them are known after the fence. */
+  private findFurthestOther(
+    view: GroupView,
+    primary: GroupPrimary,
+    fence: Fence,
+  ): LogPosition | undefined {
+    let furthest = getServedStart(primary);
     for (const instance of view.instances) {
       const place = getPlaceAfter(instance, fence, this.settings);
       if (instance.instance === primary.instance || this.isGone(view, instance)) {
@@ -259,6 +268,15 @@
   }
 }
 
+/** What the holder says that it acknowledged, when that counts for the whole term. */
+function getReported(view: GroupView, primary: GroupPrimary): LogPosition | undefined {
+  const { holder } = view;
+  if (holder === undefined || !(holder.sinceTermBegan || holder.acknowledged > 0)) {
+    return undefined;
+  }
+  return toLogPosition(Math.max(getServedStart(primary), holder.acknowledged));
+}
+
 /** A term above every term that is known of the group. */
 export function getNextTerm(view: GroupView): Term {
   let highest = view.primary?.term ?? 0;
--- a/src/decisions/promotion/promotionSettings.ts
+++ b/src/decisions/promotion/promotionSettings.ts
@@ -2,7 +2,7 @@
 export interface PromotionSettings {
   /** Without announcements for this long an instance counts as missing. */
   readonly missingMs: number;
-  /** Longest time from when an instance measures its position until control has received it. */
+  /** Longest time from when an instance measures its position until a daemon has received it. */
   readonly settleMs: number;
   /** Time from a group's first announcement until its primary is decided. */
   readonly firstSightMs: number;
@@ -21,7 +21,7 @@
 /** The bounds used unless set otherwise. */
 export const DEFAULT_PROMOTION_SETTINGS: PromotionSettings = {
   missingMs: 1200,
-  settleMs: 200,
+  settleMs: 100,
   firstSightMs: 300,
   firstPromotionMs: 2000,
   orderIntervalMs: 500,
