Announcements made before a term began don't speak against its primary

After a promotion the instance's earlier announcement as replica made the leader move the primary again at once, without end. Only announcements measured since the term began count now.

--- a/src/decisions/control/leader/commitIntake.ts
+++ b/src/decisions/control/leader/commitIntake.ts
@@ -124,6 +124,7 @@
     const { group } = primary;
     const watch = getWatch(this.context, group);
     const wasMoving = watch.movingSinceMs !== undefined;
+    watch.servingSinceMs = primary.phase === PrimaryPhase.Serving ? nowMs : undefined;
     watch.movingSinceMs = primary.phase === PrimaryPhase.Moving ? nowMs : undefined;
     if (wasMoving && watch.movingSinceMs === undefined) {
       watch.moveEndedMs = nowMs;
--- a/src/decisions/control/leader/createGroupView.ts
+++ b/src/decisions/control/leader/createGroupView.ts
@@ -23,6 +23,7 @@
     failedInstances: watch.failedInstances,
     unheldSinceMs: watch.unheldSinceMs,
     firstSeenMs: watch.firstSeenMs,
+    servingSinceMs: watch.servingSinceMs,
     movingSinceMs: watch.movingSinceMs,
     moveEndedMs: watch.moveEndedMs,
     order: watch.order,
--- a/src/decisions/control/leader/groupWatch.ts
+++ b/src/decisions/control/leader/groupWatch.ts
@@ -31,6 +31,7 @@
   acknowledged = toLogPosition(0);
   firstSeenMs: number | undefined;
   unheldSinceMs: number | undefined;
+  servingSinceMs: number | undefined;
   movingSinceMs: number | undefined;
   moveEndedMs: number | undefined;
   order: PromotionOrder | undefined;
--- a/src/decisions/promotion/groupView.ts
+++ b/src/decisions/promotion/groupView.ts
@@ -37,6 +37,8 @@
   readonly unheldSinceMs: number | undefined;
   /** When this leader first saw an announcement of the group. */
   readonly firstSeenMs: number | undefined;
+  /** When this leader first saw the present primary serve. */
+  readonly servingSinceMs: number | undefined;
   /** When this leader first saw the present planned move. */
   readonly movingSinceMs: number | undefined;
   /** When this leader last gave up a planned move. */
--- a/src/decisions/promotion/promotionRules.ts
+++ b/src/decisions/promotion/promotionRules.ts
@@ -236,13 +236,18 @@
       const isSighted = view.holder !== undefined && instance?.sighted?.reachable !== false;
       return !isSighted && this.isWatched(view);
     }
-    const term = instance.announced?.term ?? primary.term;
-    return !isAnnouncedPrimary(instance) || term < primary.term;
+    const { announced } = instance;
+    const servingSinceMs = view.servingSinceMs ?? view.nowMs;
+    if (announced === undefined || announced.measuredFromMs < servingSinceMs) {
+      return false;
+    }
+    return !isAnnouncedPrimary(instance) || announced.term < primary.term;
   }
 
   /** Announcements are only missed once this leader had time to receive them. */
   private isWatched(view: GroupView): boolean {
-    return view.nowMs - view.leaderSinceMs >= this.settings.missingMs;
+    const sinceMs = Math.max(view.leaderSinceMs, view.servingSinceMs ?? view.leaderSinceMs);
+    return view.nowMs - sinceMs >= this.settings.missingMs;
   }
 
   private hasToMove(instance: InstanceView | undefined): boolean {
--- /dev/null
+++ b/tests/support/fleet/fakeDaemon.ts
@@ -0,0 +1,300 @@
+import {
+  toIncarnation,
+  toLeaseId,
+  toLogPosition,
+  toTerm,
+  type AccountId,
+  type FailureDomain,
+  type GroupId,
+  type HostId,
+  type LogPosition,
+  type Term,
+} from '../../../src/common/ids/index.js';
+import {
+  DaemonRecords,
+  PrimaryPhase,
+  type Announcement,
+  type GroupReport,
+  type InstanceSighting,
+  type LeaseGrant,
+  type LeaseRenewal,
+  type RecordUpdate,
+} from '../../../src/decisions/control/index.js';
+import { HeldLease } from '../../../src/decisions/leases/index.js';
+import { InstanceRole } from '../../../src/decisions/control/index.js';
+import { Acknowledgement } from '../../../src/decisions/tickets/index.js';
+import type { FakeFleet } from './fakeFleet.js';
+import type { FakeInstance } from './fakeInstance.js';
+
+const UNREACHABLE_STEPS = 20;
+const RENEWAL_INTERVAL_MS = 200;
+
+interface PendingWrite {
+  readonly entry: string;
+  readonly term: Term;
+  readonly position: number;
+  isConfirmed: boolean;
+}
+
+class HeldGroup {
+  fencedTerm = toTerm(0);
+  acknowledged: LogPosition = toLogPosition(0);
+  baseline: Term | undefined;
+  isReleased = false;
+  failures = 0;
+  pending: PendingWrite[] = [];
+
+  constructor(
+    readonly group: GroupId,
+    readonly since: number,
+  ) {}
+}
+
+/** A daemon that holds groups, writes through them and acknowledges, as control lets it. */
+export class FakeDaemon {
+  isAlive = true;
+  pausedUntilMs = 0;
+  isStopping = false;
+  records = new DaemonRecords();
+  lease: HeldLease;
+  readonly held = new Map<GroupId, HeldGroup>();
+  private readonly inbox: (() => void)[] = [];
+  private readonly heard = new Map<string, { announcement: Announcement; atMs: number }>();
+  private nextRenewalMs = 0;
+  private lives = 1;
+  private leases = 0;
+  private writes = 0;
+
+  constructor(
+    readonly host: HostId,
+    readonly domain: FailureDomain,
+    readonly clockRate: number,
+    private readonly fleet: FakeFleet,
+  ) {
+    this.lease = this.createLease();
+  }
+
+  kill(): void {
+    this.isAlive = false;
+    this.inbox.length = 0;
+  }
+
+  restart(): void {
+    this.isAlive = true;
+    this.isStopping = false;
+    this.lives++;
+    this.records = new DaemonRecords();
+    this.held.clear();
+    this.heard.clear();
+    this.lease = this.createLease();
+  }
+
+  /** Hands a message over; a paused daemon takes it in when it wakes. */
+  receive(take: () => void): void {
+    if (this.isAlive) {
+      this.inbox.push(take);
+    }
+  }
+
+  hear(announcement: Announcement): void {
+    this.heard.set(announcement.instance, { announcement, atMs: this.now() });
+  }
+
+  /** One step of the process: what it was about to do first, then what came in. */
+  step(): void {
+    if (!this.isAlive || this.fleet.nowMs < this.pausedUntilMs) {
+      return;
+    }
+    for (const held of this.held.values()) {
+      this.acknowledge(held);
+    }
+    for (const take of this.inbox.splice(0)) {
+      take();
+    }
+    this.updateHeld();
+    for (const held of this.held.values()) {
+      this.work(held);
+    }
+    if (this.fleet.nowMs >= this.nextRenewalMs) {
+      this.renew();
+    }
+  }
+
+  receiveGrant(grant: LeaseGrant): void {
+    if (grant.lease !== this.lease.id) {
+      return;
+    }
+    this.records.applyRecords(grant.records, grant.revision);
+    this.lease.receiveGrant(grant, this.now());
+  }
+
+  receiveUpdate(update: RecordUpdate): void {
+    this.records.applyUpdate(update);
+  }
+
+  /** Whether this daemon would act as holder of a group now. */
+  isActing(group: GroupId): boolean {
+    const held = this.held.get(group);
+    return this.lease.isValid(this.now()) && held !== undefined && !held.isReleased;
+  }
+
+  isServing(): boolean {
+    return this.isAlive && this.lease.isValid(this.now());
+  }
+
+  getLeftMs(): number {
+    return this.lease.getLeftMs(this.now());
+  }
+
+  private now(): number {
+    return this.fleet.nowMs * this.clockRate;
+  }
+
+  private createLease(): HeldLease {
+    this.leases++;
+    return this.fleet.options.createHeldLease(toLeaseId(`${this.host}-${this.leases}`));
+  }
+
+  private renew(): void {
+    this.nextRenewalMs = this.fleet.nowMs + RENEWAL_INTERVAL_MS;
+    if (this.lease.isOver(this.now())) {
+      this.lease = this.createLease();
+      this.held.clear();
+    }
+    this.fleet.sendRenewal(this, this.createRenewal());
+  }
+
+  private createRenewal(): LeaseRenewal {
+    const nowMs = this.now();
+    const announcements = [...this.heard.values()].map(({ announcement, atMs }) => {
+      return { announcement, ageMs: nowMs - atMs };
+    });
+    this.heard.clear();
+    const released = [...this.held.values()].filter((held) => held.isReleased);
+    return {
+      ...this.lease.beginRenewal(nowMs),
+      host: this.host,
+      incarnation: toIncarnation(`${this.host}-${this.lives}`),
+      lease: this.lease.id,
+      domain: this.domain,
+      address: '127.0.0.1:1',
+      revision: this.records.revision,
+      announcements,
+      reports: [...this.held.values()].map((held) => this.createReport(held)),
+      releasedGroups: released.map((held) => held.group),
+      releasedAccounts: this.getReleasedAccounts(),
+      stopping: this.isStopping,
+    };
+  }
+
+  private getReleasedAccounts(): AccountId[] {
+    return this.records.getAccounts().filter((account) => {
+      const assignment = this.records.getAccountAssignment(account);
+      return assignment?.draining === true && assignment.holder?.lease === this.lease.id;
+    });
+  }
+
+  private createReport(held: HeldGroup): GroupReport {
+    const { group, fencedTerm, acknowledged } = held;
+    const sightings = this.records.getInstances(group).map((record): InstanceSighting => {
+      const instance = this.fleet.getInstance(record.instance);
+      const reachable = this.canReach(instance);
+      const { term, position } = reachable ? instance : { term: toTerm(0), position: ZERO };
+      return { instance: record.instance, reachable, term, position };
+    });
+    return { group, fencedTerm, acknowledged, sightings };
+  }
+
+  private updateHeld(): void {
+    for (const group of this.records.getGroups()) {
+      const assignment = this.records.getGroupAssignment(group);
+      if (assignment?.holder?.lease !== this.lease.id) {
+        this.held.delete(group);
+        continue;
+      }
+      const present = this.held.get(group);
+      const held =
+        present?.since === assignment.since ? present : new HeldGroup(group, assignment.since);
+      this.held.set(group, held);
+      if (assignment.draining || this.isStopping) {
+        held.isReleased = true;
+      }
+    }
+  }
+
+  private work(held: HeldGroup): void {
+    const primary = this.records.getPrimary(held.group);
+    if (primary === undefined || primary.phase === PrimaryPhase.Promoting) {
+      return;
+    }
+    if (primary.phase === PrimaryPhase.Moving) {
+      held.fencedTerm = primary.term;
+      return;
+    }
+    const instance = this.fleet.getInstance(primary.instance);
+    const isPrimary =
+      this.canReach(instance) &&
+      instance.role === InstanceRole.Primary &&
+      instance.term === primary.term;
+    held.failures = isPrimary ? 0 : held.failures + 1;
+    if (held.failures >= UNREACHABLE_STEPS) {
+      held.fencedTerm = primary.term;
+      held.failures = 0;
+    }
+    if (isPrimary && held.fencedTerm < primary.term && this.isActing(held.group)) {
+      this.write(held, instance);
+    }
+    this.confirm(held);
+  }
+
+  private write(held: HeldGroup, instance: FakeInstance): void {
+    if (held.baseline !== instance.term) {
+      held.baseline = instance.term;
+      held.acknowledged = instance.position;
+    }
+    this.writes++;
+    const entry = `${this.host}/${this.lives}/${this.writes}`;
+    instance.entries.push(entry);
+    const position = instance.entries.length;
+    held.pending.push({ entry, term: instance.term, position, isConfirmed: false });
+  }
+
+  /** Notes which writes a replica has; they are acknowledged at the next step. */
+  private confirm(held: HeldGroup): void {
+    const isSafe = this.records.getAcknowledgement(held.group) === Acknowledgement.Replica;
+    const others = this.records
+      .getInstances(held.group)
+      .map((record) => this.fleet.getInstance(record.instance))
+      .filter((each) => this.canReach(each) && each.role === InstanceRole.Replica);
+    for (const write of held.pending) {
+      write.isConfirmed ||=
+        !isSafe ||
+        others.some(
+          (each) => each.term === write.term && each.entries[write.position - 1] === write.entry,
+        );
+    }
+  }
+
+  private acknowledge(held: HeldGroup): void {
+    const primary = this.records.getPrimary(held.group);
+    const ready = held.pending.filter((write) => write.isConfirmed);
+    held.pending = held.pending.filter((write) => !write.isConfirmed).slice(-50);
+    for (const { entry, term, position } of ready) {
+      const isAllowed =
+        primary?.term === term &&
+        primary.phase !== PrimaryPhase.Promoting &&
+        held.fencedTerm < term &&
+        this.isActing(held.group);
+      if (isAllowed) {
+        held.acknowledged = toLogPosition(Math.max(held.acknowledged, position));
+        this.fleet.noteAcknowledged(this, held.group, term, entry);
+      }
+    }
+  }
+
+  private canReach(instance: FakeInstance): boolean {
+    return instance.isAlive && this.fleet.network.isReachable(this.host, instance.instance);
+  }
+}
+
+const ZERO = toLogPosition(0);
--- /dev/null
+++ b/tests/support/fleet/index.ts
@@ -0,0 +1,2 @@
+export * from './fleetOptions.js';
+export * from './fakeFleet.js';
