--- /dev/null
+++ b/src/cli/answers.ts
@@ -0,0 +1,46 @@
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+import { Diagnostics } from '../common/diagnostics/index.js';
+import type { SubjectReading, TicketAnswer } from '../decisions/control/index.js';
+import { createFailure, type CommandFailure } from './commandFailure.js';
+import { ExitStatus } from './exitStatus.js';
+
+const readingSchema = z.looseObject({
+  subject: z.string(),
+  ticket: z.int().min(0),
+  state: z.looseObject({ kind: z.string() }),
+  everywhere: z.boolean(),
+  missing: z.array(z.string()),
+});
+const readingsSchema = z.looseObject({ subjects: z.array(readingSchema) });
+const ticketAnswerSchema = z.looseObject({ number: z.int(), outcome: z.string() });
+
+/** Checks the answer to a read of one subject. */
+export function tryParseReading(answer: unknown): Result<SubjectReading, CommandFailure> {
+  return check<SubjectReading>(readingSchema, answer);
+}
+
+/** Checks the answer to a read of all subjects. */
+export function tryParseReadings(
+  answer: unknown,
+): Result<readonly SubjectReading[], CommandFailure> {
+  return check<{ readonly subjects: readonly SubjectReading[] }>(readingsSchema, answer).map(
+    (readings) => readings.subjects,
+  );
+}
+
+/** Checks the answer to an accepted ticket. */
+export function tryParseTicketAnswer(answer: unknown): Result<TicketAnswer, CommandFailure> {
+  return check<TicketAnswer>(ticketAnswerSchema, answer);
+}
+
+/** Checks the parts that this program reads; the daemon answers for the rest. */
+function check<Value>(schema: z.ZodType, answer: unknown): Result<Value, CommandFailure> {
+  const checked = schema.safeParse(answer);
+  if (checked.success) {
+    return ok(answer as Value);
+  }
+  const problem = z.prettifyError(checked.error).replaceAll('\n', ' ');
+  const values = { problem };
+  return err(createFailure(ExitStatus.Unreachable, Diagnostics.AnswerMalformed, values, 'answer'));
+}
--- /dev/null
+++ b/src/cli/commands/index.ts
@@ -0,0 +1,14 @@
+import type { Argv } from 'yargs';
+import type { CommandRunner } from '../commandRunner.js';
+import type { GlobalOptions } from '../globalOptions.js';
+import { addKeyCommands } from './keyCommands.js';
+import { addTicketCommands } from './ticketCommands.js';
+
+/** Adds one group of commands to the program. */
+export type CommandGroup = (
+  program: Argv<GlobalOptions>,
+  runner: CommandRunner,
+) => Argv<GlobalOptions>;
+
+/** All groups of commands, in the order in which help lists them. */
+export const COMMAND_GROUPS: readonly CommandGroup[] = [addTicketCommands, addKeyCommands];
--- /dev/null
+++ b/src/cli/globalOptions.ts
@@ -0,0 +1,8 @@
+/** The options that each command takes. */
+export interface GlobalOptions {
+  readonly url: string[] | undefined;
+  readonly tokenFile: string | undefined;
+  readonly json: boolean;
+  /** Bound on the whole command, in seconds. */
+  readonly timeout: number;
+}
--- a/src/daemon/operators/operatorServer.test.ts
+++ b/src/daemon/operators/operatorServer.test.ts
@@ -1,20 +1,8 @@
-import { err, ok, type Result } from 'neverthrow';
 import { afterEach, beforeEach, expect, test } from 'vitest';
-import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
-import { Logger } from '../../common/logging/index.js';
-import { Metrics } from '../../common/metrics/index.js';
-import { SystemTimerService } from '../../common/timer/index.js';
-import type { Ticket } from '../../decisions/tickets/index.js';
-import { BearerTokens, OperatorServer, Readiness, type ReadinessReport } from './index.js';
+import { createFault, Diagnostics, Execution } from '../../common/diagnostics/index.js';
 import { MemoryControlClient } from '../../../tests/support/memoryControlClient.js';
-
-class SettableReadiness extends Readiness {
-  report: ReadinessReport = { hasLease: true, hasCurrentConfiguration: true };
-
-  override read(): ReadinessReport {
-    return this.report;
-  }
-}
+import { OperatorHost } from '../../../tests/support/operatorHost.js';
+import { BearerTokens } from './index.js';
 
 const TICKET = {
   number: 5,
@@ -35,38 +23,17 @@
 };
 
 let control: MemoryControlClient;
-let readiness: SettableReadiness;
-let server: OperatorServer;
-let lines: string[];
-let url: string;
-
-function parseTicket(body: unknown): Result<Ticket, Fault> {
-  const isTicket = typeof body === 'object' && body !== null && 'subjects' in body;
-  return isTicket
-    ? ok(body as Ticket)
-    : err(createFault(Diagnostics.RequestInvalid, { problem: 'no subjects' }, { step: 'parse' }));
-}
+let host: OperatorHost;
 
 beforeEach(async () => {
   control = new MemoryControlClient();
-  readiness = new SettableReadiness();
-  lines = [];
-  server = new OperatorServer({
-    listen: '127.0.0.1:0',
-    control,
-    readiness,
-    metrics: new Metrics(),
-    timer: new SystemTimerService(),
-    logger: new Logger('info', { host: 'a1' }, (line) => lines.push(line)),
-    parseTicket,
+  host = await new OperatorHost(control, {
     operatorTokens: new BearerTokens(['operator-1', 'operator-2']),
     announcerTokens: new BearerTokens(['announcer']),
-  });
-  const address = (await server.start())._unsafeUnwrap();
-  url = `http://${address.host}:${address.port}`;
+  }).start();
 });
 
-afterEach(() => server.close());
+afterEach(() => host.close());
 
 async function request(
   method: string,
@@ -74,7 +41,7 @@
   body?: unknown,
   token = 'operator-2',
 ): Promise<{ status: number; body: unknown; headers: Headers }> {
-  const answer = await fetch(`${url}${path}`, {
+  const answer = await fetch(`${host.url}${path}`, {
     method,
     headers: {
       authorization: `Bearer ${token}`,
@@ -99,7 +66,7 @@
     body: reading,
   });
   expect(await request('GET', '/in-force')).toMatchObject({ body: { subjects: [reading] } });
-  expect(lines.join('\n')).toContain('code=FP8007');
+  expect(host.lines.join('\n')).toContain('code=FP8007');
 });
 
 test('a refused ticket is a conflict that carries its reason', async () => {
@@ -213,9 +180,9 @@
     '# TYPE filbertpoint_request_wait_seconds histogram',
   );
   expect((await request('GET', '/readyz', undefined, '')).status).toBe(200);
-  readiness.report = { hasLease: false, hasCurrentConfiguration: true };
+  host.readiness.report = { hasLease: false, hasCurrentConfiguration: true };
   expect((await request('GET', '/readyz', undefined, '')).status).toBe(503);
-  readiness.report = { hasLease: true, hasCurrentConfiguration: false };
+  host.readiness.report = { hasLease: true, hasCurrentConfiguration: false };
   const { status, body } = await request('GET', '/readyz', undefined, '');
   expect({ status, body }).toMatchInlineSnapshot(`
     {
--- /dev/null
+++ b/tests/support/operatorHost.ts
@@ -0,0 +1,66 @@
+import { err, ok, type Result } from 'neverthrow';
+import { createFault, Diagnostics, type Fault } from '../../src/common/diagnostics/index.js';
+import { Logger } from '../../src/common/logging/index.js';
+import { Metrics } from '../../src/common/metrics/index.js';
+import { SystemTimerService } from '../../src/common/timer/index.js';
+import {
+  OperatorServer,
+  Readiness,
+  type BearerTokens,
+  type ReadinessReport,
+} from '../../src/daemon/operators/index.js';
+import type { Ticket } from '../../src/decisions/tickets/index.js';
+import { MemoryControlClient } from './memoryControlClient.js';
+
+/** A readiness that tests set. */
+export class SettableReadiness extends Readiness {
+  report: ReadinessReport = { hasLease: true, hasCurrentConfiguration: true };
+
+  override read(): ReadinessReport {
+    return this.report;
+  }
+}
+
+/** An operators' HTTP interface on loopback over a control client in memory. */
+export class OperatorHost {
+  readonly readiness = new SettableReadiness();
+  readonly metrics = new Metrics();
+  readonly lines: string[] = [];
+  url = '';
+  private readonly server: OperatorServer;
+
+  constructor(
+    readonly control: MemoryControlClient,
+    tokens: { operatorTokens?: BearerTokens; announcerTokens?: BearerTokens } = {},
+  ) {
+    this.server = new OperatorServer({
+      listen: '127.0.0.1:0',
+      control,
+      readiness: this.readiness,
+      metrics: this.metrics,
+      timer: new SystemTimerService(),
+      logger: new Logger('info', { host: 'a1' }, (line) => this.lines.push(line)),
+      parseTicket,
+      ...tokens,
+    });
+  }
+
+  /** Starts it on a port that the system chooses. */
+  async start(): Promise<this> {
+    const address = (await this.server.start())._unsafeUnwrap();
+    this.url = `http://${address.host}:${address.port}`;
+    return this;
+  }
+
+  /** Stops it. */
+  close(): Promise<void> {
+    return this.server.close();
+  }
+}
+
+function parseTicket(body: unknown): Result<Ticket, Fault> {
+  const isTicket = typeof body === 'object' && body !== null && 'subjects' in body;
+  return isTicket
+    ? ok(body as Ticket)
+    : err(createFault(Diagnostics.RequestInvalid, { problem: 'no subjects' }, { step: 'parse' }));
+}
