--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -62,11 +62,66 @@
   OutcomeUnknown: error(3006, 'The outcome of the statement is unknown.', '08007'),
   BackendLost: error(3007, 'The connection to the backend server was lost.', '08006'),
 
+  BackendUnreachable: error(3008, 'No connection to the backend server: {reason}.', '08006'),
+  BackendAnswerInvalid: error(3009, 'The backend server sent no valid answer: {reason}.', '08P01'),
+  DeadlineExceeded: refusal(3010, 'The request could not start before its deadline.', '57014'),
+  HolderMoved: refusal(3011, 'This daemon no longer holds group "{group}".', '57P03'),
+  TransactionLost: error(3012, 'The transaction was lost and rolled back.', '40001'),
+  RequestCancelled: refusal(3013, 'The request was cancelled by its caller.', '57014'),
+  TransactionTooLong: error(3014, 'The transaction was open for more than {limit} ms.', '25P03'),
+  PrimaryFenced: message(3015, 'Primary "{instance}" of group "{group}" is fenced in term {term}.'),
+  InstanceUnreachable: warning(3016, 'Instance "{instance}" of group "{group}" is unreachable.'),
+  GroupTaken: message(3017, 'This daemon now holds group "{group}".'),
+  GroupReleased: message(3018, 'This daemon released group "{group}".'),
+  CallerRefused: message(3019, 'A caller was refused: {reason}'),
+
   // 4000: limits and queue
 
   // 5000: consensus and storage
+  NotControlLeader: refusal(5000, 'This host does not lead control; the leader is "{leader}".'),
+  MembershipChangePending: refusal(5001, 'An earlier membership change is not yet committed.'),
+  LearnerBehind: refusal(5002, 'Learner "{member}" has not caught up yet.'),
+  MemberKnown: refusal(5003, 'Member "{member}" is already there.'),
+  MemberUnknown: refusal(5004, 'Member "{member}" is not known.'),
+  LastVoter: refusal(5005, 'Member "{member}" is the last voter.'),
+  CommandTooLarge: refusal(5006, 'A command of {size} bytes exceeds the limit of {limit}.'),
+  LeadershipTransferring: refusal(5007, 'Leadership is being handed over.'),
+  RecordCorrupt: error(5100, 'Stored file {file} is corrupt at offset {offset}: {reason}.'),
+  StorageFailed: error(5101, 'Storage failed on {file}: {reason}.'),
+  LogTailRepaired: warning(5102, 'Dropped {size} bytes of an unfinished record from {file}.'),
 
   // 6000: tickets, leases, promotion
+  TicketInvalid: refusal(6000, 'The ticket is not valid at {path}: {expected}'),
+  TicketOutdated: refusal(
+    6001,
+    'Ticket {number} is not above ticket {winner}, which is in force on {subject}.',
+  ),
+  TicketNumberTaken: refusal(
+    6002,
+    'Ticket number {number} belongs to an accepted ticket with other content on {subject}.',
+  ),
+  CommandOutdated: refusal(6003, 'The command expected another state of {record}.'),
+  LeaseRetired: message(6010, 'Lease {lease} of host "{host}" ran out and is retired.'),
+  GroupAssigned: message(6011, 'Group "{group}" is assigned to host "{host}".'),
+  AccountAssigned: message(6012, 'Client account "{account}" is assigned to host "{host}".'),
+  GroupDraining: message(6013, 'Host "{host}" is asked to release group "{group}".'),
+  PrimaryRecorded: message(6020, 'Group "{group}" has primary "{instance}" of term {term}.'),
+  PrimaryLost: warning(6021, 'Primary "{instance}" of group "{group}" is lost: {reason}.'),
+  PromotionBegan: message(6022, 'Promotion of "{instance}" in group "{group}" to term {term}.'),
+  PromotionCompleted: message(
+    6023,
+    'Group "{group}" has primary "{instance}" of term {term} from position {position}.',
+  ),
+  PromotionAbandoned: warning(
+    6024,
+    'Promotion of "{instance}" in group "{group}" to term {term} is abandoned: {reason}.',
+  ),
+  PromotionWaits: warning(6025, 'Group "{group}" has no candidate for promotion: {reason}.'),
+  MoveBegan: message(6026, 'The primary of group "{group}" is moved from "{instance}".'),
+  ForeignPrimary: warning(
+    6027,
+    'Instance "{instance}" of group "{group}" announces itself primary of term {term}.',
+  ),
 
   // 7000: settings and command line
   SettingsInvalid: error(7000, 'Settings file {file}: {key}: {expected}'),
@@ -96,5 +151,13 @@
 
   // 8500: mesh
 
+  // 8500: mesh
+  MeshFrameInvalid: warning(8500, 'A frame from another daemon was invalid: {reason}.'),
+  MeshLinkSilent: warning(8501, 'A link gave no sign for {silent} ms and was closed.'),
+  MeshLinkLost: message(8502, 'A link was lost: {reason}.'),
+  MeshLinkOpened: message(8503, 'A link was opened.'),
+  MeshUnreachable: error(8504, 'No link could be opened: {reason}.', '08006'),
+  TaskFailed: error(8505, 'A task failed: {reason}.', 'XX000'),
+
   // 9000: stand-in, bench
 } as const satisfies Record<string, Diagnostic>;
