Command line: domain, backend, members, status, completion

Change: domain out and back, backend leave and return, members add, remove and list, status with lag and the refusals of each given address, completion; tickets are checked before they are sent; lost races are told by the register's numbers 6001 and 6002; a request to a host that does not lead control is answered 503.

--- a/src/cli/answers.ts
+++ b/src/cli/answers.ts
@@ -1,7 +1,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
 import { Diagnostics } from '../common/diagnostics/index.js';
-import type { SubjectReading, TicketAnswer } from '../decisions/control/index.js';
+import type { FleetStatus, SubjectReading, TicketAnswer } from '../decisions/control/index.js';
 import { createFailure, type CommandFailure } from './commandFailure.js';
 import { ExitStatus } from './exitStatus.js';
 
@@ -15,6 +15,25 @@
 const readingsSchema = z.looseObject({ subjects: z.array(readingSchema) });
 const ticketAnswerSchema = z.looseObject({ number: z.int(), outcome: z.string() });
 
+const fleetStatusSchema = z.looseObject({
+  leader: z.string(),
+  controlTerm: z.int(),
+  revision: z.int(),
+  daemons: z.array(z.looseObject({ host: z.string(), revision: z.int() })),
+  groups: z.array(
+    z.looseObject({
+      group: z.string(),
+      instances: z.array(z.looseObject({ instance: z.string(), term: z.int() })),
+    }),
+  ),
+  accounts: z.array(z.looseObject({ account: z.string() })),
+});
+
+/** Checks the answer to a read of the fleet's state. */
+export function tryParseFleetStatus(answer: unknown): Result<FleetStatus, CommandFailure> {
+  return check<FleetStatus>(fleetStatusSchema, answer);
+}
+
 /** Checks the answer to a read of one subject. */
 export function tryParseReading(answer: unknown): Result<SubjectReading, CommandFailure> {
   return check<SubjectReading>(readingSchema, answer);
--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -1,7 +1,11 @@
 import type { Argv } from 'yargs';
 import type { CommandRunner } from '../commandRunner.js';
 import type { GlobalOptions } from '../globalOptions.js';
+import { addBackendCommands } from './backendCommands.js';
+import { addDomainCommands } from './domainCommands.js';
 import { addKeyCommands } from './keyCommands.js';
+import { addMemberCommands } from './memberCommands.js';
+import { addStatusCommand } from './statusCommand.js';
 import { addTicketCommands } from './ticketCommands.js';
 
 /** Adds one group of commands to the program. */
@@ -11,4 +15,11 @@
 ) => Argv<GlobalOptions>;
 
 /** All groups of commands, in the order in which help lists them. */
-export const COMMAND_GROUPS: readonly CommandGroup[] = [addTicketCommands, addKeyCommands];
+export const COMMAND_GROUPS: readonly CommandGroup[] = [
+  addTicketCommands,
+  addKeyCommands,
+  addDomainCommands,
+  addBackendCommands,
+  addMemberCommands,
+  addStatusCommand,
+];
--- a/src/cli/commands/ticketCommands.ts
+++ b/src/cli/commands/ticketCommands.ts
@@ -1,11 +1,14 @@
 import { okAsync } from 'neverthrow';
 import type { Argv } from 'yargs';
 import type { SubjectReading } from '../../decisions/control/index.js';
+import { tryParseTicket } from '../../decisions/tickets/index.js';
+import { createFaultFailure } from '../commandFailure.js';
 import type { CommandOutcome } from '../commandOutcome.js';
 import type { CommandReport } from '../commandReport.js';
 import type { CommandRunner } from '../commandRunner.js';
 import type { CommandSession } from '../commandSession.js';
 import { readAllInForce, readInForce } from '../controlReader.js';
+import { ExitStatus } from '../exitStatus.js';
 import type { GlobalOptions } from '../globalOptions.js';
 import { addNumberOption } from '../numberOption.js';
 import { formatTable } from '../table.js';
@@ -61,6 +64,9 @@
         ? readAllInForce(client).map((all) => ({ ...document, number: getNextNumber(all) }))
         : okAsync({ ...document, number: chosen });
     })
+    .andThen((ticket) =>
+      tryParseTicket(ticket).mapErr((fault) => createFaultFailure(ExitStatus.BadInput, fault)),
+    )
     .andThen((ticket) => submitTicket(client, ticket))
     .map((answer) => ({ json: answer, text: `Ticket ${answer.number} is accepted.\n` }));
 }
--- a/src/cli/operatorClient.ts
+++ b/src/cli/operatorClient.ts
@@ -37,6 +37,18 @@
     return this.request({ method: 'POST', path, body: JSON.stringify(body) });
   }
 
+  /** Reads a text from each address once and leaves out those that do not give it. */
+  async getFromEach(path: string): Promise<readonly string[]> {
+    const { urls, token, timer, timeoutMs } = this.options;
+    const request = { method: 'GET' as const, path, body: undefined };
+    const replies = await Promise.all(
+      urls.map((url) => sendHttpRequest({ ...request, url, token, timer, limitMs: timeoutMs })),
+    );
+    return replies.flatMap(({ kind, body }) =>
+      kind === ReplyKind.Answered && typeof body === 'string' ? [body] : [],
+    );
+  }
+
   private request(request: HttpRequest): CommandOutcome<unknown> {
     return new ResultAsync(this.requestInRounds(request));
   }
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -58,6 +58,7 @@
     })
     .strict()
     .demandCommand(1, 'Give a command.')
+    .completion('completion', 'Print a script for completion in bash or zsh.')
     .recommendCommands()
     .exitProcess(false)
     .fail((message, cause) => {
--- a/src/cli/ticketSubmission.ts
+++ b/src/cli/ticketSubmission.ts
@@ -11,6 +11,10 @@
 import type { OperatorClient } from './operatorClient.js';
 
 const MAXIMUM_ATTEMPTS = 5;
+const LOST_RACE_CODES: ReadonlySet<number> = new Set([
+  Diagnostics.TicketOutdated.code,
+  Diagnostics.TicketNumberTaken.code,
+]);
 
 /** Builds the whole new state of a subject from what is in force. */
 export type TicketBuild = (
@@ -51,34 +55,35 @@
   build: TicketBuild,
   number: number | undefined,
 ): Promise<Result<Ticket, CommandFailure>> {
-  let readings = await readAllInForce(client);
   for (let attempt = 1; ; attempt += 1) {
-    if (readings.isErr()) {
-      return err(readings.error);
+    const ticket = await readAllInForce(client).andThen((readings) =>
+      buildTicket(readings, build, number),
+    );
+    if (ticket.isErr()) {
+      return err(ticket.error);
     }
-    const state = build(readings.value);
-    if (state.isErr()) {
-      return err(state.error);
-    }
-    const chosen = number === undefined ? getNextNumber(readings.value) : toTicketNumber(number);
-    const ticket = { number: chosen, subjects: [state.value] };
-    const answer = await submitTicket(client, ticket);
+    const answer = await submitTicket(client, ticket.value);
     if (answer.isOk()) {
-      return ok(ticket);
-    }
-    if (number !== undefined || answer.error.status !== ExitStatus.Refused) {
-      return err(nameTicket(answer.error, chosen));
+      return ok(ticket.value);
     }
-    readings = await readAllInForce(client);
-    if (!readings.isOk() || getNextNumber(readings.value) <= chosen) {
-      return err(nameTicket(answer.error, chosen));
+    if (number !== undefined || !LOST_RACE_CODES.has(answer.error.body.code)) {
+      return err(nameTicket(answer.error, ticket.value.number));
     }
     if (attempt >= MAXIMUM_ATTEMPTS) {
-      return err(createRaceFailure(chosen, answer.error));
+      return err(createRaceFailure(ticket.value.number, answer.error));
     }
   }
 }
 
+function buildTicket(
+  readings: readonly SubjectReading[],
+  build: TicketBuild,
+  number: number | undefined,
+): Result<Ticket, CommandFailure> {
+  const chosen = number === undefined ? getNextNumber(readings) : toTicketNumber(number);
+  return build(readings).map((state) => ({ number: chosen, subjects: [state] }));
+}
+
 /** Says which number was tried, so that the operator can ask for it or send it again. */
 function nameTicket(failure: CommandFailure, number: TicketNumber): CommandFailure {
   const message = `Ticket ${number}: ${failure.body.message}`;
--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -149,8 +149,6 @@
     'No token file is set for {access}; any local process has access.',
   ),
 
-  // 8500: mesh
-
   // 8500: mesh
   MeshFrameInvalid: warning(8500, 'A frame from another daemon was invalid: {reason}.'),
   MeshLinkSilent: warning(8501, 'A link gave no sign for {silent} ms and was closed.'),
--- a/src/daemon/operators/httpStatus.ts
+++ b/src/daemon/operators/httpStatus.ts
@@ -23,6 +23,9 @@
 
 const STATUS_OF: ReadonlyMap<number, HttpStatus> = new Map([
   [Diagnostics.RequestInvalid.code, HttpStatus.BadRequest],
+  [Diagnostics.TicketInvalid.code, HttpStatus.BadRequest],
+  [Diagnostics.NotControlLeader.code, HttpStatus.ServiceUnavailable],
+  [Diagnostics.LeadershipTransferring.code, HttpStatus.ServiceUnavailable],
   [Diagnostics.TokenNeeded.code, HttpStatus.Unauthorized],
   [Diagnostics.NotFound.code, HttpStatus.NotFound],
   [Diagnostics.BodyTooLarge.code, HttpStatus.ContentTooLarge],
--- a/src/daemon/operators/operatorRequests.ts
+++ b/src/daemon/operators/operatorRequests.ts
@@ -5,7 +5,7 @@
 import type { Ticket } from '../../decisions/tickets/index.js';
 import { tryParseAnnouncement } from './announcementBody.js';
 import type { ControlClient } from './controlClient.js';
-import type { FaultBody } from './faultBody.js';
+import { createFaultBody } from './faultBody.js';
 import {
   createAnswer,
   createFaultAnswer,
@@ -96,7 +96,10 @@
     { reason: answer.reason ?? 'no reason was given' },
     { step: 'ticket.submit' },
   );
-  const refusal = createFaultAnswer(fault, HttpStatus.Conflict);
-  const body = refusal.body as FaultBody;
-  return { ...refusal, body: { ...body, code: answer.code ?? body.code } };
+  const answered = createFaultBody(fault);
+  const body =
+    answer.code === undefined
+      ? answered
+      : { ...answered, code: answer.code, message: answer.reason ?? answered.message };
+  return { status: HttpStatus.Conflict, body };
 }
--- a/src/daemon/operators/operatorServer.test.ts
+++ b/src/daemon/operators/operatorServer.test.ts
@@ -76,9 +76,9 @@
   expect({ status, body }).toMatchInlineSnapshot(`
     {
       "body": {
-        "code": 6000,
+        "code": 6002,
         "detail": "not run",
-        "message": "The ticket was refused: Number 5 is not above the number in force.",
+        "message": "Ticket number 5 belongs to an accepted ticket with other content on failure-domain/adigrat.",
         "step": "ticket.submit",
       },
       "status": 409,
--- a/tests/support/memoryControlClient.ts
+++ b/tests/support/memoryControlClient.ts
@@ -3,7 +3,7 @@
 import type { Fault } from '../../src/common/diagnostics/index.js';
 import { toHostId, toRevision, type TicketNumber } from '../../src/common/ids/index.js';
 import {
-  TicketOutcome,
+  TicketRegister,
   type Announcement,
   type SubjectReading,
   type TicketAnswer,
@@ -15,8 +15,10 @@
 export class MemoryControlClient extends ControlClient {
   readonly announcements: Announcement[] = [];
   readonly submitted: Ticket[] = [];
-  /** When set, every request ends with it. */
+  /** When set, the next `faultsLeft` requests end with it. */
   fault: Fault | undefined;
+  faultsLeft = Infinity;
+  requests = 0;
   status: FleetStatus = {
     leader: toHostId('a1'),
     controlTerm: 3,
@@ -25,7 +27,7 @@
     groups: [],
     accounts: [],
   };
-  private readonly tickets = new Map<TicketNumber, Ticket>();
+  private readonly register = new TicketRegister();
   private readonly readings = new Map<string, SubjectReading>();
 
   override submitTicket(ticket: Ticket): Outcome<TicketAnswer> {
@@ -34,7 +36,7 @@
   }
 
   override readTicket(number: TicketNumber): Outcome<Ticket | undefined> {
-    return this.answer(() => this.tickets.get(number));
+    return this.answer(() => this.register.get(number));
   }
 
   override readInForce(subject: string | undefined): Outcome<readonly SubjectReading[]> {
@@ -54,27 +56,21 @@
   }
 
   private answer<Value>(compute: () => Value): Outcome<Value> {
-    return this.fault === undefined ? okAsync(compute()) : errAsync(this.fault);
+    this.requests += 1;
+    if (this.fault === undefined || this.faultsLeft === 0) {
+      return okAsync(compute());
+    }
+    this.faultsLeft -= 1;
+    return errAsync(this.fault);
   }
 
   private accept(ticket: Ticket): TicketAnswer {
-    const known = this.tickets.get(ticket.number);
-    if (known !== undefined && JSON.stringify(known) === JSON.stringify(ticket)) {
-      return { number: ticket.number, outcome: TicketOutcome.Accepted };
-    }
-    const isOutdated = ticket.subjects.some(
-      (state) => (this.readings.get(getSubjectName(state))?.ticket ?? 0) >= ticket.number,
-    );
-    if (known !== undefined || isOutdated) {
-      const reason = `Number ${ticket.number} is not above the number in force.`;
-      return { number: ticket.number, outcome: TicketOutcome.Refused, code: 6000, reason };
-    }
-    this.tickets.set(ticket.number, ticket);
-    for (const state of ticket.subjects) {
+    const { answer, isNew } = this.register.submit(ticket);
+    for (const state of isNew ? ticket.subjects : []) {
       const subject = getSubjectName(state);
       const reading = { subject, ticket: ticket.number, state, everywhere: true, missing: [] };
       this.readings.set(subject, reading);
     }
-    return { number: ticket.number, outcome: TicketOutcome.Accepted };
+    return answer;
   }
 }
--- a/tests/support/operatorHost.ts
+++ b/tests/support/operatorHost.ts
@@ -1,5 +1,3 @@
-import { err, ok, type Result } from 'neverthrow';
-import { createFault, Diagnostics, type Fault } from '../../src/common/diagnostics/index.js';
 import { Logger } from '../../src/common/logging/index.js';
 import { Metrics } from '../../src/common/metrics/index.js';
 import { SystemTimerService } from '../../src/common/timer/index.js';
@@ -9,7 +7,7 @@
   type BearerTokens,
   type ReadinessReport,
 } from '../../src/daemon/operators/index.js';
-import type { Ticket } from '../../src/decisions/tickets/index.js';
+import { tryParseTicket } from '../../src/decisions/tickets/index.js';
 import { MemoryControlClient } from './memoryControlClient.js';
 
 /** A readiness that tests set. */
@@ -40,7 +38,7 @@
       metrics: this.metrics,
       timer: new SystemTimerService(),
       logger: new Logger('info', { host: 'a1' }, (line) => this.lines.push(line)),
-      parseTicket,
+      parseTicket: tryParseTicket,
       ...tokens,
     });
   }
@@ -57,10 +55,3 @@
     return this.server.close();
   }
 }
-
-function parseTicket(body: unknown): Result<Ticket, Fault> {
-  const isTicket = typeof body === 'object' && body !== null && 'subjects' in body;
-  return isTicket
-    ? ok(body as Ticket)
-    : err(createFault(Diagnostics.RequestInvalid, { problem: 'no subjects' }, { step: 'parse' }));
-}
