Logs: one-line shape for any value, repeated lines limited, reportFault

Cause: control characters and line separators other than \n could leave the one-line shape, and a storm of one warning could flood the log. Conclusion: the logger's constructor is unchanged for its users.

--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -180,6 +180,8 @@
     'Ticket {number} lost the race to another operator {attempts} times: {problem}',
   ),
 
+  LinesSuppressed: message(7100, '{count} more lines of {code} were left out.'),
+
   // 8000: operators' HTTP and announcements
   OperatorsListening: message(8000, "Operators' HTTP interface listens on {address}."),
   RequestInvalid: refusal(8001, 'The request is invalid: {problem}'),
--- a/src/common/logging/formatLine.ts
+++ b/src/common/logging/formatLine.ts
@@ -1,8 +1,16 @@
 import type { LogFields } from './logFields.js';
 
-const PLAIN = /^[^\s"=]+$/;
+/** Longest value of a pair, in UTF-16 code units; the rest is cut off. */
+export const MAXIMUM_VALUE_LENGTH = 2_000;
 
-/** Formats fields as `key=value` pairs; values with spaces or quotes are quoted. */
+const PLAIN = /^[^\s"=\p{C}]+$/u;
+const UNSAFE = /[\p{C}\p{Zl}\p{Zp}]/gu;
+const CUT_MARK = '…';
+
+/**
+ * Formats fields as `key=value` pairs on one line. Values with spaces, quotes or characters that
+ * do not print are written as JSON strings in which only characters that print are left.
+ */
 export function formatLine(fields: LogFields): string {
   const pairs: string[] = [];
   for (const [key, value] of Object.entries(fields)) {
@@ -14,5 +22,16 @@
 }
 
 function formatValue(value: string): string {
-  return PLAIN.test(value) ? value : JSON.stringify(value);
+  const cut =
+    value.length > MAXIMUM_VALUE_LENGTH
+      ? `${value.slice(0, MAXIMUM_VALUE_LENGTH)}${CUT_MARK}`
+      : value;
+  return PLAIN.test(cut) ? cut : JSON.stringify(cut).replace(UNSAFE, escapeCharacter);
+}
+
+function escapeCharacter(character: string): string {
+  return Array.from({ length: character.length }, (_, index) => {
+    const code = character.charCodeAt(index).toString(16).padStart(4, '0');
+    return `\\u${code}`;
+  }).join('');
 }
--- a/src/common/logging/index.ts
+++ b/src/common/logging/index.ts
@@ -1,3 +1,4 @@
 export * from './logFields.js';
 export * from './formatLine.js';
+export * from './repeatLimiter.js';
 export * from './logger.js';
--- a/src/common/logging/logger.ts
+++ b/src/common/logging/logger.ts
@@ -1,12 +1,16 @@
 import { Logger as TsLogger } from 'tslog';
 import {
   DiagnosticCategory,
+  Diagnostics,
   formatDiagnostic,
   type Diagnostic,
   type DiagnosticArguments,
+  type Fault,
 } from '../diagnostics/index.js';
-import type { LogFields } from './logFields.js';
+import { SystemTimerService } from '../timer/index.js';
 import { formatLine } from './formatLine.js';
+import type { LogFields } from './logFields.js';
+import { RepeatLimiter } from './repeatLimiter.js';
 
 const LEVELS = { debug: 2, info: 3, warn: 4, error: 5 } as const;
 
@@ -20,7 +24,7 @@
   [DiagnosticCategory.Error]: 'error',
 };
 
-/** Writes one line of key=value pairs for each event. */
+/** Writes one line of key=value pairs for each event; limits repeated warnings, errors, refusals. */
 export class Logger {
   private readonly sink: TsLogger<unknown>;
 
@@ -28,33 +32,62 @@
     private readonly level: LogLevel,
     private readonly base: LogFields,
     private readonly write: (line: string) => void = (line) => process.stderr.write(`${line}\n`),
+    private readonly limiter = new RepeatLimiter(new SystemTimerService()),
   ) {
     this.sink = new TsLogger<unknown>({ type: 'hidden', minLevel: LEVELS[level] });
     this.sink.attachTransport((entry) => this.write(entry['0'] as unknown as string));
   }
 
-  /** Creates a logger that adds fields to each line. */
+  /** Creates a logger that adds fields to each line; both share the limit on repeated lines. */
   with(fields: LogFields): Logger {
-    return new Logger(this.level, { ...this.base, ...fields }, this.write);
+    return new Logger(this.level, { ...this.base, ...fields }, this.write, this.limiter);
   }
 
   /** Writes a diagnostic at the level that its category asks for. */
   report(diagnostic: Diagnostic, values: DiagnosticArguments, fields: LogFields = {}): void {
     const level = LEVEL_OF[diagnostic.category];
-    const message = formatDiagnostic(diagnostic, values);
-    this.emit(level, { code: `FP${diagnostic.code}`, message, ...fields });
+    if (!this.isWritten(level)) {
+      return;
+    }
+    this.reportSuppressed();
+    const isLimited = diagnostic.category !== DiagnosticCategory.Message;
+    if (!isLimited || this.limiter.admit(diagnostic)) {
+      const message = formatDiagnostic(diagnostic, values);
+      this.emit(level, { code: formatCode(diagnostic), message, ...fields });
+    }
+  }
+
+  /** Writes a fault with the step and peer at which it arose and whether its request was run. */
+  reportFault(fault: Fault, fields: LogFields = {}): void {
+    const { diagnostic, values, step, peer, execution } = fault;
+    this.report(diagnostic, values, { step, peer, execution, ...fields });
   }
 
   /** Writes a detail for developers. */
   debug(message: string, fields: LogFields = {}): void {
-    this.emit('debug', { message, ...fields });
+    if (this.isWritten('debug')) {
+      this.emit('debug', { message, ...fields });
+    }
   }
 
-  private emit(level: LogLevel, fields: LogFields): void {
-    if (LEVELS[level] < LEVELS[this.level]) {
-      return;
+  private reportSuppressed(): void {
+    for (const { diagnostic, count } of this.limiter.takeSuppressed()) {
+      const summary = Diagnostics.LinesSuppressed;
+      const message = formatDiagnostic(summary, { count, code: formatCode(diagnostic) });
+      this.emit(LEVEL_OF[diagnostic.category], { code: formatCode(summary), message });
     }
-    const line = formatLine({ time: new Date().toISOString(), level, ...this.base, ...fields });
-    this.sink[level](line);
   }
+
+  private isWritten(level: LogLevel): boolean {
+    return LEVELS[level] >= LEVELS[this.level];
+  }
+
+  private emit(level: LogLevel, fields: LogFields): void {
+    const time = new Date().toISOString();
+    this.sink[level](formatLine({ time, level, ...this.base, ...fields }));
+  }
+}
+
+function formatCode(diagnostic: Diagnostic): string {
+  return `FP${diagnostic.code}`;
 }
--- a/src/daemon/operators/operatorServer.ts
+++ b/src/daemon/operators/operatorServer.ts
@@ -90,7 +90,7 @@
         }
         const context = { step: 'http.authorize', peer: request.ip };
         const fault = createFault(Diagnostics.TokenNeeded, {}, context);
-        this.options.logger.report(fault.diagnostic, fault.values, { ...context });
+        this.options.logger.reportFault(fault, { request: request.id });
         send(reply.header('www-authenticate', 'Bearer'), createFaultAnswer(fault));
       });
       addRoutes(scope);
@@ -134,11 +134,7 @@
 
   private sendFault(cause: unknown, request: FastifyRequest, reply: FastifyReply): FastifyReply {
     const fault = createRequestFault(cause, request.ip);
-    this.options.logger.report(fault.diagnostic, fault.values, {
-      step: fault.step,
-      peer: request.ip,
-      request: request.id,
-    });
+    this.options.logger.reportFault(fault, { request: request.id });
     return send(reply, createFaultAnswer(fault));
   }
 
