--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -190,6 +190,8 @@
     'Ticket {number} lost the race to another operator {attempts} times: {problem}',
   ),
 
+  LinesSuppressed: message(7100, '{count} more lines of {code} were left out.'),
+
   // 8000: operators' HTTP and announcements
   OperatorsListening: message(8000, "Operators' HTTP interface listens on {address}."),
   RequestInvalid: refusal(8001, 'The request is invalid: {problem}'),
@@ -204,8 +206,6 @@
     'No token file is set for {access}; any local process has access.',
   ),
 
-  // 8500: mesh
-
   // 8500: mesh
   MeshFrameInvalid: warning(8500, 'A frame from another daemon was invalid: {reason}.'),
   MeshLinkSilent: warning(8501, 'A link gave no sign for {silent} ms and was closed.'),
