Durable log storage with checksums, group commit and torn-tail repair

Cause: votes and acknowledgements need a log that survives a crash. Before: no storage. Conclusion: FileLogStorage can be wired to the member's Persist outputs.

--- /dev/null
+++ b/src/daemon/storage/fileLogStorage.ts
@@ -0,0 +1,145 @@
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+import { createFault, Diagnostics, Fault } from '../../common/diagnostics/index.js';
+import type { Outcome } from '../../common/result.js';
+import {
+  StoredLog,
+  type PersistOutput,
+  type Snapshot,
+  type StoredChange,
+} from '../../decisions/consensus/index.js';
+import type { Disk } from './disk.js';
+import { openLogFolder, type LogFolder } from './logFolder.js';
+import { LogStorage, type LogFounding, type OpenedLog } from './logStorage.js';
+import { encodeRecord } from './recordCodec.js';
+import { replaceFile } from './replaceFile.js';
+import { getSegmentName, getSnapshotName, type SegmentHeader } from './segmentFile.js';
+
+interface QueuedChange<Command> {
+  readonly change: PersistOutput<Command>;
+  readonly resolve: (result: Result<number, Fault>) => void;
+}
+
+/**
+ * Keeps the log in files: one segment, which begins with the state at its start and grows by one
+ * record for each group of changes, and the snapshot that it refers to. A new snapshot starts a
+ * new segment, and the former files are removed.
+ */
+export class FileLogStorage<Command> extends LogStorage<Command> {
+  private folder: LogFolder<Command> | undefined;
+  private log: StoredLog<Command> | undefined;
+  private queue: QueuedChange<Command>[] = [];
+  private writing: Promise<void> | undefined;
+  private failure: Fault | undefined;
+
+  constructor(private readonly disk: Disk) {
+    super();
+  }
+
+  override open(createFounding: () => LogFounding<Command>): Outcome<OpenedLog<Command>> {
+    return ResultAsync.fromPromise(this.read(createFounding), toStorageFault);
+  }
+
+  override persist(change: PersistOutput<Command>): Outcome<number> {
+    const done = new Promise<Result<number, Fault>>((resolve) => {
+      this.queue.push({ change, resolve });
+    });
+    this.writing ??= this.writeQueue();
+    return new ResultAsync(done);
+  }
+
+  override close(): Outcome<void> {
+    const closed = Promise.resolve(this.writing).then(() => this.disk.close());
+    return ResultAsync.fromPromise(closed, toStorageFault);
+  }
+
+  private async read(createFounding: () => LogFounding<Command>): Promise<OpenedLog<Command>> {
+    this.folder = await openLogFolder(this.disk, createFounding);
+    const { identity, isNew, state, repair } = this.folder;
+    this.log = new StoredLog(state);
+    return { identity, isNew, state, repair };
+  }
+
+  private async writeQueue(): Promise<void> {
+    // Lets the changes of one turn of the event loop share one group.
+    await Promise.resolve();
+    while (this.queue.length > 0) {
+      const group = this.takeGroup();
+      const failure = await this.tryWrite(group.map((queued) => queued.change));
+      for (const { change, resolve } of group) {
+        resolve(failure === undefined ? ok(change.sequence) : err(failure));
+      }
+    }
+    this.writing = undefined;
+  }
+
+  /** The next changes that go into one record; a snapshot goes alone. */
+  private takeGroup(): readonly QueuedChange<Command>[] {
+    const next = this.queue.findIndex(({ change }) => change.snapshot !== undefined);
+    const count = next === -1 ? this.queue.length : Math.max(1, next);
+    return this.queue.splice(0, count);
+  }
+
+  private async tryWrite(changes: readonly PersistOutput<Command>[]): Promise<Fault | undefined> {
+    try {
+      if (this.failure === undefined) {
+        await this.write(changes);
+      }
+    } catch (cause) {
+      this.failure = toStorageFault(cause);
+    }
+    return this.failure;
+  }
+
+  private async write(changes: readonly PersistOutput<Command>[]): Promise<void> {
+    const { folder, log } = this;
+    if (folder === undefined || log === undefined) {
+      throw new Error('the log is not open');
+    }
+    for (const change of changes) {
+      log.apply(change);
+    }
+    const snapshot = changes[0]?.snapshot;
+    if (snapshot !== undefined) {
+      this.folder = await this.startSegment(folder, log, snapshot);
+      return;
+    }
+    const file = getSegmentName(folder.segment);
+    await this.disk.append(file, encodeRecord(changes.map(toStoredChange)));
+    await this.disk.sync(file);
+  }
+
+  private async startSegment(
+    folder: LogFolder<Command>,
+    log: StoredLog<Command>,
+    snapshot: Snapshot,
+  ): Promise<LogFolder<Command>> {
+    const { disk } = this;
+    const snapshotFile = getSnapshotName(snapshot.index);
+    await replaceFile(disk, snapshotFile, encodeRecord(snapshot));
+    const { hardState, entries } = log.getState();
+    const { identity } = folder;
+    const header: SegmentHeader<Command> = { identity, snapshotFile, hardState, entries };
+    const segment = folder.segment + 1;
+    await replaceFile(disk, getSegmentName(segment), encodeRecord(header));
+    await disk.remove(getSegmentName(folder.segment));
+    if (folder.snapshotFile !== undefined && folder.snapshotFile !== snapshotFile) {
+      await disk.remove(folder.snapshotFile);
+    }
+    return { ...folder, segment, snapshotFile };
+  }
+}
+
+function toStoredChange<Command>(change: PersistOutput<Command>): StoredChange<Command> {
+  const { hardState, snapshot, truncateFrom, entries } = change;
+  return { hardState, snapshot, truncateFrom, entries };
+}
+
+function toStorageFault(cause: unknown): Fault {
+  return cause instanceof Fault
+    ? cause
+    : createFault(
+        Diagnostics.StorageFailed,
+        { file: 'the data folder', reason: cause instanceof Error ? cause.message : String(cause) },
+        { step: 'storage.write' },
+      );
+}
--- a/src/decisions/consensus/index.ts
+++ b/src/decisions/consensus/index.ts
@@ -7,6 +7,7 @@
 export * from './hardState.js';
 export * from './snapshot.js';
 export * from './storedState.js';
+export * from './storedLog.js';
 export * from './role.js';
 export * from './message.js';
 export * from './input.js';
