Property tests of the strict bound with eight broken variants

Change: random scenarios over the fake fleet, checked against a reference bucket and for conservation; an idle account asked for tokens for ever (its decaying demand never reached zero), found by the conservation check and mended; parked requests in their own class.

--- a/bench/experiment/fleetDaemon.ts
+++ b/bench/experiment/fleetDaemon.ts
@@ -36,6 +36,8 @@
   readonly buckets = new Map<AccountId, RateBucket>();
   limiter: EntryLimiter;
   isRunning = true;
+  /** The process does nothing before this real time. */
+  pausedUntilMs = 0;
   private life = 1;
 
   constructor(
--- a/bench/experiment/tokenFleet.ts
+++ b/bench/experiment/tokenFleet.ts
@@ -7,6 +7,7 @@
   LimiterOutputKind,
   type MessageToEntry,
   type MessageToHolder,
+  type RateBucket,
   type RefuseAdmission,
 } from '../../src/decisions/limits/index.js';
 import type { EventLoop } from './eventLoop.js';
@@ -66,11 +67,15 @@
     }
   }
 
-  /** Ends the holder's right at once and assigns the account to another daemon. */
-  assign(account: AccountId, holder: number | undefined): void {
+  /**
+   * Ends the holder's lease at once and assigns the account to another daemon. The earlier holder
+   * keeps its bucket and goes on answering until it is assigned the account again.
+   */
+  assign(account: AccountId, holder: number | undefined, tellDelayMs = 0): void {
     const state = this.getAccount(account);
     if (state.holder !== undefined) {
-      this.getDaemon(state.holder).buckets.delete(account);
+      const earlier = this.getDaemon(state.holder);
+      earlier.buckets.get(account)?.setLeaseEnd(this.localNow(earlier));
     }
     state.holder = holder;
     if (holder !== undefined) {
@@ -81,10 +86,16 @@
       daemon.buckets.set(account, this.factory.createBucket(options));
     }
     for (const daemon of this.daemons) {
-      this.tellHolder(daemon, account);
+      this.loop.after(tellDelayMs, () => this.tellHolder(daemon, account));
     }
   }
 
+  /** Stops the process's work for a time; what arrives waits. */
+  pause(index: number, durationMs: number): void {
+    const daemon = this.getDaemon(index);
+    daemon.pausedUntilMs = Math.max(daemon.pausedUntilMs, this.loop.nowMs + durationMs);
+  }
+
   /** Stops a daemon; the accounts it held have no holder until assigned. */
   stop(index: number): void {
     this.getDaemon(index).stop();
@@ -115,12 +126,12 @@
     timeoutMs: number,
   ): void {
     const daemon = this.getDaemon(index);
-    if (daemon.isRunning) {
+    this.whenAwake(daemon, () => {
       this.costs.set(requestId, cost);
       const nowMs = this.localNow(daemon);
       const request = { requestId, account, cost, deadlineMs: nowMs + timeoutMs };
       this.perform(daemon, daemon.limiter.request(request, nowMs));
-    }
+    });
   }
 
   /** Requests that wait for tokens at any daemon. */
@@ -133,6 +144,29 @@
     return this.getAccount(account).holder;
   }
 
+  /** Unexpired tokens of an account in stock at all running daemons. */
+  getStock(account: AccountId): number {
+    return this.daemons
+      .filter((daemon) => daemon.isRunning)
+      .reduce((sum, daemon) => sum + daemon.limiter.getStock(account, this.localNow(daemon)), 0);
+  }
+
+  /** The bucket at an account's holder. */
+  getBucket(account: AccountId): RateBucket | undefined {
+    const index = this.getAccount(account).holder;
+    return index === undefined ? undefined : this.getDaemon(index).buckets.get(account);
+  }
+
+  /** Whether an account's holder grants tokens. */
+  isHolderReady(account: AccountId): boolean {
+    const index = this.getAccount(account).holder;
+    if (index === undefined) {
+      return false;
+    }
+    const daemon = this.getDaemon(index);
+    return daemon.buckets.get(account)?.isReady(this.localNow(daemon)) ?? false;
+  }
+
   private tellHolder(daemon: FleetDaemon, account: AccountId): void {
     const index = this.getAccount(account).holder;
     const holder = index === undefined ? undefined : this.getDaemon(index);
@@ -142,7 +176,7 @@
 
   private tickAll(): void {
     for (const daemon of this.daemons) {
-      if (daemon.isRunning) {
+      if (daemon.isRunning && daemon.pausedUntilMs <= this.loop.nowMs) {
         const nowMs = this.localNow(daemon);
         for (const bucket of daemon.buckets.values()) {
           this.performBucket(daemon, bucket.tick(nowMs));
@@ -180,21 +214,34 @@
 
   private sendToHolder(from: FleetDaemon, host: HostId, message: MessageToHolder): void {
     const to = this.getDaemon(this.indexOf.get(host) ?? 0);
-    this.network.send(from.index, to.index, () => {
-      if (to.isRunning) {
+    this.network.send(from.index, to.index, () =>
+      this.whenAwake(to, () => {
         const bucket = to.buckets.get(message.account);
         this.performBucket(to, bucket?.receive(message, this.localNow(to)) ?? []);
-      }
-    });
+      }),
+    );
   }
 
   private sendToEntry(from: FleetDaemon, host: HostId, message: MessageToEntry): void {
     const to = this.getDaemon(this.indexOf.get(host) ?? 0);
-    this.network.send(from.index, to.index, () => {
-      if (to.isRunning) {
+    this.network.send(from.index, to.index, () =>
+      this.whenAwake(to, () => {
         this.perform(to, to.limiter.receive(message, this.localNow(to)));
-      }
-    });
+      }),
+    );
+  }
+
+  /** Runs the handler in a running process, after its pause if it is paused. */
+  private whenAwake(daemon: FleetDaemon, handler: () => void): void {
+    const pauseMs = daemon.pausedUntilMs - this.loop.nowMs;
+    if (!daemon.isRunning) {
+      return;
+    }
+    if (pauseMs > 0) {
+      this.loop.after(pauseMs, () => this.whenAwake(daemon, handler));
+    } else {
+      handler();
+    }
   }
 
   private localNow(daemon: FleetDaemon): number {
--- a/src/decisions/limits/entryAccount.ts
+++ b/src/decisions/limits/entryAccount.ts
@@ -44,8 +44,14 @@
 
   /** Nothing is left to do for this account. */
   isIdle(nowMs: number): boolean {
-    const isWarm = nowMs - this.lastRequestMs < WARM_MS;
-    return !isWarm && this.waitingCount === 0 && this.stock.isEmpty && !this.link.hasNews;
+    return (
+      !this.isWarm(nowMs) && this.waitingCount === 0 && this.stock.isEmpty && !this.link.hasNews
+    );
+  }
+
+  /** Unexpired tokens in stock. */
+  getStock(nowMs: number): number {
+    return this.stock.getRemainingAt(nowMs);
   }
 
   setLimit(limit: AccountLimit): void {
@@ -225,10 +231,17 @@
     }
   }
 
+  private isWarm(nowMs: number): boolean {
+    return nowMs - this.lastRequestMs < WARM_MS;
+  }
+
   private ask(nowMs: number, outputs: EntryOutput[]): void {
     const urgent = this.waitingCost;
+    if (urgent === 0 && !this.isWarm(nowMs)) {
+      return;
+    }
     const demand = this.demand.getRate(nowMs);
-    const reserve = nowMs - this.lastRequestMs < WARM_MS ? 1 : 0;
+    const reserve = this.isWarm(nowMs) ? 1 : 0;
     const leadMs = 2 * this.link.getRoundTripMs() + PREFETCH_MARGIN_MS;
     const fresh = this.stock.getRemainingAt(nowMs + leadMs);
     const isLow = fresh < (demand * leadMs) / 1000 + reserve;
--- a/src/decisions/limits/entryLedger.ts
+++ b/src/decisions/limits/entryLedger.ts
@@ -1,11 +1,4 @@
 import type { HostId, Incarnation } from '../../common/ids/index.js';
-import type { TokenRequest } from './tokenRequest.js';
-
-/** A request that the holder has not answered yet. */
-export interface ParkedRequest {
-  readonly request: TokenRequest;
-  readonly receivedMs: number;
-}
 
 /** What a holder knows about one life of one entry daemon. */
 export interface EntryLedger {
@@ -17,7 +10,6 @@
   lastSequence: number;
   demand: number;
   lastSeenMs: number;
-  recalledMs: number;
 }
 
 /** Names one life of one entry daemon. */
@@ -35,6 +27,5 @@
     lastSequence: 0,
     demand: 0,
     lastSeenMs: nowMs,
-    recalledMs: Number.NEGATIVE_INFINITY,
   };
 }
--- a/src/decisions/limits/entryLimiter.ts
+++ b/src/decisions/limits/entryLimiter.ts
@@ -115,6 +115,11 @@
     return this.accounts.get(account)?.counts;
   }
 
+  /** Unexpired tokens of an account in stock here. */
+  getStock(account: AccountId, nowMs: number): number {
+    return this.accounts.get(account)?.getStock(nowMs) ?? 0;
+  }
+
   /** Requests that wait for tokens. */
   get waitingCount(): number {
     return this.waiting.size;
--- a/src/decisions/limits/limitTiming.ts
+++ b/src/decisions/limits/limitTiming.ts
@@ -13,7 +13,7 @@
 /** How long a holder keeps an unanswered request. */
 export const REQUEST_PARKED_MS = GRANT_VALIDITY_MS / 2;
 
-/** How often tokens are asked back from one entry daemon at most. */
+/** How often a holder asks for idle tokens at most. */
 export const RECALL_INTERVAL_MS = 50;
 
 /** Demand that a prefetched portion covers. */
--- a/src/decisions/limits/rateBucket.ts
+++ b/src/decisions/limits/rateBucket.ts
@@ -1,14 +1,14 @@
 import type { AccountId, LeaseId } from '../../common/ids/index.js';
 import type { AccountLimit } from './accountLimit.js';
-import { createLedger, getLedgerKey, type EntryLedger, type ParkedRequest } from './entryLedger.js';
+import { createLedger, getLedgerKey, type EntryLedger } from './entryLedger.js';
 import { type BucketOutput, LimiterOutputKind } from './limiterOutput.js';
 import {
   GRANT_SETTLED_MS,
   GRANT_VALIDITY_MS,
   LEDGER_RETENTION_MS,
   RECALL_INTERVAL_MS,
-  REQUEST_PARKED_MS,
 } from './limitTiming.js';
+import { type ParkedRequest, ParkedRequests } from './parkedRequests.js';
 import type { Settlement } from './settlement.js';
 import type { MessageToEntry, MessageToHolder } from './tokenMessage.js';
 import { TokenMessageKind } from './tokenMessageKind.js';
@@ -41,12 +41,13 @@
   protected readonly pool: TokenPool;
   private readonly startMs: number;
   private readonly ledgers = new Map<string, EntryLedger>();
-  private readonly parked = new Map<string, ParkedRequest>();
+  private readonly parked = new ParkedRequests();
   private openGrants: OpenGrant[] = [];
   private totalDemand = 0;
   private rate: number;
   private leaseEndMs = Number.POSITIVE_INFINITY;
   private sweptMs: number;
+  private recalledMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: RateBucketOptions) {
     this.account = options.account;
@@ -91,6 +92,11 @@
     return this.distribute(nowMs);
   }
 
+  /** Whether every grant of earlier holders has expired, so that this one grants. */
+  isReady(nowMs: number): boolean {
+    return nowMs >= this.startMs;
+  }
+
   /** Tokens granted and not settled. */
   getOutstanding(): number {
     return this.pool.getOutstanding();
@@ -153,7 +159,7 @@
     ledger.lastSequence = request.sequence;
     this.totalDemand += request.demand - ledger.demand;
     ledger.demand = request.demand;
-    this.parked.set(ledger.key, { request, receivedMs: nowMs });
+    this.parked.add(request, nowMs);
   }
 
   private advance(nowMs: number): void {
@@ -173,34 +179,35 @@
 
   private distribute(nowMs: number): BucketOutput[] {
     const outputs: BucketOutput[] = [];
-    if (nowMs < this.startMs || nowMs >= this.leaseEndMs) {
+    if (!this.isReady(nowMs) || nowMs >= this.leaseEndMs) {
       return outputs;
     }
-    this.dropStale(nowMs);
-    const urgent = [...this.parked.values()].filter((parked) => parked.request.urgent > 0);
-    for (const [index, parked] of urgent.entries()) {
-      const amount = this.getUrgentAmount(parked.request, urgent.length - index);
+    for (let next = this.parked.peekUrgent(nowMs); next !== undefined;) {
+      const amount = this.getUrgentAmount(next.request);
       if (amount === 0) {
         this.recall(nowMs, outputs);
         return outputs;
       }
-      outputs.push(this.grant(parked, amount, nowMs));
+      outputs.push(this.grant(next, amount, nowMs));
+      next = this.parked.peekUrgent(nowMs);
     }
     this.distributePrefetch(nowMs, outputs);
     return outputs;
   }
 
   private distributePrefetch(nowMs: number, outputs: BucketOutput[]): void {
-    for (const parked of this.parked.values()) {
-      const amount = Math.min(parked.request.wanted, this.getPrefetchable());
-      if (amount > 0) {
-        outputs.push(this.grant(parked, amount, nowMs));
+    for (let spare = this.getPrefetchable(); spare > 0; spare = this.getPrefetchable()) {
+      const next = this.parked.peekPrefetch(nowMs);
+      if (next === undefined) {
+        return;
       }
+      outputs.push(this.grant(next, Math.min(next.request.wanted, spare), nowMs));
     }
   }
 
-  private getUrgentAmount(request: TokenRequest, contenders: number): number {
+  private getUrgentAmount(request: TokenRequest): number {
     const whole = this.pool.getWhole();
+    const contenders = this.parked.urgentCount;
     if (whole < request.head) {
       return 0;
     }
@@ -220,7 +227,7 @@
   private grant(parked: ParkedRequest, amount: number, nowMs: number): BucketOutput {
     const { request, receivedMs } = parked;
     const ledger = this.getLedger(request, nowMs);
-    this.parked.delete(ledger.key);
+    this.parked.remove(request);
     this.pool.grant(amount);
     ledger.grants.set(request.sequence, amount);
     this.openGrants.push({
@@ -245,33 +252,24 @@
     return Math.max(equal, this.rate - (this.totalDemand - ledger.demand));
   }
 
+  /** Asks for the stock of entry daemons where no request waits. */
   private recall(nowMs: number, outputs: BucketOutput[]): void {
+    if (nowMs - this.recalledMs < RECALL_INTERVAL_MS) {
+      return;
+    }
+    this.recalledMs = nowMs;
     for (const ledger of this.ledgers.values()) {
-      const idle = ledger.grants.size > 0 && !this.isWaiting(ledger);
-      if (idle && nowMs - ledger.recalledMs >= RECALL_INTERVAL_MS) {
-        ledger.recalledMs = nowMs;
+      if (ledger.grants.size > 0 && !this.parked.isUrgent(ledger.key)) {
         const { account, lease } = this;
         outputs.push(this.send(ledger, { kind: TokenMessageKind.Recall, account, lease }));
       }
     }
   }
 
-  private isWaiting(ledger: EntryLedger): boolean {
-    return (this.parked.get(ledger.key)?.request.urgent ?? 0) > 0;
-  }
-
   private send(ledger: EntryLedger, message: MessageToEntry): BucketOutput {
     return { kind: LimiterOutputKind.Send, to: ledger.entry, message };
   }
 
-  private dropStale(nowMs: number): void {
-    for (const [key, parked] of this.parked) {
-      if (nowMs - parked.receivedMs > REQUEST_PARKED_MS) {
-        this.parked.delete(key);
-      }
-    }
-  }
-
   private forgetIdle(nowMs: number): void {
     if (nowMs - this.sweptMs < LEDGER_RETENTION_MS / 10) {
       return;
--- /dev/null
+++ b/src/decisions/limits/strictBound.test.ts
@@ -0,0 +1,358 @@
+import fc from 'fast-check';
+import { expect, test } from 'vitest';
+import {
+  createPeriods,
+  findExcess,
+  type LimitPeriod,
+} from '../../../bench/experiment/admissionBound.js';
+import { EventLoop } from '../../../bench/experiment/eventLoop.js';
+import { FakeNetwork, type NetworkConditions } from '../../../bench/experiment/fakeNetwork.js';
+import {
+  FleetDaemon,
+  type LimiterFactory,
+  ProductLimiterFactory,
+} from '../../../bench/experiment/fleetDaemon.js';
+import { SeededRandom } from '../../../bench/experiment/seededRandom.js';
+import { TokenFleet } from '../../../bench/experiment/tokenFleet.js';
+import { type HostId, type Incarnation, toAccountId, toRequestId } from '../../common/ids/index.js';
+import type { EntryLedger } from './entryLedger.js';
+import {
+  type AccountLimit,
+  EntryAccount,
+  EntryLimiter,
+  GRANT_SETTLED_MS,
+  RateBucket,
+  type RateBucketOptions,
+  type TokenGrant,
+  TokenLink,
+  TokenPool,
+} from './index.js';
+
+const DAEMONS = 4;
+const SEED = 20261204;
+const mill = toAccountId('mill');
+
+enum StepKind {
+  Burst,
+  Steady,
+  Move,
+  MoveLate,
+  Restart,
+  CutOff,
+  Pause,
+  Limit,
+}
+
+const stepKinds = [
+  StepKind.Burst,
+  StepKind.Steady,
+  StepKind.Move,
+  StepKind.MoveLate,
+  StepKind.Restart,
+  StepKind.CutOff,
+  StepKind.Pause,
+  StepKind.Limit,
+];
+
+interface Step {
+  readonly kind: StepKind;
+  readonly daemon: number;
+  readonly amount: number;
+  readonly thenMs: number;
+}
+
+interface Scenario {
+  readonly seed: number;
+  readonly limit: AccountLimit;
+  readonly conditions: NetworkConditions;
+  readonly drifts: readonly number[];
+  readonly steps: readonly Step[];
+}
+
+const limits = fc.record({
+  rate: fc.constantFrom(0.5, 3, 20, 100, 400),
+  burst: fc.constantFrom(1, 2, 10, 40),
+});
+
+const scenarios: fc.Arbitrary<Scenario> = fc.record({
+  seed: fc.integer({ min: 1, max: 1_000_000 }),
+  limit: limits,
+  conditions: fc.record({
+    delayMs: fc.constantFrom(0.5, 1.5, 20, 90),
+    jitterMs: fc.constantFrom(0, 5, 120),
+    loss: fc.constantFrom(0, 0.05, 0.4),
+    duplication: fc.constantFrom(0, 0.2),
+  }),
+  drifts: fc.array(fc.constantFrom(-0.01, -0.003, 0, 0.007, 0.01), {
+    minLength: DAEMONS,
+    maxLength: DAEMONS,
+  }),
+  steps: fc.array(
+    fc.record({
+      kind: fc.constantFrom(...stepKinds),
+      daemon: fc.integer({ min: 0, max: DAEMONS - 1 }),
+      amount: fc.integer({ min: 1, max: 60 }),
+      thenMs: fc.constantFrom(0, 30, 200, 495, 520, 1500),
+    }),
+    { minLength: 4, maxLength: 30 },
+  ),
+});
+
+/** One run of a scenario. */
+class ScenarioRun {
+  readonly loop = new EventLoop();
+  readonly fleet: TokenFleet;
+  readonly changes: LimitPeriod[] = [];
+  private readonly random: SeededRandom;
+  private readonly network: FakeNetwork;
+  private sent = 0;
+
+  constructor(
+    private readonly scenario: Scenario,
+    factory: LimiterFactory,
+  ) {
+    this.random = new SeededRandom(scenario.seed);
+    const conditions = { ...scenario.conditions };
+    this.network = new FakeNetwork(this.loop, this.random, conditions, (daemon) => daemon);
+    const daemons = scenario.drifts.map((drift, i) => new FleetDaemon(i, 500 * i, drift, factory));
+    this.fleet = new TokenFleet(this.loop, this.network, daemons, factory, undefined);
+    this.setLimit(scenario.limit);
+    this.fleet.assign(mill, 0);
+    const { rate, burst } = scenario.limit;
+    this.loop.runUntil(GRANT_SETTLED_MS * 2 + Math.min(30, burst / rate) * 1000);
+  }
+
+  /** Runs all steps, then ends the faults and lets the fleet come to rest. */
+  run(): void {
+    for (const step of this.scenario.steps) {
+      this.perform(step);
+      this.wait(step.thenMs);
+    }
+    Object.assign(this.network.conditions, { loss: 0, duplication: 0, jitterMs: 0 });
+    this.assign(1, 0);
+    this.loop.runUntil(this.loop.nowMs + 20_000);
+  }
+
+  private perform(step: Step): void {
+    const { kind, daemon, amount } = step;
+    switch (kind) {
+      case StepKind.Burst:
+        this.send(daemon, amount);
+        break;
+      case StepKind.Steady:
+        this.sendSteadily(amount);
+        break;
+      case StepKind.Move:
+        this.assign(daemon, 0);
+        break;
+      case StepKind.MoveLate:
+        this.fleet.assign(mill, undefined, amount);
+        this.wait(amount);
+        this.assign(daemon, amount);
+        break;
+      case StepKind.Restart:
+        this.restart(daemon);
+        break;
+      case StepKind.CutOff:
+        this.network.setCutOff(daemon, true);
+        this.loop.after(amount * 20, () => this.network.setCutOff(daemon, false));
+        break;
+      case StepKind.Pause:
+        this.fleet.pause(daemon, amount * 15);
+        break;
+      case StepKind.Limit:
+        this.setLimit({ rate: amount * 2, burst: Math.ceil(amount / 3) });
+        break;
+    }
+  }
+
+  private assign(daemon: number, tellDelayMs: number): void {
+    this.fleet.assign(mill, daemon, tellDelayMs);
+  }
+
+  private restart(daemon: number): void {
+    this.fleet.restart(daemon);
+    if (this.fleet.getHolder(mill) === undefined) {
+      this.assign((daemon + 1) % DAEMONS, 0);
+    }
+  }
+
+  private sendSteadily(count: number): void {
+    for (let index = 0; index < count; index += 1) {
+      const daemon = Math.floor(this.random.next() * DAEMONS);
+      this.loop.after(index * 15, () => this.send(daemon, 1));
+    }
+  }
+
+  private send(daemon: number, count: number): void {
+    for (let index = 0; index < count; index += 1) {
+      this.sent += 1;
+      const cost = this.sent % 7 === 0 ? 2 : 1;
+      this.fleet.request(daemon, toRequestId(`r${this.sent}`), mill, cost, 2500);
+    }
+  }
+
+  private setLimit(limit: AccountLimit): void {
+    this.changes.push({ fromMs: this.loop.nowMs, limit });
+    this.fleet.setLimit(mill, limit);
+  }
+
+  private wait(durationMs: number): void {
+    const endMs = this.loop.nowMs + durationMs;
+    while (this.loop.nowMs < endMs) {
+      this.loop.runUntil(Math.min(endMs, this.loop.nowMs + 5));
+      this.checkConservation();
+    }
+  }
+
+  private checkConservation(): void {
+    const bucket = this.fleet.getBucket(mill);
+    const burst = this.changes.at(-1)?.limit.burst ?? 0;
+    if (bucket !== undefined && this.fleet.isHolderReady(mill)) {
+      const held = bucket.getOutstanding();
+      expect(this.fleet.getStock(mill)).toBeLessThanOrEqual(held + 1e-6);
+      if (bucket.getAvailable() > 0) {
+        expect(bucket.getAvailable() + held).toBeLessThanOrEqual(burst + 1e-6);
+      }
+    }
+  }
+}
+
+function runScenario(scenario: Scenario, factory: LimiterFactory): ScenarioRun {
+  const run = new ScenarioRun(scenario, factory);
+  run.run();
+  return run;
+}
+
+let admitted = 0;
+
+function check(factory: LimiterFactory, runs: number): fc.RunDetails<[Scenario]> {
+  const property = fc.property(scenarios, (scenario) => {
+    const run = runScenario(scenario, factory);
+    const periods = createPeriods(run.changes, GRANT_SETTLED_MS * 1.02);
+    expect(findExcess(run.fleet.admissions, periods)).toBeUndefined();
+    admitted += run.fleet.admissions.length;
+    const bucket = run.fleet.getBucket(mill);
+    expect(run.fleet.waitingCount, 'waiting').toBe(0);
+    expect(bucket?.getOutstanding()).toBe(0);
+  });
+  return fc.check(property, { seed: SEED, numRuns: runs, endOnFailure: true });
+}
+
+test('rate and burst hold over every window and tokens are conserved under every fault', () => {
+  const details = check(new ProductLimiterFactory(), 150);
+  expect(details.failed, fc.defaultReportMessage(details)).toBe(false);
+  expect(admitted).toBeGreaterThan(3000);
+});
+
+/** The product with another bucket. */
+class BucketFactory extends ProductLimiterFactory {
+  constructor(private readonly Bucket: typeof RateBucket) {
+    super();
+  }
+
+  override createBucket(options: RateBucketOptions): RateBucket {
+    return new this.Bucket(options);
+  }
+}
+
+class EagerBucket extends RateBucket {
+  protected override getStartDelayMs(): number {
+    return 0;
+  }
+}
+
+class ReclaimingBucket extends RateBucket {
+  protected override expire(ledger: EntryLedger, sequence: number): void {
+    this.settle(ledger, { sequence, used: 0 });
+  }
+}
+
+class CarriedPool extends TokenPool {
+  constructor(limit: AccountLimit, startMs: number) {
+    super(limit, startMs);
+    this.available = limit.burst;
+  }
+}
+
+class ForgetfulPool extends TokenPool {
+  override refill(nowMs: number): void {
+    const outstanding = this.outstanding;
+    this.outstanding = 0;
+    super.refill(nowMs);
+    this.outstanding = outstanding;
+  }
+}
+
+class FastPool extends TokenPool {
+  override refill(nowMs: number): void {
+    const { limit } = this;
+    this.limit = { ...limit, rate: limit.rate * 1.02 };
+    super.refill(nowMs);
+    this.limit = limit;
+  }
+}
+
+class DoublingPool extends TokenPool {
+  override settle(amount: number, unused: number): void {
+    super.settle(amount, unused);
+    this.available += unused;
+  }
+}
+
+function createBucketClass(Pool: typeof TokenPool): typeof RateBucket {
+  return class extends RateBucket {
+    protected override createPool(limit: AccountLimit, startMs: number): TokenPool {
+      return new Pool(limit, startMs);
+    }
+  };
+}
+
+/** The product with another exchange at the entry daemons. */
+class LinkFactory extends ProductLimiterFactory {
+  constructor(private readonly Link: typeof TokenLink) {
+    super();
+  }
+
+  override createLimiter(entry: HostId, incarnation: Incarnation): EntryLimiter {
+    const { Link } = this;
+    class OtherAccount extends EntryAccount {
+      protected override createLink(host: HostId, life: Incarnation): TokenLink {
+        return new Link(this.account, host, life);
+      }
+    }
+    class OtherLimiter extends EntryLimiter {
+      protected override createAccount(account: typeof mill, limit: AccountLimit): EntryAccount {
+        return new OtherAccount(account, entry, incarnation, limit);
+      }
+    }
+    return new OtherLimiter(entry, incarnation);
+  }
+}
+
+class LongLivedLink extends TokenLink {
+  override accept(grant: TokenGrant, nowMs: number): number | undefined {
+    const expiresMs = super.accept(grant, nowMs);
+    return expiresMs === undefined ? undefined : expiresMs + grant.validityMs;
+  }
+}
+
+class UnboundLink extends TokenLink {
+  override accept(grant: TokenGrant, nowMs: number): number | undefined {
+    super.accept(grant, nowMs);
+    return nowMs + grant.validityMs;
+  }
+}
+
+test.each([
+  ['grants before the old ones ran out', new BucketFactory(EagerBucket)],
+  ['carries the burst over to a new holder', new BucketFactory(createBucketClass(CarriedPool))],
+  ['takes expired grants back as unused', new BucketFactory(ReclaimingBucket)],
+  ['does not count outstanding grants', new BucketFactory(createBucketClass(ForgetfulPool))],
+  ['trusts its clock to be exact', new BucketFactory(createBucketClass(FastPool))],
+  ['counts returned tokens twice', new BucketFactory(createBucketClass(DoublingPool))],
+  ['lets grants live longer than granted', new LinkFactory(LongLivedLink)],
+  ['accepts any grant and counts its life from receipt', new LinkFactory(UnboundLink)],
+])('the check finds a variant that %s', (_, factory) => {
+  expect(check(factory, 150).failed).toBe(true);
+});
