--- a/src/decisions/queue/deficitRoundRobin.ts
+++ b/src/decisions/queue/deficitRoundRobin.ts
@@ -1,6 +1,7 @@
 import type { AccountId } from '../../common/ids/index.js';
 import { AccountBacklog } from './accountBacklog.js';
 import { Fifo } from './fifo.js';
+import { getFluidWaitMs } from './fluidWait.js';
 import type { QueuedItem } from './queuedItem.js';
 import { QueuePolicy } from './queuePolicy.js';
 
@@ -63,14 +64,7 @@
   }
 
   override getWaitMs(accountId: AccountId, weight: number, slots: number): number {
-    const own = this.accounts.get(accountId)?.backlogMs ?? 0;
-    let ahead = own;
-    for (const other of this.active) {
-      if (other.account !== accountId) {
-        ahead += Math.min(other.backlogMs, (own * other.weight) / weight);
-      }
-    }
-    return ahead / Math.max(1, slots);
+    return getFluidWaitMs(this.active, this.accounts.get(accountId), weight, slots);
   }
 
   override left(item: QueuedItem): void {
--- a/src/decisions/queue/instanceQueue.ts
+++ b/src/decisions/queue/instanceQueue.ts
@@ -206,8 +206,9 @@
         return;
       }
       const record = this.accounts.get(queued.item.account);
-      if (queued.latestStartMs < nowMs) {
+      if (this.policy.isOverdue(queued, nowMs)) {
         this.policy.charge(queued, 0);
+        queued.state = QueuedState.HeldBack;
         this.refuseWaiting(queued, nowMs, outputs);
       } else if (this.mustHoldBack(queued, record)) {
         this.policy.charge(queued, 0);
--- a/src/decisions/queue/queuePolicy.ts
+++ b/src/decisions/queue/queuePolicy.ts
@@ -15,4 +15,9 @@
   abstract getWaitMs(account: AccountId, weight: number, slots: number): number;
   /** Called when an item left the queue without a start. */
   abstract left(item: QueuedItem): void;
+
+  /** Whether an item that is to start now has waited too long to be run. */
+  isOverdue(item: QueuedItem, nowMs: number): boolean {
+    return item.latestStartMs < nowMs;
+  }
 }
--- a/src/decisions/queue/queuedItem.ts
+++ b/src/decisions/queue/queuedItem.ts
@@ -4,7 +4,7 @@
 export enum QueuedState {
   /** Waits for a slot. */
   Waiting = 'waiting',
-  /** Waits until the account has fewer open transactions. */
+  /** Waits outside the policy's order, until the account has fewer open transactions. */
   HeldBack = 'held-back',
   /** Has a slot. */
   Running = 'running',
--- /dev/null
+++ b/src/decisions/queue/startTimeFairQueueing.ts
@@ -0,0 +1,108 @@
+import type { AccountId } from '../../common/ids/index.js';
+import { AccountBacklog } from './accountBacklog.js';
+import { BinaryHeap } from './binaryHeap.js';
+import { getFluidWaitMs } from './fluidWait.js';
+import type { QueuedItem } from './queuedItem.js';
+import { QueuePolicy } from './queuePolicy.js';
+
+class TaggedAccount extends AccountBacklog {
+  /** Virtual time up to which the account has been billed. */
+  finishTag = 0;
+  /** Virtual time by which the heap orders the account. */
+  startTag = 0;
+  isActive = false;
+}
+
+/**
+ * Start-time fair queueing over client accounts: the account with the smallest virtual start time
+ * is next; each start moves its time on by cost divided by weight.
+ */
+export class StartTimeFairQueueing extends QueuePolicy {
+  private readonly accounts = new Map<AccountId, TaggedAccount>();
+  private readonly active = new Set<TaggedAccount>();
+  private readonly heap = new BinaryHeap<TaggedAccount>(
+    (left, right) => left.startTag < right.startTag,
+  );
+  private virtualTime = 0;
+
+  override add(item: QueuedItem): void {
+    const account = this.getAccount(item);
+    account.add(item);
+    this.activate(account);
+  }
+
+  override addFirst(item: QueuedItem): void {
+    const account = this.getAccount(item);
+    account.addFirst(item);
+    this.activate(account);
+  }
+
+  override next(): QueuedItem | undefined {
+    for (let account = this.heap.pop(); account !== undefined; account = this.heap.pop()) {
+      if (account.peek() === undefined) {
+        this.deactivate(account);
+      } else if (account.finishTag > account.startTag) {
+        this.push(account, account.finishTag);
+      } else {
+        return this.take(account);
+      }
+    }
+    return undefined;
+  }
+
+  override charge(item: QueuedItem, measuredMs: number): void {
+    const account = this.accounts.get(item.item.account);
+    if (account !== undefined) {
+      account.finishTag += (measuredMs - item.estimateMs) / account.weight;
+    }
+  }
+
+  override getWaitMs(accountId: AccountId, weight: number, slots: number): number {
+    return getFluidWaitMs(this.active, this.accounts.get(accountId), weight, slots);
+  }
+
+  override left(item: QueuedItem): void {
+    this.accounts.get(item.item.account)?.left(item);
+  }
+
+  private take(account: TaggedAccount): QueuedItem | undefined {
+    const item = account.shift();
+    this.virtualTime = Math.max(this.virtualTime, account.startTag);
+    if (item !== undefined) {
+      account.finishTag = account.startTag + item.estimateMs / account.weight;
+    }
+    this.push(account, account.finishTag);
+    return item;
+  }
+
+  private push(account: TaggedAccount, startTag: number): void {
+    account.startTag = startTag;
+    this.heap.push(account);
+  }
+
+  private activate(account: TaggedAccount): void {
+    if (!account.isActive) {
+      account.isActive = true;
+      this.active.add(account);
+      this.push(account, Math.max(this.virtualTime, account.finishTag));
+      account.finishTag = account.startTag;
+    }
+  }
+
+  private deactivate(account: TaggedAccount): void {
+    account.isActive = false;
+    account.backlogMs = 0;
+    this.active.delete(account);
+  }
+
+  private getAccount(item: QueuedItem): TaggedAccount {
+    const id = item.item.account;
+    let account = this.accounts.get(id);
+    if (account === undefined) {
+      account = new TaggedAccount(id);
+      this.accounts.set(id, account);
+    }
+    account.weight = item.item.weight;
+    return account;
+  }
+}
--- /dev/null
+++ b/src/decisions/queue/totalBacklog.ts
@@ -0,0 +1,23 @@
+import type { QueuedItem } from './queuedItem.js';
+import { QueuePolicy } from './queuePolicy.js';
+
+/** A policy that does not tell accounts apart and keeps only the total backlog. */
+export abstract class TotalBacklog extends QueuePolicy {
+  private backlogMs = 0;
+
+  override charge(): void {
+    // No account is billed.
+  }
+
+  override getWaitMs(_account: unknown, _weight: number, slots: number): number {
+    return this.backlogMs / Math.max(1, slots);
+  }
+
+  override left(item: QueuedItem): void {
+    this.backlogMs = Math.max(0, this.backlogMs - item.estimateMs);
+  }
+
+  protected entered(item: QueuedItem): void {
+    this.backlogMs += item.estimateMs;
+  }
+}
