--- a/standin/instance/engine.ts
+++ b/standin/instance/engine.ts
@@ -11,6 +11,8 @@
   readonly plans = new PlanCache();
   private committed = new Database();
   private replica = true;
+  /** Rises whenever transactions that are open must not commit any more. */
+  private generation = 0;
   private replayedAtMs: number | undefined;
   private readonly recordHandlers = new Set<(record: LogRecord) => void>();
 
@@ -26,14 +28,20 @@
 
   /** Begins a transaction. */
   begin(): Transaction {
-    return new Transaction(this.committed);
+    return new Transaction(this.committed, this.generation);
   }
 
-  /** Commits a transaction; it may only have changes while this instance is the primary. */
+  /** Whether a transaction may commit: its history still stands, and a replica writes nothing. */
+  canCommit(transaction: Transaction): boolean {
+    const isWriter = !this.replica && transaction.generation === this.generation;
+    return isWriter || !transaction.hasChanges;
+  }
+
+  /** Commits a transaction. */
   commit(transaction: Transaction): void {
+    assertInvariant(this.canCommit(transaction), 'only a primary commits changes');
     const changes = transaction.hasChanges ? transaction.getChanges() : [];
     if (changes.length > 0) {
-      assertInvariant(!this.replica, 'only a primary commits changes');
       const record = this.log.commit(changes, Date.now());
       this.committed.apply(changes);
       this.notifyRecord(record);
@@ -64,6 +72,7 @@
   /** Becomes a replica. */
   demote(): void {
     this.replica = true;
+    this.generation += 1;
   }
 
   /** Follows another history: drops what is not part of it; tells whether anything was dropped. */
--- a/standin/platform/httpServer.ts
+++ b/standin/platform/httpServer.ts
@@ -85,7 +85,7 @@
     const isCutOff = faults.cutOff || (faults.platformCutOff && isForPlatform);
     if (isCutOff && !isForTests) {
       reply.hijack();
-      request.raw.destroy();
+      request.raw.socket.destroy();
     }
   }
 
@@ -136,7 +136,7 @@
       const start = await this.parts.promote({ group, instance, term: toTerm(term) });
       if (start === undefined) {
         reply.hijack();
-        request.raw.destroy();
+        request.raw.socket.destroy();
         return reply;
       }
       return start;
--- a/standin/storage/transaction.ts
+++ b/standin/storage/transaction.ts
@@ -14,7 +14,11 @@
   private readonly dropped = new Set<string>();
   private readonly endHandlers = new Set<() => void>();
 
-  constructor(private readonly database: Database) {}
+  constructor(
+    private readonly database: Database,
+    /** The generation of the engine in which it began. */
+    readonly generation: number,
+  ) {}
 
   /** Whether anything would be written by a commit. */
   get hasChanges(): boolean {
--- a/standin/wire/session.ts
+++ b/standin/wire/session.ts
@@ -124,7 +124,7 @@
     if (transaction === undefined) {
       return;
     }
-    if (isCommitted && !(engine.isReplica && transaction.hasChanges)) {
+    if (isCommitted && engine.canCommit(transaction)) {
       engine.commit(transaction);
       return;
     }
