--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -55,6 +55,7 @@
     '42501',
   ),
   AccountUnknown: refusal(2011, 'No client account "{account}" is in force.', '28000'),
+  TransactionFailed: refusal(2013, 'The transaction was lost; end it with ROLLBACK.', '25P02'),
   MessageMalformed: refusal(2012, 'A message of the caller was malformed.', '08P01'),
   StatementTimeout: error(2006, 'The statement exceeded its deadline of {deadline} ms.', '57014'),
 
--- /dev/null
+++ b/src/daemon/entry/index.ts
@@ -0,0 +1,2 @@
+export * from './dispatcher.js';
+export * from './remoteRequests.js';
--- /dev/null
+++ b/src/daemon/gateway/callerServer.ts
@@ -0,0 +1,157 @@
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import type { Logger } from '../../common/logging/index.js';
+import { splitAddress } from '../splitAddress.js';
+import type { AuthenticatedCaller } from './authenticatedCaller.js';
+import { CallerSession, type SessionContext } from './callerSession.js';
+import { CallerStartup } from './callerStartup.js';
+import type { CallerTls } from './callerTls.js';
+import { CallerWriter } from './callerWriter.js';
+import { CancelKeys } from './cancelKeys.js';
+import { readStartupParameters } from './readStartupParameters.js';
+import { encodeCancelKey, encodeError, encodeParameter, Severity } from './responses.js';
+
+const AUTHENTICATION_TIMEOUT_MS = 10_000;
+const SERVER_VERSION = '15.0 (filbertpoint)';
+
+const INITIAL_PARAMETERS: readonly (readonly [name: string, value: string])[] = [
+  ['server_version', SERVER_VERSION],
+  ['server_encoding', 'UTF8'],
+  ['client_encoding', 'UTF8'],
+  ['DateStyle', 'ISO, MDY'],
+  ['TimeZone', 'UTC'],
+  ['integer_datetimes', 'on'],
+  ['standard_conforming_strings', 'on'],
+];
+
+/** How callers are served. */
+export interface CallerServerOptions {
+  /** Address to listen at, `ip:port`. */
+  readonly listen: string;
+  readonly maximumConnections: number;
+  readonly tls: CallerTls | undefined;
+}
+
+/** Listens for callers and keeps their sessions. */
+export class CallerServer {
+  private readonly server: Server;
+  private readonly cancelKeys = new CancelKeys();
+  private readonly sessions = new Set<CallerSession>();
+  private readonly starting = new Set<Socket>();
+  private draining = false;
+
+  constructor(
+    private readonly options: CallerServerOptions,
+    private readonly context: SessionContext,
+    private readonly logger: Logger,
+  ) {
+    this.server = createServer({ noDelay: true, keepAlive: true }, (socket) => this.accept(socket));
+    this.server.maxConnections = options.maximumConnections;
+  }
+
+  /** Connected callers. */
+  get count(): number {
+    return this.sessions.size;
+  }
+
+  /** The port that callers connect to. */
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Starts to listen; fails when the address can't be had. */
+  async listen(): Promise<void> {
+    const { ip, port } = splitAddress(this.options.listen);
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, ip, resolve);
+    });
+  }
+
+  /** Ends sessions whose key or route is no longer in force. */
+  recordsChanged(): void {
+    for (const session of [...this.sessions]) {
+      session.recordsChanged();
+    }
+  }
+
+  /** Refuses new callers and ends each session once nothing runs in it. */
+  drain(): void {
+    this.draining = true;
+    this.server.close();
+    for (const socket of this.starting) {
+      socket.destroy();
+    }
+    for (const session of [...this.sessions]) {
+      session.drain();
+    }
+  }
+
+  /** Ends every session at once. */
+  close(): void {
+    this.drain();
+    const fault = createFault(Diagnostics.ShuttingDown, {}, { step: 'caller.close' });
+    for (const session of [...this.sessions]) {
+      session.fail(fault);
+    }
+  }
+
+  private accept(socket: Socket): void {
+    this.starting.add(socket);
+    socket.on('error', () => socket.destroy());
+    const cancelTimeout = this.context.timer.once(AUTHENTICATION_TIMEOUT_MS, () => {
+      const fault = createFault(Diagnostics.AuthenticationTimeout, {}, { step: 'caller.start' });
+      socket.end(encodeError(fault, Severity.Fatal));
+    });
+    const finish = (): void => {
+      cancelTimeout();
+      this.starting.delete(socket);
+    };
+    socket.once('close', finish);
+    const { access } = this.context;
+    const startup = { access, cancelKeys: this.cancelKeys, tls: this.options.tls };
+    new CallerStartup(
+      socket,
+      startup,
+      (caller) => {
+        finish();
+        this.begin(caller);
+      },
+      (fault) => {
+        finish();
+        this.reportRefused(fault, socket);
+      },
+    );
+  }
+
+  private begin(caller: AuthenticatedCaller): void {
+    const { socket } = caller;
+    const writer = new CallerWriter(socket);
+    const key = this.cancelKeys.add(() => session.cancel());
+    const session = new CallerSession(caller, writer, this.context, () => {
+      this.sessions.delete(session);
+      this.cancelKeys.remove(key);
+    });
+    this.sessions.add(session);
+    socket.on('close', () => session.close());
+    socket.on('end', () => session.close());
+    for (const [name, value] of INITIAL_PARAMETERS) {
+      writer.write(encodeParameter(name, value));
+    }
+    writer.write(encodeCancelKey(key.processId, key.secret));
+    session.applyStartup(readStartupParameters(caller.parameters));
+    socket.on('data', (bytes: Buffer) => session.receive(bytes));
+    socket.resume();
+    if (this.draining) {
+      session.drain();
+    }
+  }
+
+  private reportRefused(fault: Fault, socket: Socket): void {
+    this.logger.report(
+      Diagnostics.CallerRefused,
+      { reason: fault.message },
+      { step: fault.step, peer: socket.remoteAddress },
+    );
+  }
+}
--- /dev/null
+++ b/src/daemon/gateway/callerSession.ts
@@ -0,0 +1,293 @@
+import { createFault, Diagnostics, Execution, Fault } from '../../common/diagnostics/index.js';
+import type { GroupId } from '../../common/ids/index.js';
+import type { TimerService } from '../../common/timer/index.js';
+import type { StatementClassifier } from '../../decisions/routing/index.js';
+import { advanceSession, type TokenSigner } from '../../decisions/sessions/index.js';
+import {
+  ResponseReceiver,
+  toFault,
+  TransactionStatus,
+  type RequestOutcome,
+  type RunningRequest,
+} from '../requests/index.js';
+import type { AuthenticatedCaller } from './authenticatedCaller.js';
+import { BatchAssembler } from './batchAssembler.js';
+import type { CallerAccess } from './callerAccess.js';
+import type { CallerBatch } from './callerBatch.js';
+import type { CallerRequests } from './callerRequests.js';
+import type { CallerWriter } from './callerWriter.js';
+import { createDraft } from './createDraft.js';
+import { FrontendFrames } from './frontendFrames.js';
+import { FrontendType, getFrontendType } from './frontendType.js';
+import { answerLocally, isLocal } from './localAnswers.js';
+import { encodeError, encodeParameter, encodeReady, Severity } from './responses.js';
+import { SESSION_PARAMETER, SessionSettings } from './sessionSettings.js';
+
+const MAXIMUM_WAITING_BATCHES = 1000;
+const MAXIMUM_UNREAD_BATCHES = 64;
+
+/** What caller sessions share. */
+export interface SessionContext {
+  readonly timer: TimerService;
+  readonly access: CallerAccess;
+  readonly classifier: StatementClassifier;
+  readonly signer: TokenSigner;
+  readonly requests: CallerRequests;
+  readonly statementTimeoutMs: number;
+  readonly maximumMessageBytes: number;
+}
+
+/** One authenticated caller: reads its batches, has them run one after another, answers in order. */
+export class CallerSession {
+  private readonly settings: SessionSettings;
+  private readonly frames: FrontendFrames;
+  private readonly assembler: BatchAssembler;
+  private readonly waiting: CallerBatch[] = [];
+  private running: RunningRequest | undefined;
+  private busy = false;
+  private transaction: string | undefined;
+  /** The transaction was lost; the caller has not ended it yet. */
+  private failed = false;
+  private ended = false;
+  private draining = false;
+
+  constructor(
+    private readonly caller: AuthenticatedCaller,
+    private readonly writer: CallerWriter,
+    private readonly context: SessionContext,
+    private readonly onEnded: () => void,
+  ) {
+    const { signer, statementTimeoutMs, maximumMessageBytes, classifier } = context;
+    this.settings = new SessionSettings(caller.account, signer, statementTimeoutMs);
+    this.frames = new FrontendFrames(maximumMessageBytes);
+    this.assembler = new BatchAssembler(classifier);
+  }
+
+  /** Nothing runs, nothing waits and no transaction is open. */
+  get isIdle(): boolean {
+    return !this.busy && this.waiting.length === 0 && this.transaction === undefined;
+  }
+
+  /** Sets the parameters of the start-up message; a wrong one ends the session. */
+  applyStartup(parameters: ReadonlyMap<string, string>): void {
+    for (const [name, value] of parameters) {
+      const result = this.settings.trySet(name.toLowerCase(), value);
+      if (result.isErr()) {
+        this.fail(result.error);
+        return;
+      }
+    }
+    this.writer.write(encodeReady(TransactionStatus.Idle));
+  }
+
+  /** Takes bytes from the caller. */
+  receive(bytes: Buffer): void {
+    const messages = this.frames.tryPush(bytes);
+    if (messages.isErr()) {
+      this.fail(messages.error);
+      return;
+    }
+    try {
+      for (const message of messages.value) {
+        this.take(message);
+      }
+    } catch (error) {
+      if (!(error instanceof Fault)) {
+        throw error;
+      }
+      this.fail(error);
+    }
+    this.next();
+  }
+
+  /** Cancels what runs now. */
+  cancel(): void {
+    this.running?.cancel();
+  }
+
+  /** Ends the session if its key or route is no longer in force. */
+  recordsChanged(): void {
+    const { account, keyId, route } = this.caller;
+    const checked = this.context.access.tryCheck(account, keyId, route.route);
+    const isWithdrawn =
+      checked.isErr() && checked.error.diagnostic.code !== Diagnostics.LeaseExpired.code;
+    if (isWithdrawn) {
+      this.fail(checked.error);
+    }
+  }
+
+  /** Ends the session as soon as nothing runs in it. */
+  drain(): void {
+    this.draining = true;
+    if (this.isIdle) {
+      this.fail(createFault(Diagnostics.ShuttingDown, {}, { step: 'caller.drain' }));
+    }
+  }
+
+  /** Ends the session with a last error. */
+  fail(fault: Fault): void {
+    if (!this.ended) {
+      this.writer.end(encodeError(fault, Severity.Fatal));
+      this.close();
+    }
+  }
+
+  /** Forgets the caller and gives up what runs for it. */
+  close(): void {
+    if (this.ended) {
+      return;
+    }
+    this.ended = true;
+    this.waiting.length = 0;
+    this.running?.abandon();
+    if (this.transaction !== undefined) {
+      this.context.requests.abortTransaction(this.group, this.transaction);
+    }
+    this.onEnded();
+  }
+
+  private get group(): GroupId {
+    return this.caller.route.group;
+  }
+
+  private take(message: Buffer): void {
+    if (this.ended) {
+      return;
+    }
+    if (getFrontendType(message) === FrontendType.Terminate) {
+      this.writer.end();
+      this.close();
+      return;
+    }
+    const batch = this.assembler.take(message);
+    if (batch === undefined) {
+      return;
+    }
+    this.waiting.push(batch);
+    if (this.waiting.length > MAXIMUM_WAITING_BATCHES) {
+      this.fail(createFault(Diagnostics.TooManyRequests, {}, { step: 'caller.read' }));
+    }
+    this.writer.setReading(this.waiting.length < MAXIMUM_UNREAD_BATCHES);
+  }
+
+  private next(): void {
+    while (!this.busy && !this.ended) {
+      const batch = this.waiting.shift();
+      if (batch === undefined) {
+        this.writer.setReading(true);
+        if (this.draining) {
+          this.drain();
+        }
+        return;
+      }
+      this.run(batch);
+    }
+  }
+
+  private run(batch: CallerBatch): void {
+    const refused = this.findFault(batch);
+    if (refused !== undefined) {
+      this.writer.write(encodeError(refused));
+      this.ready(this.status);
+      return;
+    }
+    if (isLocal(batch, this.failed)) {
+      const answer = answerLocally(batch, this.settings, this.failed);
+      this.failed = answer.isFailed;
+      this.writer.write(answer.bytes);
+      this.ready(this.status);
+      return;
+    }
+    this.dispatch(batch);
+  }
+
+  private findFault(batch: CallerBatch): Fault | undefined {
+    const { account, keyId, route } = this.caller;
+    const checked = this.context.access.tryCheck(account, keyId, route.route);
+    return checked.isErr() ? checked.error : batch.fault;
+  }
+
+  private dispatch(batch: CallerBatch): void {
+    const { account } = this.caller;
+    const { settings, transaction, group } = this;
+    const draft = createDraft(batch, { account, group, settings, transaction });
+    const deadlineMs = this.context.timer.now() + settings.statementTimeoutMs;
+    this.busy = true;
+    const receiver = new SessionReceiver(this.writer, (outcome) => this.answered(outcome));
+    const running = this.context.requests.run(draft, batch.executed.length, deadlineMs, receiver);
+    receiver.running = running;
+    // The answer may have come at once.
+    this.running = this.isBusy() ? running : undefined;
+  }
+
+  private isBusy(): boolean {
+    return this.busy;
+  }
+
+  private answered(outcome: RequestOutcome): void {
+    this.busy = false;
+    this.running = undefined;
+    if (this.ended) {
+      if (outcome.transaction !== undefined) {
+        this.context.requests.abortTransaction(this.group, outcome.transaction);
+      }
+      return;
+    }
+    this.takeTransaction(outcome);
+    if (outcome.fault !== undefined) {
+      this.writer.write(encodeError(toFault(outcome.fault)));
+    }
+    if (outcome.position !== undefined) {
+      advanceSession(this.settings.positions, this.group, outcome.position);
+      if (outcome.wrote) {
+        this.writer.write(encodeParameter(SESSION_PARAMETER, this.settings.getToken()));
+      }
+    }
+    this.ready(outcome.fault === undefined ? outcome.status : this.status);
+    this.next();
+  }
+
+  private takeTransaction({ transaction, fault }: RequestOutcome): void {
+    const wasOpen = this.transaction !== undefined;
+    this.transaction = transaction;
+    if (transaction === undefined) {
+      this.assembler.endTransaction();
+      this.failed = wasOpen && fault !== undefined && fault.execution === Execution.NotRun;
+    }
+  }
+
+  private get status(): TransactionStatus {
+    if (this.failed) {
+      return TransactionStatus.Failed;
+    }
+    return this.transaction === undefined ? TransactionStatus.Idle : TransactionStatus.Open;
+  }
+
+  private ready(status: TransactionStatus): void {
+    this.writer.write(encodeReady(status));
+  }
+}
+
+/** Passes the bytes of one answer on to the caller, as fast as the caller takes them. */
+class SessionReceiver extends ResponseReceiver {
+  running: RunningRequest | undefined;
+
+  constructor(
+    private readonly writer: CallerWriter,
+    private readonly onFinished: (outcome: RequestOutcome) => void,
+  ) {
+    super();
+  }
+
+  private total = 0;
+
+  override accept(bytes: Uint8Array): void {
+    this.total += bytes.length;
+    const { total } = this;
+    this.writer.write(bytes, () => this.running?.consume(total));
+  }
+
+  override finish(outcome: RequestOutcome): void {
+    this.onFinished(outcome);
+  }
+}
--- /dev/null
+++ b/src/daemon/gateway/localAnswers.ts
@@ -0,0 +1,182 @@
+import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import { StatementKind, type Statement } from '../../decisions/routing/index.js';
+import { BatchItemKind, type BatchItem } from './batchItem.js';
+import type { CallerBatch } from './callerBatch.js';
+import {
+  BIND_COMPLETE,
+  CLOSE_COMPLETE,
+  EMPTY_QUERY,
+  encodeCommandComplete,
+  encodeError,
+  encodeTextColumn,
+  encodeTextRow,
+  NO_DATA,
+  NO_PARAMETERS,
+  PARSE_COMPLETE,
+} from './responses.js';
+import type { SessionSettings } from './sessionSettings.js';
+
+/** The answer to a batch that no backend server sees. */
+export interface LocalAnswer {
+  readonly bytes: Buffer;
+  /** The session is still in a transaction that was lost. */
+  readonly isFailed: boolean;
+}
+
+const LOCAL_KINDS: ReadonlySet<StatementKind> = new Set([
+  StatementKind.Set,
+  StatementKind.Show,
+  StatementKind.Empty,
+  StatementKind.Refused,
+]);
+
+/** Whether the proxy answers a batch itself: settings, refusals, and all in a lost transaction. */
+export function isLocal(batch: CallerBatch, isFailed: boolean): boolean {
+  if (isFailed || batch.executed.some(({ kind }) => kind === StatementKind.Refused)) {
+    return true;
+  }
+  const statements = getStatements(batch);
+  const hasLocal = statements.some(({ kind }) => isSettingKind(kind));
+  const isEmpty = batch.isSimple && statements.every(({ kind }) => kind === StatementKind.Empty);
+  const hasNothing = !batch.isSimple && batch.items.length === 0;
+  return hasLocal || isEmpty || hasNothing;
+}
+
+/** Answers a local batch. */
+export function answerLocally(
+  batch: CallerBatch,
+  settings: SessionSettings,
+  isFailed: boolean,
+): LocalAnswer {
+  if (isFailed) {
+    return answerInFailed(batch);
+  }
+  const foreign = getStatements(batch).find(({ kind }) => !LOCAL_KINDS.has(kind));
+  if (foreign !== undefined) {
+    const feature = 'a setting together with other statements';
+    return { bytes: encodeError(createUnsupported(feature)), isFailed };
+  }
+  const parts: Buffer[] = [];
+  const steps = batch.isSimple ? batch.executed.map(toSimpleSteps).flat() : batch.items;
+  for (const step of steps) {
+    const answer = answerStep(step, settings, batch.isSimple);
+    parts.push(...answer.parts);
+    if (answer.isError) {
+      break;
+    }
+  }
+  return { bytes: Buffer.concat(parts), isFailed };
+}
+
+interface StepAnswer {
+  readonly parts: readonly Buffer[];
+  readonly isError: boolean;
+}
+
+function answerStep(
+  { kind, statement }: BatchItem,
+  settings: SessionSettings,
+  isSimple: boolean,
+): StepAnswer {
+  switch (kind) {
+    case BatchItemKind.Parse:
+      return done(PARSE_COMPLETE);
+    case BatchItemKind.Bind:
+      return done(BIND_COMPLETE);
+    case BatchItemKind.Close:
+      return done(CLOSE_COMPLETE);
+    case BatchItemKind.DescribeStatement:
+      return done(NO_PARAMETERS, describe(statement));
+    case BatchItemKind.DescribePortal:
+      return done(describe(statement));
+    case BatchItemKind.Execute:
+      return execute(statement, settings, isSimple);
+  }
+}
+
+function execute(
+  statement: Statement | undefined,
+  settings: SessionSettings,
+  isSimple: boolean,
+): StepAnswer {
+  const { kind, parameter = '', value, feature = '' } = statement ?? {};
+  switch (kind) {
+    case StatementKind.Set:
+      return settings.trySet(parameter, value).match(
+        () => done(encodeCommandComplete(parameter === 'all' ? 'RESET' : 'SET')),
+        (fault) => refused(fault),
+      );
+    case StatementKind.Show: {
+      const shown = settings.show(parameter);
+      const column = isSimple ? [encodeTextColumn(parameter)] : [];
+      return shown === undefined
+        ? refused(createUnsupported(`SHOW ${parameter}`))
+        : done(...column, encodeTextRow(shown), encodeCommandComplete('SHOW'));
+    }
+    case StatementKind.Refused:
+      return refused(createUnsupported(feature));
+    default:
+      return done(EMPTY_QUERY);
+  }
+}
+
+function answerInFailed(batch: CallerBatch): LocalAnswer {
+  const [only] = batch.executed;
+  const isEnd = only?.kind === StatementKind.Rollback || only?.kind === StatementKind.Commit;
+  if (!isEnd || batch.executed.length !== 1) {
+    const fault = createFault(Diagnostics.TransactionFailed, {}, { step: 'caller.transaction' });
+    return { bytes: encodeError(fault), isFailed: true };
+  }
+  const steps = batch.isSimple ? [encodeCommandComplete('ROLLBACK')] : endInFailed(batch);
+  return { bytes: Buffer.concat(steps), isFailed: false };
+}
+
+function endInFailed(batch: CallerBatch): Buffer[] {
+  return batch.items.flatMap(({ kind }) => {
+    switch (kind) {
+      case BatchItemKind.Parse:
+        return [PARSE_COMPLETE];
+      case BatchItemKind.Bind:
+        return [BIND_COMPLETE];
+      case BatchItemKind.Close:
+        return [CLOSE_COMPLETE];
+      case BatchItemKind.DescribeStatement:
+        return [NO_PARAMETERS, NO_DATA];
+      case BatchItemKind.DescribePortal:
+        return [NO_DATA];
+      case BatchItemKind.Execute:
+        return [encodeCommandComplete('ROLLBACK')];
+    }
+  });
+}
+
+function getStatements(batch: CallerBatch): readonly Statement[] {
+  const parsed = batch.items.flatMap(({ statement }) => statement ?? []);
+  return [...batch.executed, ...parsed];
+}
+
+function toSimpleSteps(statement: Statement): BatchItem[] {
+  return [{ kind: BatchItemKind.Execute, statement }];
+}
+
+function isSettingKind(kind: StatementKind): boolean {
+  return kind === StatementKind.Set || kind === StatementKind.Show;
+}
+
+function describe(statement: Statement | undefined): Buffer {
+  return statement?.kind === StatementKind.Show
+    ? encodeTextColumn(statement.parameter ?? '')
+    : NO_DATA;
+}
+
+function done(...parts: readonly Buffer[]): StepAnswer {
+  return { parts, isError: false };
+}
+
+function refused(fault: Fault): StepAnswer {
+  return { parts: [encodeError(fault)], isError: true };
+}
+
+function createUnsupported(feature: string): Fault {
+  return createFault(Diagnostics.FeatureNotSupported, { feature }, { step: 'caller.statement' });
+}
--- /dev/null
+++ b/src/daemon/gateway/readStartupParameters.ts
@@ -0,0 +1,18 @@
+const NOT_SETTINGS: ReadonlySet<string> = new Set(['user', 'database', 'replication', 'options']);
+const OPTION = /(?:^|\s)(?:-c\s*|--)([A-Za-z_][\w.]*)=((?:\\.|\S)*)/g;
+
+/** The settings of a start-up message, also those inside its `options` (`-c name=value`). */
+export function readStartupParameters(
+  parameters: Readonly<Record<string, string>>,
+): ReadonlyMap<string, string> {
+  const settings = new Map<string, string>();
+  for (const [name, value] of Object.entries(parameters)) {
+    if (!NOT_SETTINGS.has(name)) {
+      settings.set(name, value);
+    }
+  }
+  for (const match of (parameters.options ?? '').matchAll(OPTION)) {
+    settings.set(match[1] ?? '', (match[2] ?? '').replaceAll(/\\(.)/g, '$1'));
+  }
+  return settings;
+}
