--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -207,7 +207,15 @@
     'No token file is set for {access}; any local process has access.',
   ),
 
-  // 8500: mesh
+  // 8500: mesh, control shell
+  LeadershipLost: refusal(8510, 'The control leader changed: the outcome is not known here.'),
+  ControlRoleChanged: message(8511, 'This control host is now {role}.'),
+  PlatformFailed: error(8512, 'The platform did not promote: {reason}.'),
+  ControlUnreachable: refusal(8513, 'The control quorum could not be reached in time.'),
+  ControlRefused: refusal(8514, '{reason}'),
+  LeaseTaken: message(8515, 'This daemon holds its lease.'),
+  LeaseLost: warning(8516, 'This daemon lost its lease.'),
+  DataFolderNew: message(8517, 'The log was founded here under identity {identity}.'),
   MeshFrameInvalid: warning(8500, 'A frame from another daemon was invalid: {reason}.'),
   MeshLinkSilent: warning(8501, 'A link gave no sign for {silent} ms and was closed.'),
   MeshLinkLost: message(8502, 'A link was lost: {reason}.'),
--- /dev/null
+++ b/src/daemon/control/controlHost.ts
@@ -0,0 +1,236 @@
+import { err, ok, type Result } from 'neverthrow';
+import { Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import { toLogPosition, type HostId, type Revision } from '../../common/ids/index.js';
+import type { Logger } from '../../common/logging/index.js';
+import type { RandomSource } from '../../common/random.js';
+import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
+import {
+  getNextMembershipChange,
+  Role,
+  toMemberId,
+  type ConsensusMessage,
+  type MemberId,
+} from '../../decisions/consensus/index.js';
+import {
+  CommandKind,
+  ControlInputKind,
+  ControlLeader,
+  ControlOutputKind,
+  type Command,
+  type CommandAnswer,
+  type ControlInput,
+  type ControlOutput,
+  type ControlState,
+  type Promote,
+} from '../../decisions/control/index.js';
+import { MeshKind, type Mesh, type MeshLink, type MeshMessage } from '../mesh/index.js';
+import type { RequestIds } from '../requests/index.js';
+import type { LogStorage, OpenedLog } from '../storage/index.js';
+import { ControlCallKind, type ControlCallContent } from './controlCalls.js';
+import type { MemberAddresses } from './memberAddresses.js';
+import type { Platform } from './platform.js';
+import { QuorumMember, type QuorumListener } from './quorumMember.js';
+
+const TICK_INTERVAL_MS = 20;
+const MEMBERSHIP_INTERVAL_MS = 200;
+const NO_POSITION = toLogPosition(0);
+
+/** What a control host is made from. */
+export interface ControlHostOptions {
+  readonly host: HostId;
+  readonly mesh: Mesh;
+  readonly timer: TimerService;
+  readonly logger: Logger;
+  readonly random: RandomSource;
+  readonly ids: RequestIds;
+  readonly storage: LogStorage<Command>;
+  readonly opened: OpenedLog<Command>;
+  readonly state: ControlState;
+  readonly addresses: MemberAddresses;
+  readonly platform: Platform;
+  /** The daemon can't go on, as after its disk failed. */
+  readonly onFatal: (fault: Fault) => void;
+}
+
+/** The control role of a daemon: a member of the quorum and, when elected, its leader. */
+export class ControlHost implements QuorumListener {
+  private readonly member: QuorumMember;
+  private readonly leader: ControlLeader;
+  private readonly links = new Map<HostId, MeshLink>();
+  private readonly subscriptions: Unsubscribe[] = [];
+
+  constructor(private readonly options: ControlHostOptions) {
+    const { opened, storage, state, ids, timer, random, mesh } = options;
+    this.member = new QuorumMember(opened, storage, state, ids, timer, random, this);
+    this.leader = new ControlLeader(state);
+    mesh.receive(MeshKind.Consensus, ({ message }) =>
+      this.member.receive(message.content as ConsensusMessage<Command>),
+    );
+    mesh.receive(MeshKind.LeaseRenewal, ({ link, message }) => this.renew(link, message));
+    mesh.receive(MeshKind.ControlCall, ({ link, message }) => void this.answer(link, message));
+  }
+
+  /** Begins to take part in the quorum. */
+  start(): void {
+    const { timer } = this.options;
+    this.member.start();
+    this.subscriptions.push(
+      timer.subscribe(TICK_INTERVAL_MS, () => this.tell({ kind: ControlInputKind.Tick })),
+      timer.subscribe(MEMBERSHIP_INTERVAL_MS, () => this.adjustMembership()),
+    );
+  }
+
+  /** Hands leadership over and ends the membership in the quorum's work. */
+  async stop(): Promise<void> {
+    this.member.transferLeadership();
+    for (const unsubscribe of this.subscriptions.splice(0)) {
+      unsubscribe();
+    }
+    await this.member.stop();
+  }
+
+  send(to: MemberId, message: ConsensusMessage<Command>): void {
+    const address = this.options.addresses.find(to);
+    if (address !== undefined) {
+      const { identity: from } = this.member;
+      this.options.mesh.send(address, { kind: MeshKind.Consensus, from, to, content: message });
+    }
+  }
+
+  committed(command: Command, revision: Revision, answer: CommandAnswer): void {
+    this.tell({ kind: ControlInputKind.Committed, command, revision, answer });
+  }
+
+  leadershipChanged(role: Role, term: number): void {
+    const { logger, host } = this.options;
+    logger.report(Diagnostics.ControlRoleChanged, { role }, { step: 'control.role', term });
+    if (role !== Role.Leader) {
+      this.tell({ kind: ControlInputKind.LostLeadership });
+      return;
+    }
+    void this.member.passBarrier().then((passed) => {
+      if (passed.isOk() && this.member.isLeader && this.member.term === term) {
+        this.tell({ kind: ControlInputKind.BecameLeader, host, controlTerm: term });
+      }
+    });
+  }
+
+  storageFailed(fault: Fault): void {
+    this.options.onFatal(fault);
+  }
+
+  private tell(input: ControlInput): void {
+    this.perform(this.leader.handle(input, this.options.timer.now()));
+  }
+
+  private perform(outputs: readonly ControlOutput[]): void {
+    for (const output of outputs) {
+      switch (output.kind) {
+        case ControlOutputKind.Propose:
+          void this.member.propose(output.command);
+          break;
+        case ControlOutputKind.Grant:
+          this.sendTo(output.host, { kind: MeshKind.LeaseGrant, grant: output.grant });
+          break;
+        case ControlOutputKind.Update:
+          for (const host of output.hosts) {
+            this.sendTo(host, { kind: MeshKind.RecordUpdate, update: output.update });
+          }
+          break;
+        case ControlOutputKind.Promote:
+          this.promote(output);
+          break;
+        case ControlOutputKind.Log:
+          this.options.logger.report(output.diagnostic, output.values, { step: 'control.leader' });
+          break;
+      }
+    }
+  }
+
+  private promote(order: Promote): void {
+    const { group, instance, term } = order;
+    const result = { kind: ControlInputKind.PromotionResult, group, instance, term } as const;
+    void this.options.platform.promote(order).match(
+      (position) => this.tell({ ...result, ok: true, position }),
+      (fault) => {
+        this.options.logger.reportFault(fault, { term });
+        this.tell({ ...result, ok: false, position: NO_POSITION });
+      },
+    );
+  }
+
+  private renew(
+    link: MeshLink,
+    message: Extract<MeshMessage, { kind: MeshKind.LeaseRenewal }>,
+  ): void {
+    if (!this.member.isLeader) {
+      link.send({ kind: MeshKind.LeaseRedirect, ...this.getLeaderHint() });
+      return;
+    }
+    const { renewal } = message;
+    this.links.set(renewal.host, link);
+    const mayGrant = this.member.isLeaseValid();
+    this.tell({ kind: ControlInputKind.Renewal, renewal, mayGrant });
+  }
+
+  private sendTo(host: HostId, message: MeshMessage): void {
+    const link = this.links.get(host);
+    if (link?.isClosed === true) {
+      this.links.delete(host);
+      return;
+    }
+    link?.send(message);
+  }
+
+  private async answer(
+    link: MeshLink,
+    { id, content }: Extract<MeshMessage, { kind: MeshKind.ControlCall }>,
+  ): Promise<void> {
+    const result = await this.call(content as ControlCallContent);
+    const message = result.match(
+      (answer) => ({ content: answer }),
+      (fault) => ({ fault: { code: fault.diagnostic.code, message: fault.message } }),
+    );
+    link.send({ kind: MeshKind.ControlAnswer, id, ...message, ...this.getLeaderHint() });
+  }
+
+  private async call(content: ControlCallContent): Promise<Result<unknown, Fault>> {
+    if (content.kind === ControlCallKind.SubmitTicket) {
+      const command = { kind: CommandKind.SubmitTicket, ticket: content.ticket } as const;
+      const proposed = await this.member.propose(command);
+      return proposed.map(({ ticket }) => ticket);
+    }
+    const passed = await this.member.passBarrier();
+    if (passed.isErr()) {
+      return err(passed.error);
+    }
+    const nowMs = this.options.timer.now();
+    switch (content.kind) {
+      case ControlCallKind.ReadTicket:
+        return ok(this.options.state.getTicket(content.number));
+      case ControlCallKind.ReadInForce:
+        return ok(this.leader.getReadings(content.subject, nowMs));
+      case ControlCallKind.ReadStatus:
+        return ok(this.leader.getStatus(nowMs));
+    }
+  }
+
+  private getLeaderHint(): { readonly leader?: string } {
+    const { leader } = this.member;
+    const address = leader === undefined ? undefined : this.options.addresses.find(leader);
+    return address === undefined ? {} : { leader: address };
+  }
+
+  /** Brings the quorum's members nearer to those that the ticket in force names. */
+  private adjustMembership(): void {
+    const wanted = this.options.state.getControlMembers()?.members;
+    if (wanted === undefined || !this.member.isLeader || !this.member.isMembershipCommitted) {
+      return;
+    }
+    const ids = wanted.map(({ member }) => toMemberId(member));
+    const change = getNextMembershipChange(this.member.membership, ids);
+    if (change !== undefined) {
+      this.member.changeMembership(change);
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/control/memberAddresses.ts
@@ -0,0 +1,34 @@
+import type { MemberId } from '../../decisions/consensus/index.js';
+import type { ControlState } from '../../decisions/control/index.js';
+
+const LIFE_SEPARATOR = '~';
+
+/** A control host as the settings name it. */
+export interface ConfiguredMember {
+  readonly host: string;
+  readonly address: string;
+}
+
+/** Identity of a host's log after an earlier one was lost. */
+export function createReplacementName(host: string, life: string): string {
+  return `${host}${LIFE_SEPARATOR}${life}`;
+}
+
+/** Finds the mesh addresses of quorum members: from the ticket in force, else from the settings. */
+export class MemberAddresses {
+  constructor(
+    private readonly configured: readonly ConfiguredMember[],
+    private readonly state: Pick<ControlState, 'getControlMembers'>,
+  ) {}
+
+  find(member: MemberId): string | undefined {
+    const inForce = this.state.getControlMembers()?.members;
+    const known = inForce?.find((candidate) => candidate.member === member);
+    return known?.address ?? this.findConfigured(member);
+  }
+
+  private findConfigured(member: MemberId): string | undefined {
+    const host = member.split(LIFE_SEPARATOR)[0];
+    return this.configured.find((candidate) => candidate.host === host)?.address;
+  }
+}
--- /dev/null
+++ b/src/daemon/control/meshControlClient.ts
@@ -0,0 +1,118 @@
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import type { RequestId, TicketNumber } from '../../common/ids/index.js';
+import type { Outcome } from '../../common/result.js';
+import type { TimerService } from '../../common/timer/index.js';
+import type {
+  Announcement,
+  FleetStatus,
+  SubjectReading,
+  TicketAnswer,
+} from '../../decisions/control/index.js';
+import type { Ticket } from '../../decisions/tickets/index.js';
+import type { ControlRoute } from '../lease/index.js';
+import { MeshKind, type ControlAnswer, type Mesh } from '../mesh/index.js';
+import { ControlClient } from '../operators/index.js';
+import type { RequestIds } from '../requests/index.js';
+import { ControlCallKind, type ControlCallContent } from './controlCalls.js';
+import { PendingCalls } from './pendingCalls.js';
+
+const ATTEMPT_TIMEOUT_MS = 1000;
+const CALL_TIMEOUT_MS = 6000;
+const RETRY_DELAY_MS = 50;
+
+/** Diagnostics after which a call is made again, perhaps to another control host. */
+const RETRIED: ReadonlySet<number> = new Set([
+  Diagnostics.NotControlLeader.code,
+  Diagnostics.LeadershipLost.code,
+]);
+
+/** Calls the control leader over the mesh, wherever it is. */
+export class MeshControlClient extends ControlClient {
+  private readonly pending = new PendingCalls<ControlAnswer | undefined>();
+
+  constructor(
+    private readonly mesh: Mesh,
+    private readonly route: ControlRoute,
+    private readonly ids: RequestIds,
+    private readonly timer: TimerService,
+    private readonly takeAnnouncement: (announcement: Announcement) => void,
+  ) {
+    super();
+    mesh.receive(MeshKind.ControlAnswer, ({ message }) => {
+      this.pending.answer(message.id, message);
+    });
+  }
+
+  override submitTicket(ticket: Ticket): Outcome<TicketAnswer> {
+    return this.call({ kind: ControlCallKind.SubmitTicket, ticket });
+  }
+
+  override readTicket(number: TicketNumber): Outcome<Ticket | undefined> {
+    return this.call({ kind: ControlCallKind.ReadTicket, number });
+  }
+
+  override readInForce(subject: string | undefined): Outcome<readonly SubjectReading[]> {
+    const kind = ControlCallKind.ReadInForce;
+    return this.call(subject === undefined ? { kind } : { kind, subject });
+  }
+
+  override readStatus(): Outcome<FleetStatus> {
+    return this.call({ kind: ControlCallKind.ReadStatus });
+  }
+
+  override announce(announcement: Announcement): void {
+    this.takeAnnouncement(announcement);
+  }
+
+  private call<Answer>(content: ControlCallContent): Outcome<Answer> {
+    return new ResultAsync(this.callUntilAnswered(content)).map((answer) => answer as Answer);
+  }
+
+  private async callUntilAnswered(content: ControlCallContent): Promise<Result<unknown, Fault>> {
+    const endMs = this.timer.now() + CALL_TIMEOUT_MS;
+    while (this.timer.now() < endMs) {
+      const address = this.route.choose(this.timer.now());
+      const answer = await this.attempt(address, content);
+      if (answer === undefined) {
+        this.route.failed();
+      } else if (answer.fault === undefined) {
+        return ok(answer.content);
+      } else if (RETRIED.has(answer.fault.code)) {
+        this.route.redirected(address, answer.leader);
+      } else {
+        return err(createRefusal(answer.fault.message, address));
+      }
+      await this.pause();
+    }
+    const context = { step: 'control.call', retryAfterMs: ATTEMPT_TIMEOUT_MS };
+    return err(createFault(Diagnostics.ControlUnreachable, {}, context));
+  }
+
+  private attempt(
+    address: string,
+    content: ControlCallContent,
+  ): Promise<ControlAnswer | undefined> {
+    const id: RequestId = this.ids.next();
+    return new Promise((resolve) => {
+      const cancel = this.timer.once(ATTEMPT_TIMEOUT_MS, () => {
+        this.pending.answer(id, undefined);
+      });
+      this.pending.add(id, (answer) => {
+        cancel();
+        resolve(answer);
+      });
+      this.mesh.send(address, { kind: MeshKind.ControlCall, id, content });
+    });
+  }
+
+  private pause(): Promise<void> {
+    return new Promise((resolve) => {
+      this.timer.once(RETRY_DELAY_MS, () => resolve());
+    });
+  }
+}
+
+function createRefusal(reason: string, peer: string): Fault {
+  return createFault(Diagnostics.ControlRefused, { reason }, { step: 'control.call', peer });
+}
--- /dev/null
+++ b/src/daemon/control/quorumMember.ts
@@ -0,0 +1,249 @@
+import { Packr } from 'msgpackr';
+import { err, ok, type Result } from 'neverthrow';
+import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
+import { toRevision, type RequestId, type Revision } from '../../common/ids/index.js';
+import type { RandomSource } from '../../common/random.js';
+import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
+import {
+  ConsensusMember,
+  ConsensusRules,
+  defaultConsensusSettings,
+  EntryKind,
+  InputKind,
+  OutputKind,
+  Role,
+  type ConsensusInput,
+  type ConsensusMessage,
+  type ConsensusOutput,
+  type LogEntry,
+  type MemberId,
+  type MembershipChange,
+  type PersistOutput,
+  type Snapshot,
+} from '../../decisions/consensus/index.js';
+import type {
+  Command,
+  CommandAnswer,
+  ControlSnapshot,
+  ControlState,
+} from '../../decisions/control/index.js';
+import type { RequestIds } from '../requests/index.js';
+import type { LogStorage, OpenedLog } from '../storage/index.js';
+import { PendingCalls } from './pendingCalls.js';
+
+const TICK_INTERVAL_MS = 10;
+
+/** What a quorum member tells its owner. */
+export interface QuorumListener {
+  send(to: MemberId, message: ConsensusMessage<Command>): void;
+  /** A command was committed and applied. */
+  committed(command: Command, revision: Revision, answer: CommandAnswer): void;
+  /** The role, term or known leader changed. */
+  leadershipChanged(role: Role, term: number): void;
+  /** The log can't be kept any more: this host must stop. */
+  storageFailed(fault: Fault): void;
+}
+
+interface Proposal {
+  readonly id: RequestId;
+  readonly term: number;
+}
+
+/** One member of the control quorum with its storage and its copy of the control state. */
+export class QuorumMember {
+  private readonly codec = new Packr({ useRecords: false, int64AsType: 'number' });
+  private readonly member: ConsensusMember<Command>;
+  private readonly proposals = new PendingCalls<Result<CommandAnswer, Fault>>();
+  private readonly barriers = new PendingCalls<Result<void, Fault>>();
+  private readonly appended = new Map<number, Proposal>();
+  private readonly stopTicks: Unsubscribe;
+  private appliedIndex = 0;
+
+  constructor(
+    opened: OpenedLog<Command>,
+    private readonly storage: LogStorage<Command>,
+    private readonly state: ControlState,
+    private readonly ids: RequestIds,
+    private readonly timer: TimerService,
+    random: RandomSource,
+    private readonly listener: QuorumListener,
+  ) {
+    this.member = new ConsensusMember<Command>({
+      identity: opened.identity,
+      settings: defaultConsensusSettings,
+      random,
+      stored: opened.state,
+      measureCommand: (command) => this.codec.pack(command).byteLength,
+      rules: new ConsensusRules(),
+    });
+    this.stopTicks = timer.subscribe(TICK_INTERVAL_MS, () => this.input({ kind: InputKind.Tick }));
+  }
+
+  get identity(): MemberId {
+    return this.member.identity;
+  }
+
+  get isLeader(): boolean {
+    return this.member.role === Role.Leader;
+  }
+
+  /** The leader as far as this member knows. */
+  get leader(): MemberId | undefined {
+    return this.member.leader;
+  }
+
+  get term(): number {
+    return this.member.term;
+  }
+
+  get membership() {
+    return this.member.membership;
+  }
+
+  get isMembershipCommitted(): boolean {
+    return this.member.isMembershipCommitted;
+  }
+
+  /** Whether this member leads and no other can, at this very moment. */
+  isLeaseValid(): boolean {
+    return this.member.isLeaseValid(this.timer.now());
+  }
+
+  /** Begins to take part; call once. */
+  start(): void {
+    this.perform(this.member.start(this.timer.now()));
+  }
+
+  /** Takes a message of another member in. */
+  receive(message: ConsensusMessage<Command>): void {
+    this.input({ kind: InputKind.Receive, message });
+  }
+
+  /** Proposes a command; the answer comes once it is committed and applied. */
+  propose(command: Command): Promise<Result<CommandAnswer, Fault>> {
+    const request = this.ids.next();
+    return new Promise((resolve) => {
+      this.proposals.add(request, resolve);
+      this.input({ kind: InputKind.Propose, request, command });
+    });
+  }
+
+  /** Waits until reading the control state is linearizable. */
+  passBarrier(): Promise<Result<void, Fault>> {
+    const request = this.ids.next();
+    return new Promise((resolve) => {
+      this.barriers.add(request, resolve);
+      this.input({ kind: InputKind.RequestReadBarrier, request });
+    });
+  }
+
+  /** Changes one member of the quorum; a change that can't be made now is dropped. */
+  changeMembership(change: MembershipChange): void {
+    this.input({ kind: InputKind.ChangeMembership, request: this.ids.next(), change });
+  }
+
+  /** Hands leadership to another member, before a planned stop. */
+  transferLeadership(): void {
+    this.input({ kind: InputKind.TransferLeadership });
+  }
+
+  async stop(): Promise<void> {
+    this.stopTicks();
+    this.failPending();
+    await this.storage.close();
+  }
+
+  private input(input: ConsensusInput<Command>): void {
+    this.perform(this.member.handle(input, this.timer.now()));
+  }
+
+  private perform(outputs: readonly ConsensusOutput<Command>[]): void {
+    for (const output of outputs) {
+      this.performOne(output);
+    }
+  }
+
+  private performOne(output: ConsensusOutput<Command>): void {
+    switch (output.kind) {
+      case OutputKind.Send:
+        this.listener.send(output.to, output.message);
+        return;
+      case OutputKind.Persist:
+        this.persist(output);
+        return;
+      case OutputKind.Commit:
+        this.apply(output.entries);
+        return;
+      case OutputKind.RestoreSnapshot:
+        this.restore(output.snapshot);
+        return;
+      case OutputKind.SnapshotDue:
+        this.compact();
+        return;
+      case OutputKind.ProposalAppended:
+        this.appended.set(output.index, { id: output.request, term: output.term });
+        return;
+      case OutputKind.ProposalRefused:
+        this.proposals.answer(output.request, err(output.fault));
+        return;
+      case OutputKind.ReadReady:
+        this.barriers.answer(output.request, ok());
+        return;
+      case OutputKind.ReadFailed:
+        this.barriers.answer(output.request, err(output.fault));
+        return;
+      case OutputKind.LeadershipChanged:
+        if (output.role !== Role.Leader) {
+          this.failPending();
+        }
+        this.listener.leadershipChanged(output.role, output.term);
+    }
+  }
+
+  private persist(change: PersistOutput<Command>): void {
+    void this.storage.persist(change).match(
+      (sequence) => this.input({ kind: InputKind.Persisted, sequence }),
+      (fault) => this.listener.storageFailed(fault),
+    );
+  }
+
+  private apply(entries: readonly LogEntry<Command>[]): void {
+    for (const entry of entries) {
+      this.appliedIndex = entry.index;
+      const proposal = this.appended.get(entry.index);
+      this.appended.delete(entry.index);
+      if (entry.kind === EntryKind.Command) {
+        const revision = toRevision(entry.index);
+        const answer = this.state.apply(entry.command, revision);
+        this.listener.committed(entry.command, revision, answer);
+        if (proposal?.term === entry.term) {
+          this.proposals.answer(proposal.id, ok(answer));
+        }
+      }
+      if (proposal !== undefined && proposal.term !== entry.term) {
+        this.proposals.answer(proposal.id, err(createUndecided()));
+      }
+    }
+  }
+
+  private restore(snapshot: Snapshot): void {
+    this.appliedIndex = snapshot.index;
+    this.state.restore(this.codec.unpack(snapshot.state) as ControlSnapshot);
+  }
+
+  private compact(): void {
+    const state = this.codec.pack(this.state.createSnapshot());
+    this.input({ kind: InputKind.Compact, index: this.appliedIndex, state });
+  }
+
+  private failPending(): void {
+    this.appended.clear();
+    this.proposals.answerAll(err(createUndecided()));
+    this.barriers.answerAll(err(createUndecided()));
+  }
+}
+
+function createUndecided(): Fault {
+  const context = { step: 'control.propose', execution: Execution.Unknown };
+  return createFault(Diagnostics.LeadershipLost, {}, context);
+}
--- /dev/null
+++ b/src/daemon/createControlHost.ts
@@ -0,0 +1,77 @@
+import { randomBytes } from 'node:crypto';
+import { join } from 'node:path';
+import { Diagnostics, type Fault } from '../common/diagnostics/index.js';
+import { toHostId } from '../common/ids/index.js';
+import type { Logger } from '../common/logging/index.js';
+import type { RandomSource } from '../common/random.js';
+import type { Outcome } from '../common/result.js';
+import type { Settings } from '../common/settings/index.js';
+import type { TimerService } from '../common/timer/index.js';
+import { createEmptyState, createFoundingState, toMemberId } from '../decisions/consensus/index.js';
+import { ControlState, type Command } from '../decisions/control/index.js';
+import {
+  ControlHost,
+  createReplacementName,
+  HttpPlatform,
+  MemberAddresses,
+} from './control/index.js';
+import type { Mesh } from './mesh/index.js';
+import type { RequestIds } from './requests/index.js';
+import { splitAddress } from './splitAddress.js';
+import { FileLogStorage, FolderDisk, type LogFounding } from './storage/index.js';
+
+const LOG_FOLDER = 'control-log';
+const LIFE_BYTES = 4;
+
+/** What a control host shares with the rest of its daemon. */
+export interface ControlHostContext {
+  readonly settings: Settings;
+  readonly mesh: Mesh;
+  readonly timer: TimerService;
+  readonly logger: Logger;
+  readonly random: RandomSource;
+  readonly ids: RequestIds;
+  /** Founds a new quorum from the members of the settings when nothing is stored. */
+  readonly isFounding: boolean;
+  readonly onFatal: (fault: Fault) => void;
+}
+
+/** Opens the stored log and creates the control host on it. */
+export function createControlHost(context: ControlHostContext): Outcome<ControlHost> {
+  const { settings, mesh, timer, logger, random, ids, onFatal } = context;
+  const folder = join(settings.data_folder ?? '.', LOG_FOLDER);
+  const storage = new FileLogStorage<Command>(new FolderDisk(folder));
+  const state = new ControlState();
+  return storage
+    .open(() => createFounding(context))
+    .map((opened) => {
+      if (opened.isNew) {
+        const values = { identity: opened.identity };
+        logger.report(Diagnostics.DataFolderNew, values, { step: 'control.open', peer: folder });
+      }
+      return new ControlHost({
+        host: toHostId(settings.host),
+        mesh,
+        timer,
+        logger,
+        random,
+        ids,
+        storage,
+        opened,
+        state,
+        addresses: new MemberAddresses(settings.control.members, state),
+        platform: new HttpPlatform(splitAddress(settings.mesh.listen).ip),
+        onFatal,
+      });
+    });
+}
+
+function createFounding({ settings, isFounding }: ControlHostContext): LogFounding<Command> {
+  if (isFounding) {
+    const voters = settings.control.members.map(({ host }) => toMemberId(host));
+    return { identity: toMemberId(settings.host), state: createFoundingState(voters) };
+  }
+  // An earlier log may have voted under the host's name: a new one must not.
+  const name = createReplacementName(settings.host, randomBytes(LIFE_BYTES).toString('hex'));
+  return { identity: toMemberId(name), state: createEmptyState() };
+}
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,256 @@
+import { randomBytes } from 'node:crypto';
+import { Diagnostics, type Fault } from '../common/diagnostics/index.js';
+import { toFailureDomain, toHostId, toIncarnation, type Incarnation } from '../common/ids/index.js';
+import type { Logger } from '../common/logging/index.js';
+import { ConnectionSide, Metrics } from '../common/metrics/index.js';
+import type { RandomSource } from '../common/random.js';
+import type { Settings } from '../common/settings/index.js';
+import type { TimerService } from '../common/timer/index.js';
+import { DaemonRecords, type ControlRecord } from '../decisions/control/index.js';
+import { StatementClassifier } from '../decisions/routing/index.js';
+import { tryParseTicket } from '../decisions/tickets/index.js';
+import { MeshControlClient, type ControlHost } from './control/index.js';
+import { createControlHost } from './createControlHost.js';
+import type { DaemonFiles } from './daemonFiles.js';
+import { Dispatcher, EntryRequests, RemoteRequests } from './entry/index.js';
+import { CallerAccess, CallerServer } from './gateway/index.js';
+import { HmacSigner } from './hmacSigner.js';
+import { ExecuteServer, GroupHolder } from './holder/index.js';
+import { ControlRoute, LeaseTask } from './lease/index.js';
+import { Mesh } from './mesh/index.js';
+import { OperatorServer, Readiness, type ReadinessReport } from './operators/index.js';
+import { RateTask } from './rates/index.js';
+import { RequestIds } from './requests/index.js';
+import { splitAddress } from './splitAddress.js';
+
+const INCARNATION_BYTES = 9;
+const FRAME_MARGIN_BYTES = 65_536;
+const DEFAULT_MESSAGE_BYTES = 33_554_432;
+const SNAPSHOT_BYTES = 67_108_864;
+const MAXIMUM_CALLERS = 100_000;
+const METRICS_INTERVAL_MS = 1000;
+const DRAIN_CHECK_MS = 20;
+
+/** What a daemon is made from. */
+export interface DaemonOptions {
+  readonly settings: Settings;
+  readonly files: DaemonFiles;
+  readonly timer: TimerService;
+  readonly logger: Logger;
+  readonly random: RandomSource;
+  /** Founds a new control quorum when nothing is stored. */
+  readonly isFounding: boolean;
+  /** The daemon can't go on. */
+  readonly onFatal: (fault: Fault) => void;
+}
+
+/** One daemon with the roles that its settings name. */
+export class Daemon extends Readiness {
+  private readonly metrics = new Metrics();
+  private readonly records = new DaemonRecords();
+  private readonly incarnation: Incarnation;
+  private readonly ids: RequestIds;
+  private readonly mesh: Mesh;
+  private readonly lease: LeaseTask;
+  private readonly holder: GroupHolder;
+  private readonly rates: RateTask;
+  private readonly dispatcher: Dispatcher;
+  private readonly operators: OperatorServer;
+  private readonly callers: CallerServer | undefined;
+  private control: ControlHost | undefined;
+  private stopping = false;
+
+  constructor(private readonly options: DaemonOptions) {
+    super();
+    const { settings, files, timer, logger, random } = options;
+    const host = toHostId(settings.host);
+    const domain = toFailureDomain(settings.domain);
+    const localIp = splitAddress(settings.mesh.listen).ip;
+    this.incarnation = toIncarnation(randomBytes(INCARNATION_BYTES).toString('base64url'));
+    this.ids = new RequestIds(this.incarnation);
+    this.mesh = this.createMesh();
+    const route = new ControlRoute(() => this.getControlAddresses());
+    const { incarnation, mesh, records, ids } = this;
+    const identity = { host, incarnation, domain };
+    this.lease = new LeaseTask(identity, mesh, route, records, timer, logger, () => ({
+      reports: this.holder.getReports(),
+      releasedGroups: this.holder.releasedGroups,
+      releasedAccounts: this.rates.releasedAccounts,
+      stopping: this.stopping,
+    }));
+    const { lease } = this;
+    this.holder = new GroupHolder({
+      domain,
+      timer,
+      logger,
+      random,
+      records,
+      lease,
+      access: { localIp, user: settings.backend.user, password: files.backendPassword },
+      reportNow: () => lease.renewSoon(),
+    });
+    this.rates = new RateTask(host, incarnation, mesh, timer, records, lease);
+    new ExecuteServer(mesh, this.holder, timer);
+    const remote = new RemoteRequests(mesh, timer, ({ group, lease: wanted }) =>
+      records.isGroupHolder(group, wanted),
+    );
+    this.dispatcher = new Dispatcher(ids, timer, records, lease, this.holder, remote);
+    this.callers = this.createCallers();
+    this.operators = this.createOperators(new ControlRoute(() => this.getControlAddresses()));
+    void lease.changed.stream.observe((changed) => this.recordsChanged(changed));
+    void lease.validity.stream.observe(() => this.leaseChanged());
+  }
+
+  /** The port that callers connect to. */
+  get callerPort(): number {
+    return this.callers?.port ?? 0;
+  }
+
+  /** Address of the operators' interface. */
+  operatorAddress = '';
+
+  /** Starts every role; fails with a Fault or system error when an address can't be had. */
+  async start(): Promise<void> {
+    const { settings, logger, timer, random, isFounding, onFatal } = this.options;
+    await this.mesh.listen();
+    if (settings.roles.includes('control')) {
+      const { mesh, ids } = this;
+      const context = { settings, mesh, timer, logger, random, ids, isFounding, onFatal };
+      const created = await createControlHost(context);
+      if (created.isErr()) {
+        throw created.error;
+      }
+      this.control = created.value;
+      this.control.start();
+    }
+    this.lease.start();
+    const bound = await this.operators.start();
+    if (bound.isErr()) {
+      throw bound.error;
+    }
+    this.operatorAddress = `${bound.value.host}:${bound.value.port}`;
+    await this.callers?.listen();
+    timer.subscribe(METRICS_INTERVAL_MS, () => this.updateMetrics());
+    logger.report(Diagnostics.DaemonStarted, {}, { step: 'daemon.start', peer: this.mesh.address });
+  }
+
+  /** Stops gracefully: ends running work within a bound, hands leases over, closes everything. */
+  async stop(graceMs: number): Promise<void> {
+    const { logger, timer } = this.options;
+    logger.report(Diagnostics.DaemonStopping, {}, { step: 'daemon.stop' });
+    this.stopping = true;
+    const endMs = timer.now() + graceMs;
+    this.lease.renewSoon();
+    this.callers?.drain();
+    await this.waitUntil(() => (this.callers?.count ?? 0) === 0, endMs);
+    this.callers?.close();
+    await this.waitUntil(() => this.holder.count === 0 && this.rates.count === 0, endMs);
+    this.holder.stop();
+    this.lease.stop();
+    await this.control?.stop();
+    await this.operators.close();
+    await this.mesh.close();
+    logger.report(Diagnostics.DaemonStopped, {}, { step: 'daemon.stop' });
+  }
+
+  /** Whether callers may be sent here. */
+  override read(): ReadinessReport {
+    const hasLease = this.lease.isValid() && !this.stopping;
+    return { hasLease, hasCurrentConfiguration: hasLease };
+  }
+
+  private createMesh(): Mesh {
+    const { settings, files, timer, logger } = this.options;
+    const messageBytes = settings.callers?.maximum_message_bytes ?? DEFAULT_MESSAGE_BYTES;
+    return new Mesh(
+      {
+        host: toHostId(settings.host),
+        incarnation: this.incarnation,
+        listen: settings.mesh.listen,
+        maximumFrameBytes: Math.max(messageBytes, SNAPSHOT_BYTES) + FRAME_MARGIN_BYTES,
+        ...(files.meshTls === undefined ? {} : { tls: files.meshTls }),
+      },
+      timer,
+      logger,
+    );
+  }
+
+  private createCallers(): CallerServer | undefined {
+    const { settings, files, timer, logger } = this.options;
+    const { callers } = settings;
+    if (callers === undefined || !settings.roles.includes('entry')) {
+      return undefined;
+    }
+    const { ids, records, lease, rates, dispatcher, holder, mesh, metrics } = this;
+    const entry = { ids, timer, records, lease, rates, dispatcher, holder, mesh, metrics };
+    const context = {
+      timer,
+      access: new CallerAccess(records, lease, files.fleetKey),
+      classifier: new StatementClassifier(),
+      signer: new HmacSigner(files.fleetKey),
+      requests: new EntryRequests(entry),
+      statementTimeoutMs: callers.statement_timeout_ms,
+      maximumMessageBytes: callers.maximum_message_bytes,
+    };
+    const tls = files.callerTls;
+    const options = { listen: callers.listen, maximumConnections: MAXIMUM_CALLERS, tls };
+    return new CallerServer(options, context, logger);
+  }
+
+  private createOperators(route: ControlRoute): OperatorServer {
+    const { settings, files, timer, logger } = this.options;
+    const { operatorTokens, announcerTokens } = files;
+    const control = new MeshControlClient(this.mesh, route, this.ids, timer, (announcement) =>
+      this.lease.announce(announcement),
+    );
+    return new OperatorServer({
+      listen: settings.operators.listen,
+      control,
+      readiness: this,
+      metrics: this.metrics,
+      timer,
+      logger,
+      parseTicket: tryParseTicket,
+      ...(operatorTokens === undefined ? {} : { operatorTokens }),
+      ...(announcerTokens === undefined ? {} : { announcerTokens }),
+    });
+  }
+
+  private getControlAddresses(): readonly string[] {
+    const inForce = this.records.getControlMembers()?.members;
+    const members = inForce ?? this.options.settings.control.members;
+    return members.map(({ address }) => address);
+  }
+
+  private recordsChanged(changed: readonly ControlRecord[]): void {
+    this.holder.recordsChanged();
+    this.rates.recordsChanged(changed);
+    this.dispatcher.recordsChanged();
+    this.callers?.recordsChanged();
+  }
+
+  private leaseChanged(): void {
+    this.holder.recordsChanged();
+    this.rates.leaseChanged();
+    this.dispatcher.recordsChanged();
+  }
+
+  private updateMetrics(): void {
+    this.metrics.setDaemonLease(this.lease.isValid());
+    this.metrics.setResourceLeases(this.holder.count, this.rates.count);
+    this.metrics.setRevision(this.records.revision);
+    this.metrics.setConnections(ConnectionSide.Callers, this.callers?.count ?? 0);
+  }
+
+  private waitUntil(isDone: () => boolean, endMs: number): Promise<void> {
+    const { timer } = this.options;
+    return new Promise((resolve) => {
+      const unsubscribe = timer.subscribe(DRAIN_CHECK_MS, (nowMs) => {
+        if (isDone() || nowMs >= endMs) {
+          unsubscribe();
+          resolve();
+        }
+      });
+    });
+  }
+}
--- a/src/daemon/gateway/callerRequests.ts
+++ b/src/daemon/entry/callerRequests.ts
@@ -1,5 +1,5 @@
 import type { GroupId } from '../../common/ids/index.js';
-import type { RequestDraft } from '../entry/index.js';
+import type { RequestDraft } from './dispatcher.js';
 import type { ResponseReceiver, RunningRequest } from '../requests/index.js';
 
 /** Runs the requests of callers. */
--- /dev/null
+++ b/src/daemon/entry/entryRequests.ts
@@ -0,0 +1,187 @@
+import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import type { GroupId, RequestId } from '../../common/ids/index.js';
+import { ReadSource, RequestClass, type Metrics } from '../../common/metrics/index.js';
+import type { TimerService } from '../../common/timer/index.js';
+import type { DaemonRecords } from '../../decisions/control/index.js';
+import type { GroupHolder, HolderLease } from '../holder/index.js';
+import { MeshKind, type Mesh } from '../mesh/index.js';
+import type { RateTask } from '../rates/index.js';
+import {
+  createRefusedOutcome,
+  RequestKind,
+  ResponseReceiver,
+  RunningRequest,
+  toFault,
+  TransactionStatus,
+  type RequestIds,
+  type RequestOutcome,
+} from '../requests/index.js';
+import { CallerRequests } from './callerRequests.js';
+import type { Dispatcher, RequestDraft } from './dispatcher.js';
+
+const CLASSES: Readonly<Record<RequestKind, RequestClass>> = {
+  [RequestKind.Read]: RequestClass.Read,
+  [RequestKind.Write]: RequestClass.Write,
+  [RequestKind.Begin]: RequestClass.Transaction,
+  [RequestKind.Inside]: RequestClass.Transaction,
+  [RequestKind.End]: RequestClass.Transaction,
+};
+
+/** What the requests of callers need of the daemon. */
+export interface EntryContext {
+  readonly ids: RequestIds;
+  readonly timer: TimerService;
+  readonly records: DaemonRecords;
+  readonly lease: HolderLease;
+  readonly rates: RateTask;
+  readonly dispatcher: Dispatcher;
+  readonly holder: GroupHolder;
+  readonly mesh: Mesh;
+  readonly metrics: Metrics;
+}
+
+/** Admits callers' requests under their accounts' rates and dispatches them. */
+export class EntryRequests extends CallerRequests {
+  constructor(private readonly context: EntryContext) {
+    super();
+  }
+
+  override run(
+    draft: RequestDraft,
+    statements: number,
+    deadlineMs: number,
+    receiver: ResponseReceiver,
+  ): RunningRequest {
+    const admitted = new AdmittedRequest(draft, deadlineMs, receiver, this.context);
+    admitted.start(statements);
+    return admitted.handle;
+  }
+
+  override abortTransaction(group: GroupId, transaction: string): void {
+    const holder = this.context.records.getGroupAssignment(group)?.holder;
+    if (holder === undefined) {
+      return;
+    }
+    if (holder.lease === this.context.lease.id) {
+      this.context.holder.abortTransaction(group, transaction);
+    } else {
+      const kind = MeshKind.AbortTransaction;
+      this.context.mesh.send(holder.address, { kind, group, transaction });
+    }
+  }
+}
+
+/** One request from admission to its end. */
+class AdmittedRequest extends ResponseReceiver {
+  readonly handle: RunningRequest;
+  private readonly id: RequestId;
+  private readonly arrivedMs: number;
+  private running: RunningRequest | undefined;
+  private ended = false;
+
+  constructor(
+    private readonly draft: RequestDraft,
+    private readonly deadlineMs: number,
+    private readonly receiver: ResponseReceiver,
+    private readonly context: EntryContext,
+  ) {
+    super();
+    this.id = context.ids.next();
+    this.arrivedMs = context.timer.now();
+    this.handle = new AdmittedHandle(this);
+  }
+
+  /** Asks for tokens; the end of a transaction, which only frees what is held, needs none. */
+  start(statements: number): void {
+    const { draft, id, deadlineMs, context } = this;
+    const account = context.records.getAccount(draft.account);
+    const cost = Math.min(Math.max(1, statements), Math.floor(account?.burst ?? 1));
+    if (draft.kind === RequestKind.End) {
+      this.dispatch();
+      return;
+    }
+    const request = { requestId: id, account: draft.account, cost: Math.max(1, cost), deadlineMs };
+    context.rates.admit(request, (refusal) => {
+      if (refusal === undefined) {
+        this.dispatch();
+      } else {
+        this.refuse(refusal);
+      }
+    });
+  }
+
+  override accept(bytes: Uint8Array): void {
+    this.receiver.accept(bytes);
+  }
+
+  override finish(outcome: RequestOutcome): void {
+    if (this.ended) {
+      return;
+    }
+    this.ended = true;
+    this.record(outcome);
+    this.receiver.finish(outcome);
+  }
+
+  consume(consumed: number): void {
+    this.running?.consume(consumed);
+  }
+
+  cancel(isAbandoned: boolean): void {
+    if (this.running === undefined) {
+      this.context.rates.cancel(this.id);
+      this.refuse(createCancelled());
+    } else if (isAbandoned) {
+      this.running.abandon();
+    } else {
+      this.running.cancel();
+    }
+  }
+
+  private dispatch(): void {
+    this.context.metrics.getAccount(this.draft.account).recordAdmitted();
+    this.running = this.context.dispatcher.dispatch(this.draft, this.deadlineMs, this);
+  }
+
+  private refuse(fault: Fault): void {
+    const { transaction } = this.draft;
+    const status = transaction === undefined ? TransactionStatus.Idle : TransactionStatus.Open;
+    const outcome = createRefusedOutcome(fault, status);
+    this.finish(transaction === undefined ? outcome : { ...outcome, transaction });
+  }
+
+  private record({ fault, onReplica, waitMs, serviceMs }: RequestOutcome): void {
+    const metrics = this.context.metrics.getAccount(this.draft.account);
+    if (fault !== undefined) {
+      metrics.recordRefused(toFault(fault).diagnostic);
+      return;
+    }
+    const totalMs = this.context.timer.now() - this.arrivedMs;
+    metrics.recordRequest(CLASSES[this.draft.kind], { waitMs, serviceMs, totalMs });
+    if (this.draft.kind === RequestKind.Read) {
+      this.context.metrics.recordRead(onReplica ? ReadSource.Replica : ReadSource.Primary);
+    }
+  }
+}
+
+class AdmittedHandle extends RunningRequest {
+  constructor(private readonly admitted: AdmittedRequest) {
+    super();
+  }
+
+  override consume(consumed: number): void {
+    this.admitted.consume(consumed);
+  }
+
+  override cancel(): void {
+    this.admitted.cancel(false);
+  }
+
+  override abandon(): void {
+    this.admitted.cancel(true);
+  }
+}
+
+function createCancelled(): Fault {
+  return createFault(Diagnostics.RequestCancelled, {}, { step: 'entry.admit' });
+}
--- a/src/daemon/entry/index.ts
+++ b/src/daemon/entry/index.ts
@@ -1,2 +1,4 @@
+export * from './callerRequests.js';
 export * from './dispatcher.js';
+export * from './entryRequests.js';
 export * from './remoteRequests.js';
--- a/src/daemon/gateway/callerSession.ts
+++ b/src/daemon/gateway/callerSession.ts
@@ -14,7 +14,7 @@
 import { BatchAssembler } from './batchAssembler.js';
 import type { CallerAccess } from './callerAccess.js';
 import type { CallerBatch } from './callerBatch.js';
-import type { CallerRequests } from './callerRequests.js';
+import type { CallerRequests } from '../entry/index.js';
 import type { CallerWriter } from './callerWriter.js';
 import { createDraft } from './createDraft.js';
 import { FrontendFrames } from './frontendFrames.js';
@@ -216,12 +216,9 @@
     const receiver = new SessionReceiver(this.writer, (outcome) => this.answered(outcome));
     const running = this.context.requests.run(draft, batch.executed.length, deadlineMs, receiver);
     receiver.running = running;
-    // The answer may have come at once.
-    this.running = this.isBusy() ? running : undefined;
-  }
-
-  private isBusy(): boolean {
-    return this.busy;
+    if (!receiver.isFinished) {
+      this.running = running;
+    }
   }
 
   private answered(outcome: RequestOutcome): void {
@@ -252,7 +249,7 @@
     this.transaction = transaction;
     if (transaction === undefined) {
       this.assembler.endTransaction();
-      this.failed = wasOpen && fault !== undefined && fault.execution === Execution.NotRun;
+      this.failed = wasOpen && fault?.execution === Execution.NotRun;
     }
   }
 
@@ -271,6 +268,8 @@
 /** Passes the bytes of one answer on to the caller, as fast as the caller takes them. */
 class SessionReceiver extends ResponseReceiver {
   running: RunningRequest | undefined;
+  isFinished = false;
+  private total = 0;
 
   constructor(
     private readonly writer: CallerWriter,
@@ -279,8 +278,6 @@
     super();
   }
 
-  private total = 0;
-
   override accept(bytes: Uint8Array): void {
     this.total += bytes.length;
     const { total } = this;
@@ -288,6 +285,7 @@
   }
 
   override finish(outcome: RequestOutcome): void {
+    this.isFinished = true;
     this.onFinished(outcome);
   }
 }
--- a/src/daemon/gateway/callerStartup.ts
+++ b/src/daemon/gateway/callerStartup.ts
@@ -153,5 +153,5 @@
 }
 
 function toWeb(socket: Duplex): DuplexStream<Uint8Array> {
-  return Duplex.toWeb(socket) as DuplexStream<Uint8Array>;
+  return Duplex.toWeb(socket);
 }
--- a/src/daemon/holder/groupHolder.ts
+++ b/src/daemon/holder/groupHolder.ts
@@ -89,6 +89,13 @@
     }
   }
 
+  /** Gives all groups up at once. */
+  stop(): void {
+    for (const id of [...this.groups.keys()]) {
+      this.remove(id);
+    }
+  }
+
   private updateGroup(id: GroupId): void {
     const assignment = this.context.records.getGroupAssignment(id);
     const isOwn = assignment?.holder !== undefined && assignment.holder.lease === this.lease;
--- /dev/null
+++ b/src/daemon/lease/controlRoute.ts
@@ -0,0 +1,43 @@
+const ANSWER_TIMEOUT_MS = 450;
+
+/** Chooses the control host to speak to: the leader once known, else one after another. */
+export class ControlRoute {
+  private index = 0;
+  private leader: string | undefined;
+  private waitingSinceMs: number | undefined;
+
+  constructor(private readonly getAddresses: () => readonly string[]) {}
+
+  /** The address for the next message; another one when the last gave no answer in time. */
+  choose(nowMs: number): string {
+    if (this.waitingSinceMs !== undefined && nowMs - this.waitingSinceMs > ANSWER_TIMEOUT_MS) {
+      this.failed();
+    }
+    this.waitingSinceMs ??= nowMs;
+    const addresses = this.getAddresses();
+    return this.leader ?? addresses[this.index % addresses.length] ?? '';
+  }
+
+  /** A control host answered as leader. */
+  answered(address: string): void {
+    this.waitingSinceMs = undefined;
+    this.leader = address;
+  }
+
+  /** A control host is not the leader and named the one it knows. */
+  redirected(from: string, leader: string | undefined): void {
+    this.waitingSinceMs = undefined;
+    if (leader !== undefined && leader !== from) {
+      this.leader = leader;
+    } else {
+      this.failed();
+    }
+  }
+
+  /** The chosen control host gave no answer. */
+  failed(): void {
+    this.waitingSinceMs = undefined;
+    this.leader = undefined;
+    this.index += 1;
+  }
+}
--- /dev/null
+++ b/src/daemon/lease/index.ts
@@ -0,0 +1,2 @@
+export * from './controlRoute.js';
+export * from './leaseTask.js';
--- /dev/null
+++ b/src/daemon/lease/leaseTask.ts
@@ -0,0 +1,198 @@
+import { Diagnostics } from '../../common/diagnostics/index.js';
+import {
+  toLeaseId,
+  type AccountId,
+  type FailureDomain,
+  type GroupId,
+  type HostId,
+  type Incarnation,
+  type LeaseId,
+} from '../../common/ids/index.js';
+import type { Logger } from '../../common/logging/index.js';
+import { Mailbox } from '../../common/tasks/index.js';
+import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
+import type {
+  Announcement,
+  ControlRecord,
+  DaemonRecords,
+  GroupReport,
+  LeaseGrant,
+} from '../../decisions/control/index.js';
+import { GrantEffect, HeldLease } from '../../decisions/leases/index.js';
+import { HolderLease } from '../holder/index.js';
+import { MeshKind, type Mesh } from '../mesh/index.js';
+import type { ControlRoute } from './controlRoute.js';
+import { RecentAnnouncements } from './recentAnnouncements.js';
+
+const RENEWAL_INTERVAL_MS = 200;
+const CHECK_INTERVAL_MS = 20;
+
+/** What goes with each renewal. */
+export interface RenewalContents {
+  readonly reports: readonly GroupReport[];
+  readonly releasedGroups: readonly GroupId[];
+  readonly releasedAccounts: readonly AccountId[];
+  readonly stopping: boolean;
+}
+
+/** Who the daemon is towards control. */
+export interface LeaseIdentity {
+  readonly host: HostId;
+  readonly incarnation: Incarnation;
+  readonly domain: FailureDomain;
+}
+
+/** Keeps the daemon's lease and its copy of the replicated records. */
+export class LeaseTask extends HolderLease {
+  /** Batches of records that changed. */
+  readonly changed = new Mailbox<readonly ControlRecord[]>();
+  /** Whether the lease is valid, each time that changes. */
+  readonly validity = new Mailbox<boolean>();
+  private lease: HeldLease;
+  private leaseCount = 0;
+  private wasValid = false;
+  private lastSentMs = 0;
+  private readonly sentMs = new Map<number, number>();
+  private readonly announcements = new RecentAnnouncements();
+  private readonly subscriptions: Unsubscribe[] = [];
+
+  constructor(
+    private readonly identity: LeaseIdentity,
+    private readonly mesh: Mesh,
+    private readonly route: ControlRoute,
+    private readonly records: DaemonRecords,
+    private readonly timer: TimerService,
+    private readonly logger: Logger,
+    private readonly getContents: () => RenewalContents,
+  ) {
+    super();
+    this.lease = this.createLease();
+    mesh.receive(MeshKind.LeaseGrant, ({ link, message }) => {
+      this.route.answered(link.address);
+      this.takeGrant(message.grant);
+    });
+    mesh.receive(MeshKind.LeaseRedirect, ({ link, message }) => {
+      this.route.redirected(link.address, message.leader);
+      this.renewSoon();
+    });
+    mesh.receive(MeshKind.RecordUpdate, ({ message }) => {
+      this.publish(this.records.applyUpdate(message.update));
+    });
+  }
+
+  override get id(): LeaseId | undefined {
+    return this.lease.id;
+  }
+
+  override isValid(): boolean {
+    return this.lease.isValid(this.timer.now());
+  }
+
+  /** Begins to renew. */
+  start(): void {
+    this.subscriptions.push(this.timer.subscribe(CHECK_INTERVAL_MS, (nowMs) => this.check(nowMs)));
+    this.renew();
+  }
+
+  /** Ends the lease; everything held under it must have been given up before. */
+  stop(): void {
+    for (const unsubscribe of this.subscriptions.splice(0)) {
+      unsubscribe();
+    }
+    this.lease.end();
+  }
+
+  /** Takes a backend server's announcement, to go with the next renewal. */
+  announce(announcement: Announcement): void {
+    this.announcements.add(announcement, this.timer.now());
+  }
+
+  /** Renews without waiting for the interval, as when there is something to report. */
+  renewSoon(): void {
+    const waitMs = this.lastSentMs + CHECK_INTERVAL_MS / 4 - this.timer.now();
+    this.timer.once(Math.max(0, waitMs), () => this.renew());
+  }
+
+  private check(nowMs: number): void {
+    this.observeValidity();
+    if (this.lease.isOver(nowMs)) {
+      this.lease = this.createLease();
+      this.renew();
+    } else if (nowMs - this.lastSentMs >= RENEWAL_INTERVAL_MS) {
+      this.renew();
+    }
+  }
+
+  private renew(): void {
+    const nowMs = this.timer.now();
+    const address = this.route.choose(nowMs);
+    const start = this.lease.beginRenewal(nowMs);
+    this.lastSentMs = nowMs;
+    this.sentMs.set(start.sequence, nowMs);
+    this.mesh.send(address, {
+      kind: MeshKind.LeaseRenewal,
+      renewal: {
+        ...this.identity,
+        ...this.getContents(),
+        ...start,
+        lease: this.lease.id,
+        address: this.mesh.address,
+        revision: this.records.revision,
+        announcements: this.announcements.getForwarded(nowMs),
+      },
+    });
+  }
+
+  private takeGrant(grant: LeaseGrant): void {
+    const nowMs = this.timer.now();
+    const changed = this.records.applyRecords(grant.records, grant.revision);
+    const effect = this.lease.receiveGrant(grant, nowMs);
+    if (grant.lease === this.lease.id) {
+      this.forgetSent(grant.sequence);
+    }
+    this.observeValidity();
+    this.publish(changed);
+    if (effect === GrantEffect.Ended) {
+      this.lease = this.createLease();
+      this.renewSoon();
+    } else if (effect === GrantEffect.Refused && changed.length > 0) {
+      // The lease waits for these records to be reported as applied.
+      this.renewSoon();
+    }
+  }
+
+  private forgetSent(sequence: number): void {
+    const sentMs = this.sentMs.get(sequence);
+    if (sentMs !== undefined) {
+      this.announcements.forgetUntil(sentMs);
+    }
+    for (const known of this.sentMs.keys()) {
+      if (known <= sequence) {
+        this.sentMs.delete(known);
+      }
+    }
+  }
+
+  private publish(changed: readonly ControlRecord[]): void {
+    if (changed.length > 0) {
+      this.changed.post(changed);
+    }
+  }
+
+  private observeValidity(): void {
+    const isValid = this.isValid();
+    if (isValid === this.wasValid) {
+      return;
+    }
+    this.wasValid = isValid;
+    const diagnostic = isValid ? Diagnostics.LeaseTaken : Diagnostics.LeaseLost;
+    this.logger.report(diagnostic, {}, { step: 'lease', lease: this.lease.id });
+    this.validity.post(isValid);
+  }
+
+  private createLease(): HeldLease {
+    this.leaseCount += 1;
+    this.sentMs.clear();
+    return new HeldLease(toLeaseId(`${this.identity.incarnation}.${this.leaseCount}`));
+  }
+}
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,77 @@
+#!/usr/bin/env node
+import { randomInt } from 'node:crypto';
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+import { Fault } from '../common/diagnostics/index.js';
+import { Logger } from '../common/logging/index.js';
+import { tryReadSettings, type Settings } from '../common/settings/index.js';
+import { SystemTimerService } from '../common/timer/index.js';
+import { Daemon } from './daemon.js';
+import { tryReadDaemonFiles, type DaemonFiles } from './daemonFiles.js';
+import { SeededRandom } from './seededRandom.js';
+
+const STOP_GRACE_MS = 10_000;
+const SEED_RANGE = 2 ** 31;
+const EXIT_FAILED = 1;
+const EXIT_USAGE = 2;
+
+const usage = yargs(hideBin(process.argv))
+  .scriptName('filbertpointd')
+  .usage('$0 FILE', 'Runs one daemon with the settings of a TOML file.', (command) =>
+    command.positional('FILE', { type: 'string', demandOption: true, describe: 'Settings file.' }),
+  )
+  .option('found', {
+    type: 'boolean',
+    default: false,
+    describe: 'Found a new control quorum from the members of the settings, once, on first start.',
+  })
+  .strict();
+
+async function main(): Promise<void> {
+  const options = await usage.parse();
+  const settings = tryReadSettings(String(options.FILE));
+  if (settings.isErr()) {
+    endWith(EXIT_USAGE, settings.error.message);
+    return;
+  }
+  const files = tryReadDaemonFiles(settings.value);
+  if (files.isErr()) {
+    endWith(EXIT_USAGE, files.error.message);
+    return;
+  }
+  await run(settings.value, files.value, options.found);
+}
+
+async function run(settings: Settings, files: DaemonFiles, isFounding: boolean): Promise<void> {
+  const { host, domain, log } = settings;
+  const logger = new Logger(log.level, { host, domain });
+  const daemon = new Daemon({
+    settings,
+    files,
+    timer: new SystemTimerService(),
+    logger,
+    random: new SeededRandom(randomInt(SEED_RANGE)),
+    isFounding,
+    onFatal: (fault) => {
+      logger.reportFault(fault);
+      process.exit(EXIT_FAILED);
+    },
+  });
+  await daemon.start();
+  const stop = (): void => {
+    void daemon.stop(STOP_GRACE_MS).then(() => process.exit(0));
+  };
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+  process.stdout.write(`ready ${daemon.operatorAddress}\n`);
+}
+
+function endWith(status: number, message: string): void {
+  process.stderr.write(`${message}\n`);
+  process.exitCode = status;
+}
+
+main().catch((error: unknown) => {
+  const message = error instanceof Fault ? error.message : String(error);
+  endWith(EXIT_FAILED, message);
+});
--- a/src/daemon/mesh/meshMessage.ts
+++ b/src/daemon/mesh/meshMessage.ts
@@ -1,4 +1,4 @@
-import type { GroupId, HostId, Incarnation, RequestId, Revision } from '../../common/ids/index.js';
+import type { GroupId, HostId, Incarnation, RequestId } from '../../common/ids/index.js';
 import type { LeaseGrant, LeaseRenewal, RecordUpdate } from '../../decisions/control/index.js';
 import type { ExecuteRequest } from '../requests/executeRequest.js';
 import type { RequestOutcome } from '../requests/requestOutcome.js';
@@ -109,7 +109,6 @@
 export interface ControlCall {
   readonly kind: MeshKind.ControlCall;
   readonly id: RequestId;
-  readonly call: string;
   readonly content: unknown;
 }
 
@@ -120,7 +119,6 @@
   readonly leader?: string;
   readonly fault?: { readonly code: number; readonly message: string };
   readonly content?: unknown;
-  readonly revision?: Revision;
 }
 
 /** Everything that daemons send to one another. */
--- /dev/null
+++ b/src/daemon/rates/index.ts
@@ -0,0 +1,1 @@
+export * from './rateTask.js';
--- /dev/null
+++ b/src/daemon/rates/rateTask.ts
@@ -0,0 +1,205 @@
+import type { AccountId, HostId, Incarnation, RequestId } from '../../common/ids/index.js';
+import { createFault, type Fault } from '../../common/diagnostics/index.js';
+import type { TimerService } from '../../common/timer/index.js';
+import {
+  RecordKind,
+  type ControlRecord,
+  type DaemonRecords,
+} from '../../decisions/control/index.js';
+import {
+  EntryLimiter,
+  LimiterOutputKind,
+  RateBucket,
+  TokenMessageKind,
+  type AdmissionRequest,
+  type BucketOutput,
+  type EntryOutput,
+  type MessageToEntry,
+  type MessageToHolder,
+  type TokenMessage,
+} from '../../decisions/limits/index.js';
+import { SubjectKind } from '../../decisions/tickets/index.js';
+import type { HolderLease } from '../holder/index.js';
+import { MeshKind, type Mesh, type MeshLink } from '../mesh/index.js';
+
+const TICK_INTERVAL_MS = 5;
+
+/** Takes the outcome of an admission: nothing when admitted, else why not. */
+export type AdmissionCallback = (refusal: Fault | undefined) => void;
+
+/** Admits requests under their accounts' rates, and hands out the rates of the accounts held here. */
+export class RateTask {
+  private readonly limiter: EntryLimiter;
+  private readonly buckets = new Map<AccountId, RateBucket>();
+  private readonly released = new Set<AccountId>();
+  private readonly waiting = new Map<RequestId, AdmissionCallback>();
+  private readonly links = new Map<HostId, MeshLink>();
+
+  constructor(
+    private readonly host: HostId,
+    incarnation: Incarnation,
+    private readonly mesh: Mesh,
+    private readonly timer: TimerService,
+    private readonly records: DaemonRecords,
+    private readonly lease: HolderLease,
+  ) {
+    this.limiter = new EntryLimiter(host, incarnation);
+    mesh.receive(MeshKind.TokenMessage, ({ link, message }) => {
+      this.receive(link, message.content as TokenMessage);
+    });
+    timer.subscribe(TICK_INTERVAL_MS, (nowMs) => this.tick(nowMs));
+  }
+
+  /** Accounts whose rate is handed out here. */
+  get count(): number {
+    return this.buckets.size;
+  }
+
+  /** Accounts given up under the present lease. */
+  get releasedAccounts(): readonly AccountId[] {
+    return [...this.released];
+  }
+
+  /** Admits a request, perhaps after a wait. */
+  admit(request: AdmissionRequest, callback: AdmissionCallback): void {
+    this.waiting.set(request.requestId, callback);
+    this.performEntry(this.limiter.request(request, this.timer.now()));
+  }
+
+  /** Forgets a request that waits; its callback is not called. */
+  cancel(id: RequestId): void {
+    this.waiting.delete(id);
+    this.limiter.cancel(id);
+  }
+
+  /** Takes on rates and holders. */
+  recordsChanged(changed: readonly ControlRecord[]): void {
+    for (const { value } of changed) {
+      if (value.kind === RecordKind.Subject && value.state.kind === SubjectKind.Account) {
+        this.setLimit(value.state.account);
+      } else if (value.kind === RecordKind.AccountHolder) {
+        this.setHolder(value.account);
+      }
+    }
+  }
+
+  /** The lease began or ended: what was held under it counts no more. */
+  leaseChanged(): void {
+    this.released.clear();
+    this.buckets.clear();
+    for (const account of this.records.getAccounts()) {
+      this.setHolder(account);
+    }
+  }
+
+  private setLimit(account: AccountId): void {
+    const state = this.records.getAccount(account);
+    const limit = state === undefined ? undefined : { rate: state.rate, burst: state.burst };
+    this.performEntry(this.limiter.setLimit(account, limit));
+    const bucket = this.buckets.get(account);
+    if (limit !== undefined && bucket !== undefined) {
+      this.performBucket(bucket.setLimit(limit, this.timer.now()));
+    }
+    this.setHolder(account);
+  }
+
+  private setHolder(account: AccountId): void {
+    const nowMs = this.timer.now();
+    const assignment = this.records.getAccountAssignment(account);
+    const holder = assignment?.holder;
+    this.performEntry(this.limiter.setHolder(account, holder, nowMs));
+    const state = this.records.getAccount(account);
+    const isOwn = holder !== undefined && holder.lease === this.lease.id && this.lease.isValid();
+    if (!isOwn || state === undefined) {
+      this.buckets.delete(account);
+      this.released.delete(account);
+      return;
+    }
+    if (assignment?.draining === true) {
+      this.buckets.delete(account);
+      this.released.add(account);
+    } else if (this.buckets.get(account)?.lease !== holder.lease) {
+      const limit = { rate: state.rate, burst: state.burst };
+      const { lease } = holder;
+      this.buckets.set(account, new RateBucket({ account, lease, limit, assignedMs: nowMs }));
+    }
+  }
+
+  private tick(nowMs: number): void {
+    this.performEntry(this.limiter.tick(nowMs));
+    if (!this.lease.isValid()) {
+      return;
+    }
+    for (const bucket of this.buckets.values()) {
+      this.performBucket(bucket.tick(nowMs));
+    }
+  }
+
+  private receive(link: MeshLink, message: TokenMessage): void {
+    if (link.peer !== undefined) {
+      this.links.set(link.peer.host, link);
+    }
+    if (message.kind === TokenMessageKind.Grant || message.kind === TokenMessageKind.Recall) {
+      this.receiveAtEntry(message);
+    } else {
+      this.receiveAtHolder(message);
+    }
+  }
+
+  private receiveAtEntry(message: MessageToEntry): void {
+    this.performEntry(this.limiter.receive(message, this.timer.now()));
+  }
+
+  private receiveAtHolder(message: MessageToHolder): void {
+    const bucket = this.buckets.get(message.account);
+    if (bucket !== undefined && this.lease.isValid()) {
+      this.performBucket(bucket.receive(message, this.timer.now()));
+    }
+  }
+
+  private performEntry(outputs: readonly EntryOutput[]): void {
+    for (const output of outputs) {
+      switch (output.kind) {
+        case LimiterOutputKind.Send:
+          this.sendToHolder(output.to, output.message);
+          break;
+        case LimiterOutputKind.Admit:
+          this.finish(output.requestId, undefined);
+          break;
+        case LimiterOutputKind.Refuse: {
+          const { diagnostic, values, retryAfterMs } = output;
+          const context = { step: 'rate.admit', retryAfterMs };
+          this.finish(output.requestId, createFault(diagnostic, values, context));
+          break;
+        }
+      }
+    }
+  }
+
+  private performBucket(outputs: readonly BucketOutput[]): void {
+    for (const { to, message } of outputs) {
+      if (to === this.host) {
+        this.receiveAtEntry(message);
+      } else {
+        this.links.get(to)?.send({ kind: MeshKind.TokenMessage, content: message });
+      }
+    }
+  }
+
+  private sendToHolder(to: HostId, message: MessageToHolder): void {
+    if (to === this.host) {
+      this.receiveAtHolder(message);
+      return;
+    }
+    const holder = this.records.getAccountAssignment(message.account)?.holder;
+    if (holder !== undefined) {
+      this.mesh.send(holder.address, { kind: MeshKind.TokenMessage, content: message });
+    }
+  }
+
+  private finish(id: RequestId, refusal: Fault | undefined): void {
+    const callback = this.waiting.get(id);
+    this.waiting.delete(id);
+    callback?.(refusal);
+  }
+}
