Settings: all problems at once with line and key, rules between keys, reference page

Cause: only the first problem of a settings file was named, without its line, and conditions between keys were not checked. Change: every problem with file, line, key and what was expected; unknown keys with the nearest known one; ten rules between keys; settings check also looks for the files named; settings reference and docs/SETTINGS.md are made from the schema and a test fails when the page is stale. Token files are needed unless the HTTP interface listens on loopback. Addresses are checked as IP numbers. Conclusion: SettingsInvalid now has the places {file} and {problems}.

--- a/src/cli/commandFailure.ts
+++ b/src/cli/commandFailure.ts
@@ -8,6 +8,10 @@
 export interface CommandFailure {
   readonly status: ExitStatus;
   readonly body: FaultBody;
+  /** Lines with the particulars, printed before the failure itself. */
+  readonly lines?: readonly string[];
+  /** The particulars, printed with `--json`. */
+  readonly json?: Readonly<Record<string, unknown>>;
 }
 
 /** Creates a failure that arose in this program. */
@@ -25,9 +29,10 @@
   return { status, body: createFaultBody(fault) };
 }
 
-/** Formats a failure as one line for standard error. */
+/** Formats a failure for standard error: its particulars, then one line. */
 export function formatFailure(failure: CommandFailure): string {
   const { code, message, step, peer, detail } = failure.body;
   const place = peer === undefined ? `step ${step}` : `step ${step}, peer ${peer}`;
-  return `FP${code}: ${message} (${place}; ${detail})`;
+  const lines = failure.lines ?? [];
+  return [...lines, `FP${code}: ${message} (${place}; ${detail})`].join('\n');
 }
--- a/src/cli/commandRunner.ts
+++ b/src/cli/commandRunner.ts
@@ -60,7 +60,7 @@
   private printFailure(failure: CommandFailure, options: GlobalOptions): void {
     this.exitStatus = failure.status;
     if (options.json) {
-      this.terminal.write(`${JSON.stringify({ error: failure.body })}\n`);
+      this.terminal.write(`${JSON.stringify({ ...failure.json, error: failure.body })}\n`);
     } else {
       this.terminal.writeError(`${formatFailure(failure)}\n`);
     }
--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -5,6 +5,7 @@
 import { addDomainCommands } from './domainCommands.js';
 import { addKeyCommands } from './keyCommands.js';
 import { addMemberCommands } from './memberCommands.js';
+import { addSettingsCommands } from './settingsCommands.js';
 import { addStatusCommand } from './statusCommand.js';
 import { addTicketCommands } from './ticketCommands.js';
 
@@ -22,4 +23,5 @@
   addBackendCommands,
   addMemberCommands,
   addStatusCommand,
+  addSettingsCommands,
 ];
--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -169,7 +169,7 @@
   ),
 
   // 7000: settings and command line
-  SettingsInvalid: error(7000, 'Settings file {file}: {key}: {expected}'),
+  SettingsInvalid: error(7000, 'Settings file {file} is not valid: {problems}'),
   UsageInvalid: refusal(7001, '{problem}'),
   OperatorsUnreachable: error(7002, "No operators' HTTP address answered: {problem}"),
   AnswerMalformed: error(7003, 'The answer was not understood: {problem}'),
--- a/src/common/settings/address.ts
+++ b/src/common/settings/address.ts
@@ -1,10 +1,21 @@
+import { isIP } from 'node:net';
+
 /** A host and port taken from `ip:port` or `[ipv6]:port`. */
 export interface Address {
   readonly host: string;
   readonly port: number;
 }
 
-/** Splits a checked address of the settings. */
+const ADDRESS = /^(?:(\d{1,3}(?:\.\d{1,3}){3})|\[([0-9a-fA-F:.]{2,45})\]):(\d{1,5})$/;
+const MAXIMUM_PORT = 65_535;
+
+/** Whether a text is an address with an IP number: `10.0.1.1:7400` or `[fd00::1]:7400`. */
+export function isAddress(text: string): boolean {
+  const [, ipv4, ipv6, port] = ADDRESS.exec(text) ?? [];
+  return isIP(ipv4 ?? ipv6 ?? '') !== 0 && Number(port) <= MAXIMUM_PORT;
+}
+
+/** Splits a checked address. */
 export function splitAddress(address: string): Address {
   const colon = address.lastIndexOf(':');
   const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
--- /dev/null
+++ b/src/common/settings/checkSettings.ts
@@ -0,0 +1,62 @@
+import { err, ok, type Result } from 'neverthrow';
+import { parse, TomlError } from 'smol-toml';
+import type { z } from 'zod';
+import { KeyLines } from './keyLines.js';
+import { describeIssues } from './schemaProblems.js';
+import type { SettingsProblem } from './settingsProblem.js';
+import type { SettingsRule } from './settingsRule.js';
+import { SettingsView } from './settingsView.js';
+
+/** Largest settings file. */
+export const MAXIMUM_SETTINGS_BYTES = 1_048_576;
+
+/** Checks a settings text against a schema and the rules between keys; names all problems at once. */
+export function tryCheckSettings<Value>(
+  text: string,
+  schema: z.ZodType<Value>,
+  rules: readonly SettingsRule[],
+): Result<Value, readonly SettingsProblem[]> {
+  const document = tryParseDocument(text);
+  if (document.isErr()) {
+    return err(document.error);
+  }
+  const view = new SettingsView(document.value);
+  const checked = schema.safeParse(document.value);
+  const wrong = checked.success ? [] : describeIssues(schema, checked.error.issues, view);
+  const conflicts = rules.filter((rule) => rule.isBroken(view));
+  const problems = [...wrong, ...conflicts.map(({ key, expected }) => ({ key, expected }))];
+  return checked.success && problems.length === 0
+    ? ok(checked.data)
+    : err(addLines(problems, text));
+}
+
+/** Adds to each problem the line at which its key stands. */
+export function addLines(
+  problems: readonly SettingsProblem[],
+  text: string,
+): readonly SettingsProblem[] {
+  const lines = new KeyLines(text);
+  const placed = problems.map((problem) => {
+    const line = lines.get(problem.key);
+    return line === undefined ? problem : { ...problem, line };
+  });
+  return placed.sort((left, right) => (left.line ?? 0) - (right.line ?? 0));
+}
+
+function tryParseDocument(text: string): Result<unknown, readonly SettingsProblem[]> {
+  if (Buffer.byteLength(text) > MAXIMUM_SETTINGS_BYTES) {
+    return err([{ key: '', expected: `expected at most ${MAXIMUM_SETTINGS_BYTES} bytes` }]);
+  }
+  try {
+    return ok(parse(text));
+  } catch (cause) {
+    return err([describeSyntaxProblem(cause)]);
+  }
+}
+
+/** Keeps the first line of the message only: the next ones quote the file, which may hold a key. */
+function describeSyntaxProblem(cause: unknown): SettingsProblem {
+  const message = cause instanceof Error ? cause.message : String(cause);
+  const problem = { key: '', expected: message.split('\n')[0] ?? '' };
+  return cause instanceof TomlError ? { ...problem, line: cause.line } : problem;
+}
--- /dev/null
+++ b/src/common/settings/nearestKey.ts
@@ -0,0 +1,32 @@
+const MAXIMUM_DISTANCE = 3;
+
+/** The known key that differs least from a mistyped one, or undefined when all differ much. */
+export function findNearestKey(key: string, known: readonly string[]): string | undefined {
+  let nearest: string | undefined;
+  let least = Math.min(MAXIMUM_DISTANCE, Math.ceil(key.length / 2)) + 1;
+  for (const candidate of known) {
+    const distance = getEditDistance(key, candidate, least);
+    if (distance < least) {
+      least = distance;
+      nearest = candidate;
+    }
+  }
+  return nearest;
+}
+
+/** Levenshtein distance; `bound` when it is at least that. */
+function getEditDistance(left: string, right: string, bound: number): number {
+  if (Math.abs(left.length - right.length) >= bound) {
+    return bound;
+  }
+  let row = Array.from({ length: right.length + 1 }, (_, index) => index);
+  for (let i = 0; i < left.length; i += 1) {
+    const next = [i + 1];
+    for (let j = 0; j < right.length; j += 1) {
+      const substitution = (row[j] ?? 0) + (left[i] === right[j] ? 0 : 1);
+      next.push(Math.min(substitution, (row[j + 1] ?? 0) + 1, (next[j] ?? 0) + 1));
+    }
+    row = next;
+  }
+  return Math.min(bound, row.at(-1) ?? bound);
+}
--- a/src/common/settings/readSettings.ts
+++ b/src/common/settings/readSettings.ts
@@ -1,40 +1,55 @@
 import { readFileSync } from 'node:fs';
 import { err, ok, type Result } from 'neverthrow';
-import { parse } from 'smol-toml';
 import { createFault, Diagnostics, type Fault } from '../diagnostics/index.js';
+import { addLines, tryCheckSettings } from './checkSettings.js';
 import { settingsSchema, type Settings } from './settings.js';
+import { findFileProblems } from './settingsFiles.js';
+import type { SettingsProblem } from './settingsProblem.js';
+import { SETTINGS_RULES } from './settingsRules.js';
 
-/** Reads and checks a settings file; the fault names the file, the key and what was expected. */
+/** Reads and checks a settings file; the fault names every key and what was expected there. */
 export function tryReadSettings(file: string): Result<Settings, Fault> {
-  let text: string;
-  try {
-    text = readFileSync(file, 'utf8');
-  } catch (cause) {
-    return err(settingsFault(file, '', String(cause)));
-  }
-  return tryParseSettings(file, text);
+  return tryReadText(file)
+    .andThen((text) => tryCheckSettings(text, settingsSchema, SETTINGS_RULES))
+    .mapErr((problems) => createSettingsFault(file, problems));
 }
 
 /** Checks the text of a settings file. */
 export function tryParseSettings(file: string, text: string): Result<Settings, Fault> {
-  let document: unknown;
+  return tryCheckSettings(text, settingsSchema, SETTINGS_RULES).mapErr((problems) =>
+    createSettingsFault(file, problems),
+  );
+}
+
+/** Finds all problems of a settings file and of the files that it names; none when it is good. */
+export function findSettingsProblems(file: string): readonly SettingsProblem[] {
+  const text = tryReadText(file);
+  if (text.isErr()) {
+    return text.error;
+  }
+  return tryCheckSettings(text.value, settingsSchema, SETTINGS_RULES).match(
+    (settings) => addLines(findFileProblems(settings), text.value),
+    (problems) => problems,
+  );
+}
+
+function tryReadText(file: string): Result<string, readonly SettingsProblem[]> {
   try {
-    document = parse(text);
+    return ok(readFileSync(file, 'utf8'));
   } catch (cause) {
-    return err(settingsFault(file, '', cause instanceof Error ? cause.message : String(cause)));
-  }
-  const checked = settingsSchema.safeParse(document);
-  if (!checked.success) {
-    const issue = checked.error.issues[0];
-    return err(settingsFault(file, issue?.path.join('.') ?? '', issue?.message ?? ''));
+    const problem = cause instanceof Error ? cause.message : String(cause);
+    return err([{ key: '', expected: `can't be read: ${problem}` }]);
   }
-  return ok(checked.data);
 }
 
-function settingsFault(file: string, key: string, expected: string): Fault {
+function createSettingsFault(file: string, problems: readonly SettingsProblem[]): Fault {
+  const texts = problems.map(({ line, key, expected }) => {
+    const place = line === undefined ? '' : `line ${line}: `;
+    return `${place}${key === '' ? '' : `${key}: `}${expected}`;
+  });
   return createFault(
     Diagnostics.SettingsInvalid,
-    { file, key, expected },
+    { file, problems: texts.join('; ') },
     { step: 'settings.check', peer: file },
   );
 }
--- a/src/common/settings/settings.ts
+++ b/src/common/settings/settings.ts
@@ -1,11 +1,16 @@
 import { z } from 'zod';
+import { isAddress } from './address.js';
 
 /** An address `ip:port`. */
-export const addressSchema = z.string().regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'expected IP:PORT');
+export const addressSchema = z
+  .string()
+  .refine(isAddress, 'expected IP:PORT with an IP number, such as 10.0.1.1:7400')
+  .meta({ title: 'IP:PORT' });
 /** A name of a host, failure domain, group, instance or client account. */
 export const nameSchema = z
   .string()
-  .regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, 'expected a name of letters, digits, ".", "_", "-"');
+  .regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, 'expected a name of letters, digits, ".", "_", "-"')
+  .meta({ title: 'a name' });
 
 const memberSchema = z.strictObject({
   host: nameSchema.describe('Host id of the control host.'),
@@ -28,47 +33,66 @@
     .min(1)
     .describe('What this daemon does.'),
   data_folder: z.string().optional().describe('Folder for durable state; needed for control.'),
-  mesh: z.strictObject({
-    listen: addressSchema.describe('Address for other daemons.'),
-    plain: z.boolean().default(false).describe('Allow the mesh without TLS.'),
-    tls: tlsSchema.optional(),
-  }),
-  control: z.strictObject({
-    members: z.array(memberSchema).min(1).describe('The control hosts to begin with.'),
-    bootstrap: z.boolean().default(false).describe('Found a new control quorum from the members.'),
-  }),
+  mesh: z
+    .strictObject({
+      listen: addressSchema.describe('Address for other daemons.'),
+      plain: z.boolean().default(false).describe('Allow the mesh without TLS.'),
+      tls: tlsSchema.optional().describe('TLS on the mesh; both sides show a certificate.'),
+    })
+    .describe('Connections between daemons.'),
+  control: z
+    .strictObject({
+      members: z.array(memberSchema).min(1).describe('The control hosts to begin with.'),
+      bootstrap: z
+        .boolean()
+        .default(false)
+        .describe('Found a new control quorum from the members.'),
+    })
+    .describe('The control quorum.'),
   callers: z
     .strictObject({
       listen: addressSchema.describe('PostgreSQL address for callers.'),
       statement_timeout_ms: z.int().min(1).default(30_000).describe('Deadline of a statement.'),
       maximum_message_bytes: z.int().min(1024).default(33_554_432).describe('Largest message.'),
-      tls: tlsSchema.optional(),
+      tls: tlsSchema.optional().describe('TLS towards callers.'),
     })
     .optional()
-    .describe('Needed for the entry role.'),
-  operators: z.strictObject({
-    listen: addressSchema.describe('HTTP address for operators, announcements and metrics.'),
-    token_file: z.string().optional().describe("File with the operators' bearer tokens."),
-    announcer_token_file: z
-      .string()
-      .optional()
-      .describe("File with the backend servers' bearer tokens for announcements."),
-  }),
+    .describe('Connections of callers.'),
+  operators: z
+    .strictObject({
+      listen: addressSchema.describe('HTTP address for operators, announcements and metrics.'),
+      token_file: z
+        .string()
+        .optional()
+        .describe("File with the operators' bearer tokens, one a line."),
+      announcer_token_file: z
+        .string()
+        .optional()
+        .describe("File with the backend servers' bearer tokens for announcements, one a line."),
+    })
+    .describe('HTTP interface.'),
   backend: z
     .strictObject({
       user: z.string().default('filbertpoint').describe('User towards backend servers.'),
       password_file: z.string().optional().describe('File with the password for that user.'),
     })
-    .prefault({}),
-  fleet: z.strictObject({
-    token_key_file: z.string().optional().describe('File with the key that signs session tokens.'),
-    token_key: z.string().min(16).optional().describe('That key itself, for trials only.'),
-  }),
+    .prefault({})
+    .describe('Connections to backend servers.'),
+  fleet: z
+    .strictObject({
+      token_key_file: z
+        .string()
+        .optional()
+        .describe('File with the key that signs session tokens; the same on all hosts.'),
+      token_key: z.string().min(16).optional().describe('That key itself, for trials only.'),
+    })
+    .describe('Secrets that all hosts share.'),
   log: z
     .strictObject({
       level: z.enum(['debug', 'info', 'warn', 'error']).default('info').describe('Lowest level.'),
     })
-    .prefault({}),
+    .prefault({})
+    .describe('Logs.'),
 });
 
 /** A daemon's settings, checked. */
--- /dev/null
+++ b/src/common/settings/settingsProblem.ts
@@ -0,0 +1,15 @@
+/** One fault of a settings file. */
+export interface SettingsProblem {
+  /** Line of the key, or of the table that lacks it; absent when it can't be told. */
+  readonly line?: number;
+  /** The key with its tables, such as `mesh.listen`; empty for the file as a whole. */
+  readonly key: string;
+  /** What was expected in its place. */
+  readonly expected: string;
+}
+
+/** Formats a problem as `FILE:LINE: KEY: EXPECTED`. */
+export function formatSettingsProblem(file: string, problem: SettingsProblem): string {
+  const place = problem.line === undefined ? file : `${file}:${problem.line}`;
+  return [place, problem.key, problem.expected].filter((part) => part !== '').join(': ');
+}
--- a/src/daemon/operators/operatorServer.test.ts
+++ b/src/daemon/operators/operatorServer.test.ts
@@ -165,7 +165,7 @@
       "body": {
         "code": 8001,
         "detail": "not run",
-        "message": "The request is invalid: address: expected IP:PORT; term: Too small: expected number to be >=0",
+        "message": "The request is invalid: address: expected IP:PORT with an IP number, such as 10.0.1.1:7400; term: Too small: expected number to be >=0",
         "step": "announcement.parse",
       },
       "status": 400,
