--- a/src/decisions/consensus/consensusMember.ts
+++ b/src/decisions/consensus/consensusMember.ts
@@ -175,7 +175,7 @@
       election.receivePreVote(message);
     } else if (message.kind === MessageKind.VoteResponse) {
       this.leadIf(election.receiveVote(message));
-    } else if (message.term === core.term) {
+    } else if (message.requestTerm === core.term) {
       this.leadership?.receive(message);
     }
   }
--- a/src/decisions/consensus/follower.ts
+++ b/src/decisions/consensus/follower.ts
@@ -11,6 +11,10 @@
 
 /** Follows the leader's log. */
 export class Follower<Command> {
+  /** The log is known to equal the leader's up to here, as long as the term lasts. */
+  private matchedIndex = 0;
+  private matchedTerm = 0;
+
   constructor(private readonly core: MemberCore<Command>) {}
 
   /** Appends the leader's entries after the matching prefix, or refuses with a hint. */
@@ -41,7 +45,7 @@
     }
     const keepsSuffix = core.log.install(snapshot);
     if (!keepsSuffix) {
-      core.durability.forgetFrom(core.commitIndex + 1);
+      core.durability.forgetFrom(Math.max(core.commitIndex, this.matchedIndex) + 1);
     }
     core.commitSnapshot(snapshot.index);
     core.persist(keepsSuffix ? { snapshot } : { snapshot, truncateFrom: snapshot.index + 1 });
@@ -61,6 +65,10 @@
     );
     core.becomeFollower(message.term, message.from);
     core.leaderContactMs = core.nowMs;
+    if (this.matchedTerm !== core.term) {
+      this.matchedTerm = core.term;
+      this.matchedIndex = 0;
+    }
     return true;
   }
 
@@ -71,6 +79,7 @@
     if (fresh.length > 0) {
       this.store(fresh);
     }
+    this.matchedIndex = Math.max(this.matchedIndex, matchIndex);
     core.commitTo(Math.max(core.commitIndex, Math.min(message.commitIndex, matchIndex)));
     if (fresh.length === 0) {
       this.acknowledgeDurable(message, matchIndex);
@@ -140,6 +149,7 @@
       from: core.identity,
       to: message.from,
       term: core.term,
+      requestTerm: message.term,
       round: message.round,
       sentMs: message.sentMs,
       accepted: true,
--- a/src/decisions/consensus/message.ts
+++ b/src/decisions/consensus/message.ts
@@ -74,6 +74,8 @@
 /** Answers append and snapshot requests. */
 export interface AppendResponse extends LeaderContact {
   readonly kind: MessageKind.AppendResponse;
+  /** Term of the request; an answer to a request of an earlier term confirms nothing. */
+  readonly requestTerm: number;
   readonly accepted: boolean;
   /** When accepted: the follower durably holds the leader's log up to here. */
   readonly matchIndex: number;
--- a/src/decisions/consensus/output.ts
+++ b/src/decisions/consensus/output.ts
@@ -54,7 +54,10 @@
   readonly snapshot: Snapshot;
 }
 
-/** Answer with a Compact input; `index` is the last entry committed so far. */
+/**
+ * Answer with a Compact input of the state at the last applied entry, once this call's outputs
+ * are carried out; `index` is the last entry committed so far.
+ */
 export interface SnapshotDueOutput {
   readonly kind: OutputKind.SnapshotDue;
   readonly index: number;
@@ -97,7 +100,10 @@
   readonly leader: MemberId | undefined;
 }
 
-/** What a consensus member asks of the shell, to be carried out in order. */
+/**
+ * What a consensus member asks of the shell, to be carried out in order, and all of one call's
+ * before the next input.
+ */
 export type ConsensusOutput<Command> =
   | SendOutput<Command>
   | PersistOutput<Command>
--- a/src/decisions/consensus/replication.ts
+++ b/src/decisions/consensus/replication.ts
@@ -132,9 +132,13 @@
 
   private sendHeartbeat(member: MemberId, progress: Progress): void {
     const { core } = this;
+    const needsSnapshot = progress.nextIndex <= core.log.firstKnownIndex;
+    if (progress.mode !== ReplicationMode.Snapshot && needsSnapshot) {
+      this.sendSnapshot(member, progress);
+      return;
+    }
     if (progress.mode !== ReplicationMode.Snapshot) {
-      const previousIndex = Math.max(progress.nextIndex - 1, core.log.firstKnownIndex);
-      this.sendAppend(member, previousIndex, []);
+      this.sendAppend(member, progress.nextIndex - 1, []);
       return;
     }
     this.sendAppend(member, 0, []);
--- /dev/null
+++ b/src/decisions/consensus/scripted.test.ts
@@ -0,0 +1,106 @@
+import { expect, test } from 'vitest';
+import {
+  createAppendResponse,
+  ScriptedMember,
+  scriptedVoters,
+} from '../../../tests/support/consensus/scriptedMember.js';
+import {
+  EntryKind,
+  InputKind,
+  MessageKind,
+  OutputKind,
+  Role,
+  type ConsensusOutput,
+  type LogEntry,
+} from './index.js';
+
+const [a, b, c] = scriptedVoters;
+
+function createLeader(): ScriptedMember {
+  const leader = new ScriptedMember(a, scriptedVoters);
+  leader.lead(b);
+  expect(leader.member.role).toBe(Role.Leader);
+  return leader;
+}
+
+function getKinds(outputs: readonly ConsensusOutput<string>[]): readonly OutputKind[] {
+  return outputs.map((output) => output.kind);
+}
+
+function createEntry(index: number): LogEntry<string> {
+  return { kind: EntryKind.Command, index, term: 1, command: 'x', sizeBytes: 1 };
+}
+
+test('an answer to a request of an earlier term confirms no read', () => {
+  const leader = createLeader();
+  leader.receive(createAppendResponse(b, a, {}));
+  expect(leader.member.commitIndex).toBe(1);
+  leader.read('r');
+  const late = createAppendResponse(b, a, { requestTerm: 0, round: 999, accepted: false });
+  expect(leader.receive(late)).toEqual([]);
+  const confirmed = leader.receive(createAppendResponse(b, a, { round: 2 }));
+  expect(getKinds(confirmed)).toEqual([OutputKind.ReadReady]);
+});
+
+test('a new leader answers no read before it has committed an entry of its own term', () => {
+  const leader = createLeader();
+  expect(leader.read('r')).toEqual([]);
+  const answer = createAppendResponse(b, a, { matchIndex: 0, accepted: false });
+  expect(getKinds(leader.receive(answer))).not.toContain(OutputKind.ReadReady);
+  leader.receive(createAppendResponse(b, a, { round: 1 }));
+  const confirmed = leader.receive(createAppendResponse(b, a, { round: 2 }));
+  expect(getKinds(confirmed)).toContain(OutputKind.ReadReady);
+});
+
+test('the lease counts from sending, less the drift bound, and ends with a transfer', () => {
+  const leader = createLeader();
+  expect(leader.member.isLeaseValid(300)).toBe(false);
+  leader.nowMs = 400;
+  leader.receive(createAppendResponse(c, a, { sentMs: 300 }));
+  expect(leader.member.isLeaseValid(489)).toBe(true);
+  expect(leader.member.isLeaseValid(490)).toBe(false);
+  leader.give({ kind: InputKind.TransferLeadership });
+  expect(leader.member.isLeaseValid(489)).toBe(false);
+});
+
+test('a leader without a quorum steps down and fails its reads', () => {
+  const leader = createLeader();
+  leader.receive(createAppendResponse(b, a, {}));
+  leader.read('r');
+  leader.tickAt(699);
+  expect(leader.member.role).toBe(Role.Leader);
+  expect(getKinds(leader.tickAt(700))).toEqual([
+    OutputKind.ReadFailed,
+    OutputKind.LeadershipChanged,
+  ]);
+});
+
+test('an acknowledgement waits for its entries, a heartbeat only for the term', () => {
+  const follower = new ScriptedMember(b, scriptedVoters);
+  const request = {
+    kind: MessageKind.AppendRequest as const,
+    from: a,
+    to: b,
+    term: 1,
+    round: 1,
+    sentMs: 5,
+    previousIndex: 0,
+    previousTerm: 0,
+    entries: [createEntry(1)],
+    commitIndex: 0,
+  };
+  const appended = follower.receive(request);
+  expect(getKinds(appended)).not.toContain(OutputKind.Send);
+  expect(follower.persist()).toMatchObject([{ message: { accepted: true, matchIndex: 1 } }]);
+  follower.receive({ ...request, previousIndex: 1, previousTerm: 1, entries: [createEntry(2)] });
+  const heartbeat = { ...request, previousIndex: 2, previousTerm: 1, entries: [] };
+  expect(follower.receive(heartbeat)).toMatchObject([{ message: { matchIndex: 1 } }]);
+  // A snapshot beyond the log does not take back what is acknowledged after the next sync.
+  const membership = { voters: scriptedVoters, learners: [] };
+  const snapshot = { index: 9, term: 1, membership, state: new Uint8Array(0) };
+  const { previousIndex, previousTerm, entries, commitIndex, ...contact } = request;
+  expect([previousIndex, previousTerm, entries.length, commitIndex]).toEqual([0, 0, 1, 0]);
+  follower.receive({ ...contact, kind: MessageKind.SnapshotRequest, snapshot });
+  const released = follower.persist();
+  expect(released).toMatchObject([{ message: { matchIndex: 2 } }, { message: { matchIndex: 9 } }]);
+});
