Named consensus tests and seeded faults

Cause: the checks must be shown to find broken rules, and the failures the log is meant for must each be brought about.

--- /dev/null
+++ b/src/decisions/consensus/repair.test.ts
@@ -0,0 +1,133 @@
+import { expect, test } from 'vitest';
+import { runUnderLoad } from '../../../tests/support/consensus/faultAction.js';
+import type { SimulatedHost } from '../../../tests/support/consensus/simulatedHost.js';
+import { Simulation } from '../../../tests/support/consensus/simulation.js';
+import { ConsensusRules, Role } from './index.js';
+
+const SEEDS = Array.from({ length: 20 }, (_, seed) => seed);
+const SETTLING_MS = 1_500;
+
+function createRunning(seed: number, hostCount = 3, rules = new ConsensusRules()): Simulation {
+  const settings = { snapshotEntries: 40, trailingEntries: 10 };
+  const simulation = new Simulation({ seed, hostCount, settings, rules });
+  runUnderLoad(simulation, SETTLING_MS);
+  return simulation;
+}
+
+function getLeader(simulation: Simulation): SimulatedHost {
+  const { leader } = simulation;
+  if (leader === undefined) {
+    throw new Error('no leader');
+  }
+  return leader;
+}
+
+function getFollower(simulation: Simulation): SimulatedHost {
+  const follower = simulation.hosts.find((host) => host.member?.role !== Role.Leader);
+  if (follower === undefined) {
+    throw new Error('no follower');
+  }
+  return follower;
+}
+
+/** Every host has applied all that was committed, and commits go on. */
+function expectComplete(simulation: Simulation): void {
+  const { checker, hosts } = simulation;
+  const before = checker.completedIndex;
+  runUnderLoad(simulation, 200);
+  simulation.run(400);
+  expect(checker.completedIndex).toBeGreaterThan(before);
+  expect(hosts.map((host) => host.appliedIndex)).toEqual(hosts.map(() => checker.committedIndex));
+}
+
+function replaceDisk(simulation: Simulation, host: SimulatedHost): void {
+  simulation.loseDisk(host);
+  simulation.start(host);
+  for (let waitedMs = 0; waitedMs < 10_000 && !simulation.isMembershipSettled; waitedMs += 20) {
+    runUnderLoad(simulation, 20);
+  }
+  expect(simulation.isMembershipSettled).toBe(true);
+}
+
+test.each(SEEDS)('a second host lost right after a repair loses nothing (seed %i)', (seed) => {
+  const simulation = createRunning(seed);
+  const first = getFollower(simulation);
+  replaceDisk(simulation, first);
+  const second = simulation.hosts.find((host) => host !== first && host !== simulation.leader);
+  replaceDisk(simulation, second ?? getLeader(simulation));
+  replaceDisk(simulation, getLeader(simulation));
+  expectComplete(simulation);
+});
+
+test.each(SEEDS)('an isolated host that returns disturbs no one (seed %i)', (seed) => {
+  const simulation = createRunning(seed);
+  const isolated = getFollower(simulation);
+  const leader = getLeader(simulation);
+  const term = leader.member?.term;
+  simulation.network.isolate(isolated.number, 3);
+  runUnderLoad(simulation, 20_000);
+  expect(isolated.member?.role).toBe(Role.PreCandidate);
+  simulation.network.heal();
+  runUnderLoad(simulation, SETTLING_MS);
+  expect(simulation.leader).toBe(leader);
+  expect(simulation.hosts.map((host) => host.member?.term)).toEqual([term, term, term]);
+  expectComplete(simulation);
+});
+
+test('an isolated host that returns does disturb without pre-vote', () => {
+  class NoPreVote extends ConsensusRules {
+    override usesPreVote(): boolean {
+      return false;
+    }
+  }
+  const simulation = createRunning(1, 3, new NoPreVote());
+  const term = getLeader(simulation).member?.term ?? 0;
+  simulation.network.isolate(getFollower(simulation).number, 3);
+  runUnderLoad(simulation, 5_000);
+  simulation.network.heal();
+  runUnderLoad(simulation, SETTLING_MS);
+  expect(getLeader(simulation).member?.term).toBeGreaterThan(term + 1);
+});
+
+test.each(SEEDS)('an isolated leader answers no read and holds no lease (seed %i)', (seed) => {
+  const simulation = createRunning(seed);
+  const former = getLeader(simulation);
+  simulation.network.isolate(former.number, 3);
+  const answered = simulation.checker.answeredReads;
+  for (let step = 0; step < 300; step++) {
+    simulation.run(10);
+    simulation.read(former);
+  }
+  expect(simulation.checker.answeredReads).toBe(answered);
+  expect(former.member?.isLeaseValid(former.getClock(simulation.events.nowMs))).toBe(false);
+  expect(former.member?.role).not.toBe(Role.Leader);
+  expect(simulation.leader).not.toBe(former);
+});
+
+test.each(SEEDS)('a lost leader disk is replaced among five hosts (seed %i)', (seed) => {
+  const simulation = createRunning(seed, 5);
+  replaceDisk(simulation, getLeader(simulation));
+  replaceDisk(simulation, getLeader(simulation));
+  expectComplete(simulation);
+});
+
+test.each(SEEDS)('a host whose requests were lost catches up by a snapshot (seed %i)', (seed) => {
+  const simulation = createRunning(seed);
+  const behind = getFollower(simulation);
+  simulation.network.cutLink(getLeader(simulation).number, behind.number);
+  runUnderLoad(simulation, 3_000);
+  expect(behind.appliedIndex).toBeLessThan(simulation.checker.committedIndex - 40);
+  simulation.network.heal();
+  runUnderLoad(simulation, SETTLING_MS);
+  expectComplete(simulation);
+});
+
+test.each(SEEDS)('leadership is handed over without an election timeout (seed %i)', (seed) => {
+  const simulation = createRunning(seed);
+  const former = getLeader(simulation);
+  simulation.transfer(former);
+  simulation.run(100);
+  expect(simulation.leader).not.toBe(former);
+  expect(simulation.leader).toBeDefined();
+  expectComplete(simulation);
+});
--- a/tests/support/consensus/faultAction.ts
+++ b/tests/support/consensus/faultAction.ts
@@ -10,6 +10,7 @@
   LoseDisk = 'lose-disk',
   Isolate = 'isolate',
   CutLink = 'cut-link',
+  CutPair = 'cut-pair',
   Heal = 'heal',
   Pause = 'pause',
   Resume = 'resume',
@@ -19,6 +20,8 @@
 /** One event of a fault schedule; `host` and `other` are taken modulo the number of hosts. */
 export interface FaultAction {
   readonly afterMs: number;
+  /** No proposals and reads before the event. */
+  readonly isIdle: boolean;
   readonly kind: FaultKind;
   readonly host: number;
   readonly other: number;
@@ -30,6 +33,7 @@
 export const faultSchedule = fc.array(
   fc.record<FaultAction>({
     afterMs: fc.integer({ min: 0, max: 700 }),
+    isIdle: fc.boolean(),
     kind: fc.constantFrom(...Object.values(FaultKind)),
     host: fc.nat({ max: 9 }),
     other: fc.nat({ max: 9 }),
@@ -44,7 +48,11 @@
 export function runSchedule(simulation: Simulation, schedule: readonly FaultAction[]): void {
   runUnderLoad(simulation, 600);
   for (const action of schedule) {
-    runUnderLoad(simulation, action.afterMs);
+    if (action.isIdle) {
+      simulation.run(action.afterMs);
+    } else {
+      runUnderLoad(simulation, action.afterMs);
+    }
     applyFault(simulation, action);
   }
   runUnderLoad(simulation, 600);
@@ -88,6 +96,10 @@
     case FaultKind.CutLink:
       network.cutLink(host.number, other);
       break;
+    case FaultKind.CutPair:
+      network.cutLink(host.number, other);
+      network.cutLink(other, host.number);
+      break;
     case FaultKind.Heal:
       network.heal();
       hosts.forEach((down) => simulation.start(down));
