--- a/standin/instance/standinInstance.ts
+++ b/standin/instance/standinInstance.ts
@@ -267,7 +267,8 @@
 
   private tryGetAnnouncement(): Announcement | undefined {
     const { settings, faults, engine, address, platform, role } = this;
-    if (faults.cutOff || faults.announcementsStopped || !this.isServing) {
+    const isListening = this.postgres.port !== 0;
+    if (faults.cutOff || faults.announcementsStopped || !this.isServing || !isListening) {
       return undefined;
     }
     return {
--- a/standin/platform/announcer.ts
+++ b/standin/platform/announcer.ts
@@ -38,14 +38,14 @@
 
   /** Announces once; does nothing while another announcement is under way. */
   async announce(): Promise<void> {
-    if (this.isSending) {
+    if (this.isSending || this.hasStopped()) {
       return;
     }
     this.isSending = true;
     const targets = this.parts.getTargets();
     const first = this.target % Math.max(1, targets.length);
     for (const address of [...targets.slice(first), ...targets.slice(0, first)]) {
-      if (await this.send(address)) {
+      if (this.hasStopped() || (await this.send(address))) {
         break;
       }
       this.target += 1;
@@ -53,6 +53,10 @@
     this.isSending = false;
   }
 
+  private hasStopped(): boolean {
+    return this.endInterval === undefined;
+  }
+
   private async send(address: string): Promise<boolean> {
     const body = this.parts.tryGetAnnouncement();
     if (body === undefined) {
--- a/standin/wire/postgresServer.ts
+++ b/standin/wire/postgresServer.ts
@@ -20,6 +20,7 @@
   readonly connections = new Gauge();
   private refused = 0;
   private nextProcessId = 1;
+  private boundPort = 0;
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
   private readonly sessions = new Map<number, ClientSession>();
@@ -33,16 +34,19 @@
     return this.refused;
   }
 
-  /** The port that the server listens on. */
+  /** The port that the server listens on; 0 before it listens. */
   get port(): number {
-    return (this.server.address() as AddressInfo).port;
+    return this.boundPort;
   }
 
   /** Begins to listen. */
   listen(host: string, port: number): Promise<void> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
-      this.server.listen(port, host, () => resolve());
+      this.server.listen(port, host, () => {
+        this.boundPort = (this.server.address() as AddressInfo).port;
+        resolve();
+      });
     });
   }
 
