--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -46,6 +46,17 @@
     'A message of {size} bytes exceeds the limit of {limit}.',
     '54000',
   ),
+  ParameterInvalid: refusal(2007, 'Parameter "{parameter}" needs {expected}.', '22023'),
+  AuthenticationTimeout: refusal(2008, 'The caller did not authenticate in time.', '08006'),
+  TooManyRequests: refusal(2009, 'Too many requests wait on this connection.', '54000'),
+  RouteForbidden: refusal(
+    2010,
+    'Client account "{account}" may not use database "{database}".',
+    '42501',
+  ),
+  AccountUnknown: refusal(2011, 'No client account "{account}" is in force.', '28000'),
+  TransactionFailed: refusal(2013, 'The transaction was lost; end it with ROLLBACK.', '25P02'),
+  MessageMalformed: refusal(2012, 'A message of the caller was malformed.', '08P01'),
   StatementTimeout: error(2006, 'The statement exceeded its deadline of {deadline} ms.', '57014'),
 
   // 3000: sessions and routing
@@ -180,6 +191,8 @@
     'Ticket {number} lost the race to another operator {attempts} times: {problem}',
   ),
 
+  LinesSuppressed: message(7100, '{count} more lines of {code} were left out.'),
+
   // 8000: operators' HTTP and announcements
   OperatorsListening: message(8000, "Operators' HTTP interface listens on {address}."),
   RequestInvalid: refusal(8001, 'The request is invalid: {problem}'),
@@ -194,8 +207,6 @@
     'No token file is set for {access}; any local process has access.',
   ),
 
-  // 8500: mesh
-
   // 8500: mesh
   MeshFrameInvalid: warning(8500, 'A frame from another daemon was invalid: {reason}.'),
   MeshLinkSilent: warning(8501, 'A link gave no sign for {silent} ms and was closed.'),
