--- /dev/null
+++ b/bench/fleet/index.ts
@@ -0,0 +1,3 @@
+export * from './fleetPlan.js';
+export * from './localFleet.js';
+export * from './createAccountSubject.js';
