--- /dev/null
+++ b/src/decisions/routing/groupRouter.test.ts
@@ -0,0 +1,125 @@
+import { expect, test } from 'vitest';
+import {
+  toFailureDomain,
+  toGroupId,
+  toInstanceId,
+  toLogPosition,
+  toRevision,
+  toTerm,
+} from '../../common/ids/index.js';
+import { RandomSource } from '../../common/random.js';
+import { PrimaryPhase, RecordKind, type GroupPrimary } from '../control/index.js';
+import { GroupRouter, NearReplica, type GroupView, type InstanceView } from './index.js';
+
+class NoRandom extends RandomSource {
+  override next(): number {
+    return 0;
+  }
+}
+
+const router = new GroupRouter(new NearReplica(2), toFailureDomain('west'), new NoRandom());
+
+function at(term: number, position: number) {
+  return { term: toTerm(term), position: toLogPosition(position) };
+}
+
+function createInstance(name: string, seen: ReturnType<typeof at> | undefined): InstanceView {
+  return {
+    instance: toInstanceId(name),
+    domain: toFailureDomain(name === 'near' ? 'west' : 'east'),
+    slots: 2,
+    load: 0,
+    latencyMs: 1,
+    reachable: true,
+    inService: true,
+    position: seen,
+    ageMs: 100,
+    warmth: 1,
+  };
+}
+
+function createPrimary(change: Partial<GroupPrimary> = {}): GroupPrimary {
+  return {
+    kind: RecordKind.Primary,
+    group: toGroupId('ledger'),
+    term: toTerm(3),
+    instance: toInstanceId('first'),
+    phase: PrimaryPhase.Serving,
+    since: toRevision(1),
+    history: [at(2, 50)],
+    ...change,
+  };
+}
+
+function createGroup(change: Partial<GroupView> = {}): GroupView {
+  return {
+    primary: createPrimary(),
+    fenced: false,
+    acknowledged: at(3, 80),
+    instances: [
+      createInstance('first', at(3, 90)),
+      createInstance('near', at(3, 80)),
+      createInstance('far', at(3, 85)),
+    ],
+    ...change,
+  };
+}
+
+function read(group: GroupView, session?: ReturnType<typeof at>, maximumStalenessMs?: number) {
+  const decision = router.routeRead(group, { session, maximumStalenessMs });
+  return 'instance' in decision ? decision.instance : decision.kind;
+}
+
+function write(group: GroupView, session?: ReturnType<typeof at>) {
+  const decision = router.routeWrite(group, session);
+  return 'instance' in decision ? decision.instance : decision.kind;
+}
+
+test('reads go to the nearest replica that has what the session saw', () => {
+  expect({
+    fresh: read(createGroup()),
+    ownWriteOnFarOnly: read(createGroup(), at(3, 82)),
+    ownWriteOnPrimaryOnly: read(createGroup(), at(3, 88)),
+    earlierTerm: read(createGroup(), at(2, 50)),
+    lostByPromotion: read(createGroup(), at(2, 51)),
+    forgottenTerm: read(createGroup(), at(1, 1)),
+    termNotHeardOf: read(createGroup(), at(4, 1)),
+    statedAge: read(createGroup({ acknowledged: at(3, 999) }), undefined, 100),
+    tooOld: read(createGroup({ acknowledged: at(3, 999) }), undefined, 99),
+    nothingAcknowledgedKnown: read(createGroup({ acknowledged: undefined })),
+  }).toMatchInlineSnapshot(`
+    {
+      "earlierTerm": "near",
+      "forgottenTerm": "refuse",
+      "fresh": "near",
+      "lostByPromotion": "refuse",
+      "nothingAcknowledgedKnown": "first",
+      "ownWriteOnFarOnly": "far",
+      "ownWriteOnPrimaryOnly": "first",
+      "statedAge": "near",
+      "termNotHeardOf": "wait",
+      "tooOld": "first",
+    }
+  `);
+});
+
+test('writes go to a serving primary only', () => {
+  const promoting = createPrimary({ phase: PrimaryPhase.Promoting, history: [] });
+  expect({
+    serving: write(createGroup()),
+    fenced: write(createGroup({ fenced: true })),
+    moving: write(createGroup({ primary: createPrimary({ phase: PrimaryPhase.Moving }) })),
+    promoting: write(createGroup({ primary: promoting })),
+    unknown: write(createGroup({ primary: undefined })),
+    sessionDuringPromotion: write(createGroup({ primary: promoting }), at(2, 60)),
+  }).toMatchInlineSnapshot(`
+    {
+      "fenced": "wait",
+      "moving": "wait",
+      "promoting": "wait",
+      "serving": "first",
+      "sessionDuringPromotion": "wait",
+      "unknown": "wait",
+    }
+  `);
+});
--- a/src/decisions/routing/groupRouter.ts
+++ b/src/decisions/routing/groupRouter.ts
@@ -62,6 +62,10 @@
     if (session === undefined) {
       return undefined;
     }
+    if (primary.phase === PrimaryPhase.Promoting) {
+      // Where the earlier term ends is known only once the promotion is complete.
+      return { kind: RouteKind.Wait };
+    }
     switch (getPositionStatus(session, primary)) {
       case PositionStatus.Included:
         return undefined;
