Hostile input: settings, tickets, announcements, HTTP headers, arguments, answers

Found and mended: a settings file with 20,000 wrong keys gave a fault of 4 MB (now at most 100 problems, keys cut and printable); a 401 with its body unread could be followed by a second answer (the connection now ends); closing waited for the keep-alive time of a connection whose request was running (answers now end it); Retry-After that is no number made the client try without pause; ticket show printed any JSON; arguments after -- ended with status 0 and no output; HTTP requests must come whole within 10 s and connections are bounded.

--- a/src/cli/answers.ts
+++ b/src/cli/answers.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod';
 import { Diagnostics } from '../common/diagnostics/index.js';
 import type { FleetStatus, SubjectReading, TicketAnswer } from '../decisions/control/index.js';
+import type { Ticket } from '../decisions/tickets/index.js';
 import { createFailure, type CommandFailure } from './commandFailure.js';
 import { ExitStatus } from './exitStatus.js';
 
@@ -13,6 +14,10 @@
   missing: z.array(z.string()),
 });
 const readingsSchema = z.looseObject({ subjects: z.array(readingSchema) });
+const ticketSchema = z.looseObject({
+  number: z.int(),
+  subjects: z.array(z.looseObject({ kind: z.string() })),
+});
 const ticketAnswerSchema = z.looseObject({ number: z.int(), outcome: z.string() });
 
 const fleetStatusSchema = z.looseObject({
@@ -48,6 +53,11 @@
   );
 }
 
+/** Checks the answer to a read of a ticket. */
+export function tryParseShownTicket(answer: unknown): Result<Ticket, CommandFailure> {
+  return check<Ticket>(ticketSchema, answer);
+}
+
 /** Checks the answer to an accepted ticket. */
 export function tryParseTicketAnswer(answer: unknown): Result<TicketAnswer, CommandFailure> {
   return check<TicketAnswer>(ticketAnswerSchema, answer);
--- a/src/cli/commandRunner.ts
+++ b/src/cli/commandRunner.ts
@@ -17,15 +17,15 @@
 
 /** Runs one command, prints what came of it and keeps the exit status. */
 export class CommandRunner {
-  private exitStatus = ExitStatus.Done;
+  private exitStatus: ExitStatus | undefined;
 
   constructor(
     private readonly terminal: Terminal,
     private readonly timer: TimerService,
   ) {}
 
-  /** The status for the process to end with. */
-  get status(): ExitStatus {
+  /** The status for the process to end with; undefined when no command was run. */
+  get status(): ExitStatus | undefined {
     return this.exitStatus;
   }
 
@@ -53,6 +53,7 @@
       this.printFailure(outcome.error, options);
       return;
     }
+    this.exitStatus = ExitStatus.Done;
     const { json, text } = outcome.value;
     this.terminal.write(options.json ? `${JSON.stringify(json)}\n` : text);
   }
--- a/src/cli/commands/ticketCommands.ts
+++ b/src/cli/commands/ticketCommands.ts
@@ -1,6 +1,7 @@
 import { okAsync } from 'neverthrow';
 import type { Argv } from 'yargs';
 import type { SubjectReading } from '../../decisions/control/index.js';
+import { tryParseShownTicket } from '../answers.js';
 import { tryParseTicket } from '../../decisions/tickets/index.js';
 import { createFaultFailure } from '../commandFailure.js';
 import type { CommandOutcome } from '../commandOutcome.js';
@@ -74,6 +75,7 @@
 function showTicket(session: CommandSession, number: string): CommandOutcome<CommandReport> {
   return session.client
     .get(`/tickets/${encodeURIComponent(number)}`)
+    .andThen(tryParseShownTicket)
     .map((ticket) => ({ json: ticket, text: `${JSON.stringify(ticket, undefined, 2)}\n` }));
 }
 
--- a/src/cli/httpRequest.ts
+++ b/src/cli/httpRequest.ts
@@ -69,14 +69,19 @@
 function createReply(url: string, answer: Response, text: string): HttpReply {
   const reply = { url, status: answer.status, body: parseBody(text) };
   if (answer.status === UNAVAILABLE) {
-    const retryAfterMs = Number(answer.headers.get('retry-after') ?? 0) * MS_PER_SECOND;
+    const retryAfterMs = readRetryAfterMs(answer.headers);
     return { ...reply, kind: ReplyKind.Unavailable, retryAfterMs };
   }
-  return { ...reply, kind: isLost(answer.status) ? ReplyKind.Lost : ReplyKind.Answered };
+  return {
+    ...reply,
+    kind: answer.status === GATEWAY_TIMEOUT ? ReplyKind.Lost : ReplyKind.Answered,
+  };
 }
 
-function isLost(status: number): boolean {
-  return status === GATEWAY_TIMEOUT;
+/** The server's wish in seconds; none is taken from a date or anything else. */
+function readRetryAfterMs(headers: Headers): number {
+  const text = headers.get('retry-after') ?? '';
+  return /^\d{1,6}$/.test(text) ? Number(text) * MS_PER_SECOND : 0;
 }
 
 function createFailedReply(url: string, cause: unknown): HttpReply {
--- a/src/cli/program.test.ts
+++ b/src/cli/program.test.ts
@@ -75,6 +75,9 @@
   'ticket submit - --number 0',
   'ticket submit /nonexistent/file',
   'ticket submit - --url ftp://a',
+  'status --timeout 0',
+  'status --timeout soon',
+  '-- nothing',
 ])('wrong usage ends with status 2 and one clear line: %s', async (line) => {
   const result = await cli.run(line, '{ "number": ');
   expect(result.status).toBe(ExitStatus.BadInput);
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -10,7 +10,9 @@
 
 const PROGRAM = 'filbertpoint';
 const DEFAULT_TIMEOUT_SECONDS = 10;
+const MAXIMUM_TIMEOUT_SECONDS = 3_600;
 const HELP_COLUMNS = 100;
+const COMMAND_NEEDED = 'Give a command.';
 const EPILOGUE = [
   'Exit status: 0 done; 1 refused; 2 usage or bad input; 3 unreachable or outcome unknown.',
   'FILBERTPOINT_URL and FILBERTPOINT_TOKEN_FILE stand in for --url and --token-file.',
@@ -27,13 +29,19 @@
   for (const addCommands of COMMAND_GROUPS) {
     program = addCommands(program, runner);
   }
+  let help = '';
   try {
     await program.parseAsync([...args], {}, (_error, _parsed, output) => {
-      if (output !== '') {
-        terminal.write(`${output}\n`);
-      }
+      help = output;
     });
-    return runner.status;
+    if (runner.status !== undefined) {
+      return runner.status;
+    }
+    if (help === '') {
+      throw new Error(COMMAND_NEEDED);
+    }
+    terminal.write(`${help}\n`);
+    return ExitStatus.Done;
   } catch (cause) {
     return printUsageProblem(cause, args, terminal);
   }
@@ -55,9 +63,10 @@
       type: 'number',
       default: DEFAULT_TIMEOUT_SECONDS,
       describe: 'Bound on each request with its retries, in seconds.',
+      coerce: checkTimeout,
     })
     .strict()
-    .demandCommand(1, 'Give a command.')
+    .demandCommand(1, COMMAND_NEEDED)
     .completion('completion', 'Print a script for completion in bash or zsh.')
     .recommendCommands()
     .exitProcess(false)
@@ -70,6 +79,13 @@
     .help() as unknown as Argv<GlobalOptions>;
 }
 
+function checkTimeout(seconds: number): number {
+  if (!(seconds > 0 && seconds <= MAXIMUM_TIMEOUT_SECONDS)) {
+    throw new Error(`--timeout must be above 0 and at most ${MAXIMUM_TIMEOUT_SECONDS}.`);
+  }
+  return seconds;
+}
+
 function printUsageProblem(
   cause: unknown,
   args: readonly string[],
--- a/src/common/settings/checkSettings.ts
+++ b/src/common/settings/checkSettings.ts
@@ -7,6 +7,8 @@
 import type { SettingsRule } from './settingsRule.js';
 import { SettingsView } from './settingsView.js';
 
+const MAXIMUM_PROBLEMS = 100;
+
 /** Largest settings file. */
 export const MAXIMUM_SETTINGS_BYTES = 1_048_576;
 
@@ -27,7 +29,14 @@
   const problems = [...wrong, ...conflicts.map(({ key, expected }) => ({ key, expected }))];
   return checked.success && problems.length === 0
     ? ok(checked.data)
-    : err(addLines(problems, text));
+    : err(limitProblems(addLines(problems, text)));
+}
+
+function limitProblems(problems: readonly SettingsProblem[]): readonly SettingsProblem[] {
+  const left = problems.length - MAXIMUM_PROBLEMS;
+  return left <= 0
+    ? problems
+    : [...problems.slice(0, MAXIMUM_PROBLEMS), { key: '', expected: `${left} more problems` }];
 }
 
 /** Adds to each problem the line at which its key stands. */
--- a/src/common/settings/schemaProblems.ts
+++ b/src/common/settings/schemaProblems.ts
@@ -16,6 +16,9 @@
   object: 'a table',
 };
 
+const PLAIN_KEY = /^[A-Za-z0-9_-]{1,63}$/;
+const MAXIMUM_KEY_LENGTH = 63;
+
 const UNIT_NAMES: Readonly<Record<string, string>> = { string: 'character', array: 'element' };
 
 /** Names what a schema found wrong: each key with what was expected there. */
@@ -82,5 +85,10 @@
 }
 
 function joinPath(path: readonly PropertyKey[]): string {
-  return path.map(String).join('.');
+  return path.map((part) => formatKey(String(part))).join('.');
+}
+
+/** Keeps a key from outside short and printable. */
+function formatKey(key: string): string {
+  return PLAIN_KEY.test(key) ? key : JSON.stringify(key.slice(0, MAXIMUM_KEY_LENGTH));
 }
--- /dev/null
+++ b/src/daemon/operators/createHttpServer.ts
@@ -0,0 +1,77 @@
+import type { Socket } from 'node:net';
+import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify';
+import type { Fault } from '../../common/diagnostics/index.js';
+import type { Logger } from '../../common/logging/index.js';
+import { MAXIMUM_BODY_BYTES } from './bodyLimit.js';
+import { createConnectionFault, endConnection } from './connectionFault.js';
+import { createFaultAnswer, createNotFoundAnswer, sendAnswer } from './httpAnswer.js';
+import { createRequestFault } from './requestFault.js';
+
+/** Time within which a request must have come whole. */
+export const REQUEST_TIMEOUT_MS = 10_000;
+
+const IDLE_TIMEOUT_MS = 60_000;
+const TIMEOUT_CHECK_INTERVAL_MS = 500;
+const MAXIMUM_PATH_PARAMETER_LENGTH = 256;
+const MAXIMUM_SHOWN_PATH_LENGTH = 200;
+const MAXIMUM_CONNECTIONS = 4_096;
+
+/** Creates an HTTP server that bounds what comes in and answers each fault in one form. */
+export function createHttpServer(logger: Logger, requestTimeoutMs: number): FastifyInstance {
+  const sendFault = (
+    cause: unknown,
+    request: FastifyRequest,
+    reply: FastifyReply,
+  ): FastifyReply => {
+    const fault = createRequestFault(cause, request.ip);
+    logger.reportFault(fault, { request: request.id });
+    return sendAnswer(reply, createFaultAnswer(fault));
+  };
+  const server = Fastify({
+    bodyLimit: MAXIMUM_BODY_BYTES,
+    requestTimeout: requestTimeoutMs,
+    keepAliveTimeout: IDLE_TIMEOUT_MS,
+    http: {
+      headersTimeout: requestTimeoutMs,
+      connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+    },
+    routerOptions: { maxParamLength: MAXIMUM_PATH_PARAMETER_LENGTH },
+    forceCloseConnections: 'idle',
+    frameworkErrors: (cause, request, reply) => {
+      sendFault(cause, request, reply);
+    },
+    clientErrorHandler: (cause, socket) => refuseConnection(logger, cause, socket),
+  });
+  server.server.maxConnections = MAXIMUM_CONNECTIONS;
+  closeAfterAnswers(server);
+  server.setErrorHandler(sendFault);
+  server.setNotFoundHandler((request, reply) => {
+    const path = request.url.slice(0, MAXIMUM_SHOWN_PATH_LENGTH);
+    return sendAnswer(reply, createNotFoundAnswer(`${request.method} ${path}`, 'http.route'));
+  });
+  return server;
+}
+
+/** Once the server is closing, ends each connection with its answer rather than keep it alive. */
+function closeAfterAnswers(server: FastifyInstance): void {
+  let isClosing = false;
+  server.addHook('preClose', (done) => {
+    isClosing = true;
+    done();
+  });
+  server.addHook('onSend', (_request, reply, payload, done) => {
+    if (isClosing) {
+      reply.header('connection', 'close');
+    }
+    done(null, payload);
+  });
+}
+
+function refuseConnection(logger: Logger, cause: NodeJS.ErrnoException, socket: Socket): void {
+  if (cause.code === 'ECONNRESET' || socket.destroyed) {
+    return;
+  }
+  const fault: Fault = createConnectionFault(cause, socket);
+  logger.reportFault(fault);
+  endConnection(cause, fault, socket);
+}
--- a/src/daemon/operators/httpAnswer.ts
+++ b/src/daemon/operators/httpAnswer.ts
@@ -1,3 +1,4 @@
+import type { FastifyReply } from 'fastify';
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
 import { createFaultBody } from './faultBody.js';
 import { getHttpStatus, HttpStatus } from './httpStatus.js';
@@ -10,6 +11,7 @@
 }
 
 const DEFAULT_RETRY_AFTER_MS = 1_000;
+const MS_PER_SECOND = 1_000;
 
 /** Creates the answer for a success. */
 export function createAnswer(body: unknown): HttpAnswer {
@@ -28,3 +30,11 @@
 export function createNotFoundAnswer(subject: string, step: string): HttpAnswer {
   return createFaultAnswer(createFault(Diagnostics.NotFound, { subject }, { step }));
 }
+
+/** Sends an answer. */
+export function sendAnswer(reply: FastifyReply, answer: HttpAnswer): FastifyReply {
+  if (answer.retryAfterMs !== undefined) {
+    reply.header('retry-after', Math.max(1, Math.ceil(answer.retryAfterMs / MS_PER_SECOND)));
+  }
+  return reply.status(answer.status).send(answer.body);
+}
--- a/src/daemon/operators/operatorServer.test.ts
+++ b/src/daemon/operators/operatorServer.test.ts
@@ -1,4 +1,4 @@
-import { afterEach, beforeEach, expect, test } from 'vitest';
+import { afterEach, beforeEach, expect, test, vi } from 'vitest';
 import { createFault, Diagnostics, Execution } from '../../common/diagnostics/index.js';
 import { MemoryControlClient } from '../../../tests/support/memoryControlClient.js';
 import { OperatorHost } from '../../../tests/support/operatorHost.js';
@@ -195,3 +195,29 @@
     }
   `);
 });
+
+test('closing answers running requests and refuses new connections', async () => {
+  let open: () => void = () => undefined;
+  control.gate = new Promise((resolve) => {
+    open = resolve;
+  });
+  const running = request('POST', '/tickets', TICKET);
+  await vi.waitFor(() => expect(control.submitted).toHaveLength(1));
+  const closed = host.close();
+  await vi.waitFor(() => expect(request('GET', '/healthz')).rejects.toThrow('fetch failed'));
+  open();
+  const { status, body, headers } = await running;
+  expect({ status, body }).toMatchObject({ status: 200, body: { outcome: 'accepted' } });
+  expect(headers.get('connection')).toBe('close');
+  await closed;
+});
+
+test('closing does not wait longer than its limit for a silent request', async () => {
+  control.gate = new Promise(() => undefined);
+  const running = request('GET', '/status');
+  await vi.waitFor(() => expect(control.requests).toBe(1));
+  const closed = host.close();
+  host.timer.advance(5_000);
+  await expect(running).rejects.toThrow('fetch failed');
+  await closed;
+});
--- a/src/daemon/operators/operatorServer.ts
+++ b/src/daemon/operators/operatorServer.ts
@@ -1,19 +1,15 @@
-import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify';
+import type { FastifyInstance, FastifyRequest } from 'fastify';
 import { ResultAsync } from 'neverthrow';
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
-import { splitAddress, type Address } from '../../common/settings/index.js';
+import { formatAddress, splitAddress, type Address } from '../../common/settings/index.js';
 import type { BearerTokens } from './bearerTokens.js';
-import { MAXIMUM_BODY_BYTES } from './bodyLimit.js';
-import { createFaultAnswer, createNotFoundAnswer, type HttpAnswer } from './httpAnswer.js';
+import { createHttpServer, REQUEST_TIMEOUT_MS } from './createHttpServer.js';
+import { createFaultAnswer, sendAnswer, type HttpAnswer } from './httpAnswer.js';
 import { HttpStatus } from './httpStatus.js';
 import { OperatorRequests } from './operatorRequests.js';
 import type { OperatorServerOptions } from './operatorServerOptions.js';
-import { createRequestFault } from './requestFault.js';
 
-const REQUEST_TIMEOUT_MS = 10_000;
-const IDLE_TIMEOUT_MS = 60_000;
 const CLOSE_LIMIT_MS = 5_000;
-const MAXIMUM_PATH_PARAMETER_LENGTH = 256;
 
 /** The HTTP interface of one daemon: operators, announcements, metrics and health. */
 export class OperatorServer {
@@ -22,20 +18,8 @@
 
   constructor(private readonly options: OperatorServerOptions) {
     this.requests = new OperatorRequests(options.control, options.parseTicket);
-    this.server = Fastify({
-      bodyLimit: MAXIMUM_BODY_BYTES,
-      requestTimeout: REQUEST_TIMEOUT_MS,
-      keepAliveTimeout: IDLE_TIMEOUT_MS,
-      routerOptions: { maxParamLength: MAXIMUM_PATH_PARAMETER_LENGTH },
-      forceCloseConnections: 'idle',
-      frameworkErrors: (cause, request, reply) => {
-        this.sendFault(cause, request, reply);
-      },
-    });
-    this.server.setErrorHandler((cause, request, reply) => this.sendFault(cause, request, reply));
-    this.server.setNotFoundHandler((request, reply) =>
-      send(reply, createNotFoundAnswer(`${request.method} ${request.url}`, 'http.route')),
-    );
+    const timeoutMs = options.requestTimeoutMs ?? REQUEST_TIMEOUT_MS;
+    this.server = createHttpServer(options.logger, timeoutMs);
     this.addOpenRoutes();
     this.addProtectedRoutes(options.operatorTokens, (scope) => this.addOperatorRoutes(scope));
     this.addProtectedRoutes(options.announcerTokens, (scope) => this.addAnnouncerRoutes(scope));
@@ -44,7 +28,7 @@
   /** Binds the address of the settings; the value is the address that was bound. */
   start(): ResultAsync<Address, Fault> {
     const listen = this.options.listen;
-    const bound = this.server.listen(splitAddress(listen)).then(() => this.getBoundAddress());
+    const bound = this.server.listen(splitAddress(listen)).then(() => this.reportListening());
     return ResultAsync.fromPromise(bound, (cause) =>
       createFault(
         Diagnostics.RequestFailed,
@@ -91,7 +75,9 @@
         const context = { step: 'http.authorize', peer: request.ip };
         const fault = createFault(Diagnostics.TokenNeeded, {}, context);
         this.options.logger.reportFault(fault, { request: request.id });
-        send(reply.header('www-authenticate', 'Bearer'), createFaultAnswer(fault));
+        // The body was not read, so nothing more can come on this connection.
+        const challenge = reply.headers({ 'www-authenticate': 'Bearer', connection: 'close' });
+        sendAnswer(challenge, createFaultAnswer(fault));
       });
       addRoutes(scope);
       done();
@@ -103,21 +89,23 @@
     scope.post('/tickets', async (request, reply) => {
       const answer = await requests.submitTicket(request.body);
       this.reportTicket(request, answer);
-      return send(reply, answer);
+      return sendAnswer(reply, answer);
     });
     scope.get<{ Params: { number: string } }>('/tickets/:number', async (request, reply) =>
-      send(reply, await requests.readTicket(request.params.number)),
+      sendAnswer(reply, await requests.readTicket(request.params.number)),
+    );
+    scope.get('/in-force', async (_request, reply) =>
+      sendAnswer(reply, await requests.readAllInForce()),
     );
-    scope.get('/in-force', async (_request, reply) => send(reply, await requests.readAllInForce()));
     scope.get<{ Params: { '*': string } }>('/in-force/*', async (request, reply) =>
-      send(reply, await requests.readInForce(request.params['*'])),
+      sendAnswer(reply, await requests.readInForce(request.params['*'])),
     );
-    scope.get('/status', async (_request, reply) => send(reply, await requests.readStatus()));
+    scope.get('/status', async (_request, reply) => sendAnswer(reply, await requests.readStatus()));
   }
 
   private addAnnouncerRoutes(scope: FastifyInstance): void {
     scope.post('/announcements', (request, reply) =>
-      send(reply, this.requests.announce(request.body)),
+      sendAnswer(reply, this.requests.announce(request.body)),
     );
   }
 
@@ -132,10 +120,18 @@
     );
   }
 
-  private sendFault(cause: unknown, request: FastifyRequest, reply: FastifyReply): FastifyReply {
-    const fault = createRequestFault(cause, request.ip);
-    this.options.logger.reportFault(fault, { request: request.id });
-    return send(reply, createFaultAnswer(fault));
+  private reportListening(): Address {
+    const { logger, operatorTokens, announcerTokens } = this.options;
+    const bound = this.getBoundAddress();
+    const context = { step: 'operators.listen' };
+    logger.report(Diagnostics.OperatorsListening, { address: formatAddress(bound) }, context);
+    if (operatorTokens === undefined) {
+      logger.report(Diagnostics.AccessUnprotected, { access: 'operators' }, context);
+    }
+    if (announcerTokens === undefined) {
+      logger.report(Diagnostics.AccessUnprotected, { access: 'announcements' }, context);
+    }
+    return bound;
   }
 
   private getBoundAddress(): Address {
@@ -145,10 +141,3 @@
       : { host: bound.address, port: bound.port };
   }
 }
-
-function send(reply: FastifyReply, answer: HttpAnswer): FastifyReply {
-  if (answer.retryAfterMs !== undefined) {
-    reply.header('retry-after', Math.max(1, Math.ceil(answer.retryAfterMs / 1_000)));
-  }
-  return reply.status(answer.status).send(answer.body);
-}
--- a/src/daemon/operators/operatorServerOptions.ts
+++ b/src/daemon/operators/operatorServerOptions.ts
@@ -23,4 +23,6 @@
   readonly operatorTokens?: BearerTokens;
   /** Tokens of backend servers for announcements; without them the interface asks for none. */
   readonly announcerTokens?: BearerTokens;
+  /** Time within which a request must have come whole; 10 s when absent. */
+  readonly requestTimeoutMs?: number;
 }
--- a/tests/support/memoryControlClient.ts
+++ b/tests/support/memoryControlClient.ts
@@ -1,4 +1,4 @@
-import { errAsync, okAsync } from 'neverthrow';
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 import type { Outcome } from '../../src/common/result.js';
 import type { Fault } from '../../src/common/diagnostics/index.js';
 import { toHostId, toRevision, type TicketNumber } from '../../src/common/ids/index.js';
@@ -19,6 +19,8 @@
   fault: Fault | undefined;
   faultsLeft = Infinity;
   requests = 0;
+  /** When set, answers wait for it. */
+  gate: Promise<void> | undefined;
   status: FleetStatus = {
     leader: toHostId('a1'),
     controlTerm: 3,
@@ -57,11 +59,14 @@
 
   private answer<Value>(compute: () => Value): Outcome<Value> {
     this.requests += 1;
-    if (this.fault === undefined || this.faultsLeft === 0) {
-      return okAsync(compute());
+    const { gate } = this;
+    if (this.fault !== undefined && this.faultsLeft > 0) {
+      this.faultsLeft -= 1;
+      return errAsync(this.fault);
     }
-    this.faultsLeft -= 1;
-    return errAsync(this.fault);
+    return gate === undefined
+      ? okAsync(compute())
+      : ResultAsync.fromSafePromise(gate.then(() => compute()));
   }
 
   private accept(ticket: Ticket): TicketAnswer {
--- a/tests/support/operatorHost.ts
+++ b/tests/support/operatorHost.ts
@@ -1,6 +1,6 @@
 import { Logger } from '../../src/common/logging/index.js';
 import { Metrics } from '../../src/common/metrics/index.js';
-import { SystemTimerService } from '../../src/common/timer/index.js';
+import { ManualTimerService } from '../../src/common/timer/index.js';
 import {
   OperatorServer,
   Readiness,
@@ -24,22 +24,25 @@
   readonly readiness = new SettableReadiness();
   readonly metrics = new Metrics();
   readonly lines: string[] = [];
+  readonly timer = new ManualTimerService();
   url = '';
   private readonly server: OperatorServer;
 
   constructor(
     readonly control: MemoryControlClient,
     tokens: { operatorTokens?: BearerTokens; announcerTokens?: BearerTokens } = {},
+    requestTimeoutMs = 10_000,
   ) {
     this.server = new OperatorServer({
       listen: '127.0.0.1:0',
       control,
       readiness: this.readiness,
       metrics: this.metrics,
-      timer: new SystemTimerService(),
+      timer: this.timer,
       logger: new Logger('info', { host: 'a1' }, (line) => this.lines.push(line)),
       parseTicket: tryParseTicket,
       ...tokens,
+      requestTimeoutMs,
     });
   }
 
