--- a/src/cli/commands/memberCommands.ts
+++ b/src/cli/commands/memberCommands.ts
@@ -13,7 +13,7 @@
 import type { CommandReport } from '../commandReport.js';
 import type { CommandRunner } from '../commandRunner.js';
 import type { CommandSession } from '../commandSession.js';
-import { readInForce } from '../controlReader.js';
+import { readAllInForce } from '../controlReader.js';
 import { ExitStatus } from '../exitStatus.js';
 import type { GlobalOptions } from '../globalOptions.js';
 import { addNumberOption } from '../numberOption.js';
@@ -99,8 +99,8 @@
 }
 
 function listMembers(session: CommandSession): CommandOutcome<CommandReport> {
-  return readInForce(session.client, SUBJECT)
-    .andThen((reading) => findMembers([reading]))
+  return readAllInForce(session.client)
+    .andThen(findMembers)
     .map((members) => ({ json: { members }, text: formatMembers(members) }));
 }
 
@@ -130,10 +130,9 @@
   readings: readonly SubjectReading[],
 ): Result<readonly ControlMember[], CommandFailure> {
   const state = readings.find((reading) => reading.subject === SUBJECT)?.state;
-  const values = { subject: SUBJECT };
   return state?.kind === SubjectKind.ControlMembers
     ? ok(state.members)
-    : err(createFailure(ExitStatus.Refused, Diagnostics.SubjectNotInForce, values, STEP));
+    : err(createMemberFailure(`No ticket is in force on ${SUBJECT}: submit one with all members.`));
 }
 
 function formatMembers(members: readonly ControlMember[]): string {
--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -197,6 +197,7 @@
   OperatorsListening: message(8000, "Operators' HTTP interface listens on {address}."),
   RequestInvalid: refusal(8001, 'The request is invalid: {problem}'),
   TokenNeeded: refusal(8002, 'A valid bearer token is needed.'),
+  TicketNotInForce: refusal(8009, 'Ticket {number} is in force on no subject.'),
   NotFound: refusal(8003, '{subject} was not found.'),
   BodyTooLarge: refusal(8004, 'The body exceeds the limit of {limit} bytes.'),
   TicketRefused: refusal(8005, 'The ticket was refused: {reason}'),
--- a/src/common/settings/settings.ts
+++ b/src/common/settings/settings.ts
@@ -43,10 +43,6 @@
   control: z
     .strictObject({
       members: z.array(memberSchema).min(1).describe('The control hosts to begin with.'),
-      bootstrap: z
-        .boolean()
-        .default(false)
-        .describe('Found a new control quorum from the members.'),
     })
     .describe('The control quorum.'),
   callers: z
--- a/src/common/settings/settingsRules.ts
+++ b/src/common/settings/settingsRules.ts
@@ -34,13 +34,6 @@
     expected: 'expected each address once',
     isBroken: (view) => hasRepeated(view, 'address'),
   },
-  {
-    key: 'control.bootstrap',
-    expected: 'true only on a host that is in control.members and has role control',
-    isBroken: (view) =>
-      view.get('control.bootstrap') === true &&
-      !(hasRole(view, 'control') && getMemberTexts(view, 'host').includes(view.getText('host'))),
-  },
   {
     key: 'operators.token_file',
     expected: 'needed unless operators.listen is a loopback address',
--- a/src/daemon/operators/createHttpServer.ts
+++ b/src/daemon/operators/createHttpServer.ts
@@ -1,10 +1,10 @@
 import type { Socket } from 'node:net';
 import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify';
-import type { Fault } from '../../common/diagnostics/index.js';
+import { createFault, Diagnostics } from '../../common/diagnostics/index.js';
 import type { Logger } from '../../common/logging/index.js';
 import { MAXIMUM_BODY_BYTES } from './bodyLimit.js';
 import { createConnectionFault, endConnection } from './connectionFault.js';
-import { createFaultAnswer, createNotFoundAnswer, sendAnswer } from './httpAnswer.js';
+import { createFaultAnswer, sendAnswer } from './httpAnswer.js';
 import { createRequestFault } from './requestFault.js';
 
 /** Time within which a request must have come whole. */
@@ -46,8 +46,9 @@
   closeAfterAnswers(server);
   server.setErrorHandler(sendFault);
   server.setNotFoundHandler((request, reply) => {
-    const path = request.url.slice(0, MAXIMUM_SHOWN_PATH_LENGTH);
-    return sendAnswer(reply, createNotFoundAnswer(`${request.method} ${path}`, 'http.route'));
+    const subject = `${request.method} ${request.url.slice(0, MAXIMUM_SHOWN_PATH_LENGTH)}`;
+    const fault = createFault(Diagnostics.NotFound, { subject }, { step: 'http.route' });
+    return sendAnswer(reply, createFaultAnswer(fault));
   });
   return server;
 }
@@ -71,7 +72,7 @@
   if (cause.code === 'ECONNRESET' || socket.destroyed) {
     return;
   }
-  const fault: Fault = createConnectionFault(cause, socket);
+  const fault = createConnectionFault(cause, socket);
   logger.reportFault(fault);
   endConnection(cause, fault, socket);
 }
--- a/src/daemon/operators/httpAnswer.ts
+++ b/src/daemon/operators/httpAnswer.ts
@@ -1,5 +1,5 @@
 import type { FastifyReply } from 'fastify';
-import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import type { Fault } from '../../common/diagnostics/index.js';
 import { createFaultBody } from './faultBody.js';
 import { getHttpStatus, HttpStatus } from './httpStatus.js';
 
@@ -26,11 +26,6 @@
     : answer;
 }
 
-/** Creates the answer for something that is not there. */
-export function createNotFoundAnswer(subject: string, step: string): HttpAnswer {
-  return createFaultAnswer(createFault(Diagnostics.NotFound, { subject }, { step }));
-}
-
 /** Sends an answer. */
 export function sendAnswer(reply: FastifyReply, answer: HttpAnswer): FastifyReply {
   if (answer.retryAfterMs !== undefined) {
--- a/src/daemon/operators/httpStatus.ts
+++ b/src/daemon/operators/httpStatus.ts
@@ -30,6 +30,8 @@
   [Diagnostics.LeadershipTransferring.code, HttpStatus.ServiceUnavailable],
   [Diagnostics.TokenNeeded.code, HttpStatus.Unauthorized],
   [Diagnostics.NotFound.code, HttpStatus.NotFound],
+  [Diagnostics.SubjectNotInForce.code, HttpStatus.NotFound],
+  [Diagnostics.TicketNotInForce.code, HttpStatus.NotFound],
   [Diagnostics.BodyTooLarge.code, HttpStatus.ContentTooLarge],
 ]);
 
--- a/src/daemon/operators/operatorRequests.ts
+++ b/src/daemon/operators/operatorRequests.ts
@@ -1,17 +1,18 @@
 import type { Result } from 'neverthrow';
-import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import {
+  createFault,
+  Diagnostics,
+  type Diagnostic,
+  type DiagnosticArguments,
+  type Fault,
+} from '../../common/diagnostics/index.js';
 import { toTicketNumber } from '../../common/ids/index.js';
 import { TicketOutcome, type TicketAnswer } from '../../decisions/control/index.js';
 import type { Ticket } from '../../decisions/tickets/index.js';
 import { tryParseAnnouncement } from './announcementBody.js';
 import type { ControlClient } from './controlClient.js';
 import { createFaultBody } from './faultBody.js';
-import {
-  createAnswer,
-  createFaultAnswer,
-  createNotFoundAnswer,
-  type HttpAnswer,
-} from './httpAnswer.js';
+import { createAnswer, createFaultAnswer, type HttpAnswer } from './httpAnswer.js';
 import { HttpStatus } from './httpStatus.js';
 
 const TICKET_NUMBER = /^[1-9]\d{0,15}$/;
@@ -36,16 +37,14 @@
   async readTicket(number: string): Promise<HttpAnswer> {
     if (!TICKET_NUMBER.test(number) || !Number.isSafeInteger(Number(number))) {
       const problem = 'a ticket number is a positive integer';
-      return createFaultAnswer(
-        createFault(Diagnostics.RequestInvalid, { problem }, { step: 'ticket.read' }),
-      );
+      return refuse(Diagnostics.RequestInvalid, { problem }, 'ticket.read');
     }
     return this.control
       .readTicket(toTicketNumber(Number(number)))
       .match(
         (ticket) =>
           ticket === undefined
-            ? createNotFoundAnswer(`Ticket ${number}`, 'ticket.read')
+            ? refuse(Diagnostics.TicketNotInForce, { number }, 'ticket.read')
             : createAnswer(ticket),
         createFaultAnswer,
       );
@@ -65,7 +64,7 @@
       .match(
         ([reading]) =>
           reading === undefined
-            ? createNotFoundAnswer(`Subject "${subject}"`, 'ticket.inForce')
+            ? refuse(Diagnostics.SubjectNotInForce, { subject }, 'ticket.inForce')
             : createAnswer(reading),
         createFaultAnswer,
       );
@@ -87,6 +86,10 @@
   }
 }
 
+function refuse(diagnostic: Diagnostic, values: DiagnosticArguments, step: string): HttpAnswer {
+  return createFaultAnswer(createFault(diagnostic, values, { step }));
+}
+
 function createTicketAnswer(answer: TicketAnswer): HttpAnswer {
   if (answer.outcome === TicketOutcome.Accepted) {
     return createAnswer(answer);
