--- a/src/cli/commands/keyCommands.test.ts
+++ b/src/cli/commands/keyCommands.test.ts
@@ -1,6 +1,8 @@
+import { errAsync } from 'neverthrow';
 import { expect, test } from 'vitest';
 import { ACCOUNT, useCliFixture } from '../../../tests/support/cliFixture.js';
 import { MemoryControlClient } from '../../../tests/support/memoryControlClient.js';
+import { createFault, Diagnostics, Execution } from '../../common/diagnostics/index.js';
 import { toTicketNumber } from '../../common/ids/index.js';
 import { createKeyVerifier } from '../../common/scram.js';
 import type { Ticket } from '../../decisions/tickets/index.js';
@@ -63,6 +65,17 @@
   expect(result.errors).toContain('FP7006: Ticket 13 lost the race to another operator 5 times');
 });
 
+test('a key whose ticket got no answer is not printed, and the failure says what to do', async () => {
+  const submit = cli.control.submitTicket.bind(cli.control);
+  const context = { step: 'control.call', execution: Execution.Unknown };
+  const fault = createFault(Diagnostics.OutcomeUnknown, {}, context);
+  cli.control.submitTicket = (ticket) => submit(ticket).andThen(() => errAsync(fault));
+  const result = await cli.run('key issue mill-7 --id clerk --timeout 0.5');
+  expect(result).toMatchObject({ status: ExitStatus.Unreachable, output: '' });
+  expect(result.errors).toContain('Key "clerk" may be in force although it was not printed');
+  expect(result.errors).toContain('Ticket 9: ');
+});
+
 /** Lets another operator's tickets in just before each of the next submissions. */
 function racing(raced: MemoryControlClient, winners: readonly Ticket[]): void {
   const left = [...winners];
--- a/src/cli/commands/keyCommands.ts
+++ b/src/cli/commands/keyCommands.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import { err, ok, type Result } from 'neverthrow';
 import type { Argv } from 'yargs';
-import { Diagnostics } from '../../common/diagnostics/index.js';
+import { Diagnostics, Execution } from '../../common/diagnostics/index.js';
 import { createKeyVerifier } from '../../common/scram.js';
 import type { SubjectReading } from '../../decisions/control/index.js';
 import { SubjectKind, type AccountState } from '../../decisions/tickets/index.js';
@@ -68,10 +68,12 @@
     session.client,
     (readings) => findAccount(readings, account).andThen((state) => addKey(state, keyId, key)),
     number,
-  ).map((ticket) => ({
-    json: { account, keyId, key, number: ticket.number },
-    text: `account  ${account}\nkey id   ${keyId}\nticket   ${ticket.number}\nkey      ${key}\n`,
-  }));
+  )
+    .mapErr((failure) => warnOfUnknownKey(failure, keyId))
+    .map((ticket) => ({
+      json: { account, keyId, key, number: ticket.number },
+      text: `account  ${account}\nkey id   ${keyId}\nticket   ${ticket.number}\nkey      ${key}\n`,
+    }));
 }
 
 function withdrawKey(
@@ -90,6 +92,15 @@
   }));
 }
 
+/** A key whose ticket may be in force was printed nowhere, so nobody can use it. */
+function warnOfUnknownKey(failure: CommandFailure, keyId: string): CommandFailure {
+  const { body } = failure;
+  const hint = `Key "${keyId}" may be in force although it was not printed: withdraw it.`;
+  return body.detail === Execution.Unknown
+    ? { ...failure, body: { ...body, message: `${body.message} ${hint}` } }
+    : failure;
+}
+
 function findAccount(
   readings: readonly SubjectReading[],
   account: string,
--- a/src/cli/processTerminal.ts
+++ b/src/cli/processTerminal.ts
@@ -5,6 +5,16 @@
 export class ProcessTerminal extends Terminal {
   override readonly environment = process.env;
 
+  constructor() {
+    super();
+    // A reader such as `head` may end first; that is no failure of the command.
+    process.stdout.on('error', (cause: NodeJS.ErrnoException) => {
+      if (cause.code !== 'EPIPE') {
+        throw cause;
+      }
+    });
+  }
+
   override write(output: string): void {
     process.stdout.write(output);
   }
--- a/src/cli/program.test.ts
+++ b/src/cli/program.test.ts
@@ -23,6 +23,8 @@
   expect((await cli.run('ticket in-force', '', `${closed},${cli.url}`)).status).toBe(
     ExitStatus.Done,
   );
+  const repeated = `ticket show --url ${closed} --url ${cli.url} 8`;
+  expect((await cli.run(repeated)).status).toBe(ExitStatus.Done);
   const result = await cli.run('ticket in-force', '', closed);
   expect(result.status).toBe(ExitStatus.Unreachable);
   expect(result.errors).toContain('FP7002');
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -54,7 +54,7 @@
     .option('url', {
       type: 'string',
       array: true,
-      requiresArg: true,
+      nargs: 1,
       describe: "Operators' HTTP address; several are tried in turn.",
     })
     .option('token-file', { type: 'string', describe: 'File with the bearer token.' })
--- a/src/daemon/operators/faultBody.ts
+++ b/src/daemon/operators/faultBody.ts
@@ -1,4 +1,4 @@
-import type { Fault } from '../../common/diagnostics/index.js';
+import type { Execution, Fault } from '../../common/diagnostics/index.js';
 
 /** The JSON body of each answer that is not a success. */
 export interface FaultBody {
@@ -7,8 +7,8 @@
   readonly message: string;
   readonly step: string;
   readonly peer?: string;
-  /** Whether the request was run: `run`, `not run` or `unknown`. */
-  readonly detail: string;
+  /** Whether the request was run. */
+  readonly detail: Execution;
 }
 
 /** Creates the body that tells a client of a fault. */
