--- a/tests/support/consensus/invariantChecker.ts
+++ b/tests/support/consensus/invariantChecker.ts
@@ -26,6 +26,11 @@
     return this.committed.length;
   }
 
+  /** Term of the last committed entry. */
+  get committedTerm(): number {
+    return this.committed.at(-1)?.term ?? 0;
+  }
+
   /** A term has at most one leader. */
   noteLeader(term: number, leader: MemberId): void {
     const known = this.leaders.get(term);
