Shorter elections: repeat vote requests, and only one of two equals goes on

Cause: a lost request or a split vote cost a whole election timeout. Change: a campaign repeats unanswered requests every heartbeat interval; a pre-candidate yields only to a candidate with a longer log or a later identity.

--- a/src/decisions/consensus/election.ts
+++ b/src/decisions/consensus/election.ts
@@ -1,7 +1,7 @@
 import { assertInvariant } from '../../common/diagnostics/index.js';
 import type { MemberCore } from './memberCore.js';
 import type { MemberId } from './memberId.js';
-import { getPeers, hasQuorum, isVoter } from './membership.js';
+import { hasQuorum, isVoter } from './membership.js';
 import {
   MessageKind,
   type PreVoteRequest,
@@ -14,22 +14,22 @@
 /** Campaigns for leadership and answers the campaigns of others. */
 export class Election<Command> {
   private campaign = 0;
+  private isTransfer = false;
+  private nextRequestMs = 0;
   private readonly grants = new Set<MemberId>();
 
   constructor(private readonly core: MemberCore<Command>) {}
 
-  /** Starts a campaign when no leader has been heard for an election timeout. */
+  /** Starts a campaign without a leader for an election timeout; repeats unanswered requests. */
   tick(): void {
     const { core } = this;
-    if (core.role === Role.Leader || core.nowMs < core.electionDeadlineMs) {
+    if (core.role === Role.Leader) {
       return;
     }
-    if (!core.isVoter) {
-      core.becomeFollower(core.term, undefined);
-    } else if (core.rules.usesPreVote()) {
-      this.startPreVote();
-    } else {
-      this.startVote(false);
+    if (core.nowMs >= core.electionDeadlineMs) {
+      this.endWait();
+    } else if (core.role !== Role.Follower && core.nowMs >= this.nextRequestMs) {
+      this.requestVotes();
     }
   }
 
@@ -37,14 +37,9 @@
   startVote(isTransfer: boolean): void {
     const { core } = this;
     this.startCampaign(Role.Candidate);
+    this.isTransfer = isTransfer;
     core.setHardState({ term: core.term + 1, votedFor: core.identity });
-    for (const to of getPeers({ ...core.log.membership, learners: [] }, core.identity)) {
-      core.sendWhenDurable({
-        ...this.createCandidacy(to),
-        kind: MessageKind.VoteRequest,
-        isTransfer,
-      });
-    }
+    this.requestVotes();
   }
 
   /** Counts the own vote once it is durable; returns whether the election is won. */
@@ -75,8 +70,8 @@
   /** Answers whether the sender would get the vote; changes no state. */
   answerPreVote(message: PreVoteRequest, isLoyal: boolean): void {
     const { core } = this;
-    const granted =
-      !isLoyal && message.term >= core.term && this.isUpToDate(message.lastTerm, message.lastIndex);
+    const isUpToDate = this.isUpToDate(message.lastTerm, message.lastIndex);
+    const granted = !isLoyal && message.term >= core.term && isUpToDate && this.yieldsTo(message);
     core.send({
       kind: MessageKind.PreVoteResponse,
       from: core.identity,
@@ -129,15 +124,46 @@
     core.resetElectionDeadline();
   }
 
-  private startPreVote(): void {
+  /** Of two that campaign with equal logs only one is granted a pre-vote, against split votes. */
+  private yieldsTo(message: PreVoteRequest): boolean {
     const { core } = this;
+    const { lastIndex, lastTerm } = core.log;
+    const isEqual = message.lastIndex === lastIndex && message.lastTerm === lastTerm;
+    return core.role !== Role.PreCandidate || !isEqual || message.from > core.identity;
+  }
+
+  private endWait(): void {
+    const { core } = this;
+    if (!core.isVoter) {
+      core.becomeFollower(core.term, undefined);
+    } else if (core.rules.usesPreVote()) {
+      this.startPreVote();
+    } else {
+      this.startVote(false);
+    }
+  }
+
+  private startPreVote(): void {
     this.startCampaign(Role.PreCandidate);
-    if (this.count(core.identity)) {
+    if (this.count(this.core.identity)) {
       this.startVote(false);
-      return;
+    } else {
+      this.requestVotes();
     }
-    for (const to of getPeers({ ...core.log.membership, learners: [] }, core.identity)) {
-      core.send({ ...this.createCandidacy(to), kind: MessageKind.PreVoteRequest });
+  }
+
+  private requestVotes(): void {
+    const { core } = this;
+    this.nextRequestMs = core.nowMs + core.settings.heartbeatMs;
+    const { voters } = core.log.membership;
+    for (const to of voters.filter((voter) => voter !== core.identity && !this.grants.has(voter))) {
+      const candidacy = this.createCandidacy(to);
+      if (core.role === Role.PreCandidate) {
+        core.send({ ...candidacy, kind: MessageKind.PreVoteRequest });
+      } else {
+        const { isTransfer } = this;
+        core.sendWhenDurable({ ...candidacy, kind: MessageKind.VoteRequest, isTransfer });
+      }
     }
   }
 
