Check of consensus messages that come from other hosts

Cause: a malformed message must end its connection, not the daemon. Change: createMessageSchema checks the form of each kind and that entries follow. Conclusion: the mesh can check messages before it gives them to a member.

--- a/src/decisions/consensus/index.ts
+++ b/src/decisions/consensus/index.ts
@@ -10,6 +10,7 @@
 export * from './storedLog.js';
 export * from './role.js';
 export * from './message.js';
+export * from './messageSchema.js';
 export * from './input.js';
 export * from './output.js';
 export { type ConsensusMemberOptions } from './memberCore.js';
--- /dev/null
+++ b/src/decisions/consensus/messageSchema.ts
@@ -0,0 +1,89 @@
+import { z } from 'zod';
+import { EntryKind, type LogEntry } from './logEntry.js';
+import { toMemberId } from './memberId.js';
+import { MessageKind, type AppendRequest, type ConsensusMessage } from './message.js';
+
+const MAXIMUM_IDENTITY_LENGTH = 256;
+const MAXIMUM_MEMBERS = 256;
+
+const count = z.int().min(0);
+const member = z.string().min(1).max(MAXIMUM_IDENTITY_LENGTH).transform(toMemberId);
+const members = z.array(member).max(MAXIMUM_MEMBERS);
+const membership = z.strictObject({ voters: members, learners: members });
+const snapshot = z.strictObject({
+  index: count,
+  term: count,
+  membership,
+  state: z.instanceof(Uint8Array),
+});
+
+const base = { from: member, to: member, term: count };
+const candidacy = { ...base, campaign: count, lastIndex: count, lastTerm: count };
+const ballot = { ...base, campaign: count, granted: z.boolean() };
+const contact = { ...base, round: count, sentMs: z.number() };
+
+/**
+ * A check of messages that come from other hosts: their form, and that the entries of an append
+ * request follow each other. `command` checks the commands in them.
+ */
+export function createMessageSchema<Command>(
+  command: z.ZodType<Command>,
+): z.ZodType<ConsensusMessage<Command>> {
+  const appendRequest = z.strictObject({
+    ...contact,
+    kind: z.literal(MessageKind.AppendRequest),
+    previousIndex: count,
+    previousTerm: count,
+    entries: z.array(createEntrySchema(command)),
+    commitIndex: count,
+  });
+  return z.discriminatedUnion('kind', [
+    z.strictObject({ ...candidacy, kind: z.literal(MessageKind.PreVoteRequest) }),
+    z.strictObject({ ...ballot, kind: z.literal(MessageKind.PreVoteResponse) }),
+    z.strictObject({
+      ...candidacy,
+      kind: z.literal(MessageKind.VoteRequest),
+      isTransfer: z.boolean(),
+    }),
+    z.strictObject({ ...ballot, kind: z.literal(MessageKind.VoteResponse) }),
+    appendRequest.refine(hasContiguousEntries, 'entries follow the previous index'),
+    appendResponse,
+    z.strictObject({ ...contact, kind: z.literal(MessageKind.SnapshotRequest), snapshot }),
+    z.strictObject({ ...base, kind: z.literal(MessageKind.TransferRequest) }),
+  ]);
+}
+
+const appendResponse = z.strictObject({
+  ...contact,
+  kind: z.literal(MessageKind.AppendResponse),
+  requestTerm: count,
+  accepted: z.boolean(),
+  matchIndex: count,
+  refusedIndex: count,
+  nextIndex: count,
+});
+
+function createEntrySchema<Command>(command: z.ZodType<Command>): z.ZodType<LogEntry<Command>> {
+  const place = { index: z.int().min(1), term: count };
+  return z.union([
+    z.strictObject({
+      ...place,
+      kind: z.literal(EntryKind.Command),
+      command,
+      sizeBytes: count,
+    }),
+    z.strictObject({ ...place, kind: z.literal(EntryKind.Membership), membership }),
+    z.strictObject({ ...place, kind: z.literal(EntryKind.Empty) }),
+  ]);
+}
+
+function hasContiguousEntries<Command>(
+  request: Pick<AppendRequest<Command>, 'term' | 'previousIndex' | 'previousTerm' | 'entries'>,
+): boolean {
+  let lastTerm = request.previousTerm;
+  return request.entries.every((entry, place) => {
+    const follows = entry.index === request.previousIndex + place + 1 && entry.term >= lastTerm;
+    lastTerm = entry.term;
+    return follows && entry.term <= request.term;
+  });
+}
