--- /dev/null
+++ b/tests/support/memoryControlClient.ts
@@ -0,0 +1,76 @@
+import { errAsync, okAsync } from 'neverthrow';
+import type { Outcome } from '../../src/common/result.js';
+import type { Fault } from '../../src/common/diagnostics/index.js';
+import { toHostId, toRevision, type TicketNumber } from '../../src/common/ids/index.js';
+import {
+  TicketRegister,
+  type Announcement,
+  type SubjectReading,
+  type TicketAnswer,
+} from '../../src/decisions/control/index.js';
+import { getSubjectName, type Ticket } from '../../src/decisions/tickets/index.js';
+import { ControlClient, type FleetStatus } from '../../src/daemon/operators/index.js';
+
+/** A control client for tests: one register in memory, which can be made to fail. */
+export class MemoryControlClient extends ControlClient {
+  readonly announcements: Announcement[] = [];
+  readonly submitted: Ticket[] = [];
+  /** When set, the next `faultsLeft` requests end with it. */
+  fault: Fault | undefined;
+  faultsLeft = Infinity;
+  requests = 0;
+  status: FleetStatus = {
+    leader: toHostId('a1'),
+    controlTerm: 3,
+    revision: toRevision(40),
+    daemons: [],
+    groups: [],
+    accounts: [],
+  };
+  private readonly register = new TicketRegister();
+  private readonly readings = new Map<string, SubjectReading>();
+
+  override submitTicket(ticket: Ticket): Outcome<TicketAnswer> {
+    this.submitted.push(ticket);
+    return this.answer(() => this.accept(ticket));
+  }
+
+  override readTicket(number: TicketNumber): Outcome<Ticket | undefined> {
+    return this.answer(() => this.register.get(number));
+  }
+
+  override readInForce(subject: string | undefined): Outcome<readonly SubjectReading[]> {
+    return this.answer(() =>
+      [...this.readings.values()].filter(
+        (reading) => subject === undefined || reading.subject === subject,
+      ),
+    );
+  }
+
+  override readStatus(): Outcome<FleetStatus> {
+    return this.answer(() => this.status);
+  }
+
+  override announce(announcement: Announcement): void {
+    this.announcements.push(announcement);
+  }
+
+  private answer<Value>(compute: () => Value): Outcome<Value> {
+    this.requests += 1;
+    if (this.fault === undefined || this.faultsLeft === 0) {
+      return okAsync(compute());
+    }
+    this.faultsLeft -= 1;
+    return errAsync(this.fault);
+  }
+
+  private accept(ticket: Ticket): TicketAnswer {
+    const { answer, isNew } = this.register.submit(ticket);
+    for (const state of isNew ? ticket.subjects : []) {
+      const subject = getSubjectName(state);
+      const reading = { subject, ticket: ticket.number, state, everywhere: true, missing: [] };
+      this.readings.set(subject, reading);
+    }
+    return answer;
+  }
+}
