--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -142,6 +142,7 @@
   LastVoter: refusal(5005, 'Member "{member}" is the last voter.'),
   CommandTooLarge: refusal(5006, 'A command of {size} bytes exceeds the limit of {limit}.'),
   LeadershipTransferring: refusal(5007, 'Leadership is being handed over.'),
+  SnapshotTooLarge: error(5008, 'A snapshot of {size} bytes exceeds the limit of {limit}.'),
   RecordCorrupt: error(5100, 'Stored file {file} is corrupt at offset {offset}: {reason}.'),
   StorageFailed: error(5101, 'Storage failed on {file}: {reason}.'),
   LogTailRepaired: warning(5102, 'Dropped {size} bytes of an unfinished record from {file}.'),
--- a/src/daemon/storage/fileLogStorage.test.ts
+++ b/src/daemon/storage/fileLogStorage.test.ts
@@ -174,9 +174,9 @@
   expect(disk.syncCount - before).toBe(1);
   disk.cutPowerAfter(0);
   const change = new ChangeMaker(new SeededRandom(1)).next();
-  expect((await storage.persist(change)).isErr()).toBe(true);
+  expect((await storage.persist({ ...change, sequence: 4 })).isErr()).toBe(true);
   disk.cutPowerAfter(100);
-  expect((await storage.persist(change)).isErr()).toBe(true);
+  expect((await storage.persist({ ...change, sequence: 5 })).isErr()).toBe(true);
 });
 
 test('a folder without its identity but with changes is refused', async () => {
--- a/src/daemon/storage/fileLogStorage.ts
+++ b/src/daemon/storage/fileLogStorage.ts
@@ -1,5 +1,10 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
-import { createFault, Diagnostics, Fault } from '../../common/diagnostics/index.js';
+import {
+  assertInvariant,
+  createFault,
+  Diagnostics,
+  Fault,
+} from '../../common/diagnostics/index.js';
 import type { Outcome } from '../../common/result.js';
 import {
   StoredLog,
@@ -30,6 +35,7 @@
   private queue: QueuedChange<Command>[] = [];
   private writing: Promise<void> | undefined;
   private failure: Fault | undefined;
+  private lastSequence = 0;
 
   constructor(private readonly disk: Disk) {
     super();
@@ -40,6 +46,8 @@
   }
 
   override persist(change: PersistOutput<Command>): Outcome<number> {
+    assertInvariant(change.sequence > this.lastSequence, 'changes are stored in their order');
+    this.lastSequence = change.sequence;
     const done = new Promise<Result<number, Fault>>((resolve) => {
       this.queue.push({ change, resolve });
     });
--- a/src/decisions/consensus/consensusMember.ts
+++ b/src/decisions/consensus/consensusMember.ts
@@ -204,8 +204,13 @@
 
   private compact(input: CompactInput): void {
     const { core } = this;
-    const isUseful = input.index > core.log.snapshotIndex && input.index <= core.commitIndex;
-    if (isUseful && input.state.byteLength <= core.settings.maximumSnapshotBytes) {
+    const size = input.state.byteLength;
+    const limit = core.settings.maximumSnapshotBytes;
+    if (size > limit) {
+      const context = { step: 'consensus.compact' };
+      const fault = createFault(Diagnostics.SnapshotTooLarge, { size, limit }, context);
+      core.emit({ kind: OutputKind.SnapshotRefused, fault });
+    } else if (input.index > core.log.snapshotIndex && input.index <= core.commitIndex) {
       const snapshot = core.log.createSnapshot(input.index, input.state);
       core.log.compact(snapshot, core.settings.trailingEntries);
       core.persist({ snapshot });
--- a/src/decisions/consensus/election.ts
+++ b/src/decisions/consensus/election.ts
@@ -111,9 +111,10 @@
   }
 
   private canVoteFor(message: VoteRequest): boolean {
-    const { votedFor } = this.core;
+    const { votedFor, leader } = this.core;
     const isFree = votedFor === undefined || votedFor === message.from;
-    return isFree && this.isUpToDate(message.lastTerm, message.lastIndex);
+    const isLed = leader !== undefined && leader !== message.from;
+    return isFree && !isLed && this.isUpToDate(message.lastTerm, message.lastIndex);
   }
 
   private vote(candidate: MemberId): void {
--- a/src/decisions/consensus/output.ts
+++ b/src/decisions/consensus/output.ts
@@ -14,6 +14,7 @@
   Commit = 'commit',
   RestoreSnapshot = 'restore-snapshot',
   SnapshotDue = 'snapshot-due',
+  SnapshotRefused = 'snapshot-refused',
   ProposalAppended = 'proposal-appended',
   ProposalRefused = 'proposal-refused',
   ReadReady = 'read-ready',
@@ -63,6 +64,12 @@
   readonly index: number;
 }
 
+/** The state given with Compact is too large to be sent; the log was not shortened. */
+export interface SnapshotRefusedOutput {
+  readonly kind: OutputKind.SnapshotRefused;
+  readonly fault: Fault;
+}
+
 /** A proposal has its place in the log; it is accepted once that index commits with that term. */
 export interface ProposalAppendedOutput {
   readonly kind: OutputKind.ProposalAppended;
@@ -110,6 +117,7 @@
   | CommitOutput<Command>
   | RestoreSnapshotOutput
   | SnapshotDueOutput
+  | SnapshotRefusedOutput
   | ProposalAppendedOutput
   | ProposalRefusedOutput
   | ReadReadyOutput
--- a/tests/support/consensus/simulatedShell.ts
+++ b/tests/support/consensus/simulatedShell.ts
@@ -72,6 +72,7 @@
       case OutputKind.LeadershipChanged:
         this.noteLeadership(host, output);
         break;
+      case OutputKind.SnapshotRefused:
       case OutputKind.ProposalRefused:
       case OutputKind.ReadFailed:
         break;
