Tests of removed members and of refused membership changes

Cause: removal of the leader itself and of a host that is down, and the conditions of a change, were covered only by chance. Change: 20 seeds each for a removed leader and a removed host that comes back; a scripted test of the refusals.

--- a/src/decisions/consensus/repair.test.ts
+++ b/src/decisions/consensus/repair.test.ts
@@ -2,7 +2,14 @@
 import { runUnderLoad } from '../../../tests/support/consensus/faultAction.js';
 import type { SimulatedHost } from '../../../tests/support/consensus/simulatedHost.js';
 import { Simulation } from '../../../tests/support/consensus/simulation.js';
-import { ConsensusRules, Role } from './index.js';
+import { toRequestId } from '../../common/ids/index.js';
+import {
+  ConsensusRules,
+  InputKind,
+  MembershipChangeKind,
+  Role,
+  type MembershipChange,
+} from './index.js';
 
 const SEEDS = Array.from({ length: 20 }, (_, seed) => seed);
 const SETTLING_MS = 1_500;
@@ -131,3 +138,47 @@
   expect(simulation.leader).toBeDefined();
   expectComplete(simulation);
 });
+
+function changeMembership(simulation: Simulation, change: MembershipChange): void {
+  const request = toRequestId(`change ${change.kind} ${change.member}`);
+  simulation.input(getLeader(simulation), { kind: InputKind.ChangeMembership, request, change });
+}
+
+test.each(SEEDS)('a leader that is removed hands over and stays out (seed %i)', (seed) => {
+  const simulation = createRunning(seed);
+  simulation.managesMembership = false;
+  const former = getLeader(simulation);
+  const others = simulation.hosts.filter((host) => host !== former);
+  const member = former.identity;
+  changeMembership(simulation, { kind: MembershipChangeKind.RemoveMember, member });
+  simulation.run(100);
+  const leader = getLeader(simulation);
+  expect(others).toContain(leader);
+  expect(leader.member?.membership).toEqual({
+    voters: others.map((host) => host.identity),
+    learners: [],
+  });
+  const term = leader.member?.term;
+  runUnderLoad(simulation, 5_000);
+  expect(getLeader(simulation)).toBe(leader);
+  expect(leader.member?.term).toBe(term);
+  expect(leader.member?.commitIndex).toBe(simulation.checker.committedIndex);
+});
+
+test.each(SEEDS)('a removed host that is down does not disturb when started (seed %i)', (seed) => {
+  const simulation = createRunning(seed);
+  simulation.managesMembership = false;
+  const removed = getFollower(simulation);
+  simulation.crash(removed);
+  const { identity: member } = removed;
+  changeMembership(simulation, { kind: MembershipChangeKind.RemoveMember, member });
+  runUnderLoad(simulation, 500);
+  const leader = getLeader(simulation);
+  const term = leader.member?.term;
+  expect(leader.member?.membership.voters).not.toContain(member);
+  simulation.start(removed);
+  runUnderLoad(simulation, 10_000);
+  expect(getLeader(simulation)).toBe(leader);
+  expect(leader.member?.term).toBe(term);
+  expect(removed.member?.term).toBe(term);
+});
--- a/src/decisions/consensus/scripted.test.ts
+++ b/src/decisions/consensus/scripted.test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from 'vitest';
+import { toRequestId } from '../../common/ids/index.js';
 import {
   createAppendResponse,
   ScriptedMember,
@@ -7,9 +8,11 @@
 import {
   EntryKind,
   InputKind,
+  MembershipChangeKind,
   MessageKind,
   OutputKind,
   Role,
+  toMemberId,
   type ConsensusOutput,
   type LogEntry,
 } from './index.js';
@@ -104,3 +107,43 @@
   const released = follower.persist();
   expect(released).toMatchObject([{ message: { matchIndex: 2 } }, { message: { matchIndex: 9 } }]);
 });
+
+test('membership changes are refused until the former one and an own entry are committed', () => {
+  const leader = createLeader();
+  const learner = toMemberId('d');
+  const change = (kind: MembershipChangeKind, member = learner) => {
+    const request = toRequestId(`${kind} ${member}`);
+    const outputs = leader.give({
+      kind: InputKind.ChangeMembership,
+      request,
+      change: { kind, member },
+    });
+    const refused = outputs.find((output) => output.kind === OutputKind.ProposalRefused);
+    return refused?.fault.message ?? 'appended';
+  };
+  const { AddLearner, PromoteLearner, RemoveMember } = MembershipChangeKind;
+  const answers = [change(AddLearner)];
+  leader.receive(createAppendResponse(b, a, { matchIndex: 1 }));
+  answers.push(change(PromoteLearner), change(AddLearner, b), change(AddLearner));
+  answers.push(change(RemoveMember, c));
+  leader.receive(createAppendResponse(b, a, { matchIndex: 2 }));
+  leader.persist();
+  for (let index = 0; index < 65; index++) {
+    leader.give({ kind: InputKind.Propose, request: toRequestId(String(index)), command: 'x' });
+  }
+  answers.push(change(PromoteLearner));
+  leader.receive(createAppendResponse(learner, a, { matchIndex: 3 }));
+  answers.push(change(PromoteLearner), change(AddLearner));
+  expect(answers).toMatchInlineSnapshot(`
+    [
+      "An earlier membership change is not yet committed.",
+      "Member "d" is not known.",
+      "Member "b" is already there.",
+      "appended",
+      "An earlier membership change is not yet committed.",
+      "Learner "d" has not caught up yet.",
+      "appended",
+      "An earlier membership change is not yet committed.",
+    ]
+  `);
+});
--- a/tests/support/consensus/simulation.ts
+++ b/tests/support/consensus/simulation.ts
@@ -40,12 +40,13 @@
   readonly network: SimulatedNetwork;
   readonly checker = new InvariantChecker();
   readonly hosts: SimulatedHost[] = [];
+  /** Whether leaders bring the membership to what the hosts' disks are now. */
+  managesMembership = true;
   private readonly shell: SimulatedShell;
   private readonly settings: ConsensusSettings;
   private readonly rules: ConsensusRules;
   private readonly addresses = new Map<MemberId, SimulatedHost>();
   private requestCount = 0;
-  private managesMembership = true;
 
   constructor(private readonly options: SimulationOptions) {
     this.random = new SeededRandom(options.seed);
