Stand-in: own web streams of the socket, so that a lost client prints nothing

Cause: pg-gateway prints every stream error other than an abort, such as EPIPE of a client that left during start-up. Change: the streams end instead of failing; the start-up listener is taken off before the socket is handed over.

--- a/standin/wire/clientSession.ts
+++ b/standin/wire/clientSession.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
 import type { PostgresConnectionOptions } from 'pg-gateway';
-import { fromNodeSocket } from 'pg-gateway/node';
+import { fromDuplexStream } from 'pg-gateway/node';
 import { Fault, type Diagnostic } from '../../src/common/diagnostics/index.js';
 import type { TimerService } from '../../src/common/timer/index.js';
 import type { Engine } from '../instance/engine.js';
@@ -20,6 +20,7 @@
 import type { ReceivedRecorder } from './receivedRecorder.js';
 import { Session } from './session.js';
 import { SessionSettings } from './sessionSettings.js';
+import { createSocketStreams } from './socketStreams.js';
 
 /** What all client sessions of an instance share. */
 export interface ClientSessionParts {
@@ -74,7 +75,7 @@
 
   /** Serves the client; the first packet must not have been read. */
   async serve(): Promise<void> {
-    await fromNodeSocket(this.socket, {
+    await fromDuplexStream(createSocketStreams(this.socket), {
       auth: this.createAuthentication(),
       onStartup: async ({ clientParams }) => this.start(clientParams ?? {}),
       onAuthenticated: () => this.sendParameters(),
--- a/standin/wire/startUp.ts
+++ b/standin/wire/startUp.ts
@@ -27,13 +27,13 @@
       look();
       return;
     }
+    socket.off('readable', look);
     if (code === CANCEL_REQUEST) {
       readCancel(socket, handle);
     } else {
       socket.unshift(head);
       handle({ kind: 'session' });
     }
-    socket.off('readable', look);
   };
   socket.on('readable', look);
 }
