--- a/standin/wire/startUp.ts
+++ b/standin/wire/startUp.ts
@@ -3,6 +3,7 @@
 const HEAD_BYTES = 8;
 const REST_OF_CANCEL_BYTES = 8;
 const CODE_OFFSET = 4;
+const LONGEST_START_UP_BYTES = 10_000;
 const SECRET_OFFSET = 4;
 const SSL_REQUEST = 80_877_103;
 const GSS_REQUEST = 80_877_104;
@@ -21,6 +22,10 @@
     if (head === null) {
       return;
     }
+    if (!isPlausible(head)) {
+      socket.destroy();
+      return;
+    }
     const code = head.readInt32BE(CODE_OFFSET);
     if (code === SSL_REQUEST || code === GSS_REQUEST) {
       socket.write(REFUSE_ENCRYPTION);
@@ -44,6 +49,19 @@
     socket.once('readable', () => readCancel(socket, handle));
     return;
   }
+  if (rest.length < REST_OF_CANCEL_BYTES) {
+    socket.destroy();
+    return;
+  }
   const secret = rest.readInt32BE(SECRET_OFFSET);
   handle({ kind: 'cancel', processId: rest.readInt32BE(0), secret });
 }
+
+/** Whether a first packet is whole, as it is not when the client has ended, and of a fair length. */
+function isPlausible(head: Buffer): boolean {
+  if (head.length < HEAD_BYTES) {
+    return false;
+  }
+  const length = head.readInt32BE(0);
+  return length >= HEAD_BYTES && length <= LONGEST_START_UP_BYTES;
+}
