--- a/standin/instance/standinInstance.ts
+++ b/standin/instance/standinInstance.ts
@@ -1,12 +1,5 @@
 import { Diagnostics } from '../../src/common/diagnostics/index.js';
-import {
-  toFailureDomain,
-  toGroupId,
-  toInstanceId,
-  toTerm,
-  type LogPosition,
-  type Term,
-} from '../../src/common/ids/index.js';
+import { toTerm, type LogPosition, type Term } from '../../src/common/ids/index.js';
 import type { Logger } from '../../src/common/logging/index.js';
 import type { TimerService } from '../../src/common/timer/index.js';
 import { InstanceRole, type Announcement } from '../../src/decisions/control/index.js';
@@ -19,7 +12,8 @@
 import { PostgresServer, ReceivedRecorder } from '../wire/index.js';
 import { Engine } from './engine.js';
 import { createFaults, type FaultChange, type Faults } from './faults.js';
-import type { InstanceStatus } from './instanceStatus.js';
+import { createAnnouncement } from './createAnnouncement.js';
+import { createInstanceStatus, type InstanceStatus } from './instanceStatus.js';
 import { Promotion } from './promotion.js';
 import type { PromotionOrder } from './promotionOrder.js';
 import { ServiceTime } from './serviceTime.js';
@@ -166,36 +160,8 @@
 
   /** The instance's state and the highest use of its limits. */
   getStatus(): InstanceStatus {
-    const { engine, settings, slots, runner, postgres } = this;
-    const { executing } = slots;
-    return {
-      instance: settings.instance,
-      role: this.role,
-      isServing: this.isServing,
-      term: engine.log.term,
-      highestTerm: engine.log.highestTerm,
-      position: engine.log.position,
-      history: engine.log.history,
-      records: engine.log.records.length,
-      connections: {
-        now: postgres.connections.value,
-        maximum: postgres.connections.maximum,
-        limit: settings.connection_limit,
-        refused: postgres.refusedCount,
-      },
-      executing: {
-        now: executing.value,
-        maximum: executing.maximum,
-        limit: settings.slots,
-        queued: slots.queued,
-      },
-      active: {
-        now: runner.active.value,
-        maximum: runner.active.maximum,
-        limit: settings.slots,
-      },
-      executed: runner.executedCount,
-    };
+    const { engine, settings, slots, runner, postgres, role, isServing } = this;
+    return createInstanceStatus({ engine, settings, slots, runner, postgres, role, isServing });
   }
 
   private get host(): string {
@@ -271,19 +237,9 @@
     if (faults.cutOff || faults.announcementsStopped || !this.isServing || !isListening) {
       return undefined;
     }
-    return {
-      group: toGroupId(settings.group),
-      instance: toInstanceId(settings.instance),
-      domain: toFailureDomain(settings.domain),
-      address,
-      platform,
-      role,
-      term: engine.log.term,
-      position: engine.log.position,
-      slots: settings.slots,
-      connectionLimit: settings.connection_limit,
-      leaving: faults.leaving,
-    };
+    const { term, position } = engine.log;
+    const { leaving } = faults;
+    return createAnnouncement(settings, { address, platform, role, term, position, leaving });
   }
 
   private createPostgres(): PostgresServer {
