Stand-in: silent connections may outlive their client; idle-in-transaction timeout

Cause: when no packet of a lost connection arrives, a server keeps the session, its transaction and its locks; the model ended it with the client's close. Change: fault ghostMs; idle_in_transaction_session_timeout ends such a session with 25P03, as in PostgreSQL. Conclusion: a proxy in front can be tested against the locks of lost connections.

--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -286,6 +286,11 @@
   SqlActiveTransaction: refusal(9040, '{command} cannot run inside a transaction block', '25001'),
   SqlSettingInvalid: refusal(9041, 'invalid value for parameter "{name}": "{value}"', '22023'),
   UserRefused: refusal(9042, 'password authentication failed for user "{user}"', '28P01'),
+  IdleInTransaction: refusal(
+    9044,
+    'terminating connection due to idle-in-transaction timeout',
+    '25P03',
+  ),
   PeerRequestFailed: error(9043, 'Request {path} failed: {reason}.'),
   ConnectionFailed: warning(9038, 'Connection ended: {reason}.'),
 } as const satisfies Record<string, Diagnostic>;
--- a/standin/instance/faults.test.ts
+++ b/standin/instance/faults.test.ts
@@ -112,6 +112,50 @@
     expect(hasAnswered).toBe(false);
   });
 
+  it('keeps a silent connection and its locks after its client has closed it', async () => {
+    group = await new TestGroup().start(1);
+    const [lost, other] = [await group.connect(), await group.connect()];
+    await other.query('CREATE TABLE t (id int PRIMARY KEY); INSERT INTO t VALUES (1)');
+    await lost.query("SET idle_in_transaction_session_timeout = '300ms'");
+    await lost.query('BEGIN; DELETE FROM t');
+    group.get(0).setFaults({ ghostMs: 600_000 });
+    group.get(0).silenceConnections();
+    await lost.end();
+    const fresh = await group.connect();
+    await fresh.query("SET statement_timeout = '50ms'");
+    expect(await sqlStateOf(fresh.query('DELETE FROM t'))).toBe('57014');
+    expect(group.get(0).getStatus().connections.now).toBe(3);
+    await fresh.query("SET statement_timeout = '10s'");
+    expect((await fresh.query('DELETE FROM t')).rowCount).toBe(1);
+    expect(group.get(0).getStatus().connections.now).toBe(2);
+  });
+
+  it('ends a ghost whose time ran out while its statement ran', async () => {
+    group = await new TestGroup().start(1);
+    const lost = await group.connect();
+    const sleeping = sqlStateOf(lost.query('SELECT pg_sleep(0.2)'));
+    await group.until(() => group.get(0).getStatus().executing.now === 1);
+    group.get(0).setFaults({ ghostMs: 10 });
+    group.get(0).silenceConnections();
+    await lost.end();
+    await sleeping;
+    await group.until(() => group.get(0).getStatus().connections.now === 0);
+    expect(group.get(0).getStatus().executing.now).toBe(0);
+  });
+
+  it('ends a session that idles in a transaction for longer than its timeout', async () => {
+    group = await new TestGroup().start(1);
+    const client = await group.connect();
+    await client.query("SET idle_in_transaction_session_timeout = '20ms'");
+    await client.query('SELECT pg_sleep(0.05)');
+    const ended = new Promise<string>((resolve) => {
+      client.on('error', (cause: Error & { code?: string }) => resolve(cause.code ?? ''));
+    });
+    await client.query('BEGIN');
+    await client.query('SELECT pg_sleep(0.05)');
+    expect(await ended).toBe('25P03');
+  });
+
   it('accepts new connections and does not answer them', async () => {
     group = await new TestGroup().start(1);
     const present = await group.connect();
--- a/standin/instance/faults.ts
+++ b/standin/instance/faults.ts
@@ -6,6 +6,9 @@
 const faultsSchema = z.strictObject({
   cutOff: z.boolean().describe('Refuses and drops all connections and makes none.'),
   silentNew: z.boolean().describe('Accepts new connections and never answers on them.'),
+  ghostMs: milliseconds.describe(
+    'How long the instance keeps a silent connection that its client has closed.',
+  ),
   announcementsStopped: z.boolean().describe('Sends no announcements.'),
   platformCutOff: z.boolean().describe('Drops requests to promote.'),
   replicationStopped: z.boolean().describe('Takes no records from the primary.'),
@@ -35,6 +38,7 @@
   return {
     cutOff: false,
     silentNew: false,
+    ghostMs: 0,
     announcementsStopped: false,
     platformCutOff: false,
     replicationStopped: false,
--- a/standin/platform/platform.test.ts
+++ b/standin/platform/platform.test.ts
@@ -16,6 +16,7 @@
   readonly address: string;
   readonly announcements: Announcement[];
   readonly tokens: Set<string | undefined>;
+  readonly senders: Set<string>;
   status: number;
 }
 
@@ -23,10 +24,12 @@
   const server = fastify({ forceCloseConnections: true });
   const announcements: Announcement[] = [];
   const tokens = new Set<string | undefined>();
-  const reception = { announcements, tokens, status: 200, address: '' };
+  const senders = new Set<string>();
+  const reception = { announcements, tokens, senders, status: 200, address: '' };
   server.post('/announcements', async (request, reply) => {
     announcements.push(request.body as Announcement);
     tokens.add(request.headers.authorization);
+    senders.add(request.ip);
     await reply.code(reception.status).send({});
   });
   servers.push(server);
@@ -128,6 +131,14 @@
     await group.until(() => reception.announcements.at(-1)?.leaving === true);
   });
 
+  it("come from the instance's own address", async () => {
+    group = await new TestGroup({ announce_interval_ms: 5, listen: '127.0.2.9:0' }).start(1);
+    const reception = await receive();
+    group.get(0).setFilbertpoint([reception.address]);
+    await group.until(() => reception.announcements.length > 1);
+    expect([...reception.senders]).toEqual(['127.0.2.9']);
+  });
+
   it('go to the next daemon when one fails and stop while cut off', async () => {
     group = await new TestGroup({ announce_interval_ms: 5 }).start(1);
     const [failing, working] = [await receive(), await receive()];
--- a/standin/wire/clientSession.ts
+++ b/standin/wire/clientSession.ts
@@ -2,7 +2,7 @@
 import type { PostgresConnectionOptions } from 'pg-gateway';
 import { fromDuplexStream } from 'pg-gateway/node';
 import { Fault, type Diagnostic } from '../../src/common/diagnostics/index.js';
-import type { TimerService } from '../../src/common/timer/index.js';
+import type { TimerService, Unsubscribe } from '../../src/common/timer/index.js';
 import type { Engine } from '../instance/engine.js';
 import type { Faults } from '../instance/faults.js';
 import type { StatementRunner } from '../instance/statementRunner.js';
@@ -50,6 +50,8 @@
   private readonly connection: Connection;
   private isBusy = false;
   private hasEnded = false;
+  private isForgotten = false;
+  private endGhost: Unsubscribe | undefined;
   private readonly endHandlers: (() => void)[] = [];
 
   constructor(
@@ -68,9 +70,10 @@
       environment: this.createEnvironment(),
       warn: (sqlState, text) => this.output.add(encodeWarning(sqlState, text)),
       deallocate: (name) => this.prepared.deallocate(name),
+      terminate: (diagnostic) => this.terminate(diagnostic),
     });
     this.connection = new Connection(this.session, this.prepared, this.output);
-    socket.on('close', () => this.endWhenIdle());
+    socket.on('close', () => this.endWhenClosed());
   }
 
   /** Serves the client; the first packet must not have been read. */
@@ -102,9 +105,11 @@
     this.output.isSilent = true;
   }
 
-  /** Ends the connection at once, as if it had been cut. */
-  cut(): void {
-    this.socket.destroy();
+  /** Ends the session of a connection that is closed, also where it is kept as a ghost. */
+  forget(): void {
+    this.isForgotten = true;
+    this.endGhost?.();
+    this.endWhenIdle();
   }
 
   /** Ends the connection after telling the client why. */
@@ -142,6 +147,9 @@
     this.output.add(encodeError(fault, 'FATAL'));
     void this.output.flush();
     this.socket.destroySoon();
+    if (this.endGhost !== undefined) {
+      this.forget();
+    }
   }
 
   private sendParameters(): void {
@@ -170,6 +178,7 @@
 
   private async handle(message: Buffer): Promise<Iterable<Uint8Array>> {
     this.isBusy = true;
+    this.session.endIdle();
     try {
       await this.connection.handle(message);
     } catch (cause) {
@@ -178,11 +187,23 @@
       this.isBusy = false;
     }
     if (this.socket.destroyed) {
-      this.endWhenIdle();
+      this.endWhenClosed();
+    } else {
+      this.session.beginIdle();
     }
     return HANDLED;
   }
 
+  /** Ends the session, but for a silent one that the instance does not yet know to be closed. */
+  private endWhenClosed(): void {
+    const { ghostMs } = this.parts.faults;
+    if (this.output.isSilent && ghostMs > 0 && !this.isForgotten) {
+      this.endGhost ??= this.parts.timer.once(ghostMs, () => this.forget());
+    } else {
+      this.endWhenIdle();
+    }
+  }
+
   private endWhenIdle(): void {
     if (this.isBusy || this.hasEnded) {
       return;
--- a/standin/wire/postgresServer.ts
+++ b/standin/wire/postgresServer.ts
@@ -53,6 +53,9 @@
   /** Ends all connections and stops listening. */
   close(): Promise<void> {
     this.cutAll();
+    for (const session of this.sessions.values()) {
+      session.forget();
+    }
     return new Promise((resolve) => {
       this.server.close(() => resolve());
     });
--- a/standin/wire/session.ts
+++ b/standin/wire/session.ts
@@ -1,4 +1,5 @@
-import type { TimerService } from '../../src/common/timer/index.js';
+import type { Diagnostic } from '../../src/common/diagnostics/index.js';
+import type { TimerService, Unsubscribe } from '../../src/common/timer/index.js';
 import type { Engine } from '../instance/engine.js';
 import { Interruption } from '../instance/interruption.js';
 import type { StatementRunner } from '../instance/statementRunner.js';
@@ -28,6 +29,8 @@
   readonly warn: (sqlState: string, text: string) => void;
   /** Forgets one prepared statement, or all. */
   readonly deallocate: (name: string | undefined) => void;
+  /** Ends the session after telling the client why. */
+  readonly terminate: (diagnostic: Diagnostic) => void;
 }
 
 const TEXT_COLUMN = ColumnType.Text;
@@ -39,6 +42,7 @@
   private isExplicit = false;
   private isFailed = false;
   private isReadOnly = false;
+  private endIdleWatch: Unsubscribe | undefined;
 
   constructor(private readonly parts: SessionParts) {}
 
@@ -108,8 +112,25 @@
     }
   }
 
+  /** Begins to wait for the client's next message; within a transaction only for a set time. */
+  beginIdle(): void {
+    const timeoutMs = this.readTimeoutMs('idle_in_transaction_session_timeout');
+    if (this.isExplicit && timeoutMs > 0) {
+      this.endIdleWatch = this.parts.timer.once(timeoutMs, () =>
+        this.parts.terminate(Diagnostics.IdleInTransaction),
+      );
+    }
+  }
+
+  /** Ends the wait for the client's next message. */
+  endIdle(): void {
+    this.endIdleWatch?.();
+    this.endIdleWatch = undefined;
+  }
+
   /** Rolls back whatever is open. */
   close(): void {
+    this.endIdle();
     this.end(false);
   }
 
@@ -148,8 +169,7 @@
   }
 
   private beginTimeout(): (() => void) | undefined {
-    const text = this.parts.settings.get('statement_timeout') ?? '0';
-    const timeoutMs = text === '0' ? 0 : (tryReadDurationMs(text) ?? 0);
+    const timeoutMs = this.readTimeoutMs('statement_timeout');
     if (timeoutMs <= 0) {
       return undefined;
     }
@@ -158,6 +178,11 @@
     );
   }
 
+  private readTimeoutMs(name: string): number {
+    const text = this.parts.settings.get(name) ?? '0';
+    return text === '0' ? 0 : (tryReadDurationMs(text) ?? 0);
+  }
+
   private runCommand(command: SessionCommand): StatementResult {
     if (command.kind !== 'commit' && command.kind !== 'rollback') {
       this.refuseInFailed();
@@ -224,7 +249,7 @@
   }
 
   private checkSetting(name: string, value: string | undefined): void {
-    const isDuration = name === 'statement_timeout' && value !== undefined;
+    const isDuration = name.endsWith('_timeout') && !name.includes('.') && value !== undefined;
     if (isDuration && tryReadDurationMs(value) === undefined) {
       throw sqlFault(Diagnostics.SqlSettingInvalid, { name, value });
     }
