A leaving replica is left out only when its holder can't have counted it

It is left out now only if the ticket came before the term began, and a holder doesn't count a leaving replica. Adds tests of tickets, leases and broken variants; a daemon that takes up no changes is a fault.

--- /dev/null
+++ b/src/decisions/control/controlState.test.ts
@@ -0,0 +1,244 @@
+import * as fc from 'fast-check';
+import { pack, unpack } from 'msgpackr';
+import { expect, test } from 'vitest';
+import {
+  toFailureDomain,
+  toHostId,
+  toGroupId,
+  toLeaseId,
+  toLogPosition,
+  toInstanceId,
+  toRevision,
+  toTerm,
+  toTicketNumber,
+  type Revision,
+} from '../../common/ids/index.js';
+import { Diagnostics } from '../../common/diagnostics/index.js';
+import { getCanonicalContent, SubjectKind, type Ticket } from '../tickets/index.js';
+import {
+  CommandKind,
+  ControlState,
+  PrimaryPhase,
+  TicketOutcome,
+  TicketRegister,
+  type Command,
+  type CommandAnswer,
+  type ControlSnapshot,
+  type TicketAnswer,
+} from './index.js';
+
+const SEED = 20261204;
+
+/** A control state with its log index. */
+class Log {
+  state: ControlState;
+  revision: Revision = toRevision(0);
+
+  constructor(private readonly createState: () => ControlState = () => new ControlState()) {
+    this.state = createState();
+  }
+
+  apply(command: Command): CommandAnswer {
+    this.revision = toRevision(this.revision + 1);
+    return this.state.apply(command, this.revision);
+  }
+
+  submit(ticket: Ticket): TicketAnswer {
+    const { ticket: answer } = this.apply({ kind: CommandKind.SubmitTicket, ticket });
+    if (answer === undefined) {
+      throw new Error('a ticket has no answer');
+    }
+    return answer;
+  }
+
+  restart(): void {
+    const snapshot = unpack(pack(this.state.createSnapshot())) as ControlSnapshot;
+    this.state = this.createState();
+    this.state.restore(snapshot);
+  }
+}
+
+function createTicket(number: number, subjects: readonly (readonly [string, boolean])[]): Ticket {
+  return {
+    number: toTicketNumber(number),
+    subjects: subjects.map(([domain, inService]) => {
+      return { kind: SubjectKind.FailureDomain, domain: toFailureDomain(domain), inService };
+    }),
+  };
+}
+
+const tickets = fc
+  .tuple(
+    fc.integer({ min: 1, max: 60 }),
+    fc.uniqueArray(fc.tuple(fc.constantFrom('a', 'b', 'c', 'd', 'e'), fc.boolean()), {
+      minLength: 1,
+      maxLength: 3,
+      selector: ([domain]) => domain,
+    }),
+  )
+  .map(([number, subjects]) => createTicket(number, subjects));
+
+const steps = fc.array(
+  fc.oneof(
+    { weight: 8, arbitrary: tickets },
+    { weight: 1, arbitrary: fc.constant('restart' as const) },
+    { weight: 2, arbitrary: fc.constant('resend' as const) },
+  ),
+  { minLength: 50, maxLength: 400 },
+);
+
+/** Submits tickets in a race and checks each answer against all that was accepted before. */
+function checkTickets(log: Log, sequence: readonly (Ticket | 'restart' | 'resend')[]): void {
+  const accepted = new Map<number, string>();
+  const inForce = new Map<string, { number: number; inService: boolean }>();
+  const sent: { ticket: Ticket; answer: TicketAnswer }[] = [];
+  for (const step of sequence) {
+    if (step === 'restart') {
+      log.restart();
+    } else if (step === 'resend') {
+      const again = sent[sent.length >> 1];
+      const isFirst = again?.answer.outcome === TicketOutcome.Accepted;
+      expect(isFirst ? log.submit(again.ticket) : undefined).toEqual(
+        isFirst ? again.answer : undefined,
+      );
+    } else {
+      const answer = log.submit(step);
+      sent.push({ ticket: step, answer });
+      checkAnswer(step, answer, accepted, inForce);
+    }
+    for (const [domain, expected] of inForce) {
+      const found = log.state.getSubject(`failure-domain/${domain}`);
+      expect(found?.ticket).toBe(expected.number);
+      expect(found?.state).toMatchObject({ domain, inService: expected.inService });
+      expect(log.state.getTicket(toTicketNumber(expected.number))).toBeDefined();
+    }
+  }
+}
+
+function checkAnswer(
+  ticket: Ticket,
+  answer: TicketAnswer,
+  accepted: Map<number, string>,
+  inForce: Map<string, { number: number; inService: boolean }>,
+): void {
+  const content = getCanonicalContent(ticket);
+  const known = accepted.get(ticket.number);
+  if (known !== undefined) {
+    const outcome = known === content ? TicketOutcome.Accepted : TicketOutcome.Refused;
+    expect(answer.outcome).toBe(outcome);
+    return;
+  }
+  const states = ticket.subjects.filter((each) => each.kind === SubjectKind.FailureDomain);
+  const isHigher = states.every((each) => ticket.number > (inForce.get(each.domain)?.number ?? 0));
+  expect(answer.outcome).toBe(isHigher ? TicketOutcome.Accepted : TicketOutcome.Refused);
+  if (isHigher) {
+    accepted.set(ticket.number, content);
+    for (const { domain, inService } of states) {
+      inForce.set(domain, { number: ticket.number, inService });
+    }
+  }
+}
+
+test('tickets that race, are resent and outlive restarts keep their answers and never revert', () => {
+  fc.assert(
+    fc.property(steps, (sequence) => checkTickets(new Log(), sequence)),
+    { seed: SEED, numRuns: 100 },
+  );
+});
+
+test('an equal number that is accepted twice is found', () => {
+  class Twice extends TicketRegister {
+    protected override isSameContent(): boolean {
+      return true;
+    }
+  }
+  const createState = () => new ControlState(() => new Twice());
+  const property = fc.property(steps, (sequence) => checkTickets(new Log(createState), sequence));
+  expect(fc.check(property, { seed: SEED, numRuns: 100 }).failed).toBe(true);
+});
+
+test('a ticket that replaces a later one is found', () => {
+  class Reverting extends TicketRegister {
+    protected override mayReplace(): boolean {
+      return true;
+    }
+  }
+  const createState = () => new ControlState(() => new Reverting());
+  const property = fc.property(steps, (sequence) => checkTickets(new Log(createState), sequence));
+  expect(fc.check(property, { seed: SEED, numRuns: 100 }).failed).toBe(true);
+});
+
+test('a refusal names the winner and the subject', () => {
+  const log = new Log();
+  log.submit(createTicket(5, [['a', false]]));
+  expect(log.submit(createTicket(4, [['a', true]]))).toEqual({
+    number: 4,
+    outcome: TicketOutcome.Refused,
+    code: Diagnostics.TicketOutdated.code,
+    reason: 'Ticket 4 is not above ticket 5, which is in force on failure-domain/a.',
+  });
+  expect(log.submit(createTicket(5, [['b', true]]))).toMatchObject({
+    code: Diagnostics.TicketNumberTaken.code,
+    reason: 'Ticket number 5 belongs to an accepted ticket with other content on failure-domain/a.',
+  });
+});
+
+test('the order of keys and subjects does not make another content', () => {
+  const log = new Log();
+  const first = createTicket(1, [
+    ['a', true],
+    ['b', false],
+  ]);
+  const again = createTicket(1, [
+    ['b', false],
+    ['a', true],
+  ]);
+  expect(log.submit(first)).toEqual(log.submit(again));
+});
+
+test('a late command of a deposed leader is refused', () => {
+  const log = new Log();
+  const group = toGroupId('g');
+  const holder = { host: toHostId('h'), lease: toLeaseId('l1'), address: 'x' };
+  const assign = { kind: CommandKind.AssignGroup, group, holder, expected: toRevision(0) } as const;
+  expect(log.apply(assign).changed).toBe(true);
+  expect(log.apply(assign)).toMatchObject({ refusal: Diagnostics.CommandOutdated.code });
+  expect(log.apply({ kind: CommandKind.RetireLease, lease: holder.lease }).changed).toBe(true);
+  expect(log.state.getGroupAssignment(group)?.holder).toBeUndefined();
+  const late = { ...assign, expected: log.revision };
+  expect(log.apply(late)).toMatchObject({ refusal: Diagnostics.CommandOutdated.code });
+});
+
+test('a promotion is refused when the holder or the term has changed meanwhile', () => {
+  const log = new Log();
+  const group = toGroupId('g');
+  const [first, second] = [toInstanceId('i1'), toInstanceId('i2')];
+  const record = { kind: CommandKind.RecordPrimary, group, term: toTerm(3), instance: first };
+  expect(log.apply(record as Command).changed).toBe(true);
+  const begin = {
+    kind: CommandKind.BeginPromotion,
+    ...{ group, term: toTerm(4), instance: second, expectedTerm: toTerm(3) },
+    required: toLogPosition(70),
+  } as const;
+  expect(log.apply({ ...begin, expectedLease: toLeaseId('l1') }).changed).toBe(false);
+  expect(log.apply({ ...begin, expectedTerm: toTerm(2) }).changed).toBe(false);
+  expect(log.apply(begin).changed).toBe(true);
+  const complete = { kind: CommandKind.CompletePromotion, group, term: toTerm(4) } as const;
+  expect(log.apply({ ...complete, position: toLogPosition(69) }).changed).toBe(false);
+  expect(log.apply({ ...complete, position: toLogPosition(75) }).changed).toBe(true);
+  expect(log.state.getPrimary(group)).toMatchObject({
+    phase: PrimaryPhase.Serving,
+    instance: second,
+    history: [{ term: 3, position: 75 }],
+  });
+});
+
+test('records since a revision are exactly those that changed after it', () => {
+  const log = new Log();
+  for (let number = 1; number <= 3000; number++) {
+    log.submit(createTicket(number, [[`d${number % 7}`, number % 2 === 0]]));
+  }
+  const records = log.state.getRecordsSince(toRevision(2996));
+  expect(records.map((record) => record.revision)).toEqual([2997, 2998, 2999, 3000]);
+  expect(log.state.getRecordsSince(toRevision(0))).toHaveLength(7);
+});
--- a/src/decisions/control/controlState.ts
+++ b/src/decisions/control/controlState.ts
@@ -3,11 +3,12 @@
   toRevision,
   type AccountId,
   type GroupId,
+  type InstanceId,
   type LeaseId,
   type Revision,
   type TicketNumber,
 } from '../../common/ids/index.js';
-import type { Ticket } from '../tickets/index.js';
+import { SubjectKind, type Ticket } from '../tickets/index.js';
 import type { Assignment } from './assignment.js';
 import { AssignmentBook } from './assignmentBook.js';
 import type { Command } from './command.js';
@@ -20,7 +21,7 @@
 import { PrimaryBook } from './primaryBook.js';
 import { RecordIndex } from './recordIndex.js';
 import { RecordKind } from './recordKind.js';
-import { getInstanceRecordName } from './recordNames.js';
+import { getInstanceRecordName, getSubjectRecordName } from './recordNames.js';
 import { RecordReader } from './recordReader.js';
 import { RecordTable } from './recordTable.js';
 import type { SubjectInForce } from './subjectInForce.js';
@@ -121,6 +122,12 @@
     return this.records.get(name)?.revision ?? toRevision(0);
   }
 
+  /** Revision of the ticket that says whether a backend server is leaving; 0 for none. */
+  getLeavingRevision(group: GroupId, instance: InstanceId): Revision {
+    const subject = `${SubjectKind.BackendServer}/${group}/${instance}`;
+    return this.getRecordRevision(getSubjectRecordName(subject));
+  }
+
   /** Whether a lease was retired. */
   isRetired(lease: LeaseId): boolean {
     return this.assignments.isRetired(lease);
--- a/src/decisions/control/groupReport.ts
+++ b/src/decisions/control/groupReport.ts
@@ -15,7 +15,8 @@
   readonly fencedTerm: Term;
   /**
    * Highest position acknowledged to callers under the current term, and at least the primary's
-   * position when this holder took the group up; 0 until it is known.
+   * position when this holder took the group up; 0 until it is known. A replica that a ticket
+   * says is leaving does not count for acknowledgement.
    */
   readonly acknowledged: LogPosition;
   /** Once a term is fenced, only what was measured after fencing it. */
--- /dev/null
+++ b/src/decisions/control/leader/brokenVariants.test.ts
@@ -0,0 +1,98 @@
+import * as fc from 'fast-check';
+import { expect, test } from 'vitest';
+import {
+  toLogPosition,
+  toRevision,
+  type LogPosition,
+  type Revision,
+} from '../../../common/ids/index.js';
+import { DaemonLeases, HeldLease } from '../../leases/index.js';
+import { PromotionRules, type Fence, type GroupView } from '../../promotion/index.js';
+import type { ControlSettings } from './controlSettings.js';
+import {
+  DEFAULT_FLEET_OPTIONS,
+  FakeFleet,
+  FaultDriver,
+  fleetFaults,
+  type FleetOptions,
+} from '../../../../tests/support/fleet/index.js';
+
+const SEED = 20261204;
+const MAXIMUM_RUNS = 400;
+
+/** Runs random faults against a broken variant and gives the invariant that it violates. */
+function findViolation(variant: Partial<FleetOptions>): string {
+  const property = fc.property(fc.nat(), fleetFaults, (seed, faults) => {
+    const network = { loss: 0.02, duplication: 0.02, lateness: 0.02 };
+    const fleet = new FakeFleet({ ...DEFAULT_FLEET_OPTIONS, network, ...variant, seed });
+    fleet.run(2000);
+    new FaultDriver(fleet).run(faults);
+    fleet.run(3000);
+  });
+  const details = fc.check(property, { seed: SEED, numRuns: MAXIMUM_RUNS, endOnFailure: true });
+  const { errorInstance } = details;
+  return errorInstance instanceof Error ? errorInstance.message : 'none';
+}
+
+const HOLDERS = /one holder at a time|only the holder acknowledges|under an old term/;
+
+test('a lease that its holder counts from receipt is found', () => {
+  class CountedFromReceipt extends HeldLease {
+    protected override getStartMs(_sentAtMs: number, receivedAtMs: number): number {
+      return receivedAtMs;
+    }
+  }
+  const found = findViolation({ createHeldLease: (id) => new CountedFromReceipt(id) });
+  expect(found).toMatch(HOLDERS);
+});
+
+test('a new leader that does not wait for the leases of the earlier one is found', () => {
+  class NoWait extends DaemonLeases {
+    protected override getWaitMs(): number {
+      return 0;
+    }
+  }
+  const createLeases = (settings: ControlSettings) => new NoWait(settings.lease);
+  expect(findViolation({ leaderParts: { createLeases } })).toMatch(HOLDERS);
+});
+
+test('a granter that counts a shorter lease than the holder is found', () => {
+  class Short extends DaemonLeases {
+    protected override getExpiryMs(nowMs: number): number {
+      return nowMs + 1500;
+    }
+  }
+  const createLeases = (settings: ControlSettings) => new Short(settings.lease);
+  expect(findViolation({ leaderParts: { createLeases } })).toMatch(HOLDERS);
+});
+
+test('renewals granted to a daemon that does not take up changes are found', () => {
+  class Lenient extends DaemonLeases {
+    override getRequiredRevision(): Revision {
+      return toRevision(0);
+    }
+  }
+  const createLeases = (settings: ControlSettings) => new Lenient(settings.lease);
+  expect(findViolation({ leaderParts: { createLeases } })).toMatch(/in force on every daemon/);
+});
+
+test('a promotion before the lease of the holder ran out is found', () => {
+  class Hasty extends PromotionRules {
+    protected override findFence(view: GroupView): Fence {
+      return { atMs: view.nowMs - 1000, isReported: true };
+    }
+  }
+  const createRules = (settings: ControlSettings) => new Hasty(settings.promotion);
+  const found = findViolation({ leaderParts: { createRules } });
+  expect(found).toMatch(/under an old term|acknowledged write is lost/);
+});
+
+test('a promotion of whichever instance is known is found', () => {
+  class Careless extends PromotionRules {
+    protected override findRequired(): LogPosition {
+      return toLogPosition(0);
+    }
+  }
+  const createRules = (settings: ControlSettings) => new Careless(settings.promotion);
+  expect(findViolation({ leaderParts: { createRules } })).toMatch(/acknowledged write is lost/);
+});
--- a/src/decisions/control/leader/createGroupView.ts
+++ b/src/decisions/control/leader/createGroupView.ts
@@ -64,6 +64,7 @@
     domain: record.domain,
     inService: context.state.isInService(record.domain),
     leaving: context.state.isLeaving(record.group, record.instance),
+    leavingRevision: context.state.getLeavingRevision(record.group, record.instance),
     announced: received && createAnnouncedPlace(received),
     sighted: watch.sightings.get(record.instance),
   };
--- /dev/null
+++ b/src/decisions/leases/leases.test.ts
@@ -0,0 +1,181 @@
+import * as fc from 'fast-check';
+import { expect, test } from 'vitest';
+import {
+  toFailureDomain,
+  toHostId,
+  toIncarnation,
+  toLeaseId,
+  toRevision,
+} from '../../common/ids/index.js';
+import type { LeaseGrant, LeaseRenewal } from '../control/index.js';
+import {
+  DaemonLeases,
+  DEFAULT_LEASE_TERMS,
+  getInForceBoundMs,
+  GrantEffect,
+  HeldLease,
+  RenewalOutcome,
+} from './index.js';
+
+const LEASE = toLeaseId('l1');
+const LENGTH_MS = DEFAULT_LEASE_TERMS.lengthMs;
+
+function createGrant(sequence: number, change: Partial<LeaseGrant> = {}): LeaseGrant {
+  const revision = toRevision(0);
+  return {
+    ...{ lease: LEASE, sequence, lengthMs: LENGTH_MS, retired: false, revision, records: [] },
+    ...change,
+  };
+}
+
+function createRenewal(sequence: number, change: Partial<LeaseRenewal> = {}): LeaseRenewal {
+  return {
+    host: toHostId('h1'),
+    incarnation: toIncarnation('h1-1'),
+    lease: LEASE,
+    domain: toFailureDomain('d1'),
+    address: '127.0.0.1:1',
+    ...{ sequence, answered: 0, sinceAnsweredMs: 0, revision: toRevision(0) },
+    ...{ announcements: [], reports: [], releasedGroups: [], releasedAccounts: [] },
+    stopping: false,
+    ...change,
+  };
+}
+
+test('a lease counts from before the renewal was sent', () => {
+  const held = new HeldLease(LEASE);
+  const { sequence } = held.beginRenewal(100);
+  expect(held.isValid(100)).toBe(false);
+  expect(held.receiveGrant(createGrant(sequence), 700)).toBe(GrantEffect.Extended);
+  expect(held.isValid(100 + LENGTH_MS - 1)).toBe(true);
+  expect(held.isValid(100 + LENGTH_MS)).toBe(false);
+});
+
+test('late, repeated and foreign answers change nothing', () => {
+  const held = new HeldLease(LEASE);
+  const first = held.beginRenewal(0);
+  const second = held.beginRenewal(500);
+  expect(held.receiveGrant(createGrant(second.sequence), 510)).toBe(GrantEffect.Extended);
+  expect(held.receiveGrant(createGrant(first.sequence), 520)).toBe(GrantEffect.Ignored);
+  expect(held.receiveGrant(createGrant(second.sequence), 530)).toBe(GrantEffect.Ignored);
+  expect(held.receiveGrant(createGrant(99), 540)).toBe(GrantEffect.Ignored);
+  const foreign = createGrant(1, { lease: toLeaseId('other') });
+  expect(held.receiveGrant(foreign, 550)).toBe(GrantEffect.Ignored);
+  expect(held.getLeftMs(550)).toBe(500 + LENGTH_MS - 550);
+});
+
+test('a lease that ran out is not revived by an answer that comes after', () => {
+  const held = new HeldLease(LEASE);
+  held.receiveGrant(createGrant(held.beginRenewal(0).sequence), 10);
+  const late = held.beginRenewal(LENGTH_MS - 10);
+  expect(held.receiveGrant(createGrant(late.sequence), LENGTH_MS)).toBe(GrantEffect.Ignored);
+  expect(held.isOver(LENGTH_MS)).toBe(true);
+});
+
+test('a first answer that comes after the whole length grants nothing', () => {
+  const held = new HeldLease(LEASE);
+  const { sequence } = held.beginRenewal(0);
+  expect(held.receiveGrant(createGrant(sequence), LENGTH_MS)).toBe(GrantEffect.Ignored);
+  expect(held.isValid(LENGTH_MS)).toBe(false);
+});
+
+test('a refusal leaves the lease as it was, a retirement ends it', () => {
+  const held = new HeldLease(LEASE);
+  held.receiveGrant(createGrant(held.beginRenewal(0).sequence), 10);
+  const refused = createGrant(held.beginRenewal(20).sequence, { lengthMs: 0 });
+  expect(held.receiveGrant(refused, 30)).toBe(GrantEffect.Refused);
+  expect(held.isValid(40)).toBe(true);
+  const retired = createGrant(held.beginRenewal(50).sequence, { lengthMs: 0, retired: true });
+  expect(held.receiveGrant(retired, 60)).toBe(GrantEffect.Ended);
+  expect(held.isValid(60)).toBe(false);
+});
+
+test('a renewal says which answer came last and how long ago', () => {
+  const held = new HeldLease(LEASE);
+  held.beginRenewal(0);
+  expect(held.beginRenewal(100)).toEqual({ sequence: 2, answered: 0, sinceAnsweredMs: 100 });
+  held.receiveGrant(createGrant(2), 140);
+  held.receiveGrant(createGrant(1), 150);
+  expect(held.beginRenewal(200)).toEqual({ sequence: 3, answered: 2, sinceAnsweredMs: 60 });
+});
+
+test('the granter never counts a lease as over before its holder does, under drift', () => {
+  const rates = fc.double({ min: 0.9951, max: 1.0049, noNaN: true });
+  const delays = fc.integer({ min: 0, max: 5000 });
+  const property = fc.property(
+    rates,
+    rates,
+    delays,
+    delays,
+    (holderRate, granterRate, go, back) => {
+      const held = new HeldLease(LEASE);
+      const leases = new DaemonLeases(DEFAULT_LEASE_TERMS);
+      leases.begin([], toRevision(0), 0);
+      const { sequence } = held.beginRenewal(1000 * holderRate);
+      leases.renew(createRenewal(sequence), false, true, (1000 + go) * granterRate);
+      held.receiveGrant(createGrant(sequence), (1000 + go + back) * holderRate);
+      for (let atMs = 1000; atMs < 9000; atMs += 7) {
+        const isOver = leases.takeExpired(atMs * granterRate).length > 0;
+        const isHeld = held.isValid(atMs * holderRate);
+        expect(isOver && isHeld).toBe(false);
+        if (isOver) {
+          return;
+        }
+      }
+    },
+  );
+  fc.assert(property, { seed: 20261204, numRuns: 500 });
+});
+
+test('a lease that ran out at the leader is never renewed', () => {
+  const leases = new DaemonLeases(DEFAULT_LEASE_TERMS);
+  leases.begin([], toRevision(0), 0);
+  expect(leases.renew(createRenewal(1), false, true, 0)).toBe(RenewalOutcome.Granted);
+  const endMs = LENGTH_MS * (1 + DEFAULT_LEASE_TERMS.driftBound);
+  expect(leases.renew(createRenewal(2), false, true, endMs)).toBe(RenewalOutcome.Retired);
+  expect(leases.takeExpired(endMs).map((lease) => lease.lease)).toEqual([LEASE]);
+  expect(leases.takeExpired(endMs)).toEqual([]);
+  expect(leases.renew(createRenewal(3), false, true, endMs + 1)).toBe(RenewalOutcome.Retired);
+  leases.forget(LEASE);
+  expect(leases.renew(createRenewal(4), true, true, endMs + 2)).toBe(RenewalOutcome.Retired);
+});
+
+test('a repeated or late renewal does not extend, and no leader without its own lease grants', () => {
+  const leases = new DaemonLeases(DEFAULT_LEASE_TERMS);
+  leases.begin([], toRevision(0), 0);
+  expect(leases.renew(createRenewal(5), false, true, 0)).toBe(RenewalOutcome.Granted);
+  const before = leases.get(LEASE)?.expiryMs;
+  expect(leases.renew(createRenewal(5), false, true, 500)).toBe(RenewalOutcome.Stale);
+  expect(leases.renew(createRenewal(4), false, true, 500)).toBe(RenewalOutcome.Stale);
+  expect(leases.renew(createRenewal(6), false, false, 500)).toBe(RenewalOutcome.NotLeader);
+  expect(leases.get(LEASE)?.expiryMs).toBe(before);
+});
+
+test('a daemon that does not take up a change loses its lease within the bound', () => {
+  const leases = new DaemonLeases(DEFAULT_LEASE_TERMS);
+  leases.begin([], toRevision(0), 0);
+  const committedMs = 1000;
+  let lastGrantMs = 0;
+  let sequence = 0;
+  leases.noteCommit(toRevision(1), committedMs);
+  for (let atMs = 0; atMs < 8000; atMs += 100) {
+    sequence++;
+    if (leases.renew(createRenewal(sequence), false, true, atMs) === RenewalOutcome.Granted) {
+      lastGrantMs = atMs;
+    }
+  }
+  expect(lastGrantMs).toBeGreaterThan(committedMs);
+  expect(lastGrantMs + LENGTH_MS).toBeLessThan(
+    committedMs + getInForceBoundMs(DEFAULT_LEASE_TERMS),
+  );
+  const current = createRenewal(1, { lease: toLeaseId('l2'), revision: toRevision(1) });
+  expect(leases.renew(current, false, true, 8000)).toBe(RenewalOutcome.Granted);
+});
+
+test('a new leader has daemons take up all that was committed before, at once', () => {
+  const leases = new DaemonLeases(DEFAULT_LEASE_TERMS);
+  leases.begin([], toRevision(9), 0);
+  expect(leases.renew(createRenewal(1), false, true, 1)).toBe(RenewalOutcome.Outdated);
+  const current = createRenewal(2, { revision: toRevision(9) });
+  expect(leases.renew(current, false, true, 2)).toBe(RenewalOutcome.Granted);
+});
--- a/src/decisions/promotion/instanceView.ts
+++ b/src/decisions/promotion/instanceView.ts
@@ -1,4 +1,10 @@
-import type { FailureDomain, InstanceId, LogPosition, Term } from '../../common/ids/index.js';
+import type {
+  FailureDomain,
+  InstanceId,
+  LogPosition,
+  Revision,
+  Term,
+} from '../../common/ids/index.js';
 import type { InstanceRole } from '../control/announcement.js';
 
 /** A measured place in a history, and when control received it. */
@@ -29,6 +35,8 @@
   readonly inService: boolean;
   /** A ticket says that it is leaving. */
   readonly leaving: boolean;
+  /** Revision of that ticket; 0 when no ticket says anything. */
+  readonly leavingRevision: Revision;
   readonly announced: AnnouncedPlace | undefined;
   readonly sighted: SightedPlace | undefined;
 }
--- a/src/decisions/promotion/promotionRules.ts
+++ b/src/decisions/promotion/promotionRules.ts
@@ -67,13 +67,13 @@
     let furthest = getServedStart(primary);
     for (const instance of view.instances) {
       const place = getPlaceAfter(instance, fence, this.settings);
-      if (instance.instance === primary.instance || this.isGone(view, instance)) {
+      if (instance.instance === primary.instance) {
         continue;
       }
-      if (place === undefined) {
+      if (place === undefined && !this.isWithoutVote(primary, instance)) {
         return undefined;
       }
-      if (place.term === primary.term) {
+      if (place?.term === primary.term) {
         furthest = Math.max(furthest, place.position);
       }
     }
@@ -257,9 +257,12 @@
     return !instance.inService || instance.leaving || instance.announced?.leaving === true;
   }
 
-  /** Operators took the instance out for good and it is silent. */
-  private isGone(view: GroupView, instance: InstanceView): boolean {
-    return instance.leaving && !isAnnouncing(view, instance, this.settings);
+  /**
+   * Whether no write of the term was acknowledged because the instance has it: whoever holds the
+   * group under the term knows that the instance is leaving and does not count it.
+   */
+  protected isWithoutVote(primary: GroupPrimary, instance: InstanceView): boolean {
+    return instance.leaving && instance.leavingRevision < primary.since;
   }
 
   private createPromotion(
--- a/tests/support/fleet/fakeControl.ts
+++ b/tests/support/fleet/fakeControl.ts
@@ -2,6 +2,7 @@
 import { assertInvariant } from '../../../src/common/diagnostics/index.js';
 import { toHostId, toRevision, type HostId } from '../../../src/common/ids/index.js';
 import {
+  CommandKind,
   ControlInputKind,
   ControlLeader,
   ControlOutputKind,
@@ -13,10 +14,12 @@
   type ControlSnapshot,
   type LeaseRenewal,
 } from '../../../src/decisions/control/index.js';
+import type { Ticket } from '../../../src/decisions/tickets/index.js';
 import type { FakeFleet } from './fakeFleet.js';
 
 const COMMIT_MS = 8;
 const TICK_MS = 50;
+const RESUBMIT_MS = 300;
 
 interface Proposal {
   readonly command: Command;
@@ -49,6 +52,8 @@
   private limbo: Command[] = [];
   private electionMs: number | undefined = 0;
   private terms = 0;
+  private readonly unanswered = new Map<number, Ticket>();
+  private resubmitMs = 0;
 
   constructor(private readonly fleet: FakeFleet) {
     this.truth = fleet.options.createState();
@@ -71,12 +76,10 @@
     this.electionMs = this.fleet.nowMs + gapMs;
   }
 
-  /** Commits a command outside the leader's decisions, as an operator's ticket. */
-  submit(command: Command): void {
-    const { current } = this;
-    if (current !== undefined) {
-      current.proposals.push({ command, commitMs: this.fleet.nowMs + COMMIT_MS });
-    }
+  /** Submits a ticket, and submits it again until it is answered. */
+  submit(ticket: Ticket): void {
+    this.unanswered.set(ticket.number, ticket);
+    this.resubmitMs = this.fleet.nowMs;
   }
 
   /** A renewal goes to one of those who lead or believe that they do. */
@@ -103,6 +106,7 @@
     if (this.electionMs !== undefined && this.fleet.nowMs >= this.electionMs) {
       this.elect();
     }
+    this.resubmit();
     this.commitDue();
     for (const each of this.current === undefined ? this.former : [...this.former, this.current]) {
       if (this.fleet.nowMs >= each.nextTickMs) {
@@ -112,6 +116,17 @@
     }
   }
 
+  private resubmit(): void {
+    if (this.current === undefined || this.fleet.nowMs < this.resubmitMs) {
+      return;
+    }
+    this.resubmitMs = this.fleet.nowMs + RESUBMIT_MS;
+    for (const ticket of this.unanswered.values()) {
+      const command = { kind: CommandKind.SubmitTicket, ticket } as const;
+      this.current.proposals.push({ command, commitMs: this.fleet.nowMs + COMMIT_MS });
+    }
+  }
+
   private commitDue(): void {
     const { current } = this;
     if (current === undefined) {
@@ -125,6 +140,9 @@
       const own = current.state.apply(command, revision);
       assertInvariant(JSON.stringify(own) === JSON.stringify(answer), 'control states agree');
       this.run(current, { kind: ControlInputKind.Committed, command, revision, answer });
+      if (command.kind === CommandKind.SubmitTicket) {
+        this.unanswered.delete(command.ticket.number);
+      }
     }
   }
 
--- a/tests/support/fleet/fakeDaemon.ts
+++ b/tests/support/fleet/fakeDaemon.ts
@@ -54,6 +54,8 @@
 export class FakeDaemon {
   isAlive = true;
   pausedUntilMs = 0;
+  /** Until then it takes up no changes of the records. */
+  stuckUntilMs = 0;
   isStopping = false;
   records = new DaemonRecords();
   lease: HeldLease;
@@ -124,12 +126,16 @@
     if (grant.lease !== this.lease.id) {
       return;
     }
-    this.records.applyRecords(grant.records, grant.revision);
+    if (this.fleet.nowMs >= this.stuckUntilMs) {
+      this.records.applyRecords(grant.records, grant.revision);
+    }
     this.lease.receiveGrant(grant, this.now());
   }
 
   receiveUpdate(update: RecordUpdate): void {
-    this.records.applyUpdate(update);
+    if (this.fleet.nowMs >= this.stuckUntilMs) {
+      this.records.applyUpdate(update);
+    }
   }
 
   /** Whether this daemon would act as holder of a group now. */
@@ -264,6 +270,7 @@
     const isSafe = this.records.getAcknowledgement(held.group) === Acknowledgement.Replica;
     const others = this.records
       .getInstances(held.group)
+      .filter((record) => !this.records.isLeaving(held.group, record.instance))
       .map((record) => this.fleet.getInstance(record.instance))
       .filter((each) => this.canReach(each) && each.role === InstanceRole.Replica);
     for (const write of held.pending) {
--- a/tests/support/fleet/fakeFleet.ts
+++ b/tests/support/fleet/fakeFleet.ts
@@ -110,7 +110,7 @@
   }
 
   submit(ticket: Ticket): void {
-    this.control.submit({ kind: CommandKind.SubmitTicket, ticket });
+    this.control.submit(ticket);
   }
 
   run(durationMs: number): void {
--- a/tests/support/fleet/index.ts
+++ b/tests/support/fleet/index.ts
@@ -1,2 +1,3 @@
 export * from './fleetOptions.js';
 export * from './fakeFleet.js';
+export * from './fleetFault.js';
