--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -46,6 +46,17 @@
     'A message of {size} bytes exceeds the limit of {limit}.',
     '54000',
   ),
+  ParameterInvalid: refusal(2007, 'Parameter "{parameter}" needs {expected}.', '22023'),
+  AuthenticationTimeout: refusal(2008, 'The caller did not authenticate in time.', '08006'),
+  TooManyRequests: refusal(2009, 'Too many requests wait on this connection.', '54000'),
+  RouteForbidden: refusal(
+    2010,
+    'Client account "{account}" may not use database "{database}".',
+    '42501',
+  ),
+  AccountUnknown: refusal(2011, 'No client account "{account}" is in force.', '28000'),
+  TransactionFailed: refusal(2013, 'The transaction was lost; end it with ROLLBACK.', '25P02'),
+  MessageMalformed: refusal(2012, 'A message of the caller was malformed.', '08P01'),
   StatementTimeout: error(2006, 'The statement exceeded its deadline of {deadline} ms.', '57014'),
 
   // 3000: sessions and routing
@@ -169,7 +180,7 @@
   ),
 
   // 7000: settings and command line
-  SettingsInvalid: error(7000, 'Settings file {file}: {key}: {expected}'),
+  SettingsInvalid: error(7000, 'Settings file {file} is not valid: {problems}'),
   UsageInvalid: refusal(7001, '{problem}'),
   OperatorsUnreachable: error(7002, "No operators' HTTP address answered: {problem}"),
   AnswerMalformed: error(7003, 'The answer was not understood: {problem}'),
@@ -180,6 +191,8 @@
     'Ticket {number} lost the race to another operator {attempts} times: {problem}',
   ),
 
+  LinesSuppressed: message(7100, '{count} more lines of {code} were left out.'),
+
   // 8000: operators' HTTP and announcements
   OperatorsListening: message(8000, "Operators' HTTP interface listens on {address}."),
   RequestInvalid: refusal(8001, 'The request is invalid: {problem}'),
@@ -194,9 +207,15 @@
     'No token file is set for {access}; any local process has access.',
   ),
 
-  // 8500: mesh
-
-  // 8500: mesh
+  // 8500: mesh, control shell
+  LeadershipLost: refusal(8510, 'The control leader changed: the outcome is not known here.'),
+  ControlRoleChanged: message(8511, 'This control host is now {role}.'),
+  PlatformFailed: error(8512, 'The platform did not promote: {reason}.'),
+  ControlUnreachable: refusal(8513, 'The control quorum could not be reached in time.'),
+  ControlRefused: refusal(8514, '{reason}'),
+  LeaseTaken: message(8515, 'This daemon holds its lease.'),
+  LeaseLost: warning(8516, 'This daemon lost its lease.'),
+  DataFolderNew: message(8517, 'The log was founded here under identity {identity}.'),
   MeshFrameInvalid: warning(8500, 'A frame from another daemon was invalid: {reason}.'),
   MeshLinkSilent: warning(8501, 'A link gave no sign for {silent} ms and was closed.'),
   MeshLinkLost: message(8502, 'A link was lost: {reason}.'),
@@ -205,4 +224,68 @@
   TaskFailed: error(8505, 'A task failed: {reason}.', 'XX000'),
 
   // 9000: stand-in, bench
+  LogPositionMalformed: refusal(9000, 'invalid input syntax for type pg_lsn: "{text}"', '22P02'),
+  SqlSyntax: refusal(9001, 'syntax error: {reason}', '42601'),
+  SqlUnsupported: refusal(9002, '{feature} is not supported by the stand-in', '0A000'),
+  SqlTableUnknown: refusal(9003, 'relation "{table}" does not exist', '42P01'),
+  SqlColumnUnknown: refusal(9004, 'column "{column}" does not exist', '42703'),
+  SqlFunctionUnknown: refusal(9005, 'function {name} does not exist', '42883'),
+  SqlTableExists: refusal(9006, 'relation "{table}" already exists', '42P07'),
+  SqlUniqueViolation: refusal(
+    9007,
+    'duplicate key value violates unique constraint "{constraint}"',
+    '23505',
+  ),
+  SqlNotNullViolation: refusal(
+    9008,
+    'null value in column "{column}" violates not-null constraint',
+    '23502',
+  ),
+  SqlReadOnly: refusal(9009, 'cannot execute {command} in a read-only transaction', '25006'),
+  SqlTransactionFailed: refusal(
+    9010,
+    'current transaction is aborted, commands ignored until end of transaction block',
+    '25P02',
+  ),
+  SqlValueInvalid: refusal(9011, 'invalid input syntax for type {type}: "{text}"', '22P02'),
+  SqlValueOutOfRange: refusal(9012, '{type} out of range', '22003'),
+  SqlDivisionByZero: refusal(9013, 'division by zero', '22012'),
+  SqlDeadlock: refusal(9014, 'deadlock detected', '40P01'),
+  SqlCancelled: refusal(9015, 'canceling statement due to user request', '57014'),
+  SqlStatementTimeout: refusal(9016, 'canceling statement due to statement timeout', '57014'),
+  SqlSettingUnknown: refusal(9017, 'unrecognized configuration parameter "{name}"', '42704'),
+  SqlStatementUnknown: refusal(9018, 'prepared statement "{name}" does not exist', '26000'),
+  SqlPortalUnknown: refusal(9019, 'portal "{name}" does not exist', '34000'),
+  SqlStatementExists: refusal(9020, 'prepared statement "{name}" already exists', '42P05'),
+  SqlSeveralStatements: refusal(
+    9021,
+    'cannot insert multiple commands into a prepared statement',
+    '42601',
+  ),
+  SqlParameterCount: refusal(
+    9022,
+    'bind message supplies {given} parameters, but prepared statement requires {needed}',
+    '08P01',
+  ),
+  SqlParameterUnknown: refusal(9023, 'there is no parameter ${number}', '42P02'),
+  SqlGrouping: refusal(9024, 'column "{column}" must be used in an aggregate function', '42803'),
+  SqlDataMismatch: refusal(9025, '{reason}', '42804'),
+  ProtocolViolation: refusal(9026, 'invalid frontend message: {reason}', '08P01'),
+  TooManyConnections: refusal(9027, 'sorry, too many clients already', '53300'),
+  InstanceDemoted: refusal(9028, 'terminating connection due to administrator command', '57P01'),
+  InstanceStarting: refusal(9029, 'the database system is starting up', '57P03'),
+  PromotionRefused: refusal(9030, 'Promotion to term {term} refused: {reason}.'),
+  PlatformFault: error(9031, 'The platform failed half-way through promotion to term {term}.'),
+  StandinSettingsInvalid: error(9032, 'Settings file {file}: {key}: {expected}'),
+  InstanceStarted: message(9033, 'Instance started.'),
+  InstanceStopped: message(9034, 'Instance stopped.'),
+  InstancePromoted: message(9035, 'Instance is primary of term {term} from {position}.'),
+  InstanceFollows: message(9036, 'Instance follows {primary} of term {term}.'),
+  LogTruncated: warning(9037, 'Log truncated from {from} to {to}: term {term} began there.'),
+  SqlRecoveryInProgress: refusal(9039, 'recovery is in progress', '55000'),
+  SqlActiveTransaction: refusal(9040, '{command} cannot run inside a transaction block', '25001'),
+  SqlSettingInvalid: refusal(9041, 'invalid value for parameter "{name}": "{value}"', '22023'),
+  UserRefused: refusal(9042, 'password authentication failed for user "{user}"', '28P01'),
+  PeerRequestFailed: error(9043, 'Request {path} failed: {reason}.'),
+  ConnectionFailed: warning(9038, 'Connection ended: {reason}.'),
 } as const satisfies Record<string, Diagnostic>;
--- /dev/null
+++ b/src/daemon/gateway/callerAccess.ts
@@ -0,0 +1,97 @@
+import { createHmac } from 'node:crypto';
+import { verifyScramSha256Password, type ScramSha256Data } from 'pg-gateway';
+import { err, ok, type Result } from 'neverthrow';
+import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import { toAccountId, type AccountId } from '../../common/ids/index.js';
+import type { DaemonRecords } from '../../decisions/control/index.js';
+import type { KeyHash, RouteState } from '../../decisions/tickets/index.js';
+import type { HolderLease } from '../holder/index.js';
+
+const UNKNOWN_ACCOUNT_ITERATIONS = 4096;
+const SALT_BYTES = 16;
+
+/** What a caller's proof of its key is checked against. */
+export interface ScramProof {
+  readonly authMessage: string;
+  readonly clientProof: string;
+  readonly scramSha256Data: ScramSha256Data;
+}
+
+/** Decides from the records in force who may come in. */
+export class CallerAccess {
+  constructor(
+    private readonly records: DaemonRecords,
+    private readonly lease: HolderLease,
+    private readonly fleetKey: string,
+  ) {}
+
+  /** The route of a database name; refused while this daemon's records may be outdated. */
+  tryGetRoute(database: string): Result<RouteState, Fault> {
+    if (!this.lease.isValid()) {
+      return err(createFault(Diagnostics.LeaseExpired, {}, { step: 'caller.start' }));
+    }
+    const route = this.records.getRoute(database);
+    return route === undefined
+      ? err(createFault(Diagnostics.RouteUnknown, { database }, { step: 'caller.start' }))
+      : ok(route);
+  }
+
+  /** Whether a caller may use a route now with the key that it presented. */
+  tryCheck(
+    account: AccountId,
+    keyId: string | undefined,
+    database: string,
+  ): Result<RouteState, Fault> {
+    return this.tryGetRoute(database).andThen((route) => {
+      if (keyId === undefined) {
+        return route.openAs === account ? ok(route) : err(createWithdrawn(account));
+      }
+      if (this.findKey(account, (key) => key.id === keyId) === undefined) {
+        return err(createWithdrawn(account));
+      }
+      const isAllowed = route.accounts?.includes(account) ?? true;
+      const values = { account, database };
+      const context = { step: 'caller.check' };
+      return isAllowed ? ok(route) : err(createFault(Diagnostics.RouteForbidden, values, context));
+    });
+  }
+
+  /** The salt and iteration count of an account; made up, but stable, for an unknown one. */
+  getScramData(name: string): ScramSha256Data {
+    const account = this.records.getAccount(toAccountId(name));
+    const nothing = Buffer.alloc(0).toString('base64');
+    return {
+      salt: account?.salt ?? this.createSalt(name),
+      iterations: account?.iterations ?? UNKNOWN_ACCOUNT_ITERATIONS,
+      storedKey: nothing,
+      serverKey: nothing,
+    };
+  }
+
+  /** Finds the key that a proof was made with, and prepares the server's own proof. */
+  async findProvenKey(name: string, proof: ScramProof): Promise<KeyHash | undefined> {
+    const keys = this.records.getAccount(toAccountId(name))?.keys ?? [];
+    for (const key of keys) {
+      const { authMessage, clientProof } = proof;
+      const { storedKey } = key;
+      if (await verifyScramSha256Password({ authMessage, clientProof, storedKey })) {
+        proof.scramSha256Data.serverKey = key.serverKey;
+        return key;
+      }
+    }
+    return undefined;
+  }
+
+  private findKey(account: AccountId, isWanted: (key: KeyHash) => boolean): KeyHash | undefined {
+    return this.records.getAccount(account)?.keys.find(isWanted);
+  }
+
+  private createSalt(name: string): string {
+    const code = createHmac('sha256', this.fleetKey).update(`salt/${name}`).digest();
+    return code.subarray(0, SALT_BYTES).toString('base64');
+  }
+}
+
+function createWithdrawn(account: AccountId): Fault {
+  return createFault(Diagnostics.KeyWithdrawn, { account }, { step: 'caller.check' });
+}
--- a/src/daemon/holder/heldRequest.ts
+++ b/src/daemon/holder/heldRequest.ts
@@ -1,5 +1,4 @@
 import { Parser } from 'pg-protocol/dist/parser.js';
-import type { DataRowMessage } from 'pg-protocol/dist/messages.js';
 import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
 import { toTerm } from '../../common/ids/index.js';
 import { tryParseLogPosition } from '../../common/logPosition.js';
@@ -13,11 +12,17 @@
   type RequestOutcome,
   type ResponseReceiver,
 } from '../requests/index.js';
+import type { HeldInstance } from './heldInstance.js';
 import { POSITION_QUERY } from './positionQuery.js';
 
 const WINDOW_BYTES = 262_144;
 const MAXIMUM_HELD_BACK_BYTES = 33_554_432;
 
+/** A row in text form. */
+interface Row {
+  readonly fields: readonly (string | null)[];
+}
+
 /** What the owner of a request learns from its run. */
 export interface HeldRequestOwner {
   /** The answer is whole; `written` is the position after a commit that is to be confirmed. */
@@ -31,12 +36,16 @@
   override payload: readonly Uint8Array[] = [];
   override addedParses: readonly string[] = [];
   connection: BackendConnection | undefined;
+  instance: HeldInstance | undefined;
+  /** Called once when the answer has ended. */
+  onFinished: (() => void) | undefined;
   status = TransactionStatus.Idle;
   onReplica = false;
   /** Some byte of an answer has gone to the receiver. */
   answered = false;
   finished = false;
-  cancelled = false;
+  /** Nobody waits for the answer; the connection is closed after it. */
+  abandoned = false;
   startedMs: number | undefined;
   endedMs: number | undefined;
   private heldBack: Buffer[] = [];
@@ -162,6 +171,7 @@
       return;
     }
     this.finished = true;
+    this.onFinished?.();
     const startedMs = this.startedMs ?? nowMs;
     const endedMs = this.endedMs ?? nowMs;
     this.receiver.finish({
@@ -207,7 +217,7 @@
   private readPosition(bytes: Buffer): void {
     new Parser().parse(bytes, (message) => {
       if (message.name === 'dataRow') {
-        this.written = toProbeAnswer((message as DataRowMessage).fields as (string | null)[]);
+        this.written = toProbeAnswer((message as unknown as Row).fields);
       }
     });
   }
