Start-time fair queueing by default; shorter grants, batched when scarce

Change: start-time fair queueing is the default, an account may run 120 ms of work ahead; grants live 300 ms; a scarce account's tokens go out in grants of 20 ms of its rate; a lost answer doubles the wait before the next request, so that long round trips are not cut short.

--- a/bench/experiment/configuration.ts
+++ b/bench/experiment/configuration.ts
@@ -43,7 +43,7 @@
   warmup_ms: milliseconds.default(3000),
   duration_ms: z.number().positive(),
   overload_until_ms: milliseconds.optional().describe('Demand falls to the rate at this time.'),
-  policy: z.enum(PolicyName).default(PolicyName.DeficitRoundRobin),
+  policy: z.enum(PolicyName).default(PolicyName.StartTimeFairQueueing),
   limit_rates: z.boolean().default(true).describe('Whether the accounts are held to their rates.'),
   retries: z.int().min(0).default(0).describe('Retries of a refused request by its caller.'),
   site: z.strictObject({
--- a/bench/experiment/experimentRun.ts
+++ b/bench/experiment/experimentRun.ts
@@ -18,6 +18,8 @@
   readonly requests: readonly ExperimentRequest[];
   /** Share of all slots' time that was used while callers sent. */
   readonly utilisation: number;
+  /** Messages about tokens between daemons, for each request. */
+  readonly tokenMessages: number;
 }
 
 /** One run of an experiment with one seed. */
@@ -60,7 +62,8 @@
     this.loop.runUntil(startMs + durationMs);
     const utilisation = this.getUsedMs() / (durationMs * this.getSlots());
     this.loop.runUntil(startMs + durationMs + SETTLE_MS);
-    return { requests: this.callers.requests, utilisation };
+    const { requests } = this.callers;
+    return { requests, utilisation, tokenMessages: this.network.sentCount / requests.length };
   }
 
   private happen(kind: EventKind, target: number): void {
--- a/bench/experiment/fakeNetwork.ts
+++ b/bench/experiment/fakeNetwork.ts
@@ -15,6 +15,8 @@
 
 /** Delivers messages between daemons with delay, loss, duplication, reordering and partitions. */
 export class FakeNetwork {
+  /** Messages sent between different daemons. */
+  sentCount = 0;
   private readonly cutOff = new Set<number>();
 
   constructor(
@@ -44,6 +46,7 @@
       this.loop.after(0, deliver);
       return;
     }
+    this.sentCount += 1;
     if (this.random.next() < this.conditions.loss) {
       return;
     }
--- a/bench/experiment/measures.ts
+++ b/bench/experiment/measures.ts
@@ -21,6 +21,8 @@
   readonly goodput: number;
   /** Served requests' 99th percentile of total time. */
   readonly p99Ms: number;
+  /** Messages about tokens between daemons, for each request. */
+  readonly tokenMessages: number;
 }
 
 /** Computes the measures of one run. */
@@ -41,6 +43,7 @@
       served.map((request) => request.endMs - request.sentMs),
       0.99,
     ),
+    tokenMessages: record.tokenMessages,
   };
 }
 
--- a/bench/experiment/table.ts
+++ b/bench/experiment/table.ts
@@ -17,6 +17,7 @@
   { key: 'domainService', title: 'service while a domain moves', digits: 4 },
   { key: 'goodput', title: 'goodput', digits: 3 },
   { key: 'p99Ms', title: 'p99 ms', digits: 0 },
+  { key: 'tokenMessages', title: 'token messages a request', digits: 3 },
 ];
 
 /** The values of a measure over the seeds, smallest first; empty when it does not apply. */
--- a/src/decisions/limits/limitTiming.ts
+++ b/src/decisions/limits/limitTiming.ts
@@ -1,5 +1,5 @@
 /** Life of a grant, counted by the entry daemon from when it sent its request. */
-export const GRANT_VALIDITY_MS = 500;
+export const GRANT_VALIDITY_MS = 300;
 
 /** Bound on how far any clock's speed differs from real time. */
 export const CLOCK_DRIFT = 0.01;
@@ -7,11 +7,14 @@
 /** The time after which a grant is over on every clock, measured on the clock of another host. */
 export const GRANT_SETTLED_MS = (GRANT_VALIDITY_MS * (1 + CLOCK_DRIFT)) / (1 - CLOCK_DRIFT);
 
-/** How long an entry daemon waits for a grant before it sends a new request. */
+/** How long an entry daemon waits for its first grant before it sends a new request. */
 export const REQUEST_RETRY_MS = GRANT_VALIDITY_MS / 4;
 
-/** How long a holder keeps an unanswered request. */
-export const REQUEST_PARKED_MS = GRANT_VALIDITY_MS / 2;
+/** How long a holder keeps an unanswered request, and the longest wait for a grant. */
+export const REQUEST_PARKED_MS = GRANT_VALIDITY_MS * 0.8;
+
+/** Time over which a scarce account's tokens are gathered into one grant. */
+export const GRANT_BATCH_MS = 20;
 
 /** How often a holder asks for idle tokens at most. */
 export const RECALL_INTERVAL_MS = 50;
--- a/src/decisions/limits/rateBucket.ts
+++ b/src/decisions/limits/rateBucket.ts
@@ -3,6 +3,7 @@
 import { createLedger, getLedgerKey, type EntryLedger } from './entryLedger.js';
 import { type BucketOutput, LimiterOutputKind } from './limiterOutput.js';
 import {
+  GRANT_BATCH_MS,
   GRANT_SETTLED_MS,
   GRANT_VALIDITY_MS,
   LEDGER_RETENTION_MS,
@@ -44,7 +45,7 @@
   private readonly parked = new ParkedRequests();
   private openGrants: OpenGrant[] = [];
   private totalDemand = 0;
-  private rate: number;
+  private limit: AccountLimit;
   private leaseEndMs = Number.POSITIVE_INFINITY;
   private sweptMs: number;
   private recalledMs = Number.NEGATIVE_INFINITY;
@@ -52,7 +53,7 @@
   constructor(options: RateBucketOptions) {
     this.account = options.account;
     this.lease = options.lease;
-    this.rate = options.limit.rate;
+    this.limit = options.limit;
     this.startMs = options.assignedMs + this.getStartDelayMs();
     this.pool = this.createPool(options.limit, this.startMs);
     this.sweptMs = options.assignedMs;
@@ -66,7 +67,7 @@
   /** Takes on another rate and burst; outstanding grants count against the new burst. */
   setLimit(limit: AccountLimit, nowMs: number): BucketOutput[] {
     this.advance(nowMs);
-    this.rate = limit.rate;
+    this.limit = limit;
     this.pool.setLimit(limit);
     return this.distribute(nowMs);
   }
@@ -208,10 +209,12 @@
   private getUrgentAmount(request: TokenRequest): number {
     const whole = this.pool.getWhole();
     const contenders = this.parked.urgentCount;
-    if (whole < request.head) {
+    const batch = Math.floor((this.limit.rate * GRANT_BATCH_MS) / 1000);
+    const least = Math.max(request.head, Math.min(request.urgent, batch, this.limit.burst / 2));
+    if (whole < least) {
       return 0;
     }
-    const fairPart = Math.max(request.head, Math.floor(whole / contenders));
+    const fairPart = Math.max(Math.floor(least), Math.floor(whole / contenders));
     const amount = Math.min(request.urgent, fairPart);
     if (contenders > 1 || amount < request.urgent) {
       return amount;
@@ -249,8 +252,8 @@
   }
 
   private getShare(ledger: EntryLedger): number {
-    const equal = this.rate / (1 + this.parked.urgentCount);
-    return Math.max(equal, this.rate - (this.totalDemand - ledger.demand));
+    const equal = this.limit.rate / (1 + this.parked.urgentCount);
+    return Math.max(equal, this.limit.rate - (this.totalDemand - ledger.demand));
   }
 
   /** Asks for the stock of entry daemons where no request waits. */
--- a/src/decisions/limits/tokenLink.ts
+++ b/src/decisions/limits/tokenLink.ts
@@ -1,5 +1,10 @@
 import type { AccountId, HostId, Incarnation, LeaseId } from '../../common/ids/index.js';
-import { GRANT_SETTLED_MS, INITIAL_ROUND_TRIP_MS, REQUEST_RETRY_MS } from './limitTiming.js';
+import {
+  GRANT_SETTLED_MS,
+  INITIAL_ROUND_TRIP_MS,
+  REQUEST_PARKED_MS,
+  REQUEST_RETRY_MS,
+} from './limitTiming.js';
 import type { Settlement } from './settlement.js';
 import type { TokenGrant } from './tokenGrant.js';
 import type { MessageToHolder } from './tokenMessage.js';
@@ -42,6 +47,7 @@
   private settlements: UnreportedSettlement[] = [];
   private lastSequence = 0;
   private roundTripMs = INITIAL_ROUND_TRIP_MS;
+  private retryMs = REQUEST_RETRY_MS;
 
   constructor(
     private readonly account: AccountId,
@@ -94,7 +100,7 @@
     if (this.holder === undefined) {
       return false;
     }
-    if (this.pending === undefined || nowMs - this.pending.sentMs >= REQUEST_RETRY_MS) {
+    if (this.pending === undefined || nowMs - this.pending.sentMs >= this.retryMs) {
       return true;
     }
     return urgent > 0 && this.pending.urgent === 0;
@@ -107,6 +113,7 @@
     }
     if (this.pending !== undefined) {
       this.close([{ sequence: this.pending.sequence, used: 0 }], nowMs);
+      this.retryMs = Math.min(2 * this.retryMs, REQUEST_PARKED_MS);
     }
     this.lastSequence += 1;
     const sequence = this.lastSequence;
@@ -143,6 +150,7 @@
 
   private measure(roundTripMs: number): void {
     this.roundTripMs += (roundTripMs - this.roundTripMs) * ROUND_TRIP_WEIGHT;
+    this.retryMs = Math.min(REQUEST_PARKED_MS, Math.max(REQUEST_RETRY_MS, 3 * roundTripMs));
   }
 
   private takeSettlements(sequence: number | undefined, nowMs: number): Settlement[] {
--- a/src/decisions/queue/instanceQueue.ts
+++ b/src/decisions/queue/instanceQueue.ts
@@ -2,7 +2,7 @@
 import type { RequestId } from '../../common/ids/index.js';
 import { type AccountRecord, AccountRecords } from './accountRecord.js';
 import { CostEstimate } from './costEstimate.js';
-import { DeficitRoundRobin } from './deficitRoundRobin.js';
+
 import { OpenTransactions } from './openTransactions.js';
 import { isWaiting, opensTransaction, type QueuedItem, QueuedState } from './queuedItem.js';
 import type { QueueItem } from './queueItem.js';
@@ -10,6 +10,7 @@
 import { createAbort, createRefusal, type QueueOutput, QueueOutputKind } from './queueOutput.js';
 import type { QueuePolicy } from './queuePolicy.js';
 import { StartLimits } from './startLimits.js';
+import { StartTimeFairQueueing } from './startTimeFairQueueing.js';
 
 const RESERVED_ESTIMATES = 3;
 const RESERVED_SHARE = 0.1;
@@ -39,7 +40,7 @@
 
   constructor(options: InstanceQueueOptions) {
     this.slots = options.slots;
-    this.policy = options.policy ?? new DeficitRoundRobin();
+    this.policy = options.policy ?? new StartTimeFairQueueing();
     this.limits = { ...DEFAULT_QUEUE_LIMITS, ...options.limits };
     this.estimate = new CostEstimate(this.limits.initialCostMs);
     this.openTransactions = new OpenTransactions(this.limits.transactionLimitMs);
--- a/src/decisions/queue/startTimeFairQueueing.ts
+++ b/src/decisions/queue/startTimeFairQueueing.ts
@@ -6,7 +6,7 @@
 import { QueuePolicy } from './queuePolicy.js';
 
 /** Work that an account may run ahead of its share, so that rare requests need not wait for it. */
-const ALLOWANCE_MS = 30;
+const ALLOWANCE_MS = 120;
 
 class TaggedAccount extends AccountBacklog {
   /** Virtual time up to which the account has been billed. */
