Property tests of the queue; a held-back transaction is released when the one before it ends

Cause: nothing showed that no slot idles while work that fits waits, nor that no request is lost. Change: random actions on the queue under each policy against a model; found that a transaction held back behind one that was refused waited until its deadline; mended.

--- a/src/decisions/queue/accountRecord.ts
+++ b/src/decisions/queue/accountRecord.ts
@@ -10,18 +10,37 @@
   openTransactions = 0;
   private readonly heldBack = new Fifo<QueuedItem>();
 
+  /** Whether a transaction may be opened under the given bound. */
+  canOpen(maximum: number | undefined): boolean {
+    return this.openTransactions < (maximum ?? Number.POSITIVE_INFINITY);
+  }
+
   /** Keeps a transaction back until another one of the account ends. */
   holdBack(item: QueuedItem): void {
     item.state = QueuedState.HeldBack;
-    this.heldBack.push(item);
+    const first = this.peek();
+    if (first !== undefined && item.order < first.order) {
+      this.heldBack.unshift(item);
+    } else {
+      this.heldBack.push(item);
+    }
   }
 
-  /** Takes out the first transaction that is still held back. */
+  /** Takes out the first transaction that is held back, if it may be opened now. */
   release(): QueuedItem | undefined {
-    for (let item = this.heldBack.shift(); item !== undefined; item = this.heldBack.shift()) {
-      if (item.state === QueuedState.HeldBack) {
-        return item;
+    const first = this.peek();
+    if (first === undefined || !this.canOpen(first.item.maximumOpenTransactions)) {
+      return undefined;
+    }
+    return this.heldBack.shift();
+  }
+
+  private peek(): QueuedItem | undefined {
+    for (let first = this.heldBack.peek(); first !== undefined; first = this.heldBack.peek()) {
+      if (first.state === QueuedState.HeldBack) {
+        return first;
       }
+      this.heldBack.shift();
     }
     return undefined;
   }
--- a/src/decisions/queue/instanceQueue.ts
+++ b/src/decisions/queue/instanceQueue.ts
@@ -3,8 +3,15 @@
 import { type AccountRecord, AccountRecords } from './accountRecord.js';
 import { CostEstimate } from './costEstimate.js';
 
+import { getLatestStart } from './latestStart.js';
 import { OpenTransactions } from './openTransactions.js';
-import { isWaiting, opensTransaction, type QueuedItem, QueuedState } from './queuedItem.js';
+import {
+  createQueuedItem,
+  isWaiting,
+  opensTransaction,
+  type QueuedItem,
+  QueuedState,
+} from './queuedItem.js';
 import type { QueueItem } from './queueItem.js';
 import { DEFAULT_QUEUE_LIMITS, type QueueLimits } from './queueLimits.js';
 import { createAbort, createRefusal, type QueueOutput, QueueOutputKind } from './queueOutput.js';
@@ -12,10 +19,6 @@
 import { StartLimits } from './startLimits.js';
 import { StartTimeFairQueueing } from './startTimeFairQueueing.js';
 
-const RESERVED_ESTIMATES = 3;
-const RESERVED_SHARE = 0.1;
-const MAXIMUM_RESERVED_SHARE = 0.5;
-
 /** What an instance queue is created with. */
 export interface InstanceQueueOptions {
   /** Requests that the instance runs at once. */
@@ -36,6 +39,7 @@
   private slots: number;
   private running = 0;
   private waiting = 0;
+  private heldBack = 0;
   private arrivals = 0;
 
   constructor(options: InstanceQueueOptions) {
@@ -56,6 +60,16 @@
     return this.waiting;
   }
 
+  /** Transactions that wait until their account has fewer open ones. */
+  get heldBackCount(): number {
+    return this.heldBack;
+  }
+
+  /** Whether a request is an open transaction. */
+  isOpen(requestId: RequestId): boolean {
+    return this.items.get(requestId)?.openedMs !== undefined;
+  }
+
   /** Adds a request; it starts, waits or is refused. A request id already present is ignored. */
   enqueue(item: QueueItem, nowMs: number): QueueOutput[] {
     const outputs: QueueOutput[] = [];
@@ -121,14 +135,12 @@
   /** Refuses what can no longer start in time and reports transactions that took too long. */
   tick(nowMs: number): QueueOutput[] {
     const outputs: QueueOutput[] = [];
-    for (;;) {
-      const overdue = this.startLimits.takeOverdue(nowMs);
-      if (overdue === undefined) {
-        break;
-      }
+    for (const overdue of this.startLimits.takeOverdue(nowMs)) {
       this.refuseWaiting(overdue, nowMs, outputs);
     }
-    this.abortOverdue(nowMs, outputs);
+    for (const overdue of this.openTransactions.takeOverdue(nowMs)) {
+      outputs.push(createAbort(overdue.item, this.limits.transactionLimitMs));
+    }
     this.startReady(nowMs, outputs);
     return outputs;
   }
@@ -154,26 +166,14 @@
 
   private createQueued(item: QueueItem, nowMs: number): QueuedItem {
     const estimateMs = this.estimate.get(item.costClass);
+    const latestMs = this.getLatestStart(item.deadlineMs, estimateMs, nowMs);
     this.arrivals += 1;
-    return {
-      item,
-      order: this.arrivals,
-      state: QueuedState.Waiting,
-      queuedMs: nowMs,
-      latestStartMs: this.getLatestStart(item.deadlineMs, estimateMs, nowMs),
-      estimateMs,
-      startedMs: nowMs,
-      openedMs: undefined,
-    };
+    return createQueuedItem(item, this.arrivals, estimateMs, latestMs, nowMs);
   }
 
   private getLatestStart(deadlineMs: number, estimateMs: number, nowMs: number): number {
-    const leftMs = deadlineMs - nowMs;
-    const reserveMs = Math.min(
-      estimateMs * RESERVED_ESTIMATES + leftMs * RESERVED_SHARE,
-      leftMs * MAXIMUM_RESERVED_SHARE,
-    );
-    return Math.min(deadlineMs - reserveMs, nowMs + this.limits.maximumWaitMs);
+    const latestMs = getLatestStart(deadlineMs, estimateMs, nowMs);
+    return Math.min(latestMs, nowMs + this.limits.maximumWaitMs);
   }
 
   private refuseEarly(
@@ -216,10 +216,12 @@
       if (this.policy.isOverdue(queued, nowMs)) {
         this.policy.charge(queued, 0);
         queued.state = QueuedState.HeldBack;
+        this.heldBack += 1;
         this.refuseWaiting(queued, nowMs, outputs);
       } else if (this.mustHoldBack(queued, record)) {
         this.policy.charge(queued, 0);
         record.holdBack(queued);
+        this.heldBack += 1;
       } else {
         outputs.push(this.start(queued, record, nowMs));
       }
@@ -227,8 +229,7 @@
   }
 
   private mustHoldBack(queued: QueuedItem, record: AccountRecord): boolean {
-    const maximum = queued.item.maximumOpenTransactions ?? Number.POSITIVE_INFINITY;
-    return opensTransaction(queued) && record.openTransactions >= maximum;
+    return opensTransaction(queued) && !record.canOpen(queued.item.maximumOpenTransactions);
   }
 
   private start(queued: QueuedItem, record: AccountRecord, nowMs: number): QueueOutput {
@@ -262,6 +263,8 @@
     this.items.delete(queued.item.requestId);
     if (queued.openedMs !== undefined) {
       record.openTransactions -= 1;
+    }
+    if (queued.item.isTransaction) {
       this.releaseHeldBack(record);
     }
   }
@@ -270,6 +273,7 @@
     const released = record.release();
     if (released !== undefined) {
       released.state = QueuedState.Waiting;
+      this.heldBack -= 1;
       this.policy.addFirst(released);
     }
   }
@@ -284,6 +288,8 @@
   private leaveWaiting(queued: QueuedItem, record: AccountRecord): void {
     if (queued.state === QueuedState.Waiting) {
       this.policy.left(queued);
+    } else {
+      this.heldBack -= 1;
     }
     this.waiting -= 1;
     record.waiting -= 1;
@@ -302,14 +308,4 @@
       queued.state = QueuedState.Paused;
     }
   }
-
-  private abortOverdue(nowMs: number, outputs: QueueOutput[]): void {
-    for (;;) {
-      const overdue = this.openTransactions.takeOverdue(nowMs);
-      if (overdue === undefined) {
-        return;
-      }
-      outputs.push(createAbort(overdue.item, this.limits.transactionLimitMs));
-    }
-  }
 }
--- /dev/null
+++ b/src/decisions/queue/latestStart.ts
@@ -0,0 +1,13 @@
+const RESERVED_ESTIMATES = 3;
+const RESERVED_SHARE = 0.1;
+const MAXIMUM_RESERVED_SHARE = 0.5;
+
+/** The last moment at which a start leaves time to end by the deadline. */
+export function getLatestStart(deadlineMs: number, estimateMs: number, nowMs: number): number {
+  const leftMs = deadlineMs - nowMs;
+  const reserveMs = Math.min(
+    estimateMs * RESERVED_ESTIMATES + leftMs * RESERVED_SHARE,
+    leftMs * MAXIMUM_RESERVED_SHARE,
+  );
+  return deadlineMs - reserveMs;
+}
--- a/src/decisions/queue/openTransactions.ts
+++ b/src/decisions/queue/openTransactions.ts
@@ -12,18 +12,17 @@
     this.items.push(item);
   }
 
-  /** Removes and returns a transaction that has been open for too long. */
-  takeOverdue(nowMs: number): QueuedItem | undefined {
+  /** Removes the transactions that have been open for too long, one by one. */
+  *takeOverdue(nowMs: number): Generator<QueuedItem> {
     for (let first = this.items.peek(); first !== undefined; first = this.items.peek()) {
       const isOpen = first.state !== QueuedState.Done;
       if (isOpen && nowMs - (first.openedMs ?? nowMs) < this.limitMs) {
-        return undefined;
+        return;
       }
       this.items.shift();
       if (isOpen) {
-        return first;
+        yield first;
       }
     }
-    return undefined;
   }
 }
--- /dev/null
+++ b/src/decisions/queue/queueProperties.test.ts
@@ -0,0 +1,247 @@
+import fc from 'fast-check';
+import { expect, test } from 'vitest';
+import { toAccountId, toRequestId, type RequestId } from '../../common/ids/index.js';
+import {
+  ControlledDelay,
+  DeficitRoundRobin,
+  EarliestDeadlineFirst,
+  FirstComeFirstServed,
+  InstanceQueue,
+  type QueueOutput,
+  QueueOutputKind,
+  type QueuePolicy,
+  StartTimeFairQueueing,
+} from './index.js';
+
+const SEED = 20261204;
+const RUNS = 300;
+const ACCOUNTS = ['large', 'small', 'rare'].map(toAccountId);
+
+enum ActionKind {
+  Enqueue,
+  Complete,
+  Cancel,
+  Pause,
+  Resume,
+  Tick,
+  SetSlots,
+  Drain,
+}
+
+interface Action {
+  readonly kind: ActionKind;
+  readonly pick: number;
+  readonly deadlineMs: number;
+  readonly thenMs: number;
+  readonly isTransaction: boolean;
+}
+
+const actions = fc.array(
+  fc.record<Action>({
+    kind: fc.oneof(
+      { weight: 6, arbitrary: fc.constant(ActionKind.Enqueue) },
+      { weight: 4, arbitrary: fc.constant(ActionKind.Complete) },
+      {
+        weight: 3,
+        arbitrary: fc.constantFrom(
+          ActionKind.Cancel,
+          ActionKind.Pause,
+          ActionKind.Resume,
+          ActionKind.Tick,
+          ActionKind.SetSlots,
+          ActionKind.Drain,
+        ),
+      },
+    ),
+    pick: fc.nat(1000),
+    deadlineMs: fc.constantFrom(10, 100, 5000),
+    thenMs: fc.constantFrom(0, 1, 7, 60),
+    isTransaction: fc.boolean(),
+  }),
+  { minLength: 5, maxLength: 120 },
+);
+
+/** Drives a queue and keeps its own account of where each request stands. */
+class QueueModel {
+  readonly running = new Set<RequestId>();
+  readonly paused = new Set<RequestId>();
+  readonly waiting = new Set<RequestId>();
+  readonly transactions = new Set<RequestId>();
+  starts = 0;
+  private readonly queue: InstanceQueue;
+  private slots = 2;
+  private nowMs = 0;
+  private sent = 0;
+
+  constructor(policy: QueuePolicy) {
+    const limits = { maximumLength: 20, transactionLimitMs: 500 };
+    this.queue = new InstanceQueue({ slots: this.slots, policy, limits });
+  }
+
+  perform(action: Action): void {
+    this.note(this.act(action));
+    this.check();
+    this.nowMs += action.thenMs;
+  }
+
+  /** Completes everything until nothing is left. */
+  finish(): void {
+    this.note(this.queue.setSlots(2, this.nowMs));
+    while (this.running.size + this.paused.size > 0) {
+      const [requestId] = [...this.running, ...this.paused];
+      if (requestId !== undefined) {
+        this.complete(requestId);
+      }
+    }
+    expect(this.queue.waitingCount).toBe(0);
+    expect(this.queue.runningCount).toBe(0);
+    expect(this.waiting.size).toBe(0);
+  }
+
+  private act({ kind, pick, deadlineMs, isTransaction }: Action): QueueOutput[] {
+    switch (kind) {
+      case ActionKind.Enqueue:
+        return this.enqueue(pick, deadlineMs, isTransaction);
+      case ActionKind.Complete:
+        return this.remove([...this.running][pick % (this.running.size || 1)]);
+      case ActionKind.Cancel:
+        return this.remove([...this.waiting][pick % (this.waiting.size || 1)]);
+      case ActionKind.Pause:
+        return this.pause([...this.running].find((id) => this.transactions.has(id)));
+      case ActionKind.Resume:
+        return this.resume([...this.paused][0], deadlineMs);
+      case ActionKind.Tick:
+        return this.queue.tick(this.nowMs);
+      case ActionKind.SetSlots:
+        this.slots = pick % 4;
+        return this.queue.setSlots(this.slots, this.nowMs);
+      case ActionKind.Drain:
+        return this.drain();
+    }
+  }
+
+  private enqueue(pick: number, deadlineMs: number, isTransaction: boolean): QueueOutput[] {
+    this.sent += 1;
+    const requestId = toRequestId(`r${this.sent}`);
+    const account = ACCOUNTS[pick % ACCOUNTS.length] ?? toAccountId('none');
+    this.waiting.add(requestId);
+    if (isTransaction) {
+      this.transactions.add(requestId);
+    }
+    const item = { requestId, account, weight: 1 + (pick % 9), costClass: `c${pick % 4}` };
+    const limits = { deadlineMs: this.nowMs + deadlineMs, maximumOpenTransactions: 1 };
+    return this.queue.enqueue({ ...item, ...limits, isTransaction }, this.nowMs);
+  }
+
+  private remove(requestId: RequestId | undefined): QueueOutput[] {
+    if (requestId === undefined) {
+      return [];
+    }
+    this.running.delete(requestId);
+    this.paused.delete(requestId);
+    this.waiting.delete(requestId);
+    return this.queue.complete(requestId, this.nowMs);
+  }
+
+  private complete(requestId: RequestId): void {
+    this.note(this.remove(requestId));
+  }
+
+  private pause(requestId: RequestId | undefined): QueueOutput[] {
+    if (requestId === undefined) {
+      return [];
+    }
+    this.running.delete(requestId);
+    this.paused.add(requestId);
+    return this.queue.pause(requestId, this.nowMs);
+  }
+
+  private resume(requestId: RequestId | undefined, deadlineMs: number): QueueOutput[] {
+    if (requestId === undefined) {
+      return [];
+    }
+    this.paused.delete(requestId);
+    this.waiting.add(requestId);
+    return this.queue.resume(requestId, this.nowMs + deadlineMs, this.nowMs);
+  }
+
+  private drain(): QueueOutput[] {
+    const ids = this.queue.drain(this.nowMs).map((item) => item.requestId);
+    const order = ids.map((id) => Number(id.slice(1)));
+    expect(order).toEqual(order.toSorted((left, right) => left - right));
+    for (const id of ids) {
+      expect(this.waiting.delete(id)).toBe(true);
+    }
+    return [];
+  }
+
+  private note(outputs: readonly QueueOutput[]): void {
+    for (const { kind, requestId } of outputs) {
+      if (kind === QueueOutputKind.Start) {
+        expect(this.waiting.delete(requestId)).toBe(true);
+        this.running.add(requestId);
+        this.starts += 1;
+      } else if (kind === QueueOutputKind.Refuse) {
+        expect(this.waiting.delete(requestId)).toBe(true);
+        this.repauseRefused(requestId);
+      }
+    }
+  }
+
+  /** A refused statement of an open transaction leaves the transaction open. */
+  private repauseRefused(requestId: RequestId): void {
+    if (this.queue.isOpen(requestId)) {
+      this.paused.add(requestId);
+    }
+  }
+
+  private check(): void {
+    expect(this.queue.runningCount).toBe(this.running.size);
+    expect(this.queue.waitingCount).toBe(this.waiting.size);
+    const open = [...this.transactions].filter((id) => this.queue.isOpen(id)).length;
+    expect(open).toBeLessThanOrEqual(ACCOUNTS.length);
+    if (this.running.size < this.slots) {
+      expect(this.queue.heldBackCount).toBe(this.waiting.size);
+    }
+  }
+}
+
+const policies: [string, () => QueuePolicy][] = [
+  ['first come first served', () => new FirstComeFirstServed()],
+  ['deficit round robin', () => new DeficitRoundRobin()],
+  ['start-time fair queueing', () => new StartTimeFairQueueing()],
+  ['earliest deadline first', () => new EarliestDeadlineFirst()],
+  ['controlled delay', () => new ControlledDelay()],
+];
+
+function checkPolicy(createPolicy: () => QueuePolicy): fc.RunDetails<[Action[]]> {
+  const property = fc.property(actions, (list) => {
+    const model = new QueueModel(createPolicy());
+    for (const action of list) {
+      model.perform(action);
+    }
+    model.finish();
+  });
+  return fc.check(property, { seed: SEED, numRuns: RUNS });
+}
+
+test.each(policies)(
+  '%s keeps slots busy, loses no request and bounds open transactions',
+  (_, createPolicy) => {
+    const details = checkPolicy(createPolicy);
+    expect(details.failed, `${fc.defaultReportMessage(details)}`).toBe(false);
+  },
+);
+
+class ForgetfulRoundRobin extends DeficitRoundRobin {
+  private given = 0;
+
+  override next(): ReturnType<DeficitRoundRobin['next']> {
+    this.given += 1;
+    return this.given % 10 === 0 ? undefined : super.next();
+  }
+}
+
+test('the check finds a policy that leaves a slot idle', () => {
+  expect(checkPolicy(() => new ForgetfulRoundRobin()).failed).toBe(true);
+});
--- a/src/decisions/queue/queuedItem.ts
+++ b/src/decisions/queue/queuedItem.ts
@@ -39,3 +39,23 @@
 export function opensTransaction(queued: QueuedItem): boolean {
   return queued.item.isTransaction && queued.openedMs === undefined;
 }
+
+/** Creates what the queue keeps about a request that arrives now. */
+export function createQueuedItem(
+  item: QueueItem,
+  order: number,
+  estimateMs: number,
+  latestStartMs: number,
+  nowMs: number,
+): QueuedItem {
+  return {
+    item,
+    order,
+    state: QueuedState.Waiting,
+    queuedMs: nowMs,
+    latestStartMs,
+    estimateMs,
+    startedMs: nowMs,
+    openedMs: undefined,
+  };
+}
--- a/src/decisions/queue/startLimits.ts
+++ b/src/decisions/queue/startLimits.ts
@@ -15,19 +15,18 @@
     this.heap.push({ item, atMs: item.latestStartMs });
   }
 
-  /** Removes and returns an item that is overdue. */
-  takeOverdue(nowMs: number): QueuedItem | undefined {
+  /** Removes the overdue items one by one. */
+  *takeOverdue(nowMs: number): Generator<QueuedItem> {
     for (let next = this.heap.peek(); next !== undefined; next = this.heap.peek()) {
       const isCurrent = isWaiting(next.item) && next.item.latestStartMs === next.atMs;
       if (isCurrent && next.atMs > nowMs) {
-        return undefined;
+        return;
       }
       this.heap.pop();
       if (isCurrent) {
-        return next.item;
+        yield next.item;
       }
     }
-    return undefined;
   }
 }
 
