--- a/bench/experiment/experimentRun.ts
+++ b/bench/experiment/experimentRun.ts
@@ -9,7 +9,7 @@
 import { FakeNetwork } from './fakeNetwork.js';
 import { FleetDaemon, ProductLimiterFactory } from './fleetDaemon.js';
 import { SeededRandom } from './seededRandom.js';
-import { AdmissionObserver, TokenFleet } from './tokenFleet.js';
+import { type Admission, AdmissionObserver, TokenFleet } from './tokenFleet.js';
 
 const SETTLE_MS = 10_000;
 
@@ -20,6 +20,7 @@
   readonly utilisation: number;
   /** Messages about tokens between daemons, for each request. */
   readonly tokenMessages: number;
+  readonly admissions: readonly Admission[];
 }
 
 /** One run of an experiment with one seed. */
@@ -63,7 +64,8 @@
     const utilisation = this.getUsedMs() / (durationMs * this.getSlots());
     this.loop.runUntil(startMs + durationMs + SETTLE_MS);
     const { requests } = this.callers;
-    return { requests, utilisation, tokenMessages: this.network.sentCount / requests.length };
+    const tokenMessages = this.network.sentCount / requests.length;
+    return { requests, utilisation, tokenMessages, admissions: this.fleet.admissions };
   }
 
   private happen(kind: EventKind, target: number): void {
--- a/src/decisions/limits/entryLimiter.ts
+++ b/src/decisions/limits/entryLimiter.ts
@@ -89,10 +89,13 @@
   receive(message: MessageToEntry, nowMs: number): EntryOutput[] {
     const outputs: EntryOutput[] = [];
     const account = this.accounts.get(message.account);
-    if (message.kind === TokenMessageKind.Grant) {
-      account?.receiveGrant(message, nowMs, outputs);
-    } else {
-      account?.recall(nowMs, outputs);
+    if (account !== undefined) {
+      this.active.add(account);
+      if (message.kind === TokenMessageKind.Grant) {
+        account.receiveGrant(message, nowMs, outputs);
+      } else {
+        account.recall(nowMs, outputs);
+      }
     }
     return this.forgetDone(outputs);
   }
--- a/src/decisions/queue/fluidWait.ts
+++ b/src/decisions/queue/fluidWait.ts
@@ -2,19 +2,21 @@
 
 /**
  * The time, in milliseconds, until an account's present backlog has had its turn when the slots
- * are divided by weight among the present backlogs.
+ * are divided by weight among the present backlogs. Work within `creditMs` goes before the others'.
  */
 export function getFluidWaitMs(
   active: Iterable<AccountBacklog>,
   account: AccountBacklog | undefined,
   weight: number,
   slots: number,
+  creditMs = 0,
 ): number {
   const ownMs = account?.backlogMs ?? 0;
+  const sharedMs = Math.max(0, ownMs - creditMs);
   let aheadMs = ownMs;
   for (const other of active) {
     if (other !== account) {
-      aheadMs += Math.min(other.backlogMs, (ownMs * other.weight) / weight);
+      aheadMs += Math.min(other.backlogMs, (sharedMs * other.weight) / weight);
     }
   }
   return aheadMs / Math.max(1, slots);
--- a/src/decisions/queue/startTimeFairQueueing.ts
+++ b/src/decisions/queue/startTimeFairQueueing.ts
@@ -66,7 +66,9 @@
   }
 
   override getWaitMs(accountId: AccountId, weight: number, slots: number): number {
-    return getFluidWaitMs(this.active, this.accounts.get(accountId), weight, slots);
+    const account = this.accounts.get(accountId);
+    const lead = account === undefined ? 0 : this.virtualTime - account.getNextTag();
+    return getFluidWaitMs(this.active, account, weight, slots, Math.max(0, lead * weight));
   }
 
   override left(item: QueuedItem): void {
