--- /dev/null
+++ b/bench/experiment/costs.ts
@@ -0,0 +1,92 @@
+import {
+  toAccountId,
+  toHostId,
+  toIncarnation,
+  toLeaseId,
+  toRequestId,
+} from '../../src/common/ids/index.js';
+import { EntryLimiter, LimiterOutputKind, RateBucket } from '../../src/decisions/limits/index.js';
+import { InstanceQueue, QueueOutputKind } from '../../src/decisions/queue/index.js';
+import { PolicyName } from './configuration.js';
+import { createPolicy } from './policies.js';
+
+const REQUESTS = 200_000;
+const BACKLOG = 2000;
+const ACCOUNT_COUNTS = [8, 1000];
+
+/** Processor time of one request through each decision, as a Markdown table. */
+export function measureCosts(): string {
+  const queues = Object.values(PolicyName).flatMap((policy) =>
+    ACCOUNT_COUNTS.map((accounts) => {
+      const costUs = measureQueue(policy, accounts);
+      return `| queue, ${policy}, ${accounts} accounts | ${costUs.toFixed(2)} |`;
+    }),
+  );
+  const limiter = `| entry limiter with its bucket | ${measureLimiter().toFixed(2)} |`;
+  return ['| decision | µs a request |', '| --- | --- |', ...queues, limiter].join('\n');
+}
+
+/** Enqueue, start and complete with a standing backlog. */
+function measureQueue(policy: PolicyName, accounts: number): number {
+  const queue = new InstanceQueue({ slots: 2, policy: createPolicy(policy) });
+  const running: string[] = [];
+  let sent = 0;
+  const send = (nowMs: number) => {
+    sent += 1;
+    const outputs = queue.enqueue(
+      {
+        requestId: toRequestId(`r${sent}`),
+        account: toAccountId(`a${sent % accounts}`),
+        weight: 1 + (sent % 7),
+        deadlineMs: nowMs + 1e9,
+        costClass: 'select',
+        isTransaction: false,
+      },
+      nowMs,
+    );
+    running.push(...outputs.map((output) => output.requestId));
+  };
+  for (let index = 0; index < BACKLOG; index += 1) {
+    send(0);
+  }
+  const beganUs = getProcessorUs();
+  for (let index = 1; index <= REQUESTS; index += 1) {
+    const requestId = toRequestId(running.shift() ?? '');
+    const outputs = queue.complete(requestId, index * 5);
+    const started = outputs.filter((output) => output.kind === QueueOutputKind.Start);
+    running.push(...started.map((output) => output.requestId));
+    send(index * 5);
+  }
+  return (getProcessorUs() - beganUs) / REQUESTS;
+}
+
+/** A steady caller at 4,500 requests a second with the account's holder on the same daemon. */
+function measureLimiter(): number {
+  const account = toAccountId('mill');
+  const host = toHostId('h');
+  const lease = toLeaseId('l');
+  const limit = { rate: 9000, burst: 2000 };
+  const limiter = new EntryLimiter(host, toIncarnation('i'));
+  const bucket = new RateBucket({ account, lease, limit, assignedMs: 0 });
+  limiter.setLimit(account, limit);
+  limiter.setHolder(account, { host, lease }, 0);
+  const beganUs = getProcessorUs();
+  for (let index = 0; index < REQUESTS; index += 1) {
+    const nowMs = 2000 + index / 4.5;
+    const request = { account, requestId: toRequestId(`r${index}`), cost: 1 };
+    const outputs = limiter.request({ ...request, deadlineMs: nowMs + 1000 }, nowMs);
+    for (const output of outputs) {
+      if (output.kind === LimiterOutputKind.Send) {
+        for (const grant of bucket.receive(output.message, nowMs)) {
+          limiter.receive(grant.message, nowMs);
+        }
+      }
+    }
+  }
+  return (getProcessorUs() - beganUs) / REQUESTS;
+}
+
+function getProcessorUs(): number {
+  const { user, system } = process.cpuUsage();
+  return user + system;
+}
--- a/bench/experiment/main.ts
+++ b/bench/experiment/main.ts
@@ -5,6 +5,7 @@
 import { parseConfiguration } from './configuration.js';
 import { type ExperimentResult, runExperiment } from './experimentResult.js';
 import { plotMeasures, plotTimeline } from './plots.js';
+import { measureCosts } from './costs.js';
 import { formatComparison, formatResult } from './table.js';
 
 const DEFAULT_FOLDER = 'data/experiments';
@@ -47,10 +48,13 @@
   .option('out', { type: 'string', default: DEFAULT_FOLDER, describe: 'Folder for results.' })
   .option('policy', { type: 'string', describe: 'Queue policy instead of the one in the file.' })
   .option('compare', { type: 'string', array: true, describe: 'Two result files to compare.' })
+  .option('costs', { type: 'boolean', describe: 'Measure the processor time of the decisions.' })
   .strictOptions();
 const argv = await parser.parse();
 const [file] = argv._.map(String);
-if (argv.compare !== undefined) {
+if (argv.costs === true) {
+  process.stdout.write(`${measureCosts()}\n`);
+} else if (argv.compare !== undefined) {
   compareFiles(argv.compare, argv.out);
 } else if (file !== undefined) {
   runFile(file, argv.out, argv.policy);
--- a/bench/experiment/tokenFleet.test.ts
+++ b/bench/experiment/tokenFleet.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest';
 import { toAccountId, toRequestId } from '../../src/common/ids/index.js';
-import type { Admit } from '../../src/decisions/limits/index.js';
+import { type Admit, GRANT_SETTLED_MS } from '../../src/decisions/limits/index.js';
 import { findExcess } from './admissionBound.js';
 import { EventLoop } from './eventLoop.js';
 import { FakeNetwork } from './fakeNetwork.js';
@@ -83,3 +83,48 @@
   const limit = { rate: 100, burst: 20 };
   expect(findExcess(run.fleet.admissions, [{ fromMs: 0, limit }])).toBeUndefined();
 });
+
+test('all callers of an account on one host, then on another, are not refused', () => {
+  const run = createFleet(6);
+  run.fleet.setLimit(mill, { rate: 100, burst: 20 });
+  run.fleet.assign(mill, 0);
+  run.loop.runUntil(1000);
+  const getSent = load(run, 80, 20_000, () =>
+    Math.floor(run.loop.nowMs / 2000) % 2 === 0 ? 1 : 4,
+  );
+  run.loop.runUntil(25_000);
+  expect(run.tally.refusals).toBe(0);
+  expect(run.tally.waits.length).toBe(getSent());
+  expect(Math.max(...run.tally.waits)).toBeLessThan(500);
+});
+
+test('an account below one request per grant round is served its rate', () => {
+  const run = createFleet(6);
+  const limit = { rate: 1, burst: 2 };
+  run.fleet.setLimit(mill, limit);
+  run.fleet.assign(mill, 0);
+  run.loop.runUntil(3000);
+  for (let index = 0; index < 30; index += 1) {
+    run.loop.after(index * 1050, () =>
+      run.fleet.request(index % 6, toRequestId(`s${index}`), mill, 1, 2000),
+    );
+  }
+  run.loop.runUntil(40_000);
+  expect(run.tally.refusals).toBe(0);
+  expect(run.tally.waits.length).toBe(30);
+  expect(findExcess(run.fleet.admissions, [{ fromMs: 0, limit }])).toBeUndefined();
+});
+
+test('a lost holder costs its lease and the life of a grant, and refuses nothing', () => {
+  const run = createFleet(6);
+  run.fleet.setLimit(mill, { rate: 100, burst: 20 });
+  run.fleet.assign(mill, 0);
+  run.loop.runUntil(1000);
+  const getSent = load(run, 50, 10_000, () => 1 + Math.floor(run.random.next() * 5));
+  run.loop.after(3000, () => run.fleet.stop(0));
+  run.loop.after(4000, () => run.fleet.assign(mill, 3));
+  run.loop.runUntil(15_000);
+  expect(run.tally.refusals).toBe(0);
+  expect(run.tally.waits.length).toBe(getSent());
+  expect(Math.max(...run.tally.waits)).toBeLessThan(1000 + GRANT_SETTLED_MS + 700);
+});
--- a/src/decisions/limits/entryAccount.ts
+++ b/src/decisions/limits/entryAccount.ts
@@ -10,6 +10,7 @@
   MAXIMUM_WAITING,
   PREFETCH_HORIZON_MS,
   PREFETCH_MARGIN_MS,
+  RESERVE_DEMAND,
   WARM_MS,
 } from './limitTiming.js';
 import type { TokenGrant } from './tokenGrant.js';
@@ -249,7 +250,7 @@
       return;
     }
     const demand = this.demand.getRate(nowMs);
-    const reserve = this.isWarm(nowMs) ? 1 : 0;
+    const reserve = demand >= RESERVE_DEMAND ? 1 : 0;
     const leadMs = 2 * this.link.getRoundTripMs() + PREFETCH_MARGIN_MS;
     const fresh = this.stock.getRemainingAt(nowMs + leadMs);
     const isLow = fresh < (demand * leadMs) / 1000 + reserve;
--- /dev/null
+++ b/src/decisions/limits/entryLimiter.test.ts
@@ -0,0 +1,165 @@
+import { expect, test } from 'vitest';
+import {
+  toAccountId,
+  toHostId,
+  toIncarnation,
+  toLeaseId,
+  toRequestId,
+} from '../../common/ids/index.js';
+import {
+  EntryLimiter,
+  type EntryOutput,
+  GRANT_VALIDITY_MS,
+  LimiterOutputKind,
+  type MessageToHolder,
+  type TokenGrant,
+  TokenMessageKind,
+  type TokenRequest,
+} from './index.js';
+
+const mill = toAccountId('mill');
+const holder = { host: toHostId('holder'), lease: toLeaseId('lease-1') };
+const limit = { rate: 10, burst: 5 };
+
+function createLimiter(): EntryLimiter {
+  const limiter = new EntryLimiter(toHostId('entry'), toIncarnation('life-1'));
+  limiter.setLimit(mill, limit);
+  limiter.setHolder(mill, holder, 0);
+  return limiter;
+}
+
+function send(limiter: EntryLimiter, id: string, nowMs: number, timeoutMs = 1000, cost = 1) {
+  const request = { requestId: toRequestId(id), account: mill, cost };
+  return limiter.request({ ...request, deadlineMs: nowMs + timeoutMs }, nowMs);
+}
+
+function describeOutputs(outputs: readonly EntryOutput[]): string[] {
+  return outputs.map((output) => {
+    switch (output.kind) {
+      case LimiterOutputKind.Admit:
+        return `admit ${output.requestId} after ${output.waitedMs}`;
+      case LimiterOutputKind.Refuse:
+        return `refuse ${output.requestId} FP${output.diagnostic.code}`;
+      case LimiterOutputKind.Send:
+        return output.message.kind;
+    }
+  });
+}
+
+function getRequest(outputs: readonly EntryOutput[]): TokenRequest {
+  const messages: MessageToHolder[] = [];
+  for (const output of outputs) {
+    if (output.kind === LimiterOutputKind.Send) {
+      messages.push(output.message);
+    }
+  }
+  const request = messages.find((message) => message.kind === TokenMessageKind.Request);
+  if (request === undefined) {
+    throw new Error('No token request was sent.');
+  }
+  return request;
+}
+
+function answer(request: TokenRequest, amount: number, values: Partial<TokenGrant> = {}) {
+  const grant: TokenGrant = {
+    kind: TokenMessageKind.Grant,
+    account: mill,
+    lease: holder.lease,
+    sequence: request.sequence,
+    amount,
+    validityMs: GRANT_VALIDITY_MS,
+    heldMs: 0,
+    available: 0,
+    share: 10,
+    ...values,
+  };
+  return grant;
+}
+
+test('a first request waits for a grant and is admitted by it once', () => {
+  const limiter = createLimiter();
+  const sent = send(limiter, 'a', 0);
+  expect(describeOutputs(sent)).toEqual(['token-request']);
+  const grant = answer(getRequest(sent), 2);
+  expect(describeOutputs(limiter.receive(grant, 3))[0]).toBe('admit a after 3');
+  expect(limiter.receive(grant, 4)).toEqual([]);
+  expect(limiter.getStock(mill, 4)).toBe(1);
+});
+
+test('tokens in stock admit at once and expire counted from when they were asked for', () => {
+  const limiter = createLimiter();
+  const grant = answer(getRequest(send(limiter, 'a', 0)), 4);
+  limiter.receive(grant, 100);
+  expect(describeOutputs(send(limiter, 'b', 101))[0]).toBe('admit b after 0');
+  expect(limiter.getStock(mill, GRANT_VALIDITY_MS - 1)).toBe(2);
+  expect(limiter.getStock(mill, GRANT_VALIDITY_MS)).toBe(0);
+  const report = limiter.tick(GRANT_VALIDITY_MS + 1);
+  const settled = report.flatMap((output) =>
+    output.kind === LimiterOutputKind.Send ? output.message.settled : [],
+  );
+  expect(settled).toContainEqual(expect.objectContaining({ sequence: grant.sequence, used: 2 }));
+});
+
+test('grants of another lease, of an earlier request or too late admit nothing', () => {
+  const limiter = createLimiter();
+  const first = getRequest(send(limiter, 'a', 0));
+  expect(limiter.receive(answer(first, 3, { lease: toLeaseId('lease-0') }), 1)).toEqual([]);
+  const second = getRequest(limiter.tick(GRANT_VALIDITY_MS));
+  expect(second.settled).toContainEqual({ sequence: first.sequence, used: 0 });
+  expect(limiter.receive(answer(first, 3), 301)).toEqual([]);
+  const late = limiter.receive(answer(second, 3), 3 * GRANT_VALIDITY_MS);
+  expect(describeOutputs(late)).not.toContain('admit a after 900');
+  expect(limiter.getStock(mill, 3 * GRANT_VALIDITY_MS)).toBe(0);
+});
+
+test('what cannot get tokens in time is refused at once with a time to retry', () => {
+  const limiter = createLimiter();
+  const grant = answer(getRequest(send(limiter, 'a', 0)), 1);
+  limiter.receive(grant, 2);
+  const outputs = Array.from({ length: 14 }, (_, index) => send(limiter, `w${index}`, 10)).flat();
+  const refused = outputs.filter((output) => output.kind === LimiterOutputKind.Refuse);
+  expect(limiter.waitingCount).toBe(9);
+  expect(refused).toHaveLength(5);
+  expect(refused.map((output) => output.retryAfterMs)).toEqual([100, 100, 100, 100, 100]);
+});
+
+test('without a holder a request waits until its deadline and is then refused', () => {
+  const limiter = createLimiter();
+  limiter.setHolder(mill, undefined, 0);
+  expect(send(limiter, 'a', 0, 200)).toEqual([]);
+  expect(limiter.tick(179)).toEqual([]);
+  expect(describeOutputs(limiter.tick(180))).toEqual(['refuse a FP4002']);
+});
+
+test('a new holder is asked at once for what waits', () => {
+  const limiter = createLimiter();
+  send(limiter, 'a', 0);
+  const next = { host: toHostId('next'), lease: toLeaseId('lease-2') };
+  const request = getRequest(limiter.setHolder(mill, next, 50));
+  expect(request).toMatchObject({ lease: 'lease-2', urgent: 1, settled: [] });
+});
+
+test('recalled tokens are given back unless a request waits for them', () => {
+  const limiter = createLimiter();
+  const grant = answer(getRequest(send(limiter, 'a', 0)), 4);
+  limiter.receive(grant, 2);
+  const recall = { kind: TokenMessageKind.Recall as const, account: mill, lease: holder.lease };
+  const [output] = limiter.receive(recall, 5);
+  expect(output).toMatchObject({ message: { kind: TokenMessageKind.Return } });
+  expect(limiter.getStock(mill, 5)).toBe(0);
+  expect(limiter.getCounts(mill)).toMatchObject({ admitted: 1, granted: 4, returned: 3 });
+});
+
+test('unknown accounts, costs above the burst and removed accounts are refused', () => {
+  const limiter = createLimiter();
+  const other = { requestId: toRequestId('x'), account: toAccountId('other'), cost: 1 };
+  expect(describeOutputs(limiter.request({ ...other, deadlineMs: 10 }, 0))).toEqual([
+    'refuse x FP4004',
+  ]);
+  expect(describeOutputs(send(limiter, 'big', 0, 1000, 6))[0]).toBe('refuse big FP4001');
+  send(limiter, 'a', 0);
+  send(limiter, 'b', 0);
+  limiter.cancel(toRequestId('a'));
+  expect(describeOutputs(limiter.setLimit(mill, undefined))).toEqual(['refuse b FP4004']);
+  expect(limiter.waitingCount).toBe(0);
+});
--- a/src/decisions/limits/limitTiming.ts
+++ b/src/decisions/limits/limitTiming.ts
@@ -25,7 +25,10 @@
 /** Time beyond two round trips for which tokens are kept in stock. */
 export const PREFETCH_MARGIN_MS = 10;
 
-/** How long after its last request an account keeps a token in stock. */
+/** Demand, in tokens a second, from which a token is kept in stock. */
+export const RESERVE_DEMAND = 1;
+
+/** How long after its last request an account prefetches. */
 export const WARM_MS = 2000;
 
 /** Time constant of the demand estimate. */
--- a/src/decisions/queue/fluidWait.ts
+++ b/src/decisions/queue/fluidWait.ts
@@ -14,6 +14,9 @@
   const ownMs = account?.backlogMs ?? 0;
   const sharedMs = Math.max(0, ownMs - creditMs);
   let aheadMs = ownMs;
+  if (sharedMs === 0) {
+    return aheadMs / Math.max(1, slots);
+  }
   for (const other of active) {
     if (other !== account) {
       aheadMs += Math.min(other.backlogMs, (sharedMs * other.weight) / weight);
