Command line: 15 s by default, so that one try outlasts the daemon's call of control

Cause: the daemon answers after at most 6 s, but one try with one address ended after 5 s. Change: 15 s by default; metrics pages are asked for within one try's time.

--- a/src/cli/operatorClient.ts
+++ b/src/cli/operatorClient.ts
@@ -39,16 +39,23 @@
 
   /** Reads a text from each address once and leaves out those that do not give it. */
   async getFromEach(path: string): Promise<readonly string[]> {
-    const { urls, token, timer, timeoutMs } = this.options;
+    const { urls, token, timer } = this.options;
     const request = { method: 'GET' as const, path, body: undefined };
+    const limitMs = this.tryLimitMs;
     const replies = await Promise.all(
-      urls.map((url) => sendHttpRequest({ ...request, url, token, timer, limitMs: timeoutMs })),
+      urls.map((url) => sendHttpRequest({ ...request, url, token, timer, limitMs })),
     );
     return replies.flatMap(({ kind, body }) =>
       kind === ReplyKind.Answered && typeof body === 'string' ? [body] : [],
     );
   }
 
+  /** Bound on one try, so that each address can be tried within the whole time. */
+  private get tryLimitMs(): number {
+    const { urls, timeoutMs } = this.options;
+    return timeoutMs / (urls.length + 1);
+  }
+
   private request(request: HttpRequest): CommandOutcome<unknown> {
     return new ResultAsync(this.requestInRounds(request));
   }
@@ -76,11 +83,10 @@
 
   /** Tries each address once; ends with the first that answers. */
   private async requestRound(request: HttpRequest, endMs: number): Promise<HttpReply[]> {
-    const { urls, token, timer, timeoutMs } = this.options;
-    const tryLimitMs = timeoutMs / (urls.length + 1);
+    const { urls, token, timer } = this.options;
     const replies: HttpReply[] = [];
     for (const url of urls) {
-      const limitMs = Math.min(tryLimitMs, endMs - timer.now());
+      const limitMs = Math.min(this.tryLimitMs, endMs - timer.now());
       if (limitMs <= 0) {
         break;
       }
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -9,7 +9,7 @@
 import type { Terminal } from './terminal.js';
 
 const PROGRAM = 'filbertpoint';
-const DEFAULT_TIMEOUT_SECONDS = 10;
+const DEFAULT_TIMEOUT_SECONDS = 15;
 const MAXIMUM_TIMEOUT_SECONDS = 3_600;
 const HELP_COLUMNS = 100;
 const COMMAND_NEEDED = 'Give a command.';
