--- a/src/cli/globalOptions.ts
+++ b/src/cli/globalOptions.ts
@@ -3,6 +3,6 @@
   readonly url: string[] | undefined;
   readonly tokenFile: string | undefined;
   readonly json: boolean;
-  /** Bound on the whole command, in seconds. */
+  /** Bound on each request with its retries, in seconds. */
   readonly timeout: number;
 }
