--- a/src/decisions/leases/leaseTerms.ts
+++ b/src/decisions/leases/leaseTerms.ts
@@ -10,7 +10,7 @@
 
 /** The terms used unless set otherwise. */
 export const DEFAULT_LEASE_TERMS: LeaseTerms = {
-  lengthMs: 2000,
+  lengthMs: 1500,
   driftBound: 0.01,
   takeUpMs: 500,
 };
