--- a/src/decisions/control/assignmentBook.ts
+++ b/src/decisions/control/assignmentBook.ts
@@ -95,6 +95,11 @@
     }
   }
 
+  /** Whether a resource may be given to another lease. */
+  protected isFree(present: Assignment | undefined): boolean {
+    return present?.holder === undefined;
+  }
+
   private assign(
     empty: Assignment,
     holder: Holder,
@@ -103,7 +108,7 @@
   ): boolean {
     const name = getName(empty);
     const present = this.find(name);
-    if (!this.isAt(name, expected) || present?.holder !== undefined) {
+    if (!this.isAt(name, expected) || !this.isFree(present)) {
       return false;
     }
     if (this.retired.has(holder.lease)) {
--- a/src/decisions/control/controlState.test.ts
+++ b/src/decisions/control/controlState.test.ts
@@ -152,7 +152,7 @@
       return true;
     }
   }
-  const createState = () => new ControlState(() => new Twice());
+  const createState = () => new ControlState({ createRegister: () => new Twice() });
   const property = fc.property(steps, (sequence) => checkTickets(new Log(createState), sequence));
   expect(fc.check(property, { seed: SEED, numRuns: 100 }).failed).toBe(true);
 });
@@ -163,7 +163,7 @@
       return true;
     }
   }
-  const createState = () => new ControlState(() => new Reverting());
+  const createState = () => new ControlState({ createRegister: () => new Reverting() });
   const property = fc.property(steps, (sequence) => checkTickets(new Log(createState), sequence));
   expect(fc.check(property, { seed: SEED, numRuns: 100 }).failed).toBe(true);
 });
--- a/src/decisions/control/controlState.ts
+++ b/src/decisions/control/controlState.ts
@@ -27,18 +27,26 @@
 import type { SubjectInForce } from './subjectInForce.js';
 import { TicketRegister } from './ticketRegister.js';
 
+/** The replaceable parts of a control state. */
+export interface ControlStateParts {
+  readonly createRegister?: () => TicketRegister;
+  readonly createAssignments?: (records: RecordTable) => AssignmentBook;
+}
+
 /** The replicated state machine of the control quorum: deterministic over its commands. */
 export class ControlState extends RecordReader {
   private readonly records = new RecordTable();
   private readonly index = new RecordIndex();
   private readonly tickets: TicketRegister;
-  private readonly assignments = new AssignmentBook(this.records);
-  private readonly primaries = new PrimaryBook(this.records, this.assignments);
+  private readonly assignments: AssignmentBook;
+  private readonly primaries: PrimaryBook;
   private appliedRevision = toRevision(0);
 
-  constructor(createRegister: () => TicketRegister = () => new TicketRegister()) {
+  constructor(parts: ControlStateParts = {}) {
     super();
-    this.tickets = createRegister();
+    this.tickets = parts.createRegister?.() ?? new TicketRegister();
+    this.assignments = parts.createAssignments?.(this.records) ?? new AssignmentBook(this.records);
+    this.primaries = new PrimaryBook(this.records, this.assignments);
   }
 
   /** Revision of the last applied command. */
--- a/src/decisions/control/leader/accountPlacement.ts
+++ b/src/decisions/control/leader/accountPlacement.ts
@@ -2,7 +2,7 @@
 import type { AccountId } from '../../../common/ids/index.js';
 import { CommandKind } from '../commandKind.js';
 import { getAccountHolderRecordName } from '../recordNames.js';
-import type { LeaderContext } from './leaderContext.js';
+import { isSettled, type LeaderContext } from './leaderContext.js';
 
 /** Decides on the holder of one client account at a time. */
 export class AccountPlacement {
@@ -32,6 +32,9 @@
 
   private assign(account: AccountId, name: string, nowMs: number): void {
     const { state, outbox, accountPlacement, leases } = this.context;
+    if (!isSettled(this.context, nowMs)) {
+      return;
+    }
     const host = accountPlacement.choose({ key: account }, nowMs);
     const lease = host === undefined ? undefined : leases.getByHost(host);
     if (host === undefined || lease === undefined) {
--- a/src/decisions/control/leader/brokenVariants.test.ts
+++ b/src/decisions/control/leader/brokenVariants.test.ts
@@ -8,7 +8,9 @@
 } from '../../../common/ids/index.js';
 import { DaemonLeases, HeldLease } from '../../leases/index.js';
 import { PromotionRules, type Fence, type GroupView } from '../../promotion/index.js';
+import { AssignmentBook, ControlState, type Holder } from '../index.js';
 import type { ControlSettings } from './controlSettings.js';
+import { GroupPlacement } from './groupPlacement.js';
 import {
   DEFAULT_FLEET_OPTIONS,
   FakeFleet,
@@ -76,6 +78,25 @@
   expect(findViolation({ leaderParts: { createLeases } })).toMatch(/in force on every daemon/);
 });
 
+test('a group assigned anew before its lease was retired is found', () => {
+  class Impatient extends GroupPlacement {
+    protected override isHeld(holder: Holder): boolean {
+      return this.context.leases.get(holder.lease)?.isLive === true;
+    }
+  }
+  class Overwriting extends AssignmentBook {
+    protected override isFree(): boolean {
+      return true;
+    }
+  }
+  const found = findViolation({
+    leaderParts: { createGroupPlacement: (context) => new Impatient(context) },
+    createState: () =>
+      new ControlState({ createAssignments: (records) => new Overwriting(records) }),
+  });
+  expect(found).toMatch(HOLDERS);
+});
+
 test('a promotion before the lease of the holder ran out is found', () => {
   class Hasty extends PromotionRules {
     protected override findFence(view: GroupView): Fence {
--- a/src/decisions/control/leader/controlLeader.ts
+++ b/src/decisions/control/leader/controlLeader.ts
@@ -40,6 +40,7 @@
   readonly createLeases?: (settings: ControlSettings) => DaemonLeases;
   readonly createRules?: (settings: ControlSettings) => PromotionRules;
   readonly createPlacement?: () => Placement;
+  readonly createGroupPlacement?: (context: LeaderContext) => GroupPlacement;
 }
 
 /**
@@ -65,7 +66,9 @@
     this.commits = new CommitIntake(this.context, this.hosts);
     this.renewals = new RenewalIntake(this.context, this.hosts);
     const rules = parts.createRules?.(settings) ?? new PromotionRules(settings.promotion);
-    this.groups = new GroupDecisions(this.context, rules, new GroupPlacement(this.context));
+    const placement =
+      parts.createGroupPlacement?.(this.context) ?? new GroupPlacement(this.context);
+    this.groups = new GroupDecisions(this.context, rules, placement);
     this.accounts = new AccountPlacement(this.context);
     this.rebalancer = new Rebalancer(this.context);
     this.reader = new FleetReader(this.context);
--- a/src/decisions/control/leader/controlSettings.ts
+++ b/src/decisions/control/leader/controlSettings.ts
@@ -7,6 +7,8 @@
   readonly promotion: PromotionSettings;
   /** Time after which a proposal without an outcome may be made again. */
   readonly proposalTimeoutMs: number;
+  /** Time for daemons to find a new leader before it gives out what nobody holds. */
+  readonly fleetSettleMs: number;
   /** Time over which a host that joins comes to carry as much as the others. */
   readonly slowStartMs: number;
   /** Time between moves of groups from loaded to idle hosts. */
@@ -22,6 +24,7 @@
   lease: DEFAULT_LEASE_TERMS,
   promotion: DEFAULT_PROMOTION_SETTINGS,
   proposalTimeoutMs: 3000,
+  fleetSettleMs: 300,
   slowStartMs: 30_000,
   rebalanceIntervalMs: 1000,
   decisionsPerTick: 512,
--- a/src/decisions/control/leader/groupPlacement.ts
+++ b/src/decisions/control/leader/groupPlacement.ts
@@ -5,11 +5,11 @@
 import { PrimaryPhase } from '../groupPrimary.js';
 import type { Holder } from '../holder.js';
 import { getGroupHolderRecordName } from '../recordNames.js';
-import type { LeaderContext } from './leaderContext.js';
+import { isSettled, type LeaderContext } from './leaderContext.js';
 
 /** Decides on the holder of one group at a time. */
 export class GroupPlacement {
-  constructor(private readonly context: LeaderContext) {}
+  constructor(protected readonly context: LeaderContext) {}
 
   /** Looks at a group's holder; true when it has to be looked at again without a change. */
   look(view: GroupView): boolean {
@@ -19,7 +19,7 @@
       return true;
     }
     const assignment = state.getGroupAssignment(view.group);
-    if (assignment?.holder === undefined) {
+    if (assignment?.holder === undefined || !this.isHeld(assignment.holder)) {
       this.assign(view, name);
       return true;
     }
@@ -28,9 +28,17 @@
       : false;
   }
 
+  /** Whether a recorded holder still holds: until its release or retirement is in the log. */
+  protected isHeld(holder: Holder): boolean {
+    return !this.context.state.isRetired(holder.lease);
+  }
+
   private assign(view: GroupView, name: string): void {
     const { state, outbox, groupPlacement, leases } = this.context;
     const { group, nowMs } = view;
+    if (!isSettled(this.context, nowMs)) {
+      return;
+    }
     const near = this.findNear(view);
     const request = near === undefined ? { key: group } : { key: group, near };
     const host = groupPlacement.choose(request, nowMs);
--- a/src/decisions/control/leader/index.ts
+++ b/src/decisions/control/leader/index.ts
@@ -1,4 +1,6 @@
 export * from './controlSettings.js';
 export * from './controlInput.js';
 export * from './controlOutput.js';
+export * from './leaderContext.js';
+export * from './groupPlacement.js';
 export * from './controlLeader.js';
--- a/src/decisions/control/leader/leaderContext.ts
+++ b/src/decisions/control/leader/leaderContext.ts
@@ -23,6 +23,11 @@
   host: HostId;
 }
 
+/** Whether the daemons had time to find this leader. */
+export function isSettled(context: LeaderContext, nowMs: number): boolean {
+  return nowMs - context.sinceMs >= context.settings.fleetSettleMs;
+}
+
 /** The watch of a group, created when there is none. */
 export function getWatch(context: LeaderContext, group: GroupId): GroupWatch {
   const present = context.watches.get(group);
--- a/src/decisions/control/placement/boundedRendezvous.ts
+++ b/src/decisions/control/placement/boundedRendezvous.ts
@@ -32,8 +32,16 @@
     );
   }
 
+  protected override isOverloaded(from: HostId): boolean {
+    return this.getLoad(from) > this.getBound();
+  }
+
+  private getBound(): number {
+    return Math.ceil((this.getMean() + 1) * LOAD_BOUND);
+  }
+
   private chooseFrom(hosts: Iterable<PlacementHost>, key: string): HostId | undefined {
-    const bound = Math.ceil((this.getMean() + 1) * LOAD_BOUND);
+    const bound = this.getBound();
     let best: HostId | undefined;
     let bestScore = -1;
     for (const { host } of hosts) {
--- /dev/null
+++ b/src/decisions/control/placement/placement.test.ts
@@ -0,0 +1,111 @@
+import * as fc from 'fast-check';
+import { expect, test } from 'vitest';
+import { toFailureDomain, toHostId, type HostId } from '../../../common/ids/index.js';
+import { BoundedRendezvous, LeastLoadedNear, Placement, type PlacementPolicy } from './index.js';
+
+const SEED = 20261204;
+const SLOW_START_MS = 30_000;
+
+const policies: readonly (readonly [string, () => PlacementPolicy])[] = [
+  ['least loaded near', () => new LeastLoadedNear()],
+  ['bounded rendezvous', () => new BoundedRendezvous()],
+];
+
+function addHost(placement: Placement, index: number, nowMs: number, warmMs: number): void {
+  const domain = toFailureDomain(`d${index % 3}`);
+  const host = toHostId(`h${index}`);
+  placement.addHost({ host, domain, sinceMs: nowMs, warmAtMs: nowMs + warmMs });
+}
+
+/** Moves resources until the policy finds nothing to move; gives the number of moves. */
+function settle(
+  placement: Placement,
+  places: Map<string, HostId>,
+  startMs: number,
+  limit: number,
+): number {
+  let moves = 0;
+  for (let nowMs = startMs; nowMs < startMs + 3 * SLOW_START_MS && moves < limit; nowMs += 1000) {
+    const move = placement.findMove(nowMs);
+    const [key] = [...places].find(([, host]) => host === move?.from) ?? [];
+    if (key !== undefined) {
+      placement.place(key, undefined);
+      place(placement, places, key, nowMs);
+      moves++;
+    }
+  }
+  return moves;
+}
+
+function place(
+  placement: Placement,
+  places: Map<string, HostId>,
+  key: string,
+  nowMs: number,
+): void {
+  const near = toFailureDomain(`d${key.length % 3}`);
+  const host = placement.choose({ key, near }, nowMs);
+  placement.place(key, host);
+  if (host !== undefined) {
+    places.set(key, host);
+  }
+}
+
+test.each(policies)('%s: balanced, and few moves when a host leaves and returns', (_, create) => {
+  const sizes = fc.tuple(fc.integer({ min: 2, max: 15 }), fc.integer({ min: 0, max: 120 }));
+  const property = fc.property(sizes, fc.nat(), ([hosts, keys], pick) => {
+    const placement = new Placement(create());
+    const places = new Map<string, HostId>();
+    for (let index = 0; index < hosts; index++) {
+      addHost(placement, index, 0, 0);
+    }
+    for (let index = 0; index < keys; index++) {
+      place(placement, places, `${'k'.repeat(1 + (index % 3))}${index}`, 0);
+    }
+    const lost = toHostId(`h${pick % hosts}`);
+    const orphans = [...places].filter(([, host]) => host === lost).map(([key]) => key);
+    placement.removeHost(lost);
+    for (const key of orphans) {
+      placement.place(key, undefined);
+      place(placement, places, key, 0);
+    }
+    expect([...places.values()]).not.toContain(lost);
+    addHost(placement, pick % hosts, 0, SLOW_START_MS);
+    const limit = 2 * keys + 1;
+    expect(settle(placement, places, 0, limit)).toBeLessThan(limit);
+    const loads = Array.from({ length: hosts }, (__, index) =>
+      placement.getLoad(toHostId(`h${index}`)),
+    );
+    const mean = keys / hosts;
+    expect(Math.max(...loads)).toBeLessThanOrEqual(Math.ceil(2 * mean) + 4);
+    expect(loads.reduce((sum, load) => sum + load, 0)).toBe(keys);
+  });
+  fc.assert(property, { seed: SEED, numRuns: 200 });
+});
+
+test('a host in slow start gets its share bit by bit', () => {
+  const placement = new Placement(new LeastLoadedNear());
+  addHost(placement, 0, 0, 0);
+  addHost(placement, 3, 0, 0);
+  for (let index = 0; index < 20; index++) {
+    placement.place(`k${index}`, placement.choose({ key: `k${index}` }, 0));
+  }
+  addHost(placement, 6, 0, SLOW_START_MS);
+  const chosen = [0, SLOW_START_MS / 2, SLOW_START_MS].map((nowMs) =>
+    placement.choose({ key: 'next', near: toFailureDomain('d0') }, nowMs),
+  );
+  expect(chosen).toEqual(['h0', 'h6', 'h6']);
+});
+
+test('a resource stays near unless its failure domain carries much more', () => {
+  const placement = new Placement(new LeastLoadedNear());
+  addHost(placement, 0, 0, 0);
+  addHost(placement, 1, 0, 0);
+  const near = toFailureDomain('d0');
+  const chosen = Array.from({ length: 5 }, (_, index) => {
+    const host = placement.choose({ key: `k${index}`, near }, 0);
+    placement.place(`k${index}`, host);
+    return host;
+  });
+  expect(chosen).toEqual(['h0', 'h0', 'h0', 'h1', 'h0']);
+});
--- a/src/decisions/control/placement/placementPolicy.ts
+++ b/src/decisions/control/placement/placementPolicy.ts
@@ -68,13 +68,45 @@
   /** Finds a host that carries too much; undefined while the load is balanced. */
   findMove(nowMs: number): PlacementMove | undefined {
     this.finishWarming(nowMs);
-    const from = this.warm.getMost();
-    const to = this.chooseWarming({ key: '' }, nowMs) ?? this.warm.getLeast();
+    const least = this.warm.getLeast();
+    return this.findNearMove(this.chooseWarming({ key: '' }, nowMs) ?? least) ?? this.findFarMove();
+  }
+
+  /** Whether a resource taken from a host would be placed on another one. */
+  protected isOverloaded(from: HostId, to: HostId): boolean {
+    return this.getLoad(from) - this.getLoad(to) > this.getSlack() + 1;
+  }
+
+  /** A move within the failure domain of a host that carries little. */
+  private findNearMove(to: HostId | undefined): PlacementMove | undefined {
+    const domain = to === undefined ? undefined : this.hosts.get(to)?.domain;
+    const from = domain === undefined ? undefined : this.warmByDomain.get(domain)?.getMost();
     if (from === undefined || to === undefined) {
       return undefined;
     }
-    const difference = this.getLoad(from) - this.getLoad(to);
-    return difference > this.getSlack() ? { from, to } : undefined;
+    return this.isOverloaded(from, to) ? { from, to } : undefined;
+  }
+
+  /** A move from the most loaded host, when its whole failure domain carries too much. */
+  private findFarMove(): PlacementMove | undefined {
+    const from = this.warm.getMost();
+    const to = this.warm.getLeast();
+    const domain = from === undefined ? undefined : this.hosts.get(from)?.domain;
+    const nearest = domain === undefined ? undefined : this.warmByDomain.get(domain)?.getLeast();
+    if (from === undefined || to === undefined || nearest === undefined) {
+      return undefined;
+    }
+    return this.isOverloaded(from, to) && this.isWorthMoving(from, nearest, to)
+      ? { from, to }
+      : undefined;
+  }
+
+  /** Otherwise the resource would only change places with another of the same failure domain. */
+  private isWorthMoving(from: HostId, nearest: HostId, to: HostId): boolean {
+    return (
+      this.getLoad(from) - this.getLoad(nearest) >= MINIMUM_MOVE_DIFFERENCE ||
+      this.getLoad(nearest) - this.getLoad(to) > this.getSlack()
+    );
   }
 
   /** Whether a host is eligible. */
