--- a/src/decisions/control/leader/controlLeader.test.ts
+++ b/src/decisions/control/leader/controlLeader.test.ts
@@ -1,5 +1,10 @@
 import { expect, test } from 'vitest';
-import { toGroupId, toTicketNumber } from '../../../common/ids/index.js';
+import {
+  toFailureDomain,
+  toGroupId,
+  toInstanceId,
+  toTicketNumber,
+} from '../../../common/ids/index.js';
 import { SubjectKind } from '../../tickets/index.js';
 import { PrimaryPhase } from '../index.js';
 import { DEFAULT_FLEET_OPTIONS, FakeFleet } from '../../../../tests/support/fleet/index.js';
@@ -105,3 +110,130 @@
   });
   expect(fleet.getHolder(GROUP)).toBe(holder);
 });
+
+function submitDomain(fleet: FakeFleet, number: number, domain: string, inService: boolean): void {
+  const kind = SubjectKind.FailureDomain;
+  const state = { kind, domain: toFailureDomain(domain), inService } as const;
+  fleet.submit({ number: toTicketNumber(number), subjects: [state] });
+}
+
+function expectNothingIn(fleet: FakeFleet, domains: readonly string[]): void {
+  for (const group of fleet.groups) {
+    expect(domains).not.toContain(fleet.getPrimary(group).domain);
+    expect(domains).not.toContain(fleet.getHolder(group).domain);
+  }
+}
+
+test('failure domains go out and come back in a row', () => {
+  const fleet = createFleet();
+  const rounds: [string, boolean, string[]][] = [
+    ['d0', false, ['d0']],
+    ['d1', false, ['d0', 'd1']],
+    ['d0', true, ['d1']],
+    ['d2', false, ['d1', 'd2']],
+    ['d1', true, ['d2']],
+    ['d2', true, []],
+  ];
+  for (const [index, [domain, inService, out]] of rounds.entries()) {
+    submitDomain(fleet, index + 1, domain, inService);
+    fleet.run(3000);
+    expectNothingIn(fleet, out);
+    expect(fleet.runUntilWrite(GROUP, LIMIT_MS)).toBeLessThan(1000);
+  }
+});
+
+test('one failure domain is out while the hosts and servers of another are lost', () => {
+  const fleet = createFleet();
+  submitDomain(fleet, 1, 'd0', false);
+  fleet.run(3000);
+  const lost = fleet.getPrimary(GROUP).domain;
+  for (const daemon of fleet.daemons.filter((each) => each.domain === lost)) {
+    daemon.kill();
+  }
+  for (const instance of fleet.instances.values()) {
+    instance.isAlive = instance.domain !== lost;
+  }
+  fleet.run(4000);
+  expectNothingIn(fleet, ['d0', lost]);
+  expect(fleet.runUntilWrite(GROUP, LIMIT_MS)).toBeLessThan(1000);
+});
+
+test('a host that returns to a loaded fleet gets groups again', () => {
+  const fleet = new FakeFleet({ ...DEFAULT_FLEET_OPTIONS, groups: 30 });
+  fleet.run(3000);
+  const [daemon] = fleet.daemons;
+  const countHeld = () => fleet.groups.filter((group) => fleet.getHolder(group) === daemon).length;
+  expect(countHeld()).toBeGreaterThan(2);
+  daemon?.kill();
+  fleet.run(4000);
+  expect(countHeld()).toBe(0);
+  daemon?.restart();
+  fleet.run(5000);
+  expect(countHeld()).toBeLessThan(2);
+  fleet.run(40_000);
+  expect(countHeld()).toBeGreaterThan(2);
+});
+
+test('a promotion whose instance is lost is replaced under a higher term', () => {
+  const fleet = createFleet();
+  const first = fleet.getPrimary(GROUP);
+  first.isAlive = false;
+  while (fleet.control.truth.getPrimary(GROUP)?.phase !== PrimaryPhase.Promoting) {
+    fleet.run(10);
+  }
+  const second = fleet.getPrimary(GROUP);
+  second.isAlive = false;
+  expect(fleet.runUntilWrite(GROUP, LIMIT_MS)).toBe(LIMIT_MS);
+  expect(fleet.getPrimary(GROUP)).not.toBe(second);
+  expect(fleet.control.truth.getPrimary(GROUP)).toMatchObject({ term: 3 });
+  first.isAlive = true;
+  expect(fleet.runUntilWrite(GROUP, LIMIT_MS)).toBeLessThan(1000);
+  expect(fleet.getPrimary(GROUP)).not.toBe(first);
+});
+
+test('a group waits when the only instances with every write are lost', () => {
+  const fleet = createFleet();
+  const first = fleet.getPrimary(GROUP);
+  const second = fleet.getInstance(toInstanceId('g0i1'));
+  const third = fleet.getInstance(toInstanceId('g0i2'));
+  third.copyRate = 0;
+  fleet.run(500);
+  first.isAlive = false;
+  second.isAlive = false;
+  fleet.getHolder(GROUP).kill();
+  fleet.run(8000);
+  expect(fleet.getPrimary(GROUP)).toBe(first);
+  second.isAlive = true;
+  third.copyRate = 1000;
+  expect(fleet.runUntilWrite(GROUP, LIMIT_MS)).toBeLessThan(3000);
+  expect(fleet.getPrimary(GROUP)).toBe(second);
+});
+
+test('a second host lost right after a promotion loses nothing', () => {
+  const fleet = createFleet();
+  const first = fleet.getPrimary(GROUP);
+  first.isAlive = false;
+  fleet.run(1500);
+  const second = fleet.getPrimary(GROUP);
+  expect(second).not.toBe(first);
+  second.isAlive = false;
+  fleet.run(50);
+  expect(fleet.runUntilWrite(GROUP, 5000)).toBe(5000);
+  const third = fleet.getPrimary(GROUP);
+  expect([first, second]).not.toContain(third);
+  second.isAlive = true;
+  expect(fleet.runUntilWrite(GROUP, LIMIT_MS)).toBeLessThan(1000);
+});
+
+test('the status names leader, daemons, holders, primaries and positions', () => {
+  const fleet = createFleet();
+  const status = fleet.control.leader?.getStatus(fleet.nowMs);
+  expect(status).toMatchObject({ leader: 'control-1', controlTerm: 1, accounts: [] });
+  expect(status?.daemons.map((daemon) => daemon.host)).toHaveLength(6);
+  expect(status?.daemons.every((daemon) => daemon.leaseLeftMs > 0)).toBe(true);
+  expect(status?.groups).toMatchObject([
+    { group: 'g0', term: 1, primary: 'g0i0', phase: 'serving', holder: 'h3' },
+    { group: 'g1', term: 1, primary: 'g1i0', phase: 'serving', holder: 'h1' },
+  ]);
+  expect(status?.groups[0]?.instances).toHaveLength(3);
+});
--- a/src/decisions/control/leader/renewalIntake.ts
+++ b/src/decisions/control/leader/renewalIntake.ts
@@ -1,6 +1,7 @@
+import { Diagnostics } from '../../../common/diagnostics/index.js';
 import type { LeaseId } from '../../../common/ids/index.js';
 import { RenewalOutcome } from '../../leases/daemonLeases.js';
-import type { Announcement } from '../announcement.js';
+import { InstanceRole, type Announcement } from '../announcement.js';
 import type { Assignment } from '../assignment.js';
 import { CommandKind } from '../commandKind.js';
 import type { GroupReport } from '../groupReport.js';
@@ -75,6 +76,16 @@
     this.register(received.announcement, received.receivedAtMs);
     if (effect === AnnouncementEffect.Changed) {
       groupAgenda.add(group);
+      this.warnOfForeignPrimary(received.announcement);
+    }
+  }
+
+  /** Nobody but control orders promotions: an instance that says otherwise is not followed. */
+  private warnOfForeignPrimary(announcement: Announcement): void {
+    const { group, instance, role, term } = announcement;
+    const primary = this.context.state.getPrimary(group);
+    if (primary !== undefined && role === InstanceRole.Primary && term > primary.term) {
+      this.context.outbox.log(Diagnostics.ForeignPrimary, { group, instance, term });
     }
   }
 
