A holder that reaches none of its instances hands its group to another host

Control waited without end when the holder itself was cut off from every instance: each was sighted out of reach, so none could be promoted. The group is drained to another host now.

--- a/src/decisions/control/leader/commitIntake.ts
+++ b/src/decisions/control/leader/commitIntake.ts
@@ -92,6 +92,9 @@
       case RecordKind.GroupHolder: {
         const watch = getWatch(this.context, value.group);
         watch.unheldSinceMs = value.holder === undefined ? nowMs : undefined;
+        if (value.holder !== undefined && !value.draining) {
+          watch.avoidedHost = undefined;
+        }
         if (watch.reporter !== value.holder?.lease) {
           watch.forgetReport();
         }
--- a/src/decisions/control/leader/controlLeader.test.ts
+++ b/src/decisions/control/leader/controlLeader.test.ts
@@ -237,3 +237,25 @@
   ]);
   expect(status?.groups[0]?.instances).toHaveLength(3);
 });
+
+test('a holder that reaches no instance is replaced by another host', () => {
+  const fleet = createFleet();
+  const holder = fleet.getHolder(GROUP);
+  for (const instance of fleet.instances.values()) {
+    fleet.network.cut(holder.host, instance.instance);
+  }
+  fleet.run(50);
+  expect(fleet.runUntilWrite(GROUP, LIMIT_MS)).toBeLessThan(2000);
+  expect(fleet.getHolder(GROUP)).not.toBe(holder);
+});
+
+test('a holder that reaches every instance but the primary has another promoted', () => {
+  const fleet = createFleet();
+  const holder = fleet.getHolder(GROUP);
+  const primary = fleet.getPrimary(GROUP);
+  fleet.network.cut(holder.host, primary.instance);
+  fleet.run(50);
+  expect(fleet.runUntilWrite(GROUP, LIMIT_MS)).toBeLessThan(1000);
+  expect(fleet.getHolder(GROUP)).toBe(holder);
+  expect(fleet.getPrimary(GROUP)).not.toBe(primary);
+});
--- a/src/decisions/control/leader/groupPlacement.ts
+++ b/src/decisions/control/leader/groupPlacement.ts
@@ -5,7 +5,7 @@
 import { PrimaryPhase } from '../groupPrimary.js';
 import type { Holder } from '../holder.js';
 import { getGroupHolderRecordName } from '../recordNames.js';
-import { isSettled, type LeaderContext } from './leaderContext.js';
+import { getWatch, isSettled, type LeaderContext } from './leaderContext.js';
 
 /** Decides on the holder of one group at a time. */
 export class GroupPlacement {
@@ -23,9 +23,15 @@
       this.assign(view, name);
       return true;
     }
-    return this.mustLeave(assignment.holder) && !assignment.draining
-      ? this.drain(view, name, assignment.holder)
-      : false;
+    if (assignment.draining) {
+      return false;
+    }
+    if (isCutOff(view)) {
+      getWatch(this.context, view.group).avoidedHost = assignment.holder.host;
+      this.proposeDrain(view, name, assignment.holder);
+      return true;
+    }
+    return this.mustLeave(assignment.holder) && this.drain(view, name, assignment.holder);
   }
 
   /** Whether a recorded holder still holds: until its release or retirement is in the log. */
@@ -40,7 +46,12 @@
       return;
     }
     const near = this.findNear(view);
-    const request = near === undefined ? { key: group } : { key: group, near };
+    const avoid = getWatch(this.context, group).avoidedHost;
+    const request = {
+      key: group,
+      ...(near === undefined ? {} : { near }),
+      ...(avoid === undefined ? {} : { avoid }),
+    };
     const host = groupPlacement.choose(request, nowMs);
     const lease = host === undefined ? undefined : leases.getByHost(host);
     if (host === undefined || lease === undefined) {
@@ -57,17 +68,21 @@
 
   /** Drains a holder that has to leave, once the primary is in service and another host can hold. */
   private drain(view: GroupView, name: string, holder: Holder): boolean {
-    const { state, outbox, groupPlacement } = this.context;
-    const { group, nowMs, primary } = view;
+    const { primary } = view;
     const isBusy = primary !== undefined && primary.phase !== PrimaryPhase.Serving;
-    if (isBusy || groupPlacement.hostCount === 0) {
-      return true;
+    if (!isBusy && this.context.groupPlacement.hostCount > 0) {
+      this.proposeDrain(view, name, holder);
     }
+    return true;
+  }
+
+  private proposeDrain(view: GroupView, name: string, holder: Holder): void {
+    const { state, outbox } = this.context;
+    const { group, nowMs } = view;
     const expected = state.getRecordRevision(name);
     if (outbox.propose(name, { kind: CommandKind.DrainGroup, group, expected }, nowMs)) {
       outbox.log(Diagnostics.GroupDraining, { group, host: holder.host });
     }
-    return true;
   }
 
   private mustLeave(holder: Holder): boolean {
@@ -86,3 +101,16 @@
     return (record ?? first)?.domain;
   }
 }
+
+/** Whether a holder that fenced the term reaches no instance, though some announce themselves. */
+function isCutOff(view: GroupView): boolean {
+  const { holder, instances } = view;
+  const fencedAtMs = holder?.fencedAtMs;
+  if (fencedAtMs === undefined) {
+    return false;
+  }
+  const isHeard = instances.some(
+    ({ announced }) => announced !== undefined && announced.measuredFromMs > fencedAtMs,
+  );
+  return isHeard && instances.every(({ sighted }) => sighted?.reachable === false);
+}
--- a/src/decisions/control/leader/groupWatch.ts
+++ b/src/decisions/control/leader/groupWatch.ts
@@ -1,4 +1,10 @@
-import { toLogPosition, toTerm, type InstanceId, type LeaseId } from '../../../common/ids/index.js';
+import {
+  toLogPosition,
+  toTerm,
+  type HostId,
+  type InstanceId,
+  type LeaseId,
+} from '../../../common/ids/index.js';
 import type { PromotionOrder, SightedPlace } from '../../promotion/index.js';
 import type { Announcement } from '../announcement.js';
 import type { GroupReport } from '../groupReport.js';
@@ -39,6 +45,8 @@
   orderedInstance: InstanceId | undefined;
   failedInstances: InstanceId[] = [];
   blockedReason: string | undefined;
+  /** A host that held the group but could not reach its instances. */
+  avoidedHost: HostId | undefined;
 
   /** Takes in an announcement; one that goes back counts only once the earlier one is old. */
   announce(received: ReceivedAnnouncement, missingMs: number): AnnouncementEffect {
--- a/src/decisions/control/placement/placementHost.ts
+++ b/src/decisions/control/placement/placementHost.ts
@@ -16,6 +16,8 @@
   readonly key: string;
   /** The failure domain to be near to. */
   readonly near?: FailureDomain;
+  /** A host that is not to be chosen, unless it is the only one. */
+  readonly avoid?: HostId;
 }
 
 /** A host that carries too much beside one that carries little. */
--- a/src/decisions/control/placement/placementPolicy.ts
+++ b/src/decisions/control/placement/placementPolicy.ts
@@ -59,10 +59,15 @@
 
   /** Chooses a host for a resource; undefined when no host is eligible. */
   choose(request: PlacementRequest, nowMs: number): HostId | undefined {
-    this.finishWarming(nowMs);
-    return (
-      this.chooseWarming(request, nowMs) ?? this.chooseWarm(request) ?? this.chooseAnyWarming()
-    );
+    const avoided = request.avoid === undefined ? undefined : this.hosts.get(request.avoid);
+    if (avoided === undefined || this.hosts.size === 1) {
+      return this.chooseAny(request, nowMs);
+    }
+    const load = this.getLoad(avoided.host);
+    this.removeHost(avoided.host);
+    const host = this.chooseAny(request, nowMs);
+    this.addHost(avoided, load);
+    return host;
   }
 
   /** Finds a host that carries too much; undefined while the load is balanced. */
@@ -137,6 +142,13 @@
     return Math.max(MINIMUM_MOVE_DIFFERENCE, Math.ceil(this.getMean() * MOVE_SHARE_OF_MEAN));
   }
 
+  private chooseAny(request: PlacementRequest, nowMs: number): HostId | undefined {
+    this.finishWarming(nowMs);
+    return (
+      this.chooseWarming(request, nowMs) ?? this.chooseWarm(request) ?? this.chooseAnyWarming()
+    );
+  }
+
   /** A host in slow start that carries less than its growing share of the mean. */
   private chooseWarming(request: PlacementRequest, nowMs: number): HostId | undefined {
     const mean = this.getMean();
--- a/tests/support/fleet/fakeNetwork.ts
+++ b/tests/support/fleet/fakeNetwork.ts
@@ -18,6 +18,7 @@
 /** Carries messages between named nodes; nodes on different sides do not reach each other. */
 export class FakeNetwork {
   private readonly sides = new Map<string, number>();
+  private readonly cuts = new Set<string>();
   private messages: Message[] = [];
 
   constructor(
@@ -29,12 +30,20 @@
     this.sides.set(node, side);
   }
 
+  /** Cuts two nodes off from each other alone. */
+  cut(first: string, second: string): void {
+    this.cuts.add(`${first} ${second}`);
+    this.cuts.add(`${second} ${first}`);
+  }
+
   heal(): void {
     this.sides.clear();
+    this.cuts.clear();
   }
 
   isReachable(from: string, to: string): boolean {
-    return (this.sides.get(from) ?? 0) === (this.sides.get(to) ?? 0);
+    const isCut = this.cuts.has(`${from} ${to}`);
+    return !isCut && (this.sides.get(from) ?? 0) === (this.sides.get(to) ?? 0);
   }
 
   send(from: string, to: string, nowMs: number, deliver: () => void): void {
