--- a/src/daemon/operators/httpStatus.ts
+++ b/src/daemon/operators/httpStatus.ts
@@ -12,8 +12,10 @@
   BadRequest = 400,
   Unauthorized = 401,
   NotFound = 404,
+  RequestTimeout = 408,
   Conflict = 409,
   ContentTooLarge = 413,
+  HeaderFieldsTooLarge = 431,
   InternalServerError = 500,
   ServiceUnavailable = 503,
   GatewayTimeout = 504,
@@ -28,6 +30,8 @@
   [Diagnostics.LeadershipTransferring.code, HttpStatus.ServiceUnavailable],
   [Diagnostics.TokenNeeded.code, HttpStatus.Unauthorized],
   [Diagnostics.NotFound.code, HttpStatus.NotFound],
+  [Diagnostics.SubjectNotInForce.code, HttpStatus.NotFound],
+  [Diagnostics.TicketNotInForce.code, HttpStatus.NotFound],
   [Diagnostics.BodyTooLarge.code, HttpStatus.ContentTooLarge],
 ]);
 
