--- a/src/decisions/control/placement/placementPolicy.ts
+++ b/src/decisions/control/placement/placementPolicy.ts
@@ -59,22 +59,59 @@
 
   /** Chooses a host for a resource; undefined when no host is eligible. */
   choose(request: PlacementRequest, nowMs: number): HostId | undefined {
-    this.finishWarming(nowMs);
-    return (
-      this.chooseWarming(request, nowMs) ?? this.chooseWarm(request) ?? this.chooseAnyWarming()
-    );
+    const avoided = request.avoid === undefined ? undefined : this.hosts.get(request.avoid);
+    if (avoided === undefined || this.hosts.size === 1) {
+      return this.chooseAny(request, nowMs);
+    }
+    const load = this.getLoad(avoided.host);
+    this.removeHost(avoided.host);
+    const host = this.chooseAny(request, nowMs);
+    this.addHost(avoided, load);
+    return host;
   }
 
   /** Finds a host that carries too much; undefined while the load is balanced. */
   findMove(nowMs: number): PlacementMove | undefined {
     this.finishWarming(nowMs);
-    const from = this.warm.getMost();
-    const to = this.chooseWarming({ key: '' }, nowMs) ?? this.warm.getLeast();
+    const least = this.warm.getLeast();
+    return this.findNearMove(this.chooseWarming({ key: '' }, nowMs) ?? least) ?? this.findFarMove();
+  }
+
+  /** Whether a resource taken from a host would be placed on another one. */
+  protected isOverloaded(from: HostId, to: HostId): boolean {
+    return this.getLoad(from) - this.getLoad(to) > this.getSlack() + 1;
+  }
+
+  /** A move within the failure domain of a host that carries little. */
+  private findNearMove(to: HostId | undefined): PlacementMove | undefined {
+    const domain = to === undefined ? undefined : this.hosts.get(to)?.domain;
+    const from = domain === undefined ? undefined : this.warmByDomain.get(domain)?.getMost();
     if (from === undefined || to === undefined) {
       return undefined;
     }
-    const difference = this.getLoad(from) - this.getLoad(to);
-    return difference > this.getSlack() ? { from, to } : undefined;
+    return this.isOverloaded(from, to) ? { from, to } : undefined;
+  }
+
+  /** A move from the most loaded host, when its whole failure domain carries too much. */
+  private findFarMove(): PlacementMove | undefined {
+    const from = this.warm.getMost();
+    const to = this.warm.getLeast();
+    const domain = from === undefined ? undefined : this.hosts.get(from)?.domain;
+    const nearest = domain === undefined ? undefined : this.warmByDomain.get(domain)?.getLeast();
+    if (from === undefined || to === undefined || nearest === undefined) {
+      return undefined;
+    }
+    return this.isOverloaded(from, to) && this.isWorthMoving(from, nearest, to)
+      ? { from, to }
+      : undefined;
+  }
+
+  /** Otherwise the resource would only change places with another of the same failure domain. */
+  private isWorthMoving(from: HostId, nearest: HostId, to: HostId): boolean {
+    return (
+      this.getLoad(from) - this.getLoad(nearest) >= MINIMUM_MOVE_DIFFERENCE ||
+      this.getLoad(nearest) - this.getLoad(to) > this.getSlack()
+    );
   }
 
   /** Whether a host is eligible. */
@@ -105,6 +142,13 @@
     return Math.max(MINIMUM_MOVE_DIFFERENCE, Math.ceil(this.getMean() * MOVE_SHARE_OF_MEAN));
   }
 
+  private chooseAny(request: PlacementRequest, nowMs: number): HostId | undefined {
+    this.finishWarming(nowMs);
+    return (
+      this.chooseWarming(request, nowMs) ?? this.chooseWarm(request) ?? this.chooseAnyWarming()
+    );
+  }
+
   /** A host in slow start that carries less than its growing share of the mean. */
   private chooseWarming(request: PlacementRequest, nowMs: number): HostId | undefined {
     const mean = this.getMean();
