Control shell: checked consensus messages, inputs in order, handover before a stop, founding members readable

Cause: review by the authors of the parts: a submitted ticket whose answer was lost was called not run; a host with a lost disk had an identity that tickets refuse; members could not be read before the first ticket; doubled address splitting. Change: as named, and metrics of leases, connections and terms are set.

--- a/src/daemon/backend/backendConnection.ts
+++ b/src/daemon/backend/backendConnection.ts
@@ -6,8 +6,8 @@
   type Fault,
 } from '../../common/diagnostics/index.js';
 import type { TimerService } from '../../common/timer/index.js';
+import { splitAddress } from '../../common/settings/index.js';
 import { TransactionStatus } from '../requests/index.js';
-import { splitAddress } from '../splitAddress.js';
 import type { BackendAccess } from './backendAccess.js';
 import type { BackendExchange } from './backendExchange.js';
 import { FrameScanner, type FrameListener } from './frameScanner.js';
@@ -97,7 +97,7 @@
 
   /** Asks the backend server to cancel the running request. */
   cancel(): void {
-    const { ip, port } = splitAddress(this.address);
+    const { host: ip, port } = splitAddress(this.address);
     const socket = new Socket();
     const request = Buffer.alloc(16);
     request.writeInt32BE(16, 0);
--- a/src/daemon/backend/openSocket.ts
+++ b/src/daemon/backend/openSocket.ts
@@ -2,7 +2,7 @@
 import pg from 'pg';
 import { createFault, Diagnostics } from '../../common/diagnostics/index.js';
 import type { TimerService } from '../../common/timer/index.js';
-import { splitAddress } from '../splitAddress.js';
+import { splitAddress } from '../../common/settings/index.js';
 import type { BackendAccess } from './backendAccess.js';
 import { createBoundSocket } from './boundSocket.js';
 
@@ -27,7 +27,7 @@
   timeoutMs: number,
   timer: TimerService,
 ): Promise<OpenedSocket> {
-  const { ip, port } = splitAddress(address);
+  const { host: ip, port } = splitAddress(address);
   const socket = createBoundSocket(access.localIp);
   const client = new pg.Client({
     host: ip,
--- a/src/daemon/control/controlHost.ts
+++ b/src/daemon/control/controlHost.ts
@@ -22,7 +22,9 @@
   type ControlOutput,
   type ControlState,
   type Promote,
+  type SubjectReading,
 } from '../../decisions/control/index.js';
+import { SubjectKind } from '../../decisions/tickets/index.js';
 import { MeshKind, type Mesh, type MeshLink, type MeshMessage } from '../mesh/index.js';
 import type { RequestIds } from '../requests/index.js';
 import type { LogStorage, OpenedLog } from '../storage/index.js';
@@ -33,6 +35,9 @@
 
 const TICK_INTERVAL_MS = 20;
 const MEMBERSHIP_INTERVAL_MS = 200;
+const HANDOVER_LIMIT_MS = 500;
+/** Name of the subject with the quorum's members. */
+const CONTROL_MEMBERS: string = SubjectKind.ControlMembers;
 const NO_POSITION = toLogPosition(0);
 
 /** What a control host is made from. */
@@ -48,6 +53,8 @@
   readonly state: ControlState;
   readonly addresses: MemberAddresses;
   readonly platform: Platform;
+  /** The members that the quorum was founded with, in force until a ticket names others. */
+  readonly foundedMembers: SubjectReading;
   /** The daemon can't go on, as after its disk failed. */
   readonly onFatal: (fault: Fault) => void;
 }
@@ -63,9 +70,7 @@
     const { opened, storage, state, ids, timer, random, mesh } = options;
     this.member = new QuorumMember(opened, storage, state, ids, timer, random, this);
     this.leader = new ControlLeader(state);
-    mesh.receive(MeshKind.Consensus, ({ message }) =>
-      this.member.receive(message.content as ConsensusMessage<Command>),
-    );
+    mesh.receive(MeshKind.Consensus, ({ message }) => this.member.receive(message.content));
     mesh.receive(MeshKind.LeaseRenewal, ({ link, message }) => this.renew(link, message));
     mesh.receive(MeshKind.ControlCall, ({ link, message }) => void this.answer(link, message));
   }
@@ -82,7 +87,10 @@
 
   /** Hands leadership over and ends the membership in the quorum's work. */
   async stop(): Promise<void> {
-    this.member.transferLeadership();
+    if (this.member.isLeader) {
+      this.member.transferLeadership();
+      await this.waitForHandover();
+    }
     for (const unsubscribe of this.subscriptions.splice(0)) {
       unsubscribe();
     }
@@ -115,10 +123,27 @@
     });
   }
 
+  snapshotRefused(fault: Fault): void {
+    this.options.logger.reportFault(fault);
+  }
+
   storageFailed(fault: Fault): void {
     this.options.onFatal(fault);
   }
 
+  private waitForHandover(): Promise<void> {
+    const { timer } = this.options;
+    const endMs = timer.now() + HANDOVER_LIMIT_MS;
+    return new Promise((resolve) => {
+      const unsubscribe = timer.subscribe(TICK_INTERVAL_MS, (nowMs) => {
+        if (!this.member.isLeader || nowMs >= endMs) {
+          unsubscribe();
+          resolve();
+        }
+      });
+    });
+  }
+
   private tell(input: ControlInput): void {
     this.perform(this.leader.handle(input, this.options.timer.now()));
   }
@@ -209,12 +234,20 @@
       case ControlCallKind.ReadTicket:
         return ok(this.options.state.getTicket(content.number));
       case ControlCallKind.ReadInForce:
-        return ok(this.leader.getReadings(content.subject, nowMs));
+        return ok(this.readInForce(content.subject, nowMs));
       case ControlCallKind.ReadStatus:
         return ok(this.leader.getStatus(nowMs));
     }
   }
 
+  private readInForce(subject: string | undefined, nowMs: number): readonly SubjectReading[] {
+    const readings = this.leader.getReadings(subject, nowMs);
+    const isWanted = subject === undefined || subject === CONTROL_MEMBERS;
+    return isWanted && this.options.state.getControlMembers() === undefined
+      ? [...readings, this.options.foundedMembers]
+      : readings;
+  }
+
   private getLeaderHint(): { readonly leader?: string } {
     const { leader } = this.member;
     const address = leader === undefined ? undefined : this.options.addresses.find(leader);
--- a/src/daemon/control/httpPlatform.ts
+++ b/src/daemon/control/httpPlatform.ts
@@ -4,7 +4,7 @@
 import { createFault, Diagnostics } from '../../common/diagnostics/index.js';
 import { toLogPosition, type LogPosition } from '../../common/ids/index.js';
 import type { Outcome } from '../../common/result.js';
-import { splitAddress } from '../splitAddress.js';
+import { splitAddress } from '../../common/settings/index.js';
 import { Platform, type PromotionOrder } from './platform.js';
 
 const ORDER_TIMEOUT_MS = 1000;
@@ -36,7 +36,7 @@
   }
 
   private post(address: string, body: string): Promise<string> {
-    const { ip, port } = splitAddress(address);
+    const { host: ip, port } = splitAddress(address);
     return new Promise((resolve, reject) => {
       const request = httpRequest(
         {
--- a/src/daemon/control/memberAddresses.ts
+++ b/src/daemon/control/memberAddresses.ts
@@ -1,7 +1,7 @@
 import type { MemberId } from '../../decisions/consensus/index.js';
 import type { ControlState } from '../../decisions/control/index.js';
 
-const LIFE_SEPARATOR = '~';
+const LIFE_SEPARATOR = '.life-';
 
 /** A control host as the settings name it. */
 export interface ConfiguredMember {
--- a/src/daemon/control/meshControlClient.ts
+++ b/src/daemon/control/meshControlClient.ts
@@ -1,5 +1,5 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
-import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
 import type { RequestId, TicketNumber } from '../../common/ids/index.js';
 import type { Outcome } from '../../common/result.js';
 import type { TimerService } from '../../common/timer/index.js';
@@ -85,7 +85,10 @@
       }
       await this.pause();
     }
-    const context = { step: 'control.call', retryAfterMs: ATTEMPT_TIMEOUT_MS };
+    // A submitted ticket may have been applied although its answer was lost.
+    const isWrite = content.kind === ControlCallKind.SubmitTicket;
+    const execution = isWrite ? Execution.Unknown : Execution.NotRun;
+    const context = { step: 'control.call', retryAfterMs: ATTEMPT_TIMEOUT_MS, execution };
     return err(createFault(Diagnostics.ControlUnreachable, {}, context));
   }
 
--- a/src/daemon/control/quorumMember.ts
+++ b/src/daemon/control/quorumMember.ts
@@ -1,5 +1,6 @@
 import { Packr } from 'msgpackr';
 import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
 import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
 import { toRevision, type RequestId, type Revision } from '../../common/ids/index.js';
 import type { RandomSource } from '../../common/random.js';
@@ -7,6 +8,7 @@
 import {
   ConsensusMember,
   ConsensusRules,
+  createMessageSchema,
   defaultConsensusSettings,
   EntryKind,
   InputKind,
@@ -21,11 +23,12 @@
   type PersistOutput,
   type Snapshot,
 } from '../../decisions/consensus/index.js';
-import type {
-  Command,
-  CommandAnswer,
-  ControlSnapshot,
-  ControlState,
+import {
+  CommandKind,
+  type Command,
+  type CommandAnswer,
+  type ControlSnapshot,
+  type ControlState,
 } from '../../decisions/control/index.js';
 import type { RequestIds } from '../requests/index.js';
 import type { LogStorage, OpenedLog } from '../storage/index.js';
@@ -33,6 +36,17 @@
 
 const TICK_INTERVAL_MS = 10;
 
+const COMMAND_KINDS: ReadonlySet<unknown> = new Set(Object.values(CommandKind));
+const messageSchema = createMessageSchema<Command>(
+  z.custom<Command>(
+    (command) =>
+      typeof command === 'object' &&
+      command !== null &&
+      'kind' in command &&
+      COMMAND_KINDS.has(command.kind),
+  ),
+);
+
 /** What a quorum member tells its owner. */
 export interface QuorumListener {
   send(to: MemberId, message: ConsensusMessage<Command>): void;
@@ -40,6 +54,8 @@
   committed(command: Command, revision: Revision, answer: CommandAnswer): void;
   /** The role, term or known leader changed. */
   leadershipChanged(role: Role, term: number): void;
+  /** The log can't be shortened now. */
+  snapshotRefused(fault: Fault): void;
   /** The log can't be kept any more: this host must stop. */
   storageFailed(fault: Fault): void;
 }
@@ -57,6 +73,8 @@
   private readonly barriers = new PendingCalls<Result<void, Fault>>();
   private readonly appended = new Map<number, Proposal>();
   private readonly stopTicks: Unsubscribe;
+  private readonly inputs: ConsensusInput<Command>[] = [];
+  private handling = false;
   private appliedIndex = 0;
 
   constructor(
@@ -114,9 +132,12 @@
     this.perform(this.member.start(this.timer.now()));
   }
 
-  /** Takes a message of another member in. */
-  receive(message: ConsensusMessage<Command>): void {
-    this.input({ kind: InputKind.Receive, message });
+  /** Takes a message of another member in; one of another form is left out. */
+  receive(content: unknown): void {
+    const checked = messageSchema.safeParse(content);
+    if (checked.success) {
+      this.input({ kind: InputKind.Receive, message: checked.data });
+    }
   }
 
   /** Proposes a command; the answer comes once it is committed and applied. */
@@ -153,8 +174,20 @@
     await this.storage.close();
   }
 
+  /** Handles inputs one after another: what an output brings about waits for the rest of it. */
   private input(input: ConsensusInput<Command>): void {
-    this.perform(this.member.handle(input, this.timer.now()));
+    this.inputs.push(input);
+    if (this.handling) {
+      return;
+    }
+    this.handling = true;
+    try {
+      for (let next = this.inputs.shift(); next !== undefined; next = this.inputs.shift()) {
+        this.perform(this.member.handle(next, this.timer.now()));
+      }
+    } finally {
+      this.handling = false;
+    }
   }
 
   private perform(outputs: readonly ConsensusOutput<Command>[]): void {
@@ -180,6 +213,9 @@
       case OutputKind.SnapshotDue:
         this.compact();
         return;
+      case OutputKind.SnapshotRefused:
+        this.listener.snapshotRefused(output.fault);
+        return;
       case OutputKind.ProposalAppended:
         this.appended.set(output.index, { id: output.request, term: output.term });
         return;
--- a/src/daemon/createControlHost.ts
+++ b/src/daemon/createControlHost.ts
@@ -5,7 +5,7 @@
 import type { Logger } from '../common/logging/index.js';
 import type { RandomSource } from '../common/random.js';
 import type { Outcome } from '../common/result.js';
-import type { Settings } from '../common/settings/index.js';
+import { splitAddress, type Settings } from '../common/settings/index.js';
 import type { TimerService } from '../common/timer/index.js';
 import { createEmptyState, createFoundingState, toMemberId } from '../decisions/consensus/index.js';
 import { ControlState, type Command } from '../decisions/control/index.js';
@@ -15,9 +15,9 @@
   HttpPlatform,
   MemberAddresses,
 } from './control/index.js';
+import { createFoundedMembers } from './createFoundedMembers.js';
 import type { Mesh } from './mesh/index.js';
 import type { RequestIds } from './requests/index.js';
-import { splitAddress } from './splitAddress.js';
 import { FileLogStorage, FolderDisk, type LogFounding } from './storage/index.js';
 
 const LOG_FOLDER = 'control-log';
@@ -49,6 +49,10 @@
         const values = { identity: opened.identity };
         logger.report(Diagnostics.DataFolderNew, values, { step: 'control.open', peer: folder });
       }
+      if (opened.repair !== undefined) {
+        const { file, droppedBytes: size } = opened.repair;
+        logger.report(Diagnostics.LogTailRepaired, { file, size }, { step: 'control.open' });
+      }
       return new ControlHost({
         host: toHostId(settings.host),
         mesh,
@@ -60,7 +64,8 @@
         opened,
         state,
         addresses: new MemberAddresses(settings.control.members, state),
-        platform: new HttpPlatform(splitAddress(settings.mesh.listen).ip),
+        platform: new HttpPlatform(splitAddress(settings.mesh.listen).host),
+        foundedMembers: createFoundedMembers(settings),
         onFatal,
       });
     });
--- /dev/null
+++ b/src/daemon/createFoundedMembers.ts
@@ -0,0 +1,21 @@
+import { toFailureDomain, toHostId, toTicketNumber } from '../common/ids/index.js';
+import type { Settings } from '../common/settings/index.js';
+import type { SubjectReading } from '../decisions/control/index.js';
+import { SubjectKind } from '../decisions/tickets/index.js';
+
+/** A reading of the members that the settings name, as of before the first ticket. */
+export function createFoundedMembers({ control }: Settings): SubjectReading {
+  const members = control.members.map(({ host, domain, address }) => ({
+    member: host,
+    host: toHostId(host),
+    domain: toFailureDomain(domain),
+    address,
+  }));
+  return {
+    subject: SubjectKind.ControlMembers,
+    ticket: toTicketNumber(0),
+    state: { kind: SubjectKind.ControlMembers, members },
+    everywhere: true,
+    missing: [],
+  };
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -4,7 +4,7 @@
 import type { Logger } from '../common/logging/index.js';
 import { ConnectionSide, Metrics } from '../common/metrics/index.js';
 import type { RandomSource } from '../common/random.js';
-import type { Settings } from '../common/settings/index.js';
+import { splitAddress, type Settings } from '../common/settings/index.js';
 import type { TimerService } from '../common/timer/index.js';
 import { DaemonRecords, type ControlRecord } from '../decisions/control/index.js';
 import { StatementClassifier } from '../decisions/routing/index.js';
@@ -21,7 +21,6 @@
 import { OperatorServer, Readiness, type ReadinessReport } from './operators/index.js';
 import { RateTask } from './rates/index.js';
 import { RequestIds } from './requests/index.js';
-import { splitAddress } from './splitAddress.js';
 
 const INCARNATION_BYTES = 9;
 const FRAME_MARGIN_BYTES = 65_536;
@@ -65,7 +64,7 @@
     const { settings, files, timer, logger, random } = options;
     const host = toHostId(settings.host);
     const domain = toFailureDomain(settings.domain);
-    const localIp = splitAddress(settings.mesh.listen).ip;
+    const localIp = splitAddress(settings.mesh.listen).host;
     this.incarnation = toIncarnation(randomBytes(INCARNATION_BYTES).toString('base64url'));
     this.ids = new RequestIds(this.incarnation);
     this.mesh = this.createMesh();
@@ -130,6 +129,7 @@
     }
     this.operatorAddress = `${bound.value.host}:${bound.value.port}`;
     await this.callers?.listen();
+    this.metrics.collectProcessMetrics();
     timer.subscribe(METRICS_INTERVAL_MS, () => this.updateMetrics());
     logger.report(Diagnostics.DaemonStarted, {}, { step: 'daemon.start', peer: this.mesh.address });
   }
@@ -240,6 +240,14 @@
     this.metrics.setResourceLeases(this.holder.count, this.rates.count);
     this.metrics.setRevision(this.records.revision);
     this.metrics.setConnections(ConnectionSide.Callers, this.callers?.count ?? 0);
+    this.metrics.setConnections(ConnectionSide.Backend, this.holder.connectionCount);
+    this.metrics.setConnections(ConnectionSide.Mesh, this.mesh.count);
+    for (const [group, term] of this.holder.getTerms()) {
+      this.metrics.setGroupTerm(group, term);
+    }
+    for (const group of this.holder.releasedGroups) {
+      this.metrics.removeGroup(group);
+    }
   }
 
   private waitUntil(isDone: () => boolean, endMs: number): Promise<void> {
--- a/src/daemon/gateway/callerServer.ts
+++ b/src/daemon/gateway/callerServer.ts
@@ -1,7 +1,7 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
 import type { Logger } from '../../common/logging/index.js';
-import { splitAddress } from '../splitAddress.js';
+import { splitAddress } from '../../common/settings/index.js';
 import type { AuthenticatedCaller } from './authenticatedCaller.js';
 import { CallerSession, type SessionContext } from './callerSession.js';
 import { CallerStartup } from './callerStartup.js';
@@ -61,7 +61,7 @@
 
   /** Starts to listen; fails when the address can't be had. */
   async listen(): Promise<void> {
-    const { ip, port } = splitAddress(this.options.listen);
+    const { host: ip, port } = splitAddress(this.options.listen);
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(port, ip, resolve);
--- a/src/daemon/holder/groupHolder.ts
+++ b/src/daemon/holder/groupHolder.ts
@@ -4,7 +4,7 @@
   type Diagnostic,
   type Fault,
 } from '../../common/diagnostics/index.js';
-import type { GroupId, Incarnation, LeaseId } from '../../common/ids/index.js';
+import type { GroupId, Incarnation, LeaseId, Term } from '../../common/ids/index.js';
 import type { GroupReport } from '../../decisions/control/index.js';
 import {
   createRefusedOutcome,
@@ -32,6 +32,20 @@
     return this.groups.size;
   }
 
+  /** Connections to backend servers. */
+  get connectionCount(): number {
+    let count = 0;
+    for (const group of this.groups.values()) {
+      count += group.connectionCount;
+    }
+    return count;
+  }
+
+  /** The terms of the held groups' primaries. */
+  getTerms(): readonly (readonly [GroupId, Term])[] {
+    return [...this.groups].map(([id, group]) => [id, group.term] as const);
+  }
+
   /** Groups given up under the present lease. */
   get releasedGroups(): readonly GroupId[] {
     return [...this.released];
--- a/src/daemon/holder/heldGroup.ts
+++ b/src/daemon/holder/heldGroup.ts
@@ -1,5 +1,12 @@
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
-import type { GroupId, Incarnation, InstanceId, RequestId } from '../../common/ids/index.js';
+import {
+  toTerm,
+  type GroupId,
+  type Incarnation,
+  type InstanceId,
+  type RequestId,
+  type Term,
+} from '../../common/ids/index.js';
 import {
   PrimaryPhase,
   type GroupReport,
@@ -56,6 +63,20 @@
     return this.draining && this.requests.isIdle;
   }
 
+  /** Connections to the group's instances. */
+  get connectionCount(): number {
+    let count = 0;
+    for (const { pool } of this.instances.values()) {
+      count += pool.size;
+    }
+    return count;
+  }
+
+  /** The primary's term; 0 while there is none. */
+  get term(): Term {
+    return this.writes.primary?.term ?? toTerm(0);
+  }
+
   /** Runs a request; the answer goes to the receiver. */
   execute(request: ExecuteRequest, receiver: ResponseReceiver): RunningRequest {
     return this.requests.execute(request, receiver);
--- a/src/daemon/holder/instanceMonitor.ts
+++ b/src/daemon/holder/instanceMonitor.ts
@@ -2,6 +2,7 @@
 import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
 import { toTerm } from '../../common/ids/index.js';
 import { tryParseLogPosition } from '../../common/logPosition.js';
+import { splitAddress } from '../../common/settings/index.js';
 import { InstanceHealth } from '../../decisions/routing/index.js';
 import {
   createBoundSocket,
@@ -10,7 +11,6 @@
   type BackendAccess,
   type ProbeAnswer,
 } from '../backend/index.js';
-import { splitAddress } from '../splitAddress.js';
 
 const PROBE_INTERVAL_MS = 50;
 const URGENT_PROBE_INTERVAL_MS = 1;
@@ -105,7 +105,7 @@
   }
 
   private createClient(): pg.Client {
-    const { ip, port } = splitAddress(this.address);
+    const { host: ip, port } = splitAddress(this.address);
     const client = new pg.Client({
       host: ip,
       port,
--- a/src/daemon/mesh/mesh.ts
+++ b/src/daemon/mesh/mesh.ts
@@ -7,7 +7,7 @@
 import type { Logger } from '../../common/logging/index.js';
 import { Mailbox } from '../../common/tasks/index.js';
 import type { TimerService } from '../../common/timer/index.js';
-import { splitAddress } from '../splitAddress.js';
+import { splitAddress } from '../../common/settings/index.js';
 import { MeshKind } from './meshKind.js';
 import { MESH_VERSION, MeshLink, type MeshLinkOwner } from './meshLink.js';
 import type { Hello, MeshMessage } from './meshMessage.js';
@@ -53,9 +53,14 @@
     return this.hello.address;
   }
 
+  /** Open links. */
+  get count(): number {
+    return this.links.size;
+  }
+
   /** Starts to listen; fails when the address can't be had. */
   async listen(): Promise<void> {
-    const { ip, port } = splitAddress(this.options.listen);
+    const { host: ip, port } = splitAddress(this.options.listen);
     await new Promise<void>((resolve, reject) => {
       this.web.once('error', reject);
       this.web.listen(port, ip, resolve);
@@ -148,7 +153,7 @@
   private dial(address: string): WebSocket {
     const { tls, maximumFrameBytes, listen } = this.options;
     const options: ClientOptions = {
-      localAddress: splitAddress(listen).ip,
+      localAddress: splitAddress(listen).host,
       maxPayload: maximumFrameBytes,
       perMessageDeflate: false,
       handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
