--- a/bench/experiment/tokenFleet.test.ts
+++ b/bench/experiment/tokenFleet.test.ts
@@ -72,6 +72,17 @@
   expect(findExcess(run.fleet.admissions, [{ fromMs: 0, limit }])).toBeUndefined();
 });
 
+test('a steady caller at one daemon hardly ever waits', () => {
+  const run = createFleet(6);
+  run.fleet.setLimit(mill, { rate: 100, burst: 20 });
+  run.fleet.assign(mill, 0);
+  run.loop.runUntil(2000);
+  load(run, 80, 22_000, () => 3);
+  run.loop.runUntil(25_000);
+  const late = run.tally.waits.filter((wait) => wait > 0).length;
+  expect(late / run.tally.waits.length).toBeLessThan(0.01);
+});
+
 test('an account at five times its rate is admitted its rate and no more', () => {
   const run = createFleet(6);
   run.fleet.setLimit(mill, { rate: 100, burst: 20 });
