--- a/src/decisions/limits/limitTiming.ts
+++ b/src/decisions/limits/limitTiming.ts
@@ -38,10 +38,10 @@
 export const INITIAL_ROUND_TRIP_MS = 5;
 
 /** Largest part of a deadline that is kept for running the request. */
-export const RUN_RESERVE_MS = 50;
+export const RUN_RESERVE_MS = 300;
 
 /** Share of a short deadline that is kept for running the request. */
-export const RUN_RESERVE_SHARE = 0.1;
+export const RUN_RESERVE_SHARE = 0.2;
 
 /** Requests of one account that may wait at one entry daemon. */
 export const MAXIMUM_WAITING = 10_000;
