Prefetch further ahead when the holder is far

Change: the stock kept and the portion asked for grow with the round trip, up to half a grant's life.

--- a/bench/experiment/tokenFleet.test.ts
+++ b/bench/experiment/tokenFleet.test.ts
@@ -25,10 +25,10 @@
 
 const mill = toAccountId('mill');
 
-function createFleet(size: number) {
+function createFleet(size: number, delayMs = 1.5) {
   const loop = new EventLoop();
   const random = new SeededRandom(7);
-  const conditions = { delayMs: 1.5, jitterMs: 0.2, loss: 0, duplication: 0 };
+  const conditions = { delayMs, jitterMs: 0.2, loss: 0, duplication: 0 };
   const network = new FakeNetwork(loop, random, conditions, (daemon) => daemon);
   const factory = new ProductLimiterFactory();
   const daemons = Array.from({ length: size }, (_, i) => new FleetDaemon(i, 1000 * i, 0, factory));
@@ -139,3 +139,14 @@
   expect(run.tally.waits.length).toBe(getSent());
   expect(Math.max(...run.tally.waits)).toBeLessThan(1000 + GRANT_SETTLED_MS + 700);
 });
+
+test('an account whose holder is 50 ms away is served without refusal', () => {
+  const run = createFleet(6, 50);
+  run.fleet.setLimit(mill, { rate: 100, burst: 20 });
+  run.fleet.assign(mill, 0);
+  run.loop.runUntil(2000);
+  const getSent = load(run, 50, 12_000, () => 3 + Math.floor(run.random.next() * 2));
+  run.loop.runUntil(17_000);
+  expect(run.tally.refusals).toBe(0);
+  expect(run.tally.waits.length).toBe(getSent());
+});
--- a/src/decisions/limits/entryAccount.ts
+++ b/src/decisions/limits/entryAccount.ts
@@ -7,6 +7,7 @@
 import { DemandEstimate } from './demandEstimate.js';
 import { type EntryOutput, LimiterOutputKind } from './limiterOutput.js';
 import {
+  MAXIMUM_LEAD_MS,
   MAXIMUM_WAITING,
   PREFETCH_HORIZON_MS,
   PREFETCH_MARGIN_MS,
@@ -251,13 +252,14 @@
     }
     const demand = this.demand.getRate(nowMs);
     const reserve = demand >= RESERVE_DEMAND ? 1 : 0;
-    const leadMs = 2 * this.link.getRoundTripMs() + PREFETCH_MARGIN_MS;
+    const leadMs = Math.min(2 * this.link.getRoundTripMs() + PREFETCH_MARGIN_MS, MAXIMUM_LEAD_MS);
     const fresh = this.stock.getRemainingAt(nowMs + leadMs);
     const isLow = fresh < (demand * leadMs) / 1000 + reserve;
     if ((urgent === 0 && !isLow) || !this.link.canAsk(urgent, nowMs)) {
       return;
     }
-    const target = urgent + (demand * PREFETCH_HORIZON_MS) / 1000 + reserve;
+    const horizonMs = Math.max(PREFETCH_HORIZON_MS, 2 * leadMs);
+    const target = urgent + (demand * horizonMs) / 1000 + reserve;
     const wanted = Math.ceil(target - fresh);
     if (wanted > 0) {
       const head = this.getFirst()?.request.cost ?? 0;
--- a/src/decisions/limits/limitTiming.ts
+++ b/src/decisions/limits/limitTiming.ts
@@ -25,6 +25,9 @@
 /** Time beyond two round trips for which tokens are kept in stock. */
 export const PREFETCH_MARGIN_MS = 10;
 
+/** Longest time for which tokens are kept in stock ahead, however long the round trip. */
+export const MAXIMUM_LEAD_MS = GRANT_VALIDITY_MS / 2;
+
 /** Demand, in tokens a second, from which a token is kept in stock. */
 export const RESERVE_DEMAND = 1;
 
