A cancelled start does not teach the queue a service time

Cause: a request whose start was withdrawn was completed after 0 ms, which lowered its class's estimate. Change: cancel bills the time and frees the slot but learns nothing; complete and pause learn. Conclusion: the shell should call cancel where a granted start is not run (groupRequests.start).

--- a/src/decisions/queue/instanceQueue.test.ts
+++ b/src/decisions/queue/instanceQueue.test.ts
@@ -136,3 +136,17 @@
   expect(describeOutputs(queue.complete(toRequestId('a'), 3))).toEqual([]);
   expect(describeOutputs(queue.complete(toRequestId('b'), 4))).toEqual(['start c']);
 });
+
+test('a cancelled start is not taken for a short service time', () => {
+  const queue = new InstanceQueue({ slots: 1, limits: { initialCostMs: 100 } });
+  for (const id of ['a', 'b', 'c']) {
+    queue.enqueue(createItem(id, { deadlineMs: 5000 }), 0);
+  }
+  expect(describeOutputs(queue.cancel(toRequestId('a'), 0))).toEqual(['start b']);
+  queue.enqueue(createItem('d', { deadlineMs: 5000 }), 0);
+  const outputs = queue.enqueue(createItem('late', { deadlineMs: 300 }), 0);
+  expect(describeOutputs(outputs)).toEqual(['refuse late FP4011']);
+  queue.complete(toRequestId('b'), 1);
+  const later = queue.enqueue(createItem('later', { deadlineMs: 300 }), 1);
+  expect(describeOutputs(later)).toEqual([]);
+});
--- a/src/decisions/queue/instanceQueue.ts
+++ b/src/decisions/queue/instanceQueue.ts
@@ -90,19 +90,12 @@
 
   /** Ends a request, and its transaction if it opened one; frees its slot. */
   complete(requestId: RequestId, nowMs: number): QueueOutput[] {
-    const outputs: QueueOutput[] = [];
-    const queued = this.items.get(requestId);
-    if (queued === undefined) {
-      return outputs;
-    }
-    this.takeOut(queued, nowMs);
-    this.startReady(nowMs, outputs);
-    return outputs;
+    return this.end(requestId, nowMs, true);
   }
 
-  /** Takes a request out wherever it stands; its slot, if any, counts as free. */
+  /** Takes a request out wherever it stands and frees its slot; its time is billed, not learnt from. */
   cancel(requestId: RequestId, nowMs: number): QueueOutput[] {
-    return this.complete(requestId, nowMs);
+    return this.end(requestId, nowMs, false);
   }
 
   /** Frees the slot of an open transaction until its next statement. */
@@ -110,6 +103,7 @@
     const outputs: QueueOutput[] = [];
     const queued = this.items.get(requestId);
     if (queued?.state === QueuedState.Running && queued.openedMs !== undefined) {
+      this.estimate.record(queued.item.costClass, nowMs - queued.startedMs);
       this.endService(queued, nowMs);
       queued.state = QueuedState.Paused;
       this.startReady(nowMs, outputs);
@@ -164,6 +158,19 @@
     return drained.map((queued) => queued.item);
   }
 
+  private end(requestId: RequestId, nowMs: number, wasRun: boolean): QueueOutput[] {
+    const outputs: QueueOutput[] = [];
+    const queued = this.items.get(requestId);
+    if (queued !== undefined) {
+      if (queued.state === QueuedState.Running && wasRun) {
+        this.estimate.record(queued.item.costClass, nowMs - queued.startedMs);
+      }
+      this.takeOut(queued, nowMs);
+      this.startReady(nowMs, outputs);
+    }
+    return outputs;
+  }
+
   private createQueued(item: QueueItem, nowMs: number): QueuedItem {
     const estimateMs = this.estimate.get(item.costClass);
     const latestMs = this.getLatestStart(item.deadlineMs, estimateMs, nowMs);
@@ -279,10 +286,8 @@
   }
 
   private endService(queued: QueuedItem, nowMs: number): void {
-    const measuredMs = nowMs - queued.startedMs;
     this.running -= 1;
-    this.policy.charge(queued, measuredMs);
-    this.estimate.record(queued.item.costClass, measuredMs);
+    this.policy.charge(queued, nowMs - queued.startedMs);
   }
 
   private leaveWaiting(queued: QueuedItem, record: AccountRecord): void {
