Rules of promotion tested one by one; candidates in their own module

The choice of candidates moves to candidates.ts; no change of behaviour but the reason given for a lost move.

--- a/src/decisions/promotion/firstSight.ts
+++ b/src/decisions/promotion/firstSight.ts
@@ -1,7 +1,7 @@
 import { toLogPosition, toTerm } from '../../common/ids/index.js';
 import type { GroupView } from './groupView.js';
 import type { InstanceView } from './instanceView.js';
-import { comparePlaces, getPlace, isAnnouncedPrimary, isAnnouncing } from './places.js';
+import { compareFurthest, isAnnouncedPrimary, isAnnouncing } from './places.js';
 import { createWait, PromotionStep, type PromotionDecision } from './promotionDecision.js';
 import type { PromotionSettings } from './promotionSettings.js';
 
@@ -50,10 +50,3 @@
     reason: 'the group has no primary',
   };
 }
-
-function compareFurthest(first: InstanceView, second: InstanceView): number {
-  const firstPlace = getPlace(first);
-  const secondPlace = getPlace(second);
-  const order = firstPlace && secondPlace ? comparePlaces(secondPlace, firstPlace) : 0;
-  return order || (first.instance < second.instance ? -1 : 1);
-}
--- a/src/decisions/promotion/places.ts
+++ b/src/decisions/promotion/places.ts
@@ -24,6 +24,14 @@
   return first.term - second.term || first.position - second.position;
 }
 
+/** Orders instances by their places, the furthest first; by name where they are equal. */
+export function compareFurthest(first: InstanceView, second: InstanceView): number {
+  const firstPlace = getPlace(first);
+  const secondPlace = getPlace(second);
+  const order = firstPlace && secondPlace ? comparePlaces(secondPlace, firstPlace) : 0;
+  return order || (first.instance < second.instance ? -1 : 1);
+}
+
 /** Whether an instance announced itself lately. */
 export function isAnnouncing(
   view: GroupView,
--- /dev/null
+++ b/src/decisions/promotion/promotionRules.test.ts
@@ -0,0 +1,215 @@
+import { expect, test } from 'vitest';
+import {
+  toFailureDomain,
+  toGroupId,
+  toInstanceId,
+  toLeaseId,
+  toLogPosition,
+  toRevision,
+  toTerm,
+} from '../../common/ids/index.js';
+import { InstanceRole, PrimaryPhase, RecordKind, type GroupPrimary } from '../control/index.js';
+import { Acknowledgement } from '../tickets/index.js';
+import {
+  DEFAULT_PROMOTION_SETTINGS,
+  PromotionRules,
+  type GroupView,
+  type InstanceView,
+} from './index.js';
+
+const NOW_MS = 100_000;
+const FENCE_MS = NOW_MS - 500;
+const GROUP = toGroupId('g');
+const rules = new PromotionRules(DEFAULT_PROMOTION_SETTINGS);
+
+function createInstance(
+  name: string,
+  term: number,
+  position: number,
+  change: Partial<InstanceView> = {},
+): InstanceView {
+  const place = { term: toTerm(term), position: toLogPosition(position) };
+  const receivedAtMs = NOW_MS - 10;
+  return {
+    instance: toInstanceId(name),
+    domain: toFailureDomain('d'),
+    ...{ inService: true, leaving: false, leavingRevision: toRevision(0) },
+    announced: {
+      ...place,
+      ...{ receivedAtMs, measuredFromMs: receivedAtMs - 5 },
+      ...{ role: InstanceRole.Replica, leaving: false },
+    },
+    sighted: undefined,
+    ...change,
+  };
+}
+
+/** An instance that announced itself before the fence and not since. */
+function createSilent(name: string, term: number, position: number): InstanceView {
+  const instance = createInstance(name, term, position);
+  const { announced } = instance;
+  const receivedAtMs = FENCE_MS - 2000;
+  return {
+    ...instance,
+    announced: announced && { ...announced, receivedAtMs, measuredFromMs: receivedAtMs },
+  };
+}
+
+function announcedAs(instance: InstanceView, role: InstanceRole): InstanceView {
+  const { announced } = instance;
+  return { ...instance, announced: announced && { ...announced, role } };
+}
+
+function createPrimary(change: Partial<GroupPrimary> = {}): GroupPrimary {
+  return {
+    kind: RecordKind.Primary,
+    ...{ group: GROUP, term: toTerm(5), instance: toInstanceId('p'), phase: PrimaryPhase.Serving },
+    since: toRevision(50),
+    history: [{ term: toTerm(4), position: toLogPosition(80) }],
+    ...change,
+  };
+}
+
+function createView(instances: InstanceView[], change: Partial<GroupView> = {}): GroupView {
+  return {
+    group: GROUP,
+    nowMs: NOW_MS,
+    leaderSinceMs: 0,
+    acknowledgement: Acknowledgement.Replica,
+    primary: createPrimary(),
+    instances,
+    ...{ holder: undefined, unheldSinceMs: FENCE_MS, firstSeenMs: 0, servingSinceMs: 0 },
+    ...{ movingSinceMs: undefined, moveEndedMs: undefined, order: undefined },
+    failedInstances: [],
+    ...change,
+  };
+}
+
+/** A live holder that fenced the term. */
+function createHolder(acknowledged: number, sinceTermBegan: boolean): GroupView['holder'] {
+  return {
+    lease: toLeaseId('l'),
+    ...{ sinceTermBegan, fencedTerm: toTerm(5), fencedAtMs: FENCE_MS },
+    acknowledged: toLogPosition(acknowledged),
+  };
+}
+
+const LOST = createSilent('p', 5, 120);
+
+test('without a holder every other instance has to be known before one is promoted', () => {
+  const known = createInstance('a', 5, 100);
+  expect(rules.decide(createView([LOST, known, createSilent('b', 5, 90)]))).toMatchObject({
+    step: 'wait',
+    reason: 'not every position is known',
+  });
+  expect(rules.decide(createView([LOST, known, createInstance('b', 5, 101)]))).toMatchObject({
+    step: 'promote',
+    ...{ instance: 'b', term: 6, required: 101 },
+  });
+});
+
+test('an announcement measured before the fence does not count, however late it came', () => {
+  const late = createInstance('a', 5, 100);
+  const { announced } = late;
+  const early = { ...late, announced: announced && { ...announced, measuredFromMs: FENCE_MS } };
+  expect(rules.decide(createView([LOST, early, createInstance('b', 5, 101)]))).toMatchObject({
+    step: 'wait',
+  });
+});
+
+test('a live holder that held the whole term says what was acknowledged', () => {
+  const instances = [LOST, createInstance('a', 5, 95), createSilent('b', 5, 90)];
+  const enough = createView(instances, { holder: createHolder(95, true) });
+  expect(rules.decide(enough)).toMatchObject({ step: 'promote', instance: 'a', required: 95 });
+  const more = createView(instances, { holder: createHolder(96, true) });
+  expect(rules.decide(more)).toMatchObject({ step: 'wait', isBlocked: true });
+});
+
+test('a holder that came during the term and acknowledged nothing does not speak for it', () => {
+  const instances = [LOST, createInstance('a', 5, 95), createSilent('b', 5, 99)];
+  const view = createView(instances, { holder: createHolder(0, false) });
+  expect(rules.decide(view)).toMatchObject({ step: 'wait', reason: 'not every position is known' });
+});
+
+test('an instance on another history is no candidate, and one that lags behind the start neither', () => {
+  const diverged = createInstance('a', 4, 81);
+  const lagging = createInstance('b', 4, 79);
+  expect(rules.decide(createView([LOST, diverged, lagging]))).toMatchObject({ step: 'wait' });
+  const atStart = createInstance('b', 4, 80);
+  expect(rules.decide(createView([LOST, diverged, atStart]))).toMatchObject({
+    step: 'promote',
+    ...{ instance: 'b', required: 80 },
+  });
+});
+
+test('an instance that is leaving or out of service is not promoted', () => {
+  const leaving = createInstance('a', 5, 110, { leaving: true });
+  const out = createInstance('b', 5, 110, { inService: false });
+  const holder = createHolder(100, true);
+  expect(rules.decide(createView([LOST, leaving, out], { holder }))).toMatchObject({
+    step: 'wait',
+  });
+});
+
+test('a silent instance is left out only when it was leaving before the term began', () => {
+  const known = createInstance('a', 5, 100);
+  const gone = (revision: number) => ({
+    ...createSilent('b', 5, 90),
+    ...{ leaving: true, leavingRevision: toRevision(revision) },
+  });
+  expect(rules.decide(createView([LOST, known, gone(51)]))).toMatchObject({ step: 'wait' });
+  expect(rules.decide(createView([LOST, known, gone(49)]))).toMatchObject({ step: 'promote' });
+});
+
+test('acknowledgement at the primary alone does not wait for every position', () => {
+  const instances = [LOST, createInstance('a', 5, 95), createSilent('b', 5, 99)];
+  const view = createView(instances, { acknowledgement: Acknowledgement.Primary });
+  expect(rules.decide(view)).toMatchObject({ step: 'promote', instance: 'a', required: 0 });
+});
+
+test('a planned move waits for a replica at the last position of the primary', () => {
+  const primary = createPrimary({ phase: PrimaryPhase.Moving });
+  const change = { primary, holder: createHolder(100, true), movingSinceMs: NOW_MS - 100 };
+  const own = announcedAs(createInstance('p', 5, 110), InstanceRole.Primary);
+  const view = (position: number) =>
+    createView([own, createInstance('a', 5, position), createInstance('b', 5, 90)], change);
+  expect(rules.decide(view(109))).toMatchObject({ step: 'wait' });
+  expect(rules.decide(view(110))).toMatchObject({ step: 'promote', instance: 'a', required: 110 });
+});
+
+test('an unfinished promotion goes on under its term, and is abandoned under a higher one', () => {
+  const base = { term: toTerm(5), instance: toInstanceId('p'), required: toLogPosition(100) };
+  const change = { phase: PrimaryPhase.Promoting, term: toTerm(6), base } as const;
+  const primary = createPrimary({ ...change, instance: toInstanceId('a') });
+  const instances = [LOST, createSilent('a', 5, 105), createInstance('b', 5, 100)];
+  expect(rules.decide(createView(instances, { primary }))).toMatchObject({ step: 'order' });
+  const order = (ageMs: number) => {
+    const firstMs = NOW_MS - ageMs;
+    return { term: toTerm(6), firstMs, lastMs: NOW_MS - 10, failed: false };
+  };
+  const early = createView(instances, { primary, order: order(100) });
+  expect(rules.decide(early)).toMatchObject({ step: 'wait' });
+  const late = createView(instances, { primary, order: order(2000) });
+  expect(rules.decide(late)).toMatchObject({ step: 'promote', instance: 'b', term: 7 });
+  const behind = [LOST, createSilent('a', 5, 105), createInstance('b', 5, 99)];
+  const blocked = createView(behind, { primary, order: order(2000) });
+  expect(rules.decide(blocked)).toMatchObject({ step: 'wait' });
+});
+
+test('a group seen for the first time keeps its primary, or gets the furthest instance', () => {
+  const first = { primary: undefined, firstSeenMs: NOW_MS - 3000 };
+  const own = announcedAs(createInstance('p', 3, 10), InstanceRole.Primary);
+  const old = announcedAs(createInstance('a', 2, 30), InstanceRole.Primary);
+  const replica = createInstance('b', 3, 9);
+  expect(rules.decide(createView([old, own, replica], first))).toMatchObject({
+    step: 'record',
+    ...{ instance: 'p', term: 3 },
+  });
+  const replicas = [createInstance('a', 3, 8), replica];
+  expect(rules.decide(createView(replicas, first))).toMatchObject({
+    step: 'promote',
+    ...{ instance: 'b', term: 4, required: 9 },
+  });
+  const silent = [createSilent('a', 3, 8), replica];
+  expect(rules.decide(createView(silent, first))).toMatchObject({ step: 'wait' });
+});
--- a/src/decisions/promotion/promotionRules.ts
+++ b/src/decisions/promotion/promotionRules.ts
@@ -1,12 +1,13 @@
 import { toLogPosition, toTerm, type LogPosition, type Term } from '../../common/ids/index.js';
 import { PrimaryPhase, type GroupPrimary } from '../control/groupPrimary.js';
 import { Acknowledgement } from '../tickets/index.js';
+import { Candidates, getCandidates, hasToMove, mayServeAgain } from './candidates.js';
 import { findFence, getPlaceAfter, type Fence } from './fence.js';
 import { decideFirst } from './firstSight.js';
 import type { GroupView } from './groupView.js';
-import { getServedStart, getServedTerm, isOnHistory } from './history.js';
+import { getServedStart } from './history.js';
 import type { InstanceView } from './instanceView.js';
-import { comparePlaces, getPlace, isAnnouncedPrimary, isAnnouncing } from './places.js';
+import { getPlace, isAnnouncedPrimary, isAnnouncing } from './places.js';
 import {
   createBlocked,
   createWait,
@@ -88,7 +89,7 @@
       const reason = fence.isReported ? 'fenced by its holder' : 'no announcements';
       return this.choose(view, primary, fence, reason);
     }
-    if (isLost || this.hasToMove(instance)) {
+    if (isLost || hasToMove(instance)) {
       return this.decideMove(view, primary, isLost);
     }
     return view.holder === undefined ? createWait('no holder') : REST;
@@ -101,7 +102,7 @@
     if (isEarly && !isLost) {
       return createWait('a planned move ended a short time ago');
     }
-    const candidates = this.getCandidates(view, primary, false);
+    const candidates = getCandidates(view, primary, this.settings, Candidates.Others);
     return candidates.length === 0
       ? createBlocked('no instance can follow the primary')
       : { step: PromotionStep.Move };
@@ -116,13 +117,16 @@
     const isLate = movingSinceMs !== undefined && nowMs - movingSinceMs >= this.settings.moveMs;
     const instance = findInstance(view, primary);
     const last = instance && getPlaceAfter(instance, fence, this.settings);
-    if (isLate || this.isLost(view, primary, instance)) {
+    if (this.isLost(view, primary, instance)) {
+      return this.choose(view, primary, fence, 'lost while it was to move');
+    }
+    if (isLate) {
       return this.choose(view, primary, fence, 'the move took too long');
     }
     if (last?.term !== primary.term) {
       return createWait('the last position of the primary is not known');
     }
-    const [best] = this.getCandidates(view, primary, false);
+    const [best] = getCandidates(view, primary, this.settings, Candidates.Others);
     const place = best && getPlace(best);
     if (best === undefined || place === undefined || place.position < last.position) {
       return createWait('no replica has reached the last position of the primary');
@@ -149,7 +153,7 @@
   /** Another instance for an unfinished promotion; one that failed before comes last. */
   private findAlternative(view: GroupView, primary: GroupPrimary): InstanceView | undefined {
     const required = primary.base?.required ?? 0;
-    const others = this.getCandidates(view, primary, false).filter(
+    const others = getCandidates(view, primary, this.settings, Candidates.Others).filter(
       (each) => (getPlace(each)?.position ?? -1) >= required,
     );
     return others.find((each) => !view.failedInstances.includes(each.instance)) ?? others[0];
@@ -162,7 +166,7 @@
     fence: Fence,
     reason: string,
   ): PromotionDecision {
-    const [best] = this.getCandidates(view, primary, true);
+    const [best] = getCandidates(view, primary, this.settings, Candidates.All);
     const place = best && getPlace(best);
     const required = this.getRequired(view, primary, fence);
     if (best !== undefined && place !== undefined && required !== undefined) {
@@ -173,7 +177,7 @@
     const own = findInstance(view, primary);
     const ownPlace = own && getPlaceAfter(own, fence, this.settings);
     if (own !== undefined && ownPlace?.term === primary.term) {
-      if (this.mayServeAgain(view, primary, own)) {
+      if (mayServeAgain(view, primary, own, this.settings)) {
         return this.createPromotion(view, own, ownPlace.position, 'the last primary goes on');
       }
     }
@@ -192,41 +196,6 @@
       : this.findRequired(view, primary, fence);
   }
 
-  /** The instances that may be promoted, the furthest first. */
-  private getCandidates(
-    view: GroupView,
-    primary: GroupPrimary,
-    withPrimary: boolean,
-  ): InstanceView[] {
-    return view.instances
-      .filter((each) => withPrimary || each.instance !== primary.instance)
-      .filter((each) => this.isCandidate(view, primary, each))
-      .sort(compareCandidates);
-  }
-
-  private isCandidate(view: GroupView, primary: GroupPrimary, instance: InstanceView): boolean {
-    const place = getPlace(instance);
-    if (place === undefined || !isOnHistory(primary, place.term, place.position)) {
-      return false;
-    }
-    const isServed = instance.instance === (primary.base?.instance ?? primary.instance);
-    if (isServed && !this.mayServeAgain(view, primary, instance)) {
-      return false;
-    }
-    return !this.hasToMove(instance) && this.isReachable(view, instance);
-  }
-
-  /** The last primary may go on under a new term when it is announced and not out of reach. */
-  private mayServeAgain(view: GroupView, primary: GroupPrimary, instance: InstanceView): boolean {
-    const isHidden = instance.sighted !== undefined && !instance.sighted.reachable;
-    const isSame = instance.announced?.term === getServedTerm(primary);
-    return isSame && isAnnouncing(view, instance, this.settings) && !isHidden;
-  }
-
-  private isReachable(view: GroupView, instance: InstanceView): boolean {
-    return instance.sighted?.reachable ?? isAnnouncing(view, instance, this.settings);
-  }
-
   private isLost(
     view: GroupView,
     primary: GroupPrimary,
@@ -250,13 +219,6 @@
     return view.nowMs - sinceMs >= this.settings.missingMs;
   }
 
-  private hasToMove(instance: InstanceView | undefined): boolean {
-    if (instance === undefined) {
-      return false;
-    }
-    return !instance.inService || instance.leaving || instance.announced?.leaving === true;
-  }
-
   /**
    * Whether no write of the term was acknowledged because the instance has it: whoever holds the
    * group under the term knows that the instance is leaving and does not count it.
@@ -297,10 +259,3 @@
 function findInstance(view: GroupView, primary: GroupPrimary): InstanceView | undefined {
   return view.instances.find((each) => each.instance === primary.instance);
 }
-
-function compareCandidates(first: InstanceView, second: InstanceView): number {
-  const firstPlace = getPlace(first);
-  const secondPlace = getPlace(second);
-  const order = firstPlace && secondPlace ? comparePlaces(secondPlace, firstPlace) : 0;
-  return order || (first.instance < second.instance ? -1 : 1);
-}
