--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -57,6 +57,8 @@
   AccountUnknown: refusal(2011, 'No client account "{account}" is in force.', '28000'),
   TransactionFailed: refusal(2013, 'The transaction was lost; end it with ROLLBACK.', '25P02'),
   MessageMalformed: refusal(2012, 'A message of the caller was malformed.', '08P01'),
+  ProtocolUnsupported: refusal(2014, 'Protocol version {version} is not supported.', '08P01'),
+  EncryptionFailed: refusal(2015, 'TLS towards a caller failed: {reason}.', '08P01'),
   StatementTimeout: error(2006, 'The statement exceeded its deadline of {deadline} ms.', '57014'),
 
   // 3000: sessions and routing
--- a/src/daemon/backend/backendConnection.ts
+++ b/src/daemon/backend/backendConnection.ts
@@ -18,16 +18,22 @@
 const CANCEL_REQUEST_CODE = 80877102;
 const MAXIMUM_PREPARED_STATEMENTS = 500;
 const STATUS_OFFSET = 5;
+const SYNC = Buffer.from([0x53, 0, 0, 0, 4]);
 
 /** One connection to a backend server; it runs one exchange at a time. */
 export class BackendConnection implements FrameListener {
   /** Called once when the connection is gone, whoever closed it. */
   onClosed: (() => void) | undefined;
+  /** When the connection was ready for its first request. */
+  readonly openedMs: number;
   private readonly scanner = new FrameScanner(this);
   private readonly prepared = new Set<string>();
   private exchange: BackendExchange | undefined;
   /** Names of added Parse messages whose answers are still to come. */
   private hiddenParses: string[] = [];
+  /** Called with the answers to heartbeats that are still to come, oldest first. */
+  private heartbeats: (() => void)[] = [];
+  private cancelled = false;
   private closed = false;
 
   private constructor(
@@ -36,6 +42,7 @@
     private readonly access: BackendAccess,
     private readonly timer: TimerService,
   ) {
+    this.openedMs = timer.now();
     const { socket } = opened;
     socket.on('data', (chunk: Buffer) => this.scanner.push(chunk));
     socket.on('error', (error) => this.fail(error.message));
@@ -61,7 +68,8 @@
 
   /** No further request should be given to it although it works. */
   get isWorn(): boolean {
-    return this.closed || this.prepared.size > MAXIMUM_PREPARED_STATEMENTS;
+    // A cancel request that comes late would hit the next statement.
+    return this.closed || this.cancelled || this.prepared.size > MAXIMUM_PREPARED_STATEMENTS;
   }
 
   /** Whether a prepared statement of that name exists on the connection. */
@@ -86,6 +94,13 @@
     socket.uncork();
   }
 
+  /** Asks for a sign of life; the handler is called when it comes. */
+  heartbeat(onAnswer: () => void): void {
+    assertInvariant(this.exchange === undefined, 'only an idle connection has heartbeats');
+    this.heartbeats.push(onAnswer);
+    this.opened.socket.write(SYNC);
+  }
+
   /** Stops or continues to read the answer. */
   setPaused(paused: boolean): void {
     if (paused) {
@@ -97,6 +112,7 @@
 
   /** Asks the backend server to cancel the running request. */
   cancel(): void {
+    this.cancelled = true;
     const { ip, port } = splitAddress(this.address);
     const socket = new Socket();
     const request = Buffer.alloc(16);
@@ -174,6 +190,11 @@
       this.fail('an unknown transaction status came');
       return;
     }
+    const answered = this.heartbeats.shift();
+    if (answered !== undefined) {
+      answered();
+      return;
+    }
     const { exchange } = this;
     if (exchange === undefined) {
       return;
--- a/src/daemon/backend/connectionPool.ts
+++ b/src/daemon/backend/connectionPool.ts
@@ -1,5 +1,5 @@
 import { Fault } from '../../common/diagnostics/index.js';
-import type { TimerService } from '../../common/timer/index.js';
+import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
 import type { BackendAccess } from './backendAccess.js';
 import { BackendConnection } from './backendConnection.js';
 
@@ -9,6 +9,16 @@
   failed(fault: Fault): void;
 }
 
+const HEARTBEAT_INTERVAL_MS = 500;
+/** Two of these without an answer condemn a connection; one alone may be a pause of this process. */
+const HEARTBEAT_WAIT_MS = 150;
+
+/** An idle connection and since when it is idle. */
+interface IdleConnection {
+  readonly connection: BackendConnection;
+  readonly sinceMs: number;
+}
+
 /** How many connections a pool opens and how long that may take. */
 export interface PoolLimits {
   readonly maximumConnections: number;
@@ -19,18 +29,23 @@
 
 /** The connections of this daemon to one instance; never more than the limit. */
 export class ConnectionPool {
-  private readonly idle: BackendConnection[] = [];
+  /** Called when a connection gave no sign of life. */
+  onCondemned: (() => void) | undefined;
+  private idle: IdleConnection[] = [];
   private readonly waiters: ConnectionWaiter[] = [];
   private readonly open = new Set<BackendConnection>();
   private opening = 0;
   private closed = false;
+  private readonly stopHeartbeats: Unsubscribe;
 
   constructor(
     private readonly address: string,
     private readonly access: BackendAccess,
     private readonly limits: PoolLimits,
     private readonly timer: TimerService,
-  ) {}
+  ) {
+    this.stopHeartbeats = timer.subscribe(HEARTBEAT_INTERVAL_MS, (nowMs) => this.check(nowMs));
+  }
 
   /** Connections that are open or being opened. */
   get size(): number {
@@ -56,7 +71,7 @@
     }
     const waiter = this.waiters.shift();
     if (waiter === undefined) {
-      this.idle.push(connection);
+      this.idle.push({ connection, sinceMs: this.timer.now() });
       return;
     }
     waiter.connected(connection);
@@ -72,7 +87,7 @@
 
   /** Closes idle connections, as after one of them proved silent. */
   closeIdle(): void {
-    for (const connection of this.idle.splice(0)) {
+    for (const { connection } of this.idle.splice(0)) {
       connection.close();
     }
   }
@@ -90,11 +105,40 @@
   /** Closes the pool for good; requests that run on its connections are lost. */
   close(fault: Fault): void {
     this.closed = true;
+    this.stopHeartbeats();
     this.reset(fault);
   }
 
+  /** Asks the connections that were idle for a while for a sign of life. */
+  private check(nowMs: number): void {
+    const isDue = ({ sinceMs }: IdleConnection): boolean =>
+      nowMs - sinceMs >= HEARTBEAT_INTERVAL_MS;
+    const due = this.idle.filter(isDue);
+    this.idle = this.idle.filter((item) => !isDue(item));
+    for (const { connection } of due) {
+      this.checkOne(connection);
+    }
+  }
+
+  private checkOne(connection: BackendConnection): void {
+    let answered = false;
+    connection.heartbeat(() => {
+      answered = true;
+      this.release(connection, true);
+    });
+    this.timer.once(HEARTBEAT_WAIT_MS, () => {
+      this.timer.once(HEARTBEAT_WAIT_MS, () => {
+        if (!answered && !connection.isClosed) {
+          connection.close();
+          this.onCondemned?.();
+        }
+      });
+    });
+  }
+
   private takeIdle(): BackendConnection | undefined {
-    for (let connection = this.idle.pop(); connection; connection = this.idle.pop()) {
+    for (let item = this.idle.pop(); item !== undefined; item = this.idle.pop()) {
+      const { connection } = item;
       if (!connection.isWorn) {
         return connection;
       }
@@ -135,10 +179,7 @@
 
   private forget(connection: BackendConnection): void {
     this.open.delete(connection);
-    const index = this.idle.indexOf(connection);
-    if (index >= 0) {
-      this.idle.splice(index, 1);
-    }
+    this.idle = this.idle.filter((item) => item.connection !== connection);
     this.openMissing();
   }
 }
--- a/src/daemon/entry/dispatchedRequest.ts
+++ b/src/daemon/entry/dispatchedRequest.ts
@@ -1,6 +1,7 @@
-import { Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
+import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
 import { mayRetry } from '../../decisions/routing/index.js';
 import {
+  createRefusedOutcome,
   ResponseReceiver,
   toFault,
   type RequestOutcome,
@@ -25,6 +26,8 @@
   now(): number;
   /** Places the request again later. */
   waitForHolder(dispatched: DispatchedRequest): void;
+  /** Takes a request out that waits to be placed; false when it does not wait. */
+  stopWaiting(dispatched: DispatchedRequest): boolean;
 }
 
 /** One caller's request over all its attempts. */
@@ -75,12 +78,26 @@
 
   cancel(): void {
     this.cancelled = true;
-    this.running?.cancel();
+    if (!this.endWaiting()) {
+      this.running?.cancel();
+    }
   }
 
   abandon(): void {
     this.cancelled = true;
-    this.running?.abandon();
+    if (!this.endWaiting()) {
+      this.running?.abandon();
+    }
+  }
+
+  /** A cancelled request that waits for a holder is never placed. */
+  private endWaiting(): boolean {
+    if (!this.places.stopWaiting(this)) {
+      return false;
+    }
+    const fault = createFault(Diagnostics.RequestCancelled, {}, { step: 'entry.dispatch' });
+    this.finish(createRefusedOutcome(fault));
+    return true;
   }
 
   private shouldRetry({ fault }: RequestOutcome): boolean {
--- a/src/daemon/entry/dispatcher.ts
+++ b/src/daemon/entry/dispatcher.ts
@@ -54,6 +54,10 @@
     this.waiting.add(dispatched);
   }
 
+  stopWaiting(dispatched: DispatchedRequest): boolean {
+    return this.waiting.delete(dispatched);
+  }
+
   private place(dispatched: DispatchedRequest): void {
     this.waiting.delete(dispatched);
     const nowMs = this.timer.now();
--- a/src/daemon/entry/remoteRequest.ts
+++ b/src/daemon/entry/remoteRequest.ts
@@ -27,6 +27,8 @@
   private received = 0;
   private credited = 0;
   private attempts = 0;
+  /** The caller cancelled it; said again when the request is sent again. */
+  private cancelled: { readonly abandoned: boolean } | undefined;
 
   constructor(
     readonly request: ExecuteRequest,
@@ -46,6 +48,9 @@
     const remainingMs = Math.max(0, this.request.remainingMs - (nowMs - this.firstSentMs));
     const request = { ...this.request, remainingMs };
     this.getLink().send({ kind: MeshKind.Execute, request, received: this.received });
+    if (this.cancelled !== undefined) {
+      this.sendCancel(this.cancelled.abandoned);
+    }
   }
 
   /** Takes bytes of the answer; bytes that are known already are left out. */
@@ -93,6 +98,7 @@
   }
 
   private sendCancel(abandoned: boolean): void {
+    this.cancelled = { abandoned };
     if (!this.finished) {
       this.getLink().send({ kind: MeshKind.Cancel, id: this.request.id, abandoned });
     }
--- a/src/daemon/gateway/authenticatedCaller.ts
+++ b/src/daemon/gateway/authenticatedCaller.ts
@@ -10,6 +10,8 @@
   readonly keyId: string | undefined;
   /** The socket to read from and write to: plain, or inside TLS. */
   readonly socket: Duplex;
+  /** Bytes that came behind the start-up and were read already. */
+  readonly received: Buffer;
   /** Parameters of the start-up message. */
   readonly parameters: Readonly<Record<string, string>>;
 }
--- a/src/daemon/gateway/batchAssembler.ts
+++ b/src/daemon/gateway/batchAssembler.ts
@@ -14,6 +14,7 @@
 
 const COST_CLASS_CHARACTERS = 48;
 const MAXIMUM_PREPARED_STATEMENTS = 1000;
+const MAXIMUM_PORTALS = 1000;
 const NO_STATEMENT_NAME = 'fp_none';
 
 /** A prepared statement as the caller knows it. */
@@ -34,17 +35,24 @@
   private parsedUnnamed = false;
   private costClass = '';
   private fault: Fault | undefined;
+  private bytes = 0;
+  /** Bytes of the texts of all prepared statements. */
+  private statementBytes = 0;
 
-  constructor(private readonly classifier: StatementClassifier) {}
+  constructor(
+    private readonly classifier: StatementClassifier,
+    private readonly maximumBytes: number,
+  ) {}
 
   /** Takes one message; returns the batch that it completes. */
   take(message: Buffer): CallerBatch | undefined {
     const reader = new MessageReader(message);
+    this.count(message.length);
     switch (getFrontendType(message)) {
       case FrontendType.Query:
         return this.takeQuery(message, reader);
       case FrontendType.Sync:
-        this.payload.push(message);
+        this.keep(message);
         return this.complete(false);
       case FrontendType.Parse:
         this.takeParse(reader);
@@ -87,7 +95,7 @@
     const sql = reader.cstring();
     this.executed.push(this.classifier.classify(sql));
     this.costClass = getCostClass(sql);
-    this.payload.push(message);
+    this.keep(message);
     return this.complete(true);
   }
 
@@ -97,13 +105,19 @@
     const types = reader.rest;
     const statement = this.classifier.classify(sql);
     this.add(BatchItemKind.Parse, statement);
-    this.payload.push(createParse('', sql, types));
+    this.keep(createParse('', sql, types));
     if (name === '') {
       this.parsedUnnamed = true;
     } else if (this.statements.size >= MAXIMUM_PREPARED_STATEMENTS) {
       this.refuse(`more than ${MAXIMUM_PREPARED_STATEMENTS} prepared statements`);
       return;
     }
+    this.forget(name);
+    if (this.statementBytes + sql.length > this.maximumBytes) {
+      this.refuse(`prepared statements of more than ${this.maximumBytes} bytes in all`);
+      return;
+    }
+    this.statementBytes += sql.length;
     const backendName = name === '' ? '' : createBackendName(sql, types);
     const prepared = { name: backendName, message: createParse(backendName, sql, types) };
     this.statements.set(name, { statement, sql, prepared });
@@ -114,11 +128,15 @@
     const name = reader.cstring();
     const known = this.use(name);
     const { rest } = reader;
+    if (this.portals.size >= MAXIMUM_PORTALS && !this.portals.has(portal)) {
+      this.refuse(`more than ${MAXIMUM_PORTALS} portals`);
+      return;
+    }
     this.portals.set(portal, known?.statement ?? EMPTY_STATEMENT);
     this.add(BatchItemKind.Bind, known?.statement);
     const writer = new Writer(rest.length + 64);
     writer.addCString(portal).addCString(known?.prepared.name ?? name);
-    this.payload.push(writer.add(rest).flush(FrontendType.Bind));
+    this.keep(writer.add(rest).flush(FrontendType.Bind));
   }
 
   private takeDescribe(message: Buffer, reader: MessageReader): void {
@@ -126,20 +144,22 @@
     const name = reader.cstring();
     if (target !== 'S') {
       this.add(BatchItemKind.DescribePortal, this.portals.get(name));
-      this.payload.push(message);
+      this.keep(message);
       return;
     }
     const known = this.use(name);
     this.add(BatchItemKind.DescribeStatement, known?.statement);
     const writer = new Writer().addString('S').addCString(known?.prepared.name ?? name);
-    this.payload.push(writer.flush(FrontendType.Describe));
+    this.keep(writer.flush(FrontendType.Describe));
   }
 
   private takeExecute(message: Buffer, reader: MessageReader): void {
     const statement = this.portals.get(reader.cstring()) ?? EMPTY_STATEMENT;
     this.add(BatchItemKind.Execute, statement);
-    this.executed.push(statement);
-    this.payload.push(message);
+    if (this.fault === undefined) {
+      this.executed.push(statement);
+    }
+    this.keep(message);
   }
 
   private takeClose(reader: MessageReader): void {
@@ -149,13 +169,18 @@
     const writer = new Writer().addString(target);
     if (target === 'S') {
       // The statement stays on backend connections, for other callers that use the same text.
-      this.statements.delete(name);
+      this.forget(name);
       writer.addCString(NO_STATEMENT_NAME);
     } else {
       this.portals.delete(name);
       writer.addCString(name);
     }
-    this.payload.push(writer.flush(FrontendType.Close));
+    this.keep(writer.flush(FrontendType.Close));
+  }
+
+  private forget(name: string): void {
+    this.statementBytes -= this.statements.get(name)?.sql.length ?? 0;
+    this.statements.delete(name);
   }
 
   /** Notes that a prepared statement is needed on the backend connection. */
@@ -165,14 +190,37 @@
       return undefined;
     }
     if (name !== '' || !this.parsedUnnamed) {
+      if (!this.prepared.has(known.prepared.name)) {
+        this.count(known.prepared.message.length);
+      }
       this.prepared.set(known.prepared.name, known.prepared);
     }
     this.costClass ||= getCostClass(known.sql);
     return known;
   }
 
+  /** Refuses a batch that grows too large, and drops what was gathered of it. */
+  private count(bytes: number): void {
+    this.bytes += bytes;
+    if (this.bytes > this.maximumBytes) {
+      const values = { size: this.bytes, limit: this.maximumBytes };
+      this.fault ??= createFault(Diagnostics.MessageTooLarge, values, { step: 'caller.batch' });
+    }
+  }
+
+  private keep(message: Buffer): void {
+    if (this.fault === undefined) {
+      this.payload.push(message);
+    } else {
+      this.payload = [];
+      this.items = [];
+    }
+  }
+
   private add(kind: BatchItemKind, statement: Statement | undefined): void {
-    this.items.push({ kind, statement });
+    if (this.fault === undefined) {
+      this.items.push({ kind, statement });
+    }
   }
 
   private refuse(feature: string): void {
@@ -181,8 +229,7 @@
   }
 
   private complete(isSimple: boolean): CallerBatch {
-    const { items, executed, payload, costClass, fault } = this;
-    const bytes = payload.reduce((sum, part) => sum + part.length, 0);
+    const { items, executed, payload, costClass, fault, bytes } = this;
     const prepared = [...this.prepared.values()];
     this.items = [];
     this.executed = [];
@@ -191,6 +238,7 @@
     this.parsedUnnamed = false;
     this.costClass = '';
     this.fault = undefined;
+    this.bytes = 0;
     return { isSimple, items, executed, prepared, payload, costClass, fault, bytes };
   }
 }
--- a/src/daemon/gateway/callerServer.ts
+++ b/src/daemon/gateway/callerServer.ts
@@ -8,6 +8,7 @@
 import type { CallerTls } from './callerTls.js';
 import { CallerWriter } from './callerWriter.js';
 import { CancelKeys } from './cancelKeys.js';
+import { endSocket } from './endSocket.js';
 import { readStartupParameters } from './readStartupParameters.js';
 import { encodeCancelKey, encodeError, encodeParameter, Severity } from './responses.js';
 
@@ -101,15 +102,15 @@
     socket.on('error', () => socket.destroy());
     const cancelTimeout = this.context.timer.once(AUTHENTICATION_TIMEOUT_MS, () => {
       const fault = createFault(Diagnostics.AuthenticationTimeout, {}, { step: 'caller.start' });
-      socket.end(encodeError(fault, Severity.Fatal));
+      endSocket(socket, this.context.timer, encodeError(fault, Severity.Fatal));
     });
     const finish = (): void => {
       cancelTimeout();
       this.starting.delete(socket);
     };
     socket.once('close', finish);
-    const { access } = this.context;
-    const startup = { access, cancelKeys: this.cancelKeys, tls: this.options.tls };
+    const { access, timer } = this.context;
+    const startup = { access, cancelKeys: this.cancelKeys, tls: this.options.tls, timer };
     new CallerStartup(
       socket,
       startup,
@@ -126,7 +127,7 @@
 
   private begin(caller: AuthenticatedCaller): void {
     const { socket } = caller;
-    const writer = new CallerWriter(socket);
+    const writer = new CallerWriter(socket, this.context.timer);
     const key = this.cancelKeys.add(() => session.cancel());
     const session = new CallerSession(caller, writer, this.context, () => {
       this.sessions.delete(session);
@@ -134,13 +135,17 @@
     });
     this.sessions.add(session);
     socket.on('close', () => session.close());
-    socket.on('end', () => session.close());
+    socket.on('end', () => {
+      session.close();
+      writer.end();
+    });
     for (const [name, value] of INITIAL_PARAMETERS) {
       writer.write(encodeParameter(name, value));
     }
     writer.write(encodeCancelKey(key.processId, key.secret));
     session.applyStartup(readStartupParameters(caller.parameters));
     socket.on('data', (bytes: Buffer) => session.receive(bytes));
+    session.receive(caller.received);
     socket.resume();
     if (this.draining) {
       session.drain();
--- a/src/daemon/gateway/callerSession.ts
+++ b/src/daemon/gateway/callerSession.ts
@@ -4,7 +4,7 @@
 import type { StatementClassifier } from '../../decisions/routing/index.js';
 import { advanceSession, type TokenSigner } from '../../decisions/sessions/index.js';
 import {
-  ResponseReceiver,
+  RequestKind,
   toFault,
   TransactionStatus,
   type RequestOutcome,
@@ -21,10 +21,9 @@
 import { FrontendType, getFrontendType } from './frontendType.js';
 import { answerLocally, isLocal } from './localAnswers.js';
 import { encodeError, encodeParameter, encodeReady, Severity } from './responses.js';
+import { SessionReceiver } from './sessionReceiver.js';
 import { SESSION_PARAMETER, SessionSettings } from './sessionSettings.js';
-
-const MAXIMUM_WAITING_BATCHES = 1000;
-const MAXIMUM_UNREAD_BATCHES = 64;
+import { WaitingBatches } from './waitingBatches.js';
 
 /** What caller sessions share. */
 export interface SessionContext {
@@ -42,9 +41,15 @@
   private readonly settings: SessionSettings;
   private readonly frames: FrontendFrames;
   private readonly assembler: BatchAssembler;
-  private readonly waiting: CallerBatch[] = [];
+  private readonly waiting = new WaitingBatches();
   private running: RunningRequest | undefined;
   private busy = false;
+  /** The next batch waits until the caller has taken more of its answers. */
+  private blocked = false;
+  /** Status that the last answer of a backend server gave. */
+  private lastStatus = TransactionStatus.Idle;
+  /** The batch that runs ends the transaction. */
+  private ending = false;
   private transaction: string | undefined;
   /** The transaction was lost; the caller has not ended it yet. */
   private failed = false;
@@ -60,12 +65,12 @@
     const { signer, statementTimeoutMs, maximumMessageBytes, classifier } = context;
     this.settings = new SessionSettings(caller.account, signer, statementTimeoutMs);
     this.frames = new FrontendFrames(maximumMessageBytes);
-    this.assembler = new BatchAssembler(classifier);
+    this.assembler = new BatchAssembler(classifier, maximumMessageBytes);
   }
 
   /** Nothing runs, nothing waits and no transaction is open. */
   get isIdle(): boolean {
-    return !this.busy && this.waiting.length === 0 && this.transaction === undefined;
+    return !this.busy && this.waiting.isEmpty && this.transaction === undefined;
   }
 
   /** Sets the parameters of the start-up message; a wrong one ends the session. */
@@ -82,6 +87,9 @@
 
   /** Takes bytes from the caller. */
   receive(bytes: Buffer): void {
+    if (this.ended) {
+      return;
+    }
     const messages = this.frames.tryPush(bytes);
     if (messages.isErr()) {
       this.fail(messages.error);
@@ -138,7 +146,7 @@
       return;
     }
     this.ended = true;
-    this.waiting.length = 0;
+    this.waiting.clear();
     this.running?.abandon();
     if (this.transaction !== undefined) {
       this.context.requests.abortTransaction(this.group, this.transaction);
@@ -164,26 +172,43 @@
       return;
     }
     this.waiting.push(batch);
-    if (this.waiting.length > MAXIMUM_WAITING_BATCHES) {
-      this.fail(createFault(Diagnostics.TooManyRequests, {}, { step: 'caller.read' }));
-    }
-    this.writer.setReading(this.waiting.length < MAXIMUM_UNREAD_BATCHES);
+    this.updateReading();
   }
 
   private next(): void {
     while (!this.busy && !this.ended) {
-      const batch = this.waiting.shift();
+      if (this.isBlocked()) {
+        return;
+      }
+      const batch = this.waiting.take();
       if (batch === undefined) {
-        this.writer.setReading(true);
         if (this.draining) {
           this.drain();
         }
         return;
       }
+      this.updateReading();
       this.run(batch);
     }
   }
 
+  /** Whether the caller has yet to take its answers before more is produced. */
+  private isBlocked(): boolean {
+    if (this.writer.isFull && !this.blocked) {
+      this.blocked = true;
+      this.writer.onDrained(() => {
+        this.blocked = false;
+        this.next();
+      });
+    }
+    this.updateReading();
+    return this.blocked;
+  }
+
+  private updateReading(): void {
+    this.writer.setReading(this.waiting.hasRoom && !this.blocked);
+  }
+
   private run(batch: CallerBatch): void {
     const refused = this.findFault(batch);
     if (refused !== undefined) {
@@ -213,6 +238,7 @@
     const draft = createDraft(batch, { account, group, settings, transaction });
     const deadlineMs = this.context.timer.now() + settings.statementTimeoutMs;
     this.busy = true;
+    this.ending = draft.kind === RequestKind.End;
     const receiver = new SessionReceiver(this.writer, (outcome) => this.answered(outcome));
     const running = this.context.requests.run(draft, batch.executed.length, deadlineMs, receiver);
     receiver.running = running;
@@ -231,8 +257,14 @@
       return;
     }
     this.takeTransaction(outcome);
+    if (outcome.fault !== undefined && !this.writer.isAtBorder) {
+      this.fail(toFault(outcome.fault));
+      return;
+    }
     if (outcome.fault !== undefined) {
       this.writer.write(encodeError(toFault(outcome.fault)));
+    } else {
+      this.lastStatus = outcome.status;
     }
     if (outcome.position !== undefined) {
       advanceSession(this.settings.positions, this.group, outcome.position);
@@ -245,11 +277,16 @@
   }
 
   private takeTransaction({ transaction, fault }: RequestOutcome): void {
-    const wasOpen = this.transaction !== undefined;
+    const open = this.transaction;
+    const wasOpen = open !== undefined;
     this.transaction = transaction;
     if (transaction === undefined) {
       this.assembler.endTransaction();
-      this.failed = wasOpen && fault?.execution === Execution.NotRun;
+      if (wasOpen && fault !== undefined) {
+        this.context.requests.abortTransaction(this.group, open);
+      }
+      this.failed = wasOpen && !this.ending && fault?.execution === Execution.NotRun;
+      this.lastStatus = TransactionStatus.Idle;
     }
   }
 
@@ -257,35 +294,14 @@
     if (this.failed) {
       return TransactionStatus.Failed;
     }
-    return this.transaction === undefined ? TransactionStatus.Idle : TransactionStatus.Open;
+    if (this.transaction === undefined) {
+      return TransactionStatus.Idle;
+    }
+    const hasFailed = this.lastStatus === TransactionStatus.Failed;
+    return hasFailed ? TransactionStatus.Failed : TransactionStatus.Open;
   }
 
   private ready(status: TransactionStatus): void {
     this.writer.write(encodeReady(status));
   }
 }
-
-/** Passes the bytes of one answer on to the caller, as fast as the caller takes them. */
-class SessionReceiver extends ResponseReceiver {
-  running: RunningRequest | undefined;
-  isFinished = false;
-  private total = 0;
-
-  constructor(
-    private readonly writer: CallerWriter,
-    private readonly onFinished: (outcome: RequestOutcome) => void,
-  ) {
-    super();
-  }
-
-  override accept(bytes: Uint8Array): void {
-    this.total += bytes.length;
-    const { total } = this;
-    this.writer.write(bytes, () => this.running?.consume(total));
-  }
-
-  override finish(outcome: RequestOutcome): void {
-    this.isFinished = true;
-    this.onFinished(outcome);
-  }
-}
--- a/src/daemon/gateway/callerStartup.ts
+++ b/src/daemon/gateway/callerStartup.ts
@@ -1,4 +1,4 @@
-import { Duplex } from 'node:stream';
+import { Writable, type Duplex } from 'node:stream';
 import type { Socket } from 'node:net';
 import { createSecureContext, TLSSocket } from 'node:tls';
 import {
@@ -7,19 +7,20 @@
   type PostgresConnectionAdapters,
   type PostgresConnectionOptions,
 } from 'pg-gateway';
-import type { Fault } from '../../common/diagnostics/index.js';
+import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
 import { toAccountId } from '../../common/ids/index.js';
+import type { TimerService } from '../../common/timer/index.js';
 import type { RouteState } from '../../decisions/tickets/index.js';
 import type { AuthenticatedCaller } from './authenticatedCaller.js';
 import type { CallerAccess } from './callerAccess.js';
 import type { CallerTls } from './callerTls.js';
 import type { CancelKeys } from './cancelKeys.js';
+import { endSocket } from './endSocket.js';
 import { encodeError, Severity } from './responses.js';
 import { takeSocketOver } from './socketTakeover.js';
+import { CANCEL_REQUEST_CODE, ENCRYPTION_REQUEST_CODE } from './startupFrame.js';
+import { StartupMessages } from './startupMessages.js';
 
-const INITIAL_HEADER_BYTES = 8;
-const CANCEL_REQUEST_CODE = 80877102;
-const ENCRYPTION_REQUEST_CODE = 80877104;
 const ENCRYPTION_REFUSED = Buffer.from('N');
 
 /** What the start of callers needs. */
@@ -27,6 +28,7 @@
   readonly access: CallerAccess;
   readonly cancelKeys: CancelKeys;
   readonly tls: CallerTls | undefined;
+  readonly timer: TimerService;
 }
 
 /** Brings one caller through TLS, start-up and authentication. */
@@ -34,6 +36,8 @@
   private readonly connection: PostgresConnection;
   /** The innermost socket: the TLS one once the caller asked for it. */
   private socket: Duplex;
+  private messages: StartupMessages;
+  private ended = false;
   private route: RouteState | undefined;
   private keyId: string | undefined;
 
@@ -44,8 +48,13 @@
     private readonly onRefused: (fault: Fault) => void,
   ) {
     this.socket = raw;
+    this.messages = this.createMessages(raw);
     const adapters: PostgresConnectionAdapters = { upgradeTls: () => this.upgrade() };
-    this.connection = new PostgresConnection(toWeb(raw), this.createOptions(), adapters);
+    this.connection = new PostgresConnection(
+      toDuplex(raw, this.messages),
+      this.createOptions(),
+      adapters,
+    );
   }
 
   private createOptions(): PostgresConnectionOptions {
@@ -63,6 +72,10 @@
         validateCredentials: async ({ username, ...proof }) => {
           const key = await this.context.access.findProvenKey(username, proof);
           this.keyId = key?.id;
+          if (key === undefined) {
+            const context = { step: 'caller.start' };
+            this.refuse(createFault(Diagnostics.KeyRefused, { account: username }, context));
+          }
           return key !== undefined;
         },
       },
@@ -71,9 +84,6 @@
 
   /** Answers requests that come in place of a start-up message; others go to the library. */
   private answerInitial(message: Buffer): Uint8Array | undefined {
-    if (message.length < INITIAL_HEADER_BYTES) {
-      return undefined;
-    }
     switch (message.readUInt32BE(4)) {
       case CANCEL_REQUEST_CODE:
         this.context.cancelKeys.cancel(message.readInt32BE(8), message.readInt32BE(12));
@@ -111,39 +121,68 @@
     }
     const parameters = { ...this.connection.clientParams };
     const caller = { account: name, route, keyId, socket: this.socket, parameters };
-    this.detach(() => this.onAuthenticated(caller));
+    this.detach((received) => this.onAuthenticated({ ...caller, received }));
   }
 
   private refuse(fault: Fault): void {
     this.detach(() => {
-      this.socket.end(encodeError(fault, Severity.Fatal));
+      endSocket(this.socket, this.context.timer, encodeError(fault, Severity.Fatal));
       this.onRefused(fault);
     });
   }
 
   /** Ends the library's part; the socket is free once what it wrote is out. */
-  private detach(then: () => void): void {
+  private detach(then: (received: Buffer) => void): void {
+    if (this.ended) {
+      return;
+    }
+    this.ended = true;
     void this.connection.detach();
     setImmediate(() => {
+      const received = this.messages.detach();
       takeSocketOver(this.socket);
-      then();
+      then(received);
     });
   }
 
+  private createMessages(socket: Duplex): StartupMessages {
+    return new StartupMessages(socket, (fault) => this.refuse(fault));
+  }
+
   private async upgrade(): Promise<{
     duplex: DuplexStream<Uint8Array>;
     tlsInfo: Record<string, never>;
   }> {
     const { tls } = this.context;
+    const injected = this.messages.detach();
     takeSocketOver(this.raw);
+    if (injected.length > 0) {
+      return this.abort('plain bytes came behind the request for TLS');
+    }
     const secureContext = createSecureContext({ cert: tls?.certificate, key: tls?.key });
     const secure = new TLSSocket(this.raw, { isServer: true, secureContext });
     this.socket = secure;
-    await new Promise<void>((resolve, reject) => {
-      secure.once('secure', resolve);
-      secure.once('error', reject);
+    const failure = await new Promise<Error | undefined>((resolve) => {
+      secure.once('secure', () => resolve(undefined));
+      secure.once('error', resolve);
+      secure.once('close', () => resolve(new Error('closed by the caller')));
     });
-    return { duplex: toWeb(secure), tlsInfo: {} };
+    if (failure !== undefined) {
+      return this.abort(failure.message);
+    }
+    this.messages = this.createMessages(secure);
+    return { duplex: toDuplex(secure, this.messages), tlsInfo: {} };
+  }
+
+  /** Ends a caller whose encryption failed; never resolves, so that the library stops there. */
+  private abort(reason: string): Promise<never> {
+    if (!this.ended) {
+      this.ended = true;
+      void this.connection.detach();
+      this.socket.destroy();
+      this.onRefused(createFault(Diagnostics.EncryptionFailed, { reason }, { step: 'caller.tls' }));
+    }
+    return new Promise(() => undefined);
   }
 
   private getDatabase(): string {
@@ -152,6 +191,6 @@
   }
 }
 
-function toWeb(socket: Duplex): DuplexStream<Uint8Array> {
-  return Duplex.toWeb(socket);
+function toDuplex(socket: Duplex, { stream }: StartupMessages): DuplexStream<Uint8Array> {
+  return { readable: stream, writable: Writable.toWeb(socket) };
 }
--- a/src/daemon/gateway/callerWriter.ts
+++ b/src/daemon/gateway/callerWriter.ts
@@ -1,11 +1,30 @@
 import type { Duplex } from 'node:stream';
+import type { TimerService } from '../../common/timer/index.js';
+import { AnswerFrames } from './answerFrames.js';
+import { endSocket } from './endSocket.js';
+
+const HIGH_WATER_BYTES = 1_048_576;
 
 /** The way out to one caller; gathers what is written at once. */
 export class CallerWriter {
+  private readonly answers = new AnswerFrames();
   private reading = true;
   private corked = false;
 
-  constructor(private readonly socket: Duplex) {}
+  constructor(
+    private readonly socket: Duplex,
+    private readonly timer: TimerService,
+  ) {}
+
+  /** Whether so much waits for the caller that nothing more should be produced. */
+  get isFull(): boolean {
+    return this.socket.writableLength > HIGH_WATER_BYTES;
+  }
+
+  /** Calls a handler once when everything written has been taken by the network. */
+  onDrained(handler: () => void): void {
+    this.socket.once('drain', handler);
+  }
 
   /** Writes bytes; `onTaken` is called when the network has taken them. */
   write(bytes: Uint8Array, onTaken?: () => void): void {
@@ -13,6 +32,7 @@
       return;
     }
     this.cork();
+    this.answers.push(bytes);
     this.socket.write(bytes, (error) => {
       if (!error) {
         onTaken?.();
@@ -20,9 +40,18 @@
     });
   }
 
-  /** Writes last bytes and ends the connection. */
+  /** Whether the next bytes begin a message; false inside one that was not written whole. */
+  get isAtBorder(): boolean {
+    return this.answers.isAtBorder;
+  }
+
+  /** Writes a last message and ends the connection; an unfinished message is cut off instead. */
   end(bytes?: Uint8Array): void {
-    this.socket.end(bytes);
+    if (this.isAtBorder) {
+      endSocket(this.socket, this.timer, bytes);
+    } else {
+      this.socket.destroy();
+    }
   }
 
   /** Stops or continues to read from the caller. */
--- /dev/null
+++ b/src/daemon/gateway/sessionReceiver.ts
@@ -0,0 +1,27 @@
+import { ResponseReceiver, type RequestOutcome, type RunningRequest } from '../requests/index.js';
+import type { CallerWriter } from './callerWriter.js';
+
+/** Passes the bytes of one answer on to the caller, as fast as the caller takes them. */
+export class SessionReceiver extends ResponseReceiver {
+  running: RunningRequest | undefined;
+  isFinished = false;
+  private total = 0;
+
+  constructor(
+    private readonly writer: CallerWriter,
+    private readonly onFinished: (outcome: RequestOutcome) => void,
+  ) {
+    super();
+  }
+
+  override accept(bytes: Uint8Array): void {
+    this.total += bytes.length;
+    const { total } = this;
+    this.writer.write(bytes, () => this.running?.consume(total));
+  }
+
+  override finish(outcome: RequestOutcome): void {
+    this.isFinished = true;
+    this.onFinished(outcome);
+  }
+}
--- /dev/null
+++ b/src/daemon/gateway/startupFrame.ts
@@ -0,0 +1,93 @@
+import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import { FrontendType } from './frontendType.js';
+
+const MAXIMUM_FRAME_BYTES = 10_240;
+const INITIAL_HEADER_BYTES = 8;
+const TYPED_HEADER_BYTES = 5;
+const LENGTH_BYTES = 4;
+const CANCEL_BYTES = 16;
+const PROTOCOL_VERSION = 196_608;
+
+/** Codes of requests that may come in place of a start-up message. */
+export const CANCEL_REQUEST_CODE = 80877102;
+export const TLS_REQUEST_CODE = 80877103;
+export const ENCRYPTION_REQUEST_CODE = 80877104;
+
+/** Whether a first message is followed by another one of its kind. */
+export function isEncryptionRequest(frame: Buffer): boolean {
+  const code = frame.readUInt32BE(LENGTH_BYTES);
+  return code === TLS_REQUEST_CODE || code === ENCRYPTION_REQUEST_CODE;
+}
+
+/** The size of the frame at the start of some bytes; undefined while it can't be told. */
+export function getStartupFrameBytes(bytes: Buffer, isInitial: boolean): number | undefined {
+  const offset = isInitial ? 0 : 1;
+  return bytes.length < offset + LENGTH_BYTES ? undefined : bytes.readUInt32BE(offset) + offset;
+}
+
+/** Why no frame of that size is accepted, if so. */
+export function findSizeFault(size: number, isInitial: boolean): Fault | undefined {
+  const minimum = isInitial ? INITIAL_HEADER_BYTES : TYPED_HEADER_BYTES;
+  if (size >= minimum && size <= MAXIMUM_FRAME_BYTES) {
+    return undefined;
+  }
+  const values = { size, limit: MAXIMUM_FRAME_BYTES };
+  return createFault(Diagnostics.MessageTooLarge, values, { step: 'caller.start' });
+}
+
+/** Why a whole first message is not accepted, if so. */
+export function findInitialFault(frame: Buffer): Fault | undefined {
+  const code = frame.readUInt32BE(LENGTH_BYTES);
+  switch (code) {
+    case TLS_REQUEST_CODE:
+    case ENCRYPTION_REQUEST_CODE:
+      return frame.length === INITIAL_HEADER_BYTES ? undefined : createMalformed();
+    case CANCEL_REQUEST_CODE:
+      return frame.length === CANCEL_BYTES ? undefined : createMalformed();
+    case PROTOCOL_VERSION:
+      return hasWholeParameters(frame) ? undefined : createMalformed();
+    default: {
+      const values = { version: `${code >>> 16}.${code & 0xffff}` };
+      return createFault(Diagnostics.ProtocolUnsupported, values, { step: 'caller.start' });
+    }
+  }
+}
+
+/** Why a whole later message of the start is not accepted, if so. */
+export function findTypedFault(frame: Buffer, isFirst: boolean): Fault | undefined {
+  if (frame[0] !== (FrontendType.Password as number)) {
+    return createMalformed();
+  }
+  return !isFirst || isMechanismChoice(frame) ? undefined : createMalformed();
+}
+
+/** Pairs of terminated texts, then one more zero byte. */
+function hasWholeParameters(frame: Buffer): boolean {
+  let offset = INITIAL_HEADER_BYTES;
+  let isName = true;
+  while (offset < frame.length) {
+    const end = frame.indexOf(0, offset);
+    if (end < 0) {
+      return false;
+    }
+    if (isName && end === offset) {
+      return end === frame.length - 1;
+    }
+    isName = !isName;
+    offset = end + 1;
+  }
+  return false;
+}
+
+/** A mechanism's name, then a text with its length. */
+function isMechanismChoice(frame: Buffer): boolean {
+  const end = frame.indexOf(0, TYPED_HEADER_BYTES);
+  const textStart = end + 1 + LENGTH_BYTES;
+  return (
+    end > 0 && textStart <= frame.length && frame.readInt32BE(end + 1) === frame.length - textStart
+  );
+}
+
+function createMalformed(): Fault {
+  return createFault(Diagnostics.MessageMalformed, {}, { step: 'caller.start' });
+}
--- /dev/null
+++ b/src/daemon/holder/endOverdue.ts
@@ -0,0 +1,41 @@
+import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
+import type { HeldRequest } from './heldRequest.js';
+
+const CANCEL_WAIT_MS = 200;
+const SILENCE_WAIT_MS = 300;
+
+/** Ends a running request whose deadline has passed, or that waits on a connection gone silent. */
+export function endOverdue(held: HeldRequest, nowMs: number): void {
+  const { connection, startedMs, endedMs, deadlineMs } = held;
+  if (connection === undefined || startedMs === undefined || endedMs !== undefined) {
+    return;
+  }
+  if (nowMs >= deadlineMs && !held.timedOut) {
+    held.timedOut = true;
+    connection.cancel();
+  } else if (nowMs >= deadlineMs + CANCEL_WAIT_MS || isSilent(held, nowMs)) {
+    connection.close();
+  }
+}
+
+/** The fault of a request that was ended at its deadline. */
+export function createTimeout(held: HeldRequest): Fault {
+  const values = { deadline: Math.round(held.request.remainingMs) };
+  const context = { step: 'holder.timeout', execution: Execution.Unknown };
+  return createFault(Diagnostics.StatementTimeout, values, context);
+}
+
+/** Whether a repeatable request has no answer on a connection older than one that went silent. */
+function isSilent(held: HeldRequest, nowMs: number): boolean {
+  const { connection, request, startedMs = nowMs } = held;
+  const silenceMs = held.instance?.silenceMs;
+  return (
+    silenceMs !== undefined &&
+    request.idempotent &&
+    request.transaction === undefined &&
+    !held.answered &&
+    connection !== undefined &&
+    connection.openedMs < silenceMs &&
+    nowMs - Math.max(startedMs, silenceMs) > SILENCE_WAIT_MS
+  );
+}
--- a/src/daemon/holder/groupRequests.ts
+++ b/src/daemon/holder/groupRequests.ts
@@ -14,6 +14,7 @@
 import type { GroupWrites } from './groupWrites.js';
 import type { HeldInstance } from './heldInstance.js';
 import { HeldRequest, type HeldRequestOwner } from './heldRequest.js';
+import { createTimeout, endOverdue } from './endOverdue.js';
 import { HeldRequestHandle } from './heldRequestHandle.js';
 import type { HolderContext } from './holderContext.js';
 
@@ -109,8 +110,11 @@
     }
   }
 
-  /** Refuses what has waited beyond its deadline. */
+  /** Refuses what has waited beyond its deadline and ends what runs beyond it. */
   tick(nowMs: number): void {
+    for (const held of [...this.requests.values()]) {
+      endOverdue(held, nowMs);
+    }
     for (const held of [...this.waiting]) {
       if (held.deadlineMs <= nowMs) {
         const context = { step: 'holder.wait' };
@@ -182,6 +186,10 @@
     const context = { step, execution, ...(peer === undefined ? {} : { peer }) };
     const known = request.kind === RequestKind.Read || isHarmless;
     const shown = known ? diagnostic : Diagnostics.OutcomeUnknown;
+    if (held.timedOut && known) {
+      held.fail(createTimeout(held), { nowMs: this.context.timer.now() });
+      return;
+    }
     held.fail(createFault(shown, values, context), { nowMs: this.context.timer.now() });
   }
 
--- a/src/daemon/holder/heldGroup.ts
+++ b/src/daemon/holder/heldGroup.ts
@@ -197,18 +197,20 @@
       known?.record.address === record.address &&
       known.record.slots === record.slots &&
       known.record.connectionLimit === record.connectionLimit;
+    const limitMs =
+      this.context.records.getGroup(this.group)?.transactionLimitMs ?? DEFAULT_TRANSACTION_LIMIT_MS;
     if (isSame) {
+      known.queue.setTransactionLimit(limitMs);
       return;
     }
     if (known !== undefined) {
       this.requests.requeue(known);
       known.stop(this.createMovedFault());
     }
-    const limitMs = this.context.records.getGroup(this.group)?.transactionLimitMs;
     const created = new HeldInstance(
       record,
       { ...this.context.access, database: this.group },
-      limitMs ?? DEFAULT_TRANSACTION_LIMIT_MS,
+      limitMs,
       this.context,
       this,
       this.clock,
--- a/src/daemon/holder/heldInstance.ts
+++ b/src/daemon/holder/heldInstance.ts
@@ -40,6 +40,7 @@
   position: SessionPosition | undefined;
   private latencyMs = 1;
   private positionSentMs = 0;
+  private lastSilenceMs: number | undefined;
 
   constructor(
     readonly record: InstanceRecord,
@@ -57,6 +58,7 @@
       openTimeoutMs: OPEN_TIMEOUT_MS,
     };
     this.pool = new ConnectionPool(record.address, access, limits, context.timer);
+    this.pool.onCondemned = () => this.noteSilence();
     this.monitor = new InstanceMonitor(record.address, access, context.timer, this, expectsPrimary);
   }
 
@@ -141,9 +143,14 @@
     return this.positionSentMs;
   }
 
+  /** When a connection last gave no sign of life; others opened before may be silent too. */
+  get silenceMs(): number | undefined {
+    return this.lastSilenceMs;
+  }
+
   connectionCondemned(): void {
+    this.noteSilence();
     this.position = undefined;
-    this.pool.closeIdle();
     this.listener.connectionCondemned(this);
   }
 
@@ -157,6 +164,12 @@
     this.listener.instanceLost(this);
   }
 
+  private noteSilence(): void {
+    this.lastSilenceMs = this.context.timer.now();
+    this.pool.closeIdle();
+    this.monitor.check();
+  }
+
   private apply(outputs: readonly QueueOutput[]): void {
     for (const output of outputs) {
       switch (output.kind) {
--- a/src/daemon/holder/heldRequest.ts
+++ b/src/daemon/holder/heldRequest.ts
@@ -15,6 +15,7 @@
 import type { HeldInstance } from './heldInstance.js';
 import { POSITION_QUERY } from './positionQuery.js';
 
+const TAG_OFFSET = 5;
 const WINDOW_BYTES = 262_144;
 const MAXIMUM_HELD_BACK_BYTES = 33_554_432;
 
@@ -46,12 +47,15 @@
   finished = false;
   /** Nobody waits for the answer; the connection is closed after it. */
   abandoned = false;
+  /** The deadline has passed and the backend server was asked to cancel. */
+  timedOut = false;
   startedMs: number | undefined;
   endedMs: number | undefined;
   private heldBack: Buffer[] = [];
   private heldBackBytes = 0;
   private holding = false;
   private failed = false;
+  private committed = false;
   private inPositionPhase = false;
   private written: ProbeAnswer | undefined;
   private sentBytes = 0;
@@ -70,9 +74,9 @@
     return this.arrivedMs + this.request.remainingMs;
   }
 
-  /** The request's error came from the backend server: nothing was committed by it. */
+  /** The request ended with an error of the backend server and committed nothing. */
   get failedOnServer(): boolean {
-    return this.failed;
+    return this.failed && !this.committed;
   }
 
   /** Sends the request over a connection. */
@@ -96,6 +100,7 @@
     this.heldBackBytes = 0;
     this.holding = false;
     this.failed = false;
+    this.committed = false;
     this.inPositionPhase = false;
     this.written = undefined;
   }
@@ -103,7 +108,8 @@
   /** Notes how much of the answer the receiver has consumed. */
   consume(consumed: number): void {
     this.consumedBytes = Math.max(this.consumedBytes, consumed);
-    if (this.sentBytes - this.consumedBytes <= WINDOW_BYTES / 2) {
+    // After its answer the connection may serve another request.
+    if (this.endedMs === undefined && this.sentBytes - this.consumedBytes <= WINDOW_BYTES / 2) {
       this.connection?.setPaused(false);
     }
   }
@@ -121,6 +127,7 @@
       return;
     }
     this.holding ||= this.request.mayCommit;
+    this.committed ||= frame.toString('latin1', TAG_OFFSET, TAG_OFFSET + 6) === 'COMMIT';
     this.forward(frame);
   }
 
@@ -209,7 +216,7 @@
     this.answered = true;
     this.sentBytes += bytes.length;
     this.receiver.accept(bytes);
-    if (this.sentBytes - this.consumedBytes > WINDOW_BYTES) {
+    if (this.endedMs === undefined && this.sentBytes - this.consumedBytes > WINDOW_BYTES) {
       this.connection?.setPaused(true);
     }
   }
--- a/src/decisions/queue/instanceQueue.ts
+++ b/src/decisions/queue/instanceQueue.ts
@@ -115,6 +115,11 @@
     return outputs;
   }
 
+  /** Changes how long a transaction may be open. */
+  setTransactionLimit(limitMs: number): void {
+    this.openTransactions.limitMs = limitMs;
+  }
+
   /** Refuses what can no longer start in time and reports transactions that took too long. */
   tick(nowMs: number): QueueOutput[] {
     const outputs: QueueOutput[] = [];
@@ -302,7 +307,7 @@
       if (overdue === undefined) {
         return;
       }
-      outputs.push(createAbort(overdue.item, this.limits.transactionLimitMs));
+      outputs.push(createAbort(overdue.item, this.openTransactions.limitMs));
     }
   }
 }
--- a/src/decisions/queue/openTransactions.ts
+++ b/src/decisions/queue/openTransactions.ts
@@ -5,7 +5,8 @@
 export class OpenTransactions {
   private readonly items = new Fifo<QueuedItem>();
 
-  constructor(private readonly limitMs: number) {}
+  /** `limitMs` is how long a transaction may be open; a change counts for open ones too. */
+  constructor(public limitMs: number) {}
 
   /** Adds a transaction that was opened now. */
   add(item: QueuedItem): void {
--- a/standin/testing/rawClient.ts
+++ b/standin/testing/rawClient.ts
@@ -25,11 +25,14 @@
   }
 
   /** Connects and completes the start-up. */
-  static async open(address: string): Promise<RawClient> {
+  static async open(
+    address: string,
+    parameters: Record<string, string> = { user: 'u', database: 'd' },
+  ): Promise<RawClient> {
     const [host = '', port = ''] = address.split(':');
     const socket = connect({ host, port: Number(port) });
     const client = new RawClient(socket);
-    socket.write(serialize.startup({ user: 'u', database: 'd' }));
+    socket.write(serialize.startup(parameters));
     await client.take('readyForQuery');
     return client;
   }
