Callers: protocol and fuzz tests; refused features found in texts that the parser does not know

Cause: 'SELECT 1; LISTEN news' was no statement the parser knows, so it went to a backend connection. Change: such a text is split outside quotes and comments and each part checked.

--- a/src/decisions/routing/classifyStatement.ts
+++ b/src/decisions/routing/classifyStatement.ts
@@ -1,6 +1,7 @@
 import { astVisitor, parse, type Statement as ParsedStatement } from 'pgsql-ast-parser';
 import { READ_ONLY_FUNCTIONS } from './readOnlyFunctions.js';
 import type { Statement } from './statement.js';
+import { splitStatements } from './splitStatements.js';
 import { StatementKind } from './statementKind.js';
 
 /** Comments before the statement; those inside are left to the parser, which knows quotes. */
@@ -33,6 +34,8 @@
   ['LOAD', 'LOAD'],
 ]);
 
+const SEVERAL_WITH_SET = 'SET among several statements';
+
 const TRANSACTION_TYPES: ReadonlySet<string> = new Set([
   'begin',
   'start transaction',
@@ -135,7 +138,7 @@
   try {
     statements = parse(text);
   } catch {
-    return { kind: StatementKind.Write, unclassified: true, controlsTransaction: true };
+    return classifyUnparsed(text);
   }
   const feature = statements.map(findSessionFeature).find((found) => found !== undefined);
   if (feature !== undefined) {
@@ -146,13 +149,26 @@
   return { ...create(kind), controlsTransaction };
 }
 
+function classifyUnparsed(text: string): Statement {
+  for (const part of splitStatements(text)) {
+    const keyword = /^[a-z]+/i.exec(part)?.[0].toUpperCase() ?? '';
+    const setting = classifySetting(keyword, part);
+    const isSetting = setting !== undefined && setting.kind !== StatementKind.Show;
+    const feature = isSetting ? SEVERAL_WITH_SET : findRefusedFeature(keyword, part);
+    if (feature !== undefined) {
+      return createRefused(feature);
+    }
+  }
+  return { kind: StatementKind.Write, unclassified: true, controlsTransaction: true };
+}
+
 function findSessionFeature(statement: ParsedStatement): string | undefined {
   switch (statement.type) {
     case 'set':
-      return statement.scope === 'local' ? undefined : 'SET among several statements';
+      return statement.scope === 'local' ? undefined : SEVERAL_WITH_SET;
     case 'set names':
     case 'set timezone':
-      return 'SET among several statements';
+      return SEVERAL_WITH_SET;
     case 'prepare':
     case 'deallocate':
       return 'SQL-level PREPARE';
