--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -144,6 +144,7 @@
   LastVoter: refusal(5005, 'Member "{member}" is the last voter.'),
   CommandTooLarge: refusal(5006, 'A command of {size} bytes exceeds the limit of {limit}.'),
   LeadershipTransferring: refusal(5007, 'Leadership is being handed over.'),
+  SnapshotTooLarge: error(5008, 'A snapshot of {size} bytes exceeds the limit of {limit}.'),
   RecordCorrupt: error(5100, 'Stored file {file} is corrupt at offset {offset}: {reason}.'),
   StorageFailed: error(5101, 'Storage failed on {file}: {reason}.'),
   LogTailRepaired: warning(5102, 'Dropped {size} bytes of an unfinished record from {file}.'),
@@ -199,6 +200,7 @@
   OperatorsListening: message(8000, "Operators' HTTP interface listens on {address}."),
   RequestInvalid: refusal(8001, 'The request is invalid: {problem}'),
   TokenNeeded: refusal(8002, 'A valid bearer token is needed.'),
+  TicketNotInForce: refusal(8009, 'Ticket {number} is in force on no subject.'),
   NotFound: refusal(8003, '{subject} was not found.'),
   BodyTooLarge: refusal(8004, 'The body exceeds the limit of {limit} bytes.'),
   TicketRefused: refusal(8005, 'The ticket was refused: {reason}'),
@@ -288,6 +290,11 @@
   SqlActiveTransaction: refusal(9040, '{command} cannot run inside a transaction block', '25001'),
   SqlSettingInvalid: refusal(9041, 'invalid value for parameter "{name}": "{value}"', '22023'),
   UserRefused: refusal(9042, 'password authentication failed for user "{user}"', '28P01'),
+  IdleInTransaction: refusal(
+    9044,
+    'terminating connection due to idle-in-transaction timeout',
+    '25P03',
+  ),
   PeerRequestFailed: error(9043, 'Request {path} failed: {reason}.'),
   ConnectionFailed: warning(9038, 'Connection ended: {reason}.'),
 } as const satisfies Record<string, Diagnostic>;
--- a/src/daemon/gateway/callerWriter.ts
+++ b/src/daemon/gateway/callerWriter.ts
@@ -3,7 +3,7 @@
 import { AnswerFrames } from './answerFrames.js';
 import { endSocket } from './endSocket.js';
 
-const HIGH_WATER_BYTES = 1_048_576;
+const HIGH_WATER_BYTES = 262_144;
 
 /** The way out to one caller; gathers what is written at once. */
 export class CallerWriter {
