--- a/bench/fleet/fleetPlan.ts
+++ b/bench/fleet/fleetPlan.ts
@@ -1,3 +1,5 @@
+import type { DaemonFiles } from '../../src/daemon/daemonFiles.js';
+
 /** A daemon of a local fleet. */
 export interface PlannedDaemon {
   readonly host: string;
@@ -25,6 +27,8 @@
   readonly lagMs: number;
   readonly statementMs: number;
   readonly openingMs: number;
+  /** Key material in place of none. */
+  readonly files?: Partial<DaemonFiles>;
 }
 
 const DOMAINS = ['mekelle', 'adigrat', 'wukro'] as const;
--- a/bench/fleet/localFleet.ts
+++ b/bench/fleet/localFleet.ts
@@ -204,6 +204,7 @@
         backendPassword: undefined,
         operatorTokens: undefined,
         announcerTokens: undefined,
+        ...this.plan.files,
       },
       timer: this.timer,
       logger,
--- a/src/daemon/mesh/frameCodec.ts
+++ b/src/daemon/mesh/frameCodec.ts
@@ -2,6 +2,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
 import { MeshKind } from './meshKind.js';
+import { findWrongField } from './messageShape.js';
 import type { MeshMessage } from './meshMessage.js';
 
 const codec = new Packr({ useRecords: false, int64AsType: 'number' });
@@ -20,7 +21,11 @@
   } catch (cause) {
     return err(invalidFrame(cause instanceof Error ? cause.message : 'not decodable', peer));
   }
-  return isMessage(content) ? ok(content) : err(invalidFrame('no known kind', peer));
+  if (!isMessage(content)) {
+    return err(invalidFrame('no known kind', peer));
+  }
+  const field = findWrongField(content.kind, content);
+  return field === undefined ? ok(content) : err(invalidFrame(`field ${field} is wrong`, peer));
 }
 
 function isMessage(content: unknown): content is MeshMessage {
--- a/src/daemon/mesh/mesh.ts
+++ b/src/daemon/mesh/mesh.ts
@@ -126,7 +126,9 @@
       this.mailboxes.get(message.kind)?.post({ link, message });
     } catch (error) {
       const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
-      this.logger.report(Diagnostics.TaskFailed, { reason }, { step: 'mesh.receive' });
+      const peer = link.peer?.host;
+      this.logger.report(Diagnostics.TaskFailed, { reason }, { step: 'mesh.receive', peer });
+      link.close('a message could not be taken');
     }
   }
 
--- /dev/null
+++ b/src/daemon/mesh/messageShape.ts
@@ -0,0 +1,119 @@
+import { MeshKind } from './meshKind.js';
+
+/** The types of fields that are checked in received messages. */
+enum FieldType {
+  Text = 'text',
+  Count = 'count',
+  Flag = 'flag',
+  Bytes = 'bytes',
+  List = 'list',
+}
+
+/** Names of fields with their types, or with the shapes of what they hold. */
+interface Shape {
+  readonly [name: string]: FieldType | Shape;
+}
+
+const { Text, Count, Flag, Bytes, List } = FieldType;
+
+const OUTCOME: Shape = { status: Text, wrote: Flag, onReplica: Flag, waitMs: Count };
+
+const REQUEST: Shape = {
+  id: Text,
+  group: Text,
+  lease: Text,
+  account: Text,
+  kind: Text,
+  idempotent: Flag,
+  mayCommit: Flag,
+  remainingMs: Count,
+  closesConnection: Flag,
+  costClass: Text,
+  prepared: List,
+  payload: Bytes,
+};
+
+const RENEWAL: Shape = {
+  host: Text,
+  incarnation: Text,
+  lease: Text,
+  domain: Text,
+  address: Text,
+  sequence: Count,
+  answered: Count,
+  sinceAnsweredMs: Count,
+  revision: Count,
+  announcements: List,
+  reports: List,
+  releasedGroups: List,
+  releasedAccounts: List,
+  stopping: Flag,
+};
+
+/** Fields that every message of a kind has; optional ones are left to their readers. */
+const SHAPES: Readonly<Record<MeshKind, Shape>> = {
+  [MeshKind.Hello]: { version: Count, host: Text, incarnation: Text, address: Text },
+  [MeshKind.Heartbeat]: { sequence: Count },
+  [MeshKind.HeartbeatAnswer]: { sequence: Count },
+  [MeshKind.Execute]: { request: REQUEST, received: Count },
+  [MeshKind.ResponseBytes]: { id: Text, offset: Count, bytes: Bytes },
+  [MeshKind.ResponseEnd]: { id: Text, offset: Count, bytes: Bytes, outcome: OUTCOME },
+  [MeshKind.ResponseCredit]: { id: Text, consumed: Count },
+  [MeshKind.Cancel]: { id: Text, abandoned: Flag },
+  [MeshKind.AbortTransaction]: { group: Text, transaction: Text },
+  [MeshKind.TokenMessage]: { content: { kind: Text, account: Text } },
+  [MeshKind.LeaseRenewal]: { renewal: RENEWAL },
+  [MeshKind.LeaseGrant]: {
+    grant: { lease: Text, sequence: Count, lengthMs: Count, retired: Flag, records: List },
+  },
+  [MeshKind.LeaseRedirect]: {},
+  [MeshKind.RecordUpdate]: { update: { since: Count, revision: Count, records: List } },
+  [MeshKind.Consensus]: {
+    from: Text,
+    to: Text,
+    content: { kind: Text, from: Text, to: Text, term: Count },
+  },
+  [MeshKind.ControlCall]: { id: Text, content: { kind: Text } },
+  [MeshKind.ControlAnswer]: { id: Text },
+};
+
+/** Finds the first field of a message that is absent or of a wrong type. */
+export function findWrongField(kind: MeshKind, message: object): string | undefined {
+  return findWrong(SHAPES[kind], message);
+}
+
+function findWrong(shape: Shape, value: object): string | undefined {
+  const fields = value as Readonly<Record<string, unknown>>;
+  for (const name in shape) {
+    const type = shape[name];
+    const field = fields[name];
+    if (typeof type === 'object') {
+      const inside = isFields(field) ? findWrong(type, field) : '';
+      if (inside !== undefined) {
+        return inside === '' ? name : `${name}.${inside}`;
+      }
+    } else if (type !== undefined && !hasType(type, field)) {
+      return name;
+    }
+  }
+  return undefined;
+}
+
+function hasType(type: FieldType, field: unknown): boolean {
+  switch (type) {
+    case FieldType.Text:
+      return typeof field === 'string';
+    case FieldType.Count:
+      return typeof field === 'number' && field >= 0;
+    case FieldType.Flag:
+      return typeof field === 'boolean';
+    case FieldType.Bytes:
+      return field instanceof Uint8Array;
+    case FieldType.List:
+      return Array.isArray(field);
+  }
+}
+
+function isFields(field: unknown): field is object {
+  return typeof field === 'object' && field !== null && !Array.isArray(field);
+}
--- a/tests/callers/callerFleet.ts
+++ b/tests/callers/callerFleet.ts
@@ -11,7 +11,10 @@
   keys: ReadonlyMap<string, string> = new Map();
   private readonly clients: pg.Client[] = [];
 
-  constructor(entries = 2, changes: Partial<FleetPlan> = {}) {
+  constructor(
+    entries = 2,
+    private readonly changes: Partial<FleetPlan> = {},
+  ) {
     const plan = createFleetPlan({ controls: 1, entries, groups: 1 });
     this.fleet = new LocalFleet({ ...plan, ...changes });
   }
@@ -25,7 +28,9 @@
     ]);
     await this.fleet.submit({ kind: 'route', route: OPEN_ROUTE, group: GROUP, openAs: 'mill' });
     await this.fleet.waitForGroup(GROUP);
-    const client = await this.connect();
+    const tls = this.changes.files?.callerTls;
+    const ssl = tls === undefined ? false : { rejectUnauthorized: false };
+    const client = await this.connect('entry-1', 'mill', { ssl });
     await client.query('CREATE TABLE bookings (id int primary key, who text)');
   }
 
