--- a/tests/callers/callerFleet.ts
+++ b/tests/callers/callerFleet.ts
@@ -3,6 +3,8 @@
 import { RawClient } from '../../standin/testing/rawClient.js';
 
 export const GROUP = 'ledger-1';
+/** A host that holds the group and takes callers, and one that forwards to it. */
+export const HOSTS = ['control-1', 'entry-1'] as const;
 const OPEN_ROUTE = 'open-ledger';
 
 /** A local fleet with accounts `mill` and `press`, and an open route of account `mill`. */
@@ -16,7 +18,11 @@
     private readonly changes: Partial<FleetPlan> = {},
   ) {
     const plan = createFleetPlan({ controls: 1, entries, groups: 1 });
-    this.fleet = new LocalFleet({ ...plan, ...changes });
+    const daemons = plan.daemons.map((daemon) => ({
+      ...daemon,
+      roles: ['entry', ...daemon.roles.filter((role) => role !== 'entry')] as const,
+    }));
+    this.fleet = new LocalFleet({ ...plan, daemons, ...changes });
   }
 
   /** Starts everything and creates the table `bookings`. */
@@ -58,6 +64,13 @@
     return RawClient.open(`${plan.ip}:${daemon.callerPort}`, parameters);
   }
 
+  /** The host that holds the group. */
+  async getHolder(): Promise<string | undefined> {
+    const { body } = await this.fleet.http.get(this.fleet.operators, '/status');
+    const { groups } = body as { groups: readonly { group: string; holder?: string }[] };
+    return groups.find(({ group }) => group === GROUP)?.holder;
+  }
+
   /** The instance that is primary at the start. */
   get primary() {
     return this.fleet.getInstance(`${GROUP}-a`).instance;
--- a/tests/callers/cancel.test.ts
+++ b/tests/callers/cancel.test.ts
@@ -1,7 +1,7 @@
 import type pg from 'pg';
 import { connect } from 'node:net';
 import { afterAll, beforeAll, expect, test } from 'vitest';
-import { CallerFleet, getError } from './callerFleet.js';
+import { CallerFleet, getError, HOSTS } from './callerFleet.js';
 
 const CANCEL_REQUEST_CODE = 80877102;
 const callers = new CallerFleet(2, { slots: 1, connectionLimit: 6 });
@@ -36,7 +36,7 @@
   return Promise.all(running);
 }
 
-test.each(['entry-1', 'entry-2'])('a running statement is cancelled through %s', async (host) => {
+test.each(HOSTS)('a running statement is cancelled through %s', async (host) => {
   const client = await callers.connect(host);
   const running = getError(client.query('UPDATE bookings SET id = 1 WHERE pg_sleep(20) = 1'));
   const reading = await callers.connect(host);
@@ -69,7 +69,7 @@
 });
 
 test('a statement beyond its timeout ends and frees its slot and connection', async () => {
-  for (const host of ['entry-1', 'entry-2']) {
+  for (const host of HOSTS) {
     const client = await callers.connect(host);
     await client.query("SET statement_timeout = '150ms'");
     expect((await getError(client.query('SELECT pg_sleep(20)'))).code).toBe('57014');
--- a/tests/callers/largeRows.test.ts
+++ b/tests/callers/largeRows.test.ts
@@ -3,7 +3,7 @@
 import { runInNewContext } from 'node:vm';
 import { serialize } from 'pg-protocol';
 import { afterAll, beforeAll, expect, test } from 'vitest';
-import { CallerFleet, getError } from './callerFleet.js';
+import { CallerFleet, getError, HOSTS } from './callerFleet.js';
 
 const ROW_BYTES = 16 * 1024 * 1024;
 const WRITTEN_BYTES = 1024 * 1024;
@@ -11,7 +11,6 @@
 const ANSWER_BYTES = 100_000_000;
 /** Two windows and the stand-in's own buffers, far below the whole. */
 const ALLOWED_SHARE = 0.2;
-const HOSTS = ['entry-1', 'entry-2'];
 const callers = new CallerFleet();
 
 beforeAll(() => callers.start());
--- a/tests/callers/protocol.test.ts
+++ b/tests/callers/protocol.test.ts
@@ -1,7 +1,7 @@
 import { serialize } from 'pg-protocol';
 import { afterAll, beforeAll, expect, test } from 'vitest';
 import { summarize, type RawClient, type RawMessage } from '../../standin/testing/rawClient.js';
-import { CallerFleet, getError } from './callerFleet.js';
+import { CallerFleet, getError, HOSTS } from './callerFleet.js';
 
 const READY = 'readyForQuery';
 const BIND_RUN = ['bindComplete', 'dataRow', 'commandComplete'];
@@ -28,50 +28,44 @@
   return messages.filter(({ name }) => name === 'dataRow').map(({ fields }) => fields?.[0]);
 }
 
-test.each(['entry-1', 'entry-2'])(
-  'named and unnamed statements outlive Syncs at %s',
-  async (host) => {
-    const client = await callers.openRaw(host);
-    const sync = serialize.sync();
-    await exchange(client, ...run('SELECT $1::text AS given', ['a'], 'named'), sync);
-    await exchange(client, ...run('SELECT 2 AS two'), sync);
-    const others = await Promise.all([1, 2, 3].map(() => callers.connect(host)));
-    for (let round = 0; round < 4; round += 1) {
-      const busy = others.map((other) => other.query('SELECT pg_sleep(0.02)'));
-      client.send(...again('named', [`round ${round}`]), sync);
-      expect(firstFields(await client.take(READY))).toEqual([`round ${round}`]);
-      client.send(...again(''), sync);
-      expect(firstFields(await client.take(READY))).toEqual(['2']);
-      await Promise.all(busy);
-    }
-    expect(await exchange(client, serialize.describe({ type: 'S', name: 'named' }), sync)).toEqual([
-      'parameterDescription',
-      'rowDescription',
-      READY,
-    ]);
-    const closing = serialize.close({ type: 'S', name: 'named' });
-    expect(await exchange(client, closing, sync)).toEqual(['closeComplete', READY]);
-    expect(await exchange(client, ...again('named', ['x']), sync)).toEqual(['error 26000', READY]);
-    client.close();
-  },
-);
+test.each(HOSTS)('named and unnamed statements outlive Syncs at %s', async (host) => {
+  const client = await callers.openRaw(host);
+  const sync = serialize.sync();
+  await exchange(client, ...run('SELECT $1::text AS given', ['a'], 'named'), sync);
+  await exchange(client, ...run('SELECT 2 AS two'), sync);
+  const others = await Promise.all([1, 2, 3].map(() => callers.connect(host)));
+  for (let round = 0; round < 4; round += 1) {
+    const busy = others.map((other) => other.query('SELECT pg_sleep(0.02)'));
+    client.send(...again('named', [`round ${round}`]), sync);
+    expect(firstFields(await client.take(READY))).toEqual([`round ${round}`]);
+    client.send(...again(''), sync);
+    expect(firstFields(await client.take(READY))).toEqual(['2']);
+    await Promise.all(busy);
+  }
+  expect(await exchange(client, serialize.describe({ type: 'S', name: 'named' }), sync)).toEqual([
+    'parameterDescription',
+    'rowDescription',
+    READY,
+  ]);
+  const closing = serialize.close({ type: 'S', name: 'named' });
+  expect(await exchange(client, closing, sync)).toEqual(['closeComplete', READY]);
+  expect(await exchange(client, ...again('named', ['x']), sync)).toEqual(['error 26000', READY]);
+  client.close();
+});
 
-test.each(['entry-1', 'entry-2'])(
-  'batches sent ahead are answered in order at %s',
-  async (host) => {
-    const client = await callers.openRaw(host);
-    const base = host === 'entry-1' ? 1000 : 2000;
-    const batches = Array.from({ length: 300 }, (_unused, index) => [
-      ...run("INSERT INTO bookings VALUES ($1, 'ahead') RETURNING id", [`${base + index}`]),
-      serialize.sync(),
-    ]);
-    client.send(...batches.flat());
-    for (let index = 0; index < batches.length; index += 1) {
-      expect(firstFields(await client.take(READY))).toEqual([`${base + index}`]);
-    }
-    client.close();
-  },
-);
+test.each(HOSTS)('batches sent ahead are answered in order at %s', async (host) => {
+  const client = await callers.openRaw(host);
+  const base = host === 'entry-1' ? 1000 : 2000;
+  const batches = Array.from({ length: 300 }, (_unused, index) => [
+    ...run("INSERT INTO bookings VALUES ($1, 'ahead') RETURNING id", [`${base + index}`]),
+    serialize.sync(),
+  ]);
+  client.send(...batches.flat());
+  for (let index = 0; index < batches.length; index += 1) {
+    expect(firstFields(await client.take(READY))).toEqual([`${base + index}`]);
+  }
+  client.close();
+});
 
 test('more small batches than fit at once in one piece of bytes are answered', async () => {
   const client = await callers.openRaw();
@@ -183,3 +177,7 @@
   expect(await exchange(client, serialize.query('SELECT 1'))).toContain('dataRow');
   client.close();
 });
+
+test('the tests go through the holder itself and through another daemon', async () => {
+  expect(await callers.getHolder()).toBe(HOSTS[0]);
+});
--- a/tests/callers/transactions.test.ts
+++ b/tests/callers/transactions.test.ts
@@ -1,5 +1,5 @@
 import { afterAll, beforeAll, expect, test } from 'vitest';
-import { CallerFleet, getError, GROUP } from './callerFleet.js';
+import { CallerFleet, getError, GROUP, HOSTS } from './callerFleet.js';
 
 const TRANSACTION_LIMIT_MS = 400;
 const callers = new CallerFleet(2, { slots: 1, connectionLimit: 5 });
@@ -41,7 +41,7 @@
 });
 
 test('a caller that vanishes leaves nothing behind, and its row is free again', async () => {
-  for (const host of ['entry-1', 'entry-2']) {
+  for (const host of HOSTS) {
     const gone = await callers.openRaw(host);
     gone.send(query("BEGIN; INSERT INTO bookings VALUES (300, 'gone')"));
     await gone.take('readyForQuery');
