--- a/bench/fleet/localFleet.ts
+++ b/bench/fleet/localFleet.ts
@@ -126,6 +126,14 @@
     });
   }
 
+  /** Waits until what is in force on a subject has reached every daemon. */
+  async waitUntilInForce(subject: string): Promise<void> {
+    await this.waitFor(async () => {
+      const { status, body } = await this.http.get(this.operators, `/in-force/${subject}`);
+      return status === 200 && JSON.stringify(body).includes('"everywhere":true');
+    });
+  }
+
   /** Connects a caller through the daemon on a host. */
   async connect(
     host: string,
--- a/tests/callers/transactions.test.ts
+++ b/tests/callers/transactions.test.ts
@@ -2,19 +2,19 @@
 import { CallerFleet, getError, GROUP, HOSTS } from './callerFleet.js';
 
 const TRANSACTION_LIMIT_MS = 400;
+const ORDINARY_LIMIT_MS = 30_000;
 const callers = new CallerFleet(2, { slots: 1, connectionLimit: 5 });
 
-beforeAll(async () => {
-  await callers.start();
-  await callers.fleet.submit({
-    kind: 'group',
-    group: GROUP,
-    acknowledgement: 'replica',
-    transactionLimitMs: TRANSACTION_LIMIT_MS,
-  });
-});
+beforeAll(() => callers.start());
 afterAll(() => callers.stop());
 
+/** Puts a limit for open transactions in force on the holder. */
+async function setTransactionLimit(transactionLimitMs: number): Promise<void> {
+  const subject = { kind: 'group', group: GROUP, acknowledgement: 'replica', transactionLimitMs };
+  await callers.fleet.submit(subject);
+  await callers.fleet.waitUntilInForce(`group/${GROUP}`);
+}
+
 async function readIds(): Promise<unknown[]> {
   const client = await callers.connect();
   const { rows } = await client.query<{ id: number }>('SELECT id FROM bookings ORDER BY id');
@@ -65,6 +65,7 @@
 }
 
 test('a transaction beyond its time limit is rolled back and its caller told', async () => {
+  await setTransactionLimit(TRANSACTION_LIMIT_MS);
   const slow = await callers.connect();
   await slow.query('BEGIN');
   await slow.query("INSERT INTO bookings VALUES (400, 'slow')");
@@ -78,15 +79,18 @@
   expect(callers.primary.records.filter((each) => JSON.stringify(each).includes('"slow"'))).toEqual(
     [],
   );
+  await setTransactionLimit(ORDINARY_LIMIT_MS);
 });
 
 test('COMMIT of a lost transaction is refused once, and the session goes on', async () => {
+  await setTransactionLimit(TRANSACTION_LIMIT_MS);
   const slow = await callers.connect();
   await slow.query('BEGIN');
   await slow.query("INSERT INTO bookings VALUES (450, 'lost')");
   await callers.fleet.sleep(TRANSACTION_LIMIT_MS + 100);
   expect((await getError(slow.query('COMMIT'))).code).toBe('40001');
   expect((await slow.query('SELECT 1 AS one')).rows).toEqual([{ one: 1 }]);
+  await setTransactionLimit(ORDINARY_LIMIT_MS);
 });
 
 test('an error inside a transaction fails it until it is ended', async () => {
