--- a/bench/failover/failures.ts
+++ b/bench/failover/failures.ts
@@ -41,6 +41,13 @@
     begin: (fleet, { primary }) => setFault(fleet, primary, { cutOff: true }),
     end: (fleet, { primary }) => setFault(fleet, primary, { cutOff: false }),
   },
+  {
+    name: 'silence-primary',
+    begin: async (fleet, { primary }) => {
+      await fleet.http.post(fleet.getHttp(primary), '/silence', {});
+    },
+    end: () => undefined,
+  },
   { name: 'kill-holder', ...kill(({ holder }) => [holder]) },
   { name: 'stop-holder', ...pause(({ holder }) => [holder]) },
   { name: 'kill-leader', ...kill(({ leader }) => [leader]) },
--- a/src/common/timer/index.ts
+++ b/src/common/timer/index.ts
@@ -1,3 +1,4 @@
 export * from './timerService.js';
 export * from './systemTimerService.js';
 export * from './manualTimerService.js';
+export * from './timeout.js';
--- a/src/daemon/holder/instanceMonitor.ts
+++ b/src/daemon/holder/instanceMonitor.ts
@@ -1,22 +1,14 @@
-import pg from 'pg';
 import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
-import { toTerm } from '../../common/ids/index.js';
-import { tryParseLogPosition } from '../../common/logPosition.js';
-import { splitAddress } from '../../common/settings/index.js';
 import { InstanceHealth } from '../../decisions/routing/index.js';
-import {
-  createBoundSocket,
-  PRIMARY_PROBE,
-  REPLICA_PROBE,
-  type BackendAccess,
-  type ProbeAnswer,
-} from '../backend/index.js';
+import type { BackendAccess, ProbeAnswer } from '../backend/index.js';
+import { ProbeConnection } from './probeConnection.js';
 
 const PROBE_INTERVAL_MS = 50;
 const URGENT_PROBE_INTERVAL_MS = 1;
-const PROBE_TIMEOUT_MS = 300;
-const CONNECT_TIMEOUT_MS = 300;
-const RECONNECT_DELAY_MS = 50;
+const PROBE_TIMEOUT_MS = 250;
+const CONNECT_TIMEOUT_MS = 250;
+/** Two attempts overlap, so that a lost packet is told from a lost instance without waiting twice. */
+const ATTEMPT_SPACING_MS = 100;
 
 /** What a monitor tells its owner. */
 export interface MonitorListener {
@@ -31,9 +23,10 @@
 /** Watches one instance over a connection of its own. */
 export class InstanceMonitor {
   readonly health = new InstanceHealth();
-  private client: pg.Client | undefined;
+  private connection: ProbeConnection | undefined;
+  private readonly attempts = new Set<ProbeConnection>();
   private scheduled: Unsubscribe | undefined;
-  private asking = false;
+  private asking: ProbeConnection | undefined;
   private urgent = false;
   private stopped = false;
 
@@ -47,7 +40,7 @@
 
   /** Begins to watch. */
   start(): void {
-    void this.connect();
+    this.attempt();
   }
 
   /** Says which probe fits the instance's role. */
@@ -61,138 +54,100 @@
       return;
     }
     this.urgent = urgent;
-    if (urgent && this.client !== undefined && !this.asking) {
-      this.schedule(URGENT_PROBE_INTERVAL_MS);
+    if (urgent) {
+      this.askAfter(URGENT_PROBE_INTERVAL_MS);
     }
   }
 
   /** Checks at once whether the instance still answers. */
   check(): void {
-    if (this.client !== undefined && !this.asking) {
-      this.schedule(0);
-    }
+    this.askAfter(0);
   }
 
   /** Ends the watch. */
   stop(): void {
     this.stopped = true;
     this.scheduled?.();
-    this.drop();
+    this.connection?.close();
+    this.connection = undefined;
+    for (const attempt of this.attempts) {
+      attempt.close();
+    }
   }
 
-  private async connect(): Promise<void> {
-    if (this.stopped) {
+  /** Tries a new connection, and another one soon after as long as none has succeeded. */
+  private attempt(): void {
+    if (this.stopped || this.connection !== undefined) {
       return;
     }
-    const client = this.createClient();
-    const cancel = this.timer.once(CONNECT_TIMEOUT_MS, () => destroyClient(client));
-    try {
-      await client.connect();
-    } catch {
-      destroyClient(client);
-      this.connectFailed();
-      return;
-    } finally {
-      cancel();
-    }
-    if (this.isStopped()) {
-      destroyClient(client);
-      return;
-    }
-    this.client = client;
-    client.once('end', () => this.condemn(client));
-    await this.ask(client);
+    const attempt = new ProbeConnection(this.address, this.access, this.timer);
+    this.attempts.add(attempt);
+    attempt.open(CONNECT_TIMEOUT_MS).then(
+      () => this.opened(attempt),
+      () => this.attemptFailed(attempt),
+    );
+    this.timer.once(ATTEMPT_SPACING_MS, () => this.attempt());
   }
 
-  private createClient(): pg.Client {
-    const { host: ip, port } = splitAddress(this.address);
-    const client = new pg.Client({
-      host: ip,
-      port,
-      user: this.access.user,
-      password: this.access.password,
-      database: this.access.database,
-      stream: () => createBoundSocket(this.access.localIp),
-    });
-    client.on('error', () => undefined);
-    return client;
+  private opened(attempt: ProbeConnection): void {
+    this.attempts.delete(attempt);
+    if (this.stopped || this.connection !== undefined) {
+      attempt.close();
+      return;
+    }
+    this.connection = attempt;
+    void this.ask(attempt);
   }
 
-  private connectFailed(): void {
+  private attemptFailed(attempt: ProbeConnection): void {
+    this.attempts.delete(attempt);
+    if (this.stopped || this.connection !== undefined) {
+      return;
+    }
     const wasUnreachable = this.health.isUnreachable;
     this.health.connectFailed();
     if (this.health.isUnreachable && !wasUnreachable) {
       this.listener.instanceLost();
     }
-    this.scheduled?.();
-    this.scheduled = this.timer.once(RECONNECT_DELAY_MS, () => void this.connect());
   }
 
-  private async ask(client: pg.Client): Promise<void> {
-    this.asking = true;
+  private async ask(connection: ProbeConnection): Promise<void> {
+    this.asking = connection;
     const sentMs = this.timer.now();
-    const cancel = this.timer.once(PROBE_TIMEOUT_MS, () => this.condemn(client));
     try {
-      const answer = await this.query(client);
-      if (this.client === client) {
+      const answer = await connection.ask(this.expectsPrimary, PROBE_TIMEOUT_MS);
+      if (this.connection === connection) {
         this.health.probeAnswered(this.timer.now());
         this.listener.probeAnswered(answer, sentMs);
       }
     } catch {
-      this.condemn(client);
-    } finally {
-      cancel();
-      this.asking = false;
+      this.condemn(connection);
     }
-    if (this.client === client) {
-      this.schedule(this.urgent ? URGENT_PROBE_INTERVAL_MS : PROBE_INTERVAL_MS);
+    if (this.asking === connection) {
+      this.asking = undefined;
     }
+    this.askAfter(this.urgent ? URGENT_PROBE_INTERVAL_MS : PROBE_INTERVAL_MS);
   }
 
-  private async query(client: pg.Client): Promise<ProbeAnswer> {
-    const text = this.expectsPrimary ? PRIMARY_PROBE : REPLICA_PROBE;
-    const result = await client.query<unknown[]>({ text, rowMode: 'array' });
-    const [inRecovery, position, term] = result.rows[0] ?? [];
-    return {
-      inRecovery: String(inRecovery).startsWith('t'),
-      term: toTerm(Number(term)),
-      position: tryParseLogPosition(String(position))._unsafeUnwrap(),
-    };
-  }
-
-  private schedule(delayMs: number): void {
+  private askAfter(delayMs: number): void {
+    const { connection } = this;
+    if (connection === undefined || this.asking === connection) {
+      return;
+    }
     this.scheduled?.();
     this.scheduled = this.timer.once(delayMs, () => {
-      if (this.client !== undefined && !this.asking) {
-        void this.ask(this.client);
+      if (this.connection === connection && this.asking !== connection) {
+        void this.ask(connection);
       }
     });
   }
 
-  private condemn(client: pg.Client): void {
-    destroyClient(client);
-    if (this.client !== client) {
-      return;
+  private condemn(connection: ProbeConnection): void {
+    connection.close();
+    if (this.connection === connection) {
+      this.connection = undefined;
+      this.listener.connectionCondemned();
+      this.attempt();
     }
-    this.client = undefined;
-    this.listener.connectionCondemned();
-    void this.connect();
   }
-
-  private isStopped(): boolean {
-    return this.stopped;
-  }
-
-  private drop(): void {
-    const { client } = this;
-    this.client = undefined;
-    if (client !== undefined) {
-      destroyClient(client);
-    }
-  }
-}
-
-function destroyClient(client: pg.Client): void {
-  const inside = client as unknown as { readonly connection: { stream: { destroy(): void } } };
-  inside.connection.stream.destroy();
 }
