Client accounts have one holder at a time: checked in the random runs

The random runs checked groups only. Adds the invariant for accounts and a test of their spread over hosts, of a lost and of a stopping host. Reading all subjects no longer looks at every daemon for each.

--- a/src/decisions/control/leader/controlLeader.test.ts
+++ b/src/decisions/control/leader/controlLeader.test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest';
 import {
+  toAccountId,
   toFailureDomain,
   toGroupId,
   toInstanceId,
@@ -7,7 +8,11 @@
 } from '../../../common/ids/index.js';
 import { SubjectKind } from '../../tickets/index.js';
 import { PrimaryPhase } from '../index.js';
-import { DEFAULT_FLEET_OPTIONS, FakeFleet } from '../../../../tests/support/fleet/index.js';
+import {
+  DEFAULT_FLEET_OPTIONS,
+  FakeFleet,
+  type FakeDaemon,
+} from '../../../../tests/support/fleet/index.js';
 import { DEFAULT_LEASE_TERMS } from '../../leases/leaseTerms.js';
 
 const RENEWAL_INTERVAL_MS = 200;
@@ -261,3 +266,27 @@
   expect(fleet.getHolder(GROUP)).toBe(holder);
   expect(fleet.getPrimary(GROUP)).not.toBe(primary);
 });
+
+test('client accounts are spread over the hosts, and those of a lost host go to others', () => {
+  const fleet = createFleet();
+  const accounts = Array.from({ length: 12 }, (_, index) => toAccountId(`a${index}`));
+  const subjects = accounts.map((account) => {
+    const limits = { rate: 5, burst: 5, maximumOpenTransactions: 1 };
+    const keys = { salt: 'c2FsdA==', iterations: 4096, keys: [] };
+    return { kind: SubjectKind.Account, account, ...limits, ...keys } as const;
+  });
+  fleet.submit({ number: toTicketNumber(1), subjects });
+  fleet.run(1000);
+  const count = (daemon: FakeDaemon) =>
+    accounts.filter((account) => daemon.isHandingOut(account)).length;
+  expect(fleet.daemons.map(count)).toEqual([2, 2, 2, 2, 2, 2]);
+  const [lost, stopping] = fleet.daemons;
+  lost?.kill();
+  if (stopping !== undefined) {
+    stopping.isStopping = true;
+  }
+  fleet.run(4000);
+  const left = fleet.daemons.slice(2).map(count);
+  expect(left.reduce((sum, each) => sum + each, 0)).toBe(12);
+  expect(Math.max(...left)).toBe(3);
+});
--- a/src/decisions/control/leader/fleetReader.ts
+++ b/src/decisions/control/leader/fleetReader.ts
@@ -35,21 +35,24 @@
   getReadings(subject: string | undefined, nowMs: number): SubjectReading[] {
     const { state, leases } = this.context;
     const live = leases.getLive();
+    const lowest = live.reduce((least, lease) => Math.min(least, lease.revision), Infinity);
     const isSettled = !leases.isWaiting(nowMs);
     const found = subject === undefined ? state.getSubjects() : [state.getSubject(subject)];
     return found
       .filter((each) => each !== undefined)
-      .map((each) => this.createReading(each, live, isSettled));
+      .map((each) => this.createReading(each, live, lowest, isSettled));
   }
 
   private createReading(
     value: SubjectInForce,
     live: readonly DaemonLease[],
+    lowest: number,
     isSettled: boolean,
   ): SubjectReading {
     const subject = getSubjectName(value.state);
     const revision = this.context.state.getRecordRevision(getSubjectRecordName(subject));
-    const missing = live.filter((lease) => lease.revision < revision).map((lease) => lease.host);
+    const isBehind = (lease: DaemonLease) => lease.revision < revision;
+    const missing = lowest < revision ? live.filter(isBehind).map((lease) => lease.host) : [];
     const everywhere = isSettled && missing.length === 0;
     return { subject, ticket: value.ticket, state: value.state, everywhere, missing };
   }
--- a/tests/support/fleet/fakeDaemon.ts
+++ b/tests/support/fleet/fakeDaemon.ts
@@ -144,6 +144,13 @@
     return this.lease.isValid(this.now()) && held !== undefined && !held.isReleased;
   }
 
+  /** Whether this daemon would hand out a client account's rate now. */
+  isHandingOut(account: AccountId): boolean {
+    const assignment = this.records.getAccountAssignment(account);
+    const isOwn = assignment?.holder?.lease === this.lease.id && !assignment.draining;
+    return isOwn && this.lease.isValid(this.now()) && !this.isStopping;
+  }
+
   isServing(): boolean {
     return this.isAlive && this.lease.isValid(this.now());
   }
@@ -196,7 +203,8 @@
   private getReleasedAccounts(): AccountId[] {
     return this.records.getAccounts().filter((account) => {
       const assignment = this.records.getAccountAssignment(account);
-      return assignment?.draining === true && assignment.holder?.lease === this.lease.id;
+      const isOwn = assignment?.holder?.lease === this.lease.id;
+      return isOwn && (assignment.draining || this.isStopping);
     });
   }
 
--- a/tests/support/fleet/fakeFleet.ts
+++ b/tests/support/fleet/fakeFleet.ts
@@ -252,6 +252,10 @@
         const holder = truth.getGroupAssignment(group)?.holder?.lease;
         assertInvariant(holder === daemon.lease.id, 'a group has one holder at a time');
       }
+      for (const account of truth.getAccounts().filter((each) => daemon.isHandingOut(each))) {
+        const holder = truth.getAccountAssignment(account)?.holder?.lease;
+        assertInvariant(holder === daemon.lease.id, 'an account has one holder at a time');
+      }
     }
   }
 
