Placement bench takes up pushed changes

Its daemons lost their leases during start-up at 2,200 daemons, so that the figures of the leader were of an empty fleet (7.6 us a renewal).

--- a/bench/placement/leaderRun.ts
+++ b/bench/placement/leaderRun.ts
@@ -23,6 +23,7 @@
   type Command,
   type ControlInput,
   type LeaseRenewal,
+  type Update,
 } from '../../src/decisions/control/index.js';
 import type { FleetSize } from './fleetSize.js';
 
@@ -44,6 +45,8 @@
   /** Commits after one host was lost. */
   readonly commitsPerHostLost: number;
   readonly heapMegabytes: number;
+  /** Daemons with a lease at the end. */
+  readonly daemons: number;
 }
 
 /** Drives the control leader alone with the renewals and announcements of a whole fleet. */
@@ -78,6 +81,7 @@
       busyMsPerSecond: (renewalMs + tickMs) / (MEASURE_MS / 1000),
       commitsPerHostLost: this.commits - before,
       heapMegabytes: process.memoryUsage().heapUsed / 2 ** 20,
+      daemons: this.leader.getStatus(this.nowMs).daemons.length,
     };
   }
 
@@ -121,6 +125,17 @@
         this.queue.push(output.command);
       } else if (output.kind === ControlOutputKind.Grant) {
         this.revisions.set(output.host, output.grant.revision);
+      } else if (output.kind === ControlOutputKind.Update) {
+        this.takeUpdate(output);
+      }
+    }
+  }
+
+  /** A daemon takes up what is pushed, when it lacks nothing before it. */
+  private takeUpdate({ hosts, update }: Update): void {
+    for (const host of hosts) {
+      if ((this.revisions.get(host) ?? 0) >= update.since) {
+        this.revisions.set(host, update.revision);
       }
     }
   }
