A completed move does not delay the next one

A property-based test of failure domains going out and back found it: d1 out, its primary moved to d2, d2 out 600 ms later, and the primary stayed in d2 for 5 s, since any move, not only one that was given up, held back the next. Only a move that was given up does now.

--- a/src/decisions/control/leader/commitIntake.ts
+++ b/src/decisions/control/leader/commitIntake.ts
@@ -10,6 +10,7 @@
 import type { Committed } from './controlInput.js';
 import { ControlOutputKind } from './controlOutput.js';
 import { getCommandKey } from './commandKey.js';
+import type { GroupWatch } from './groupWatch.js';
 import type { HostRegister } from './hostRegister.js';
 import { getWatch, type LeaderContext } from './leaderContext.js';
 
@@ -126,12 +127,9 @@
   private notePrimary(primary: GroupPrimary, nowMs: number): void {
     const { group } = primary;
     const watch = getWatch(this.context, group);
-    const wasMoving = watch.movingSinceMs !== undefined;
     watch.servingSinceMs = primary.phase === PrimaryPhase.Serving ? nowMs : undefined;
     watch.movingSinceMs = primary.phase === PrimaryPhase.Moving ? nowMs : undefined;
-    if (wasMoving && watch.movingSinceMs === undefined) {
-      watch.moveEndedMs = nowMs;
-    }
+    this.noteMove(watch, primary, nowMs);
     if (primary.phase === PrimaryPhase.Promoting) {
       const failed = watch.order === undefined ? undefined : watch.orderedInstance;
       watch.failedInstances =
@@ -143,6 +141,18 @@
     this.context.groupAgenda.add(group);
   }
 
+  /** Notes a planned move, and when one was given up: the same instance goes on. */
+  private noteMove(watch: GroupWatch, primary: GroupPrimary, nowMs: number): void {
+    if (primary.phase === PrimaryPhase.Moving) {
+      watch.movingInstance = primary.instance;
+    } else if (primary.phase === PrimaryPhase.Serving) {
+      if (watch.movingInstance === primary.instance) {
+        watch.moveEndedMs = nowMs;
+      }
+      watch.movingInstance = undefined;
+    }
+  }
+
   private noteSubject(value: SubjectInForce, nowMs: number): void {
     const { state } = value;
     switch (state.kind) {
--- a/src/decisions/control/leader/groupWatch.ts
+++ b/src/decisions/control/leader/groupWatch.ts
@@ -39,6 +39,8 @@
   unheldSinceMs: number | undefined;
   servingSinceMs: number | undefined;
   movingSinceMs: number | undefined;
+  /** The primary that a planned move under way began with. */
+  movingInstance: InstanceId | undefined;
   moveEndedMs: number | undefined;
   order: PromotionOrder | undefined;
   /** Instance of the last order. */
--- a/src/decisions/promotion/promotionRules.ts
+++ b/src/decisions/promotion/promotionRules.ts
@@ -100,7 +100,7 @@
     const { moveEndedMs, nowMs } = view;
     const isEarly = moveEndedMs !== undefined && nowMs - moveEndedMs < this.settings.moveIntervalMs;
     if (isEarly && !isLost) {
-      return createWait('a planned move ended a short time ago');
+      return createWait('a planned move was given up a short time ago');
     }
     const candidates = getCandidates(view, primary, this.settings, Candidates.Others);
     return candidates.length === 0
--- a/src/decisions/promotion/promotionSettings.ts
+++ b/src/decisions/promotion/promotionSettings.ts
@@ -14,7 +14,7 @@
   readonly abandonMs: number;
   /** Time after which a planned move is given up. */
   readonly moveMs: number;
-  /** Time between planned moves of one group. */
+  /** Time after a planned move was given up until the group tries another. */
   readonly moveIntervalMs: number;
 }
 
