--- a/src/decisions/limits/limitTiming.ts
+++ b/src/decisions/limits/limitTiming.ts
@@ -25,6 +25,9 @@
 /** Time beyond two round trips for which tokens are kept in stock. */
 export const PREFETCH_MARGIN_MS = 10;
 
+/** Longest time for which tokens are kept in stock ahead, however long the round trip. */
+export const MAXIMUM_LEAD_MS = GRANT_VALIDITY_MS / 2;
+
 /** Demand, in tokens a second, from which a token is kept in stock. */
 export const RESERVE_DEMAND = 1;
 
@@ -38,10 +41,10 @@
 export const INITIAL_ROUND_TRIP_MS = 5;
 
 /** Largest part of a deadline that is kept for running the request. */
-export const RUN_RESERVE_MS = 50;
+export const RUN_RESERVE_MS = 300;
 
 /** Share of a short deadline that is kept for running the request. */
-export const RUN_RESERVE_SHARE = 0.1;
+export const RUN_RESERVE_SHARE = 0.2;
 
 /** Requests of one account that may wait at one entry daemon. */
 export const MAXIMUM_WAITING = 10_000;
