--- /dev/null
+++ b/src/daemon/backend/connectionPool.test.ts
@@ -0,0 +1,100 @@
+import { createServer, type AddressInfo, type Server } from 'node:net';
+import { afterEach, beforeEach, expect, test } from 'vitest';
+import { createFault, Diagnostics } from '../../common/diagnostics/index.js';
+import { SystemTimerService } from '../../common/timer/index.js';
+import type { BackendConnection } from './backendConnection.js';
+import { ConnectionPool } from './connectionPool.js';
+
+const READY = Buffer.from([0x5a, 0, 0, 0, 5, 0x49]);
+const WELCOME = Buffer.concat([
+  Buffer.from([0x52, 0, 0, 0, 8, 0, 0, 0, 0]),
+  Buffer.from([0x4b, 0, 0, 0, 12, 0, 0, 0, 1, 0, 0, 0, 2]),
+  READY,
+]);
+const SYNC = 0x53;
+const timer = new SystemTimerService();
+const limits = { maximumConnections: 2, warmConnections: 0, openTimeoutMs: 1000 };
+
+let server: Server;
+let pool: ConnectionPool;
+let silent = false;
+let heartbeats = 0;
+
+/** A server that accepts everybody and answers Sync unless it is silent. */
+beforeEach(async () => {
+  silent = false;
+  heartbeats = 0;
+  server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      socket.write(WELCOME);
+      socket.on('data', (bytes: Buffer) => {
+        heartbeats += bytes[0] === SYNC ? 1 : 0;
+        if (!silent) {
+          socket.write(READY);
+        }
+      });
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const access = { localIp: '127.0.0.1', user: 'u', password: undefined, database: 'd' };
+  pool = new ConnectionPool(address, access, limits, timer);
+});
+
+afterEach(() => {
+  pool.close(createFault(Diagnostics.ShuttingDown, {}, { step: 'test' }));
+  server.close();
+});
+
+function acquire(): Promise<BackendConnection> {
+  return new Promise((resolve, reject) => {
+    pool.acquire({ connected: resolve, failed: reject });
+  });
+}
+
+async function waitFor(isTrue: () => boolean): Promise<void> {
+  while (!isTrue()) {
+    await new Promise<void>((resolve) => {
+      timer.once(10, () => resolve());
+    });
+  }
+}
+
+test('an idle connection that answers its heartbeats is kept', async () => {
+  const connection = await acquire();
+  pool.release(connection, true);
+  await waitFor(() => heartbeats >= 2);
+  expect(await acquire()).toBe(connection);
+  expect(pool.size).toBe(1);
+});
+
+test('an idle connection without an answer is condemned; a new one is opened', async () => {
+  let condemned = 0;
+  pool.onCondemned = () => {
+    condemned += 1;
+  };
+  const connection = await acquire();
+  silent = true;
+  pool.release(connection, true);
+  await waitFor(() => condemned > 0);
+  expect(connection.isClosed).toBe(true);
+  expect(pool.size).toBe(0);
+  silent = false;
+  expect(await acquire()).not.toBe(connection);
+});
+
+test('a connection is not handed out while its heartbeat is unanswered', async () => {
+  const connection = await acquire();
+  silent = true;
+  pool.release(connection, true);
+  await waitFor(() => heartbeats > 0);
+  expect(await acquire()).not.toBe(connection);
+});
+
+test('a connection with a cancelled request is closed when it is given back', async () => {
+  const connection = await acquire();
+  connection.cancel();
+  pool.release(connection, true);
+  expect(connection.isClosed).toBe(true);
+});
--- /dev/null
+++ b/src/daemon/gateway/answerFrames.test.ts
@@ -0,0 +1,35 @@
+import fc from 'fast-check';
+import { expect, test } from 'vitest';
+import { AnswerFrames } from './answerFrames.js';
+
+const SEED = 20_261_204;
+
+function createMessage(body: Uint8Array): Buffer {
+  const header = Buffer.from([0x44, 0, 0, 0, 0]);
+  header.writeUInt32BE(body.length + 4, 1);
+  return Buffer.concat([header, body]);
+}
+
+test('borders are where messages end, however the bytes are cut', () => {
+  const bodies = fc.array(fc.uint8Array({ maxLength: 12 }), { minLength: 1, maxLength: 6 });
+  const sizes = fc.array(fc.integer({ min: 1, max: 9 }), { minLength: 1 });
+  fc.assert(
+    fc.property(bodies, sizes, (contents, pieces) => {
+      const messages = contents.map(createMessage);
+      const borders = new Set<number>([0]);
+      messages.reduce((sum, { length }) => {
+        borders.add(sum + length);
+        return sum + length;
+      }, 0);
+      const bytes = Buffer.concat(messages);
+      const frames = new AnswerFrames();
+      for (let offset = 0, turn = 0; offset < bytes.length; turn += 1) {
+        const end = Math.min(bytes.length, offset + (pieces[turn % pieces.length] ?? 1));
+        frames.push(bytes.subarray(offset, end));
+        offset = end;
+        expect(frames.isAtBorder).toBe(borders.has(offset));
+      }
+    }),
+    { seed: SEED },
+  );
+});
--- a/src/daemon/gateway/callerServer.ts
+++ b/src/daemon/gateway/callerServer.ts
@@ -40,6 +40,7 @@
   private readonly sessions = new Set<CallerSession>();
   private readonly starting = new Set<Socket>();
   private draining = false;
+  private boundPort = 0;
 
   constructor(
     private readonly options: CallerServerOptions,
@@ -55,9 +56,9 @@
     return this.sessions.size;
   }
 
-  /** The port that callers connect to. */
+  /** The port that callers connect to, or connected to before the server was closed. */
   get port(): number {
-    return (this.server.address() as AddressInfo).port;
+    return this.boundPort;
   }
 
   /** Starts to listen; fails when the address can't be had. */
@@ -67,6 +68,7 @@
       this.server.once('error', reject);
       this.server.listen(port, ip, resolve);
     });
+    this.boundPort = (this.server.address() as AddressInfo).port;
   }
 
   /** Ends sessions whose key or route is no longer in force. */
--- a/tests/callers/largeRows.test.ts
+++ b/tests/callers/largeRows.test.ts
@@ -3,7 +3,7 @@
 import { runInNewContext } from 'node:vm';
 import { serialize } from 'pg-protocol';
 import { afterAll, beforeAll, expect, test } from 'vitest';
-import { CallerFleet, getError, HOSTS } from './callerFleet.js';
+import { CallerFleet, getError, GROUP, HOSTS } from './callerFleet.js';
 
 const ROW_BYTES = 16 * 1024 * 1024;
 const WRITTEN_BYTES = 1024 * 1024;
@@ -106,3 +106,20 @@
     clients.map((_client, index) => [{ given: index }]),
   );
 });
+
+test('an answer cut inside a row ends the connection and shows no part of the row', async () => {
+  for (const host of HOSTS) {
+    const client = await callers.openRaw(host);
+    client.send(serialize.query(`SELECT repeat('y', ${ROW_BYTES}) AS filled`));
+    client.socket.pause();
+    const closed = new Promise((resolve) => client.socket.once('close', resolve));
+    await callers.fleet.waitFor(() => client.socket.bytesRead > 0);
+    await callers.fleet.sleep(100);
+    callers.fleet.instances.forEach(({ instance }) => instance.setFaults({ cutOff: true }));
+    callers.fleet.instances.forEach(({ instance }) => instance.setFaults({ cutOff: false }));
+    client.socket.resume();
+    await closed;
+    expect(client.messages.filter(({ name }) => name === 'dataRow')).toEqual([]);
+    await callers.fleet.waitForGroup(GROUP);
+  }
+});
