Silent connections under running requests are found; leaving replicas don't count for acknowledgement

Ruled out: promotion (the instance works) and idle connections (they have a heartbeat). Change: a monitor connection that was silent while a new one is answered within 100 ms makes the holder close connections whose requests had no byte for 200 ms: reads run again, writes are unknown (08007). Also: control's rules need that a leaving replica never counts as the one that has a write; a group given back under the same lease is taken up again. Conclusion: condemn by evidence of a working new connection, never by time alone.

--- a/src/daemon/holder/groupHolder.ts
+++ b/src/daemon/holder/groupHolder.ts
@@ -4,7 +4,7 @@
   type Diagnostic,
   type Fault,
 } from '../../common/diagnostics/index.js';
-import type { GroupId, Incarnation, LeaseId, Term } from '../../common/ids/index.js';
+import type { GroupId, Incarnation, LeaseId, Revision, Term } from '../../common/ids/index.js';
 import type { GroupReport } from '../../decisions/control/index.js';
 import {
   createRefusedOutcome,
@@ -20,7 +20,8 @@
 /** All database groups that this daemon holds under its lease. */
 export class GroupHolder {
   private readonly groups = new Map<GroupId, HeldGroup>();
-  private readonly released = new Set<GroupId>();
+  /** Groups given up, with the revision of the assignment that was given up. */
+  private readonly released = new Map<GroupId, Revision>();
   private lease: LeaseId | undefined;
 
   constructor(private readonly context: HolderContext) {
@@ -48,7 +49,7 @@
 
   /** Groups given up under the present lease. */
   get releasedGroups(): readonly GroupId[] {
-    return [...this.released];
+    return [...this.released.keys()];
   }
 
   /** Runs a request, or returns undefined after refusing it as not run. */
@@ -118,9 +119,10 @@
       this.remove(id);
       return;
     }
-    if (this.released.has(id)) {
+    if (this.released.get(id) === assignment.since) {
       return;
     }
+    this.released.delete(id);
     if (!this.groups.has(id)) {
       this.groups.set(id, new HeldGroup(id, this.context));
       this.context.logger.report(Diagnostics.GroupTaken, { group: id }, { step: 'holder.take' });
@@ -142,7 +144,10 @@
 
   private release(id: GroupId): void {
     this.remove(id);
-    this.released.add(id);
+    const { since } = this.context.records.getGroupAssignment(id) ?? {};
+    if (since !== undefined) {
+      this.released.set(id, since);
+    }
     this.context.reportNow();
   }
 
--- a/src/daemon/holder/groupRequests.ts
+++ b/src/daemon/holder/groupRequests.ts
@@ -18,6 +18,8 @@
 import { HeldRequestHandle } from './heldRequestHandle.js';
 import type { HolderContext } from './holderContext.js';
 
+const SILENT_MS = 200;
+
 /** What the requests of a group need of it. */
 export interface RequestPlaces {
   route(request: ExecuteRequest): RouteDecision;
@@ -110,6 +112,20 @@
     }
   }
 
+  /**
+   * Closes the connections of requests that had no byte of an answer for long, when other
+   * connections to the instance proved dead although it works.
+   */
+  closeSilent(instance: HeldInstance): void {
+    const nowMs = this.context.timer.now();
+    for (const held of [...this.requests.values()]) {
+      const isSilent = held.startedMs !== undefined && held.endedMs === undefined && !held.heard;
+      if (isSilent && held.instance === instance && nowMs - (held.startedMs ?? nowMs) > SILENT_MS) {
+        held.connection?.close();
+      }
+    }
+  }
+
   /** Refuses what has waited beyond its deadline and ends what runs beyond it. */
   tick(nowMs: number): void {
     for (const held of [...this.requests.values()]) {
--- a/src/daemon/holder/heldGroup.ts
+++ b/src/daemon/holder/heldGroup.ts
@@ -92,6 +92,9 @@
     }
     for (const record of records.getInstances(this.group)) {
       this.updateInstance(record);
+      if (records.isLeaving(this.group, record.instance)) {
+        this.writes.forgetReplica(record.instance);
+      }
     }
     if (primary?.term !== previousTerm) {
       this.primaryMoved();
@@ -141,7 +144,10 @@
   }
 
   getReplicaCount(): number {
-    return this.instances.size - 1;
+    const primary = this.writes.primary?.instance;
+    return [...this.instances.values()].filter(
+      ({ id }) => id !== primary && !this.context.records.isLeaving(this.group, id),
+    ).length;
   }
 
   setUrgent(urgent: boolean): void {
@@ -190,7 +196,10 @@
     const { primary } = this.writes;
     const position = { term: answer.term, position: answer.position };
     if (instance.id !== primary?.instance) {
-      this.writes.replicaReached(instance.id, position);
+      // A leaving replica does not count: control leaves it out when it chooses a primary.
+      if (!this.context.records.isLeaving(this.group, instance.id)) {
+        this.writes.replicaReached(instance.id, position);
+      }
     } else if (answer.term === primary.term && !answer.inRecovery) {
       this.clock.record(answer.position, instance.probedMs);
       this.writes.primaryReached(position);
@@ -202,6 +211,10 @@
     this.writes.forgetReplica(instance.id);
   }
 
+  connectionsSuspected(instance: HeldInstance): void {
+    this.requests.closeSilent(instance);
+  }
+
   instanceLost(instance: HeldInstance): void {
     if (instance.id === this.writes.primary?.instance) {
       this.writes.fence('unreachable');
--- a/src/daemon/holder/heldInstance.ts
+++ b/src/daemon/holder/heldInstance.ts
@@ -29,6 +29,8 @@
   probeAnswered(instance: HeldInstance, answer: ProbeAnswer): void;
   /** The monitor's connection gave no answer; new ones may. */
   connectionCondemned(instance: HeldInstance): void;
+  /** Connections to the instance that give no answer may be dead. */
+  connectionsSuspected(instance: HeldInstance): void;
   instanceLost(instance: HeldInstance): void;
 }
 
@@ -154,6 +156,10 @@
     this.listener.connectionCondemned(this);
   }
 
+  connectionsSuspected(): void {
+    this.listener.connectionsSuspected(this);
+  }
+
   instanceLost(): void {
     const { group, instance } = this.record;
     this.context.logger.report(
--- a/src/daemon/holder/heldRequest.ts
+++ b/src/daemon/holder/heldRequest.ts
@@ -44,6 +44,8 @@
   onReplica = false;
   /** Some byte of an answer has gone to the receiver. */
   answered = false;
+  /** Some byte came back over the backend connection. */
+  heard = false;
   finished = false;
   /** Nobody waits for the answer; the connection is closed after it. */
   abandoned = false;
@@ -98,6 +100,7 @@
     this.startedMs = undefined;
     this.heldBack = [];
     this.heldBackBytes = 0;
+    this.heard = false;
     this.holding = false;
     this.failed = false;
     this.committed = false;
@@ -115,6 +118,7 @@
   }
 
   override passThrough(bytes: Buffer): void {
+    this.heard = true;
     if (this.inPositionPhase) {
       this.readPosition(bytes);
     } else {
@@ -123,6 +127,7 @@
   }
 
   override commandComplete(frame: Buffer): void {
+    this.heard = true;
     if (this.inPositionPhase) {
       return;
     }
@@ -132,6 +137,7 @@
   }
 
   override errorResponse(frame: Buffer): void {
+    this.heard = true;
     if (!this.inPositionPhase) {
       this.failed = true;
       this.forward(frame);
--- a/src/daemon/holder/instanceMonitor.ts
+++ b/src/daemon/holder/instanceMonitor.ts
@@ -9,6 +9,8 @@
 const CONNECT_TIMEOUT_MS = 250;
 /** Two attempts overlap, so that a lost packet is told from a lost instance without waiting twice. */
 const ATTEMPT_SPACING_MS = 100;
+/** An instance that answers a new connection within this time is not merely slow. */
+const RESPONSIVE_MS = 100;
 
 /** What a monitor tells its owner. */
 export interface MonitorListener {
@@ -16,6 +18,11 @@
   probeAnswered(answer: ProbeAnswer, sentMs: number): void;
   /** The monitor's connection was lost or gave no answer. */
   connectionCondemned(): void;
+  /**
+   * A new connection was answered at once after an older one gave no answer: others that were
+   * opened before may be dead as well.
+   */
+  connectionsSuspected(): void;
   /** New connections fail: the instance is unreachable. */
   instanceLost(): void;
 }
@@ -29,6 +36,7 @@
   private asking: ProbeConnection | undefined;
   private urgent = false;
   private stopped = false;
+  private condemnedMs: number | undefined;
 
   constructor(
     private readonly address: string,
@@ -119,6 +127,7 @@
       if (this.connection === connection) {
         this.health.probeAnswered(this.timer.now());
         this.listener.probeAnswered(answer, sentMs);
+        this.reportSuspicion();
       }
     } catch {
       this.condemn(connection);
@@ -142,10 +151,19 @@
     });
   }
 
+  private reportSuspicion(): void {
+    const { condemnedMs } = this;
+    this.condemnedMs = undefined;
+    if (condemnedMs !== undefined && this.timer.now() - condemnedMs < RESPONSIVE_MS) {
+      this.listener.connectionsSuspected();
+    }
+  }
+
   private condemn(connection: ProbeConnection): void {
     connection.close();
     if (this.connection === connection) {
       this.connection = undefined;
+      this.condemnedMs = this.timer.now();
       this.listener.connectionCondemned();
       this.attempt();
     }
