--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -28,6 +28,7 @@
 const SNAPSHOT_BYTES = 67_108_864;
 const MAXIMUM_CALLERS = 100_000;
 const METRICS_INTERVAL_MS = 1000;
+const LATE_REQUEST_MS = 300;
 const DRAIN_CHECK_MS = 20;
 
 /** What a daemon is made from. */
@@ -145,6 +146,8 @@
     await this.waitUntil(() => (this.callers?.count ?? 0) === 0, endMs);
     this.callers?.close();
     await this.waitUntil(() => this.holder.count === 0 && this.rates.count === 0, endMs);
+    // Requests that are still on their way here are refused as not run, not lost.
+    await this.waitUntil(() => false, Math.min(endMs, timer.now() + LATE_REQUEST_MS));
     this.holder.stop();
     this.lease.stop();
     await this.control?.stop();
--- a/src/daemon/mesh/mesh.ts
+++ b/src/daemon/mesh/mesh.ts
@@ -110,11 +110,9 @@
     return false;
   }
 
-  /** Closes all links and stops to listen. */
+  /** Closes all links once what was sent has arrived, and stops to listen. */
   async close(): Promise<void> {
-    for (const link of [...this.links]) {
-      link.close('shutdown');
-    }
+    await Promise.all([...this.links].map((link) => link.finish()));
     this.server.close();
     this.web.closeAllConnections();
     await new Promise<void>((resolve) => {
--- a/src/daemon/mesh/meshLink.ts
+++ b/src/daemon/mesh/meshLink.ts
@@ -8,6 +8,7 @@
 
 const HEARTBEAT_INTERVAL_MS = 200;
 const SILENCE_LIMIT_MS = 800;
+const FINISH_LIMIT_MS = 200;
 const MAXIMUM_WAITING_FRAMES = 10_000;
 
 /** The version of the mesh protocol; daemons of other versions are refused. */
@@ -76,6 +77,19 @@
     }
   }
 
+  /** Closes the link once the other side has what was sent, or soon when it does not answer. */
+  async finish(): Promise<void> {
+    if (this.closed) {
+      return;
+    }
+    await new Promise<void>((resolve) => {
+      this.socket.once('close', () => resolve());
+      this.timer.once(FINISH_LIMIT_MS, () => resolve());
+      this.socket.close();
+    });
+    this.close('shutdown');
+  }
+
   /** Closes the link at once and tells the owner. */
   close(reason: string): void {
     if (this.closed) {
