--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -76,7 +76,7 @@
       reports: this.holder.getReports(),
       releasedGroups: this.holder.releasedGroups,
       releasedAccounts: this.rates.releasedAccounts,
-      stopping: this.stopping,
+      stopping: this.stopping || !settings.roles.includes('entry'),
     }));
     const { lease } = this;
     this.holder = new GroupHolder({
--- a/src/decisions/control/leaseRenewal.ts
+++ b/src/decisions/control/leaseRenewal.ts
@@ -31,6 +31,6 @@
   /** Resources that the daemon gave up: it acts on them no more. */
   readonly releasedGroups: readonly GroupId[];
   readonly releasedAccounts: readonly AccountId[];
-  /** The daemon is stopping and takes no new resources. */
+  /** The daemon takes no resources and gives up those it has: it is stopping or no entry host. */
   readonly stopping: boolean;
 }
--- a/tests/callers/silence.test.ts
+++ b/tests/callers/silence.test.ts
@@ -80,6 +80,24 @@
   }
 });
 
+test('writes that wait on silent connections give their slots up before their deadlines', async () => {
+  const slots = 5;
+  const blocked = await Promise.all(Array.from({ length: slots }, () => callers.connect()));
+  callers.primary.setFaults({ statementMs: 400 });
+  const codes = blocked.map((client, index) =>
+    getError(client.query(`INSERT INTO bookings VALUES (${1500 + index}, 'blocked')`)),
+  );
+  await callers.fleet.sleep(300);
+  silenceAll();
+  callers.primary.setFaults({ statementMs: 0 });
+  const next = await callers.connect();
+  await next.query("SET statement_timeout = '10s'");
+  await next.query("INSERT INTO bookings VALUES (1600, 'next')");
+  for (const { code, detail } of await Promise.all(codes)) {
+    expect({ code, detail }).toEqual({ code: '08007', detail: 'unknown' });
+  }
+});
+
 test('answers outlive cut links of the mesh, and nothing runs twice', async () => {
   const running = HOSTS.map((host, index) => write(host, 2000 + index * 200, 100));
   for (let round = 0; round < 5; round += 1) {
