Grants end with the holder's lease or its planned release; a new holder starts at once

Cause: a new holder granted nothing for 306 ms after its assignment, because grants of the old holder could outlive its lease; a planned move dropped the bucket at once and left that gap too. Change: a grant's validity ends before the lease (less the drift bound). A draining holder goes on with grants that all end by one moment and releases the account after it, or as soon as no grant is open. HolderLease has leftMs. Requests that reach a new holder before its assignment are kept. Tokens granted and returned are counted in the metrics.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -88,7 +88,10 @@
       access: { localIp, user: settings.backend.user, password: files.backendPassword },
       reportNow: () => lease.renewSoon(),
     });
-    this.rates = new RateTask(host, incarnation, mesh, timer, records, lease);
+    const { metrics } = this;
+    this.rates = new RateTask(host, incarnation, mesh, timer, records, lease, metrics, () =>
+      lease.renewSoon(),
+    );
     new ExecuteServer(mesh, this.holder, timer);
     const remote = new RemoteRequests(mesh, timer, ({ group, lease: wanted }) =>
       records.isGroupHolder(group, wanted),
--- a/src/daemon/holder/holderLease.ts
+++ b/src/daemon/holder/holderLease.ts
@@ -6,4 +6,6 @@
   abstract readonly id: LeaseId | undefined;
   /** Whether the daemon may act on what it holds, at this very moment. */
   abstract isValid(): boolean;
+  /** Time until the lease ends unless it is renewed, in milliseconds; 0 when it is not valid. */
+  abstract readonly leftMs: number;
 }
--- a/src/daemon/lease/leaseTask.ts
+++ b/src/daemon/lease/leaseTask.ts
@@ -88,6 +88,10 @@
     return this.lease.isValid(this.timer.now());
   }
 
+  override get leftMs(): number {
+    return this.lease.getLeftMs(this.timer.now());
+  }
+
   /** Begins to renew. */
   start(): void {
     this.subscriptions.push(this.timer.subscribe(CHECK_INTERVAL_MS, (nowMs) => this.check(nowMs)));
--- /dev/null
+++ b/src/daemon/rates/heldAccounts.ts
@@ -0,0 +1,155 @@
+import type { AccountId, LeaseId } from '../../common/ids/index.js';
+import type { Metrics } from '../../common/metrics/index.js';
+import type { AccountAssignment, DaemonRecords } from '../../decisions/control/index.js';
+import {
+  RateBucket,
+  TokenMessageKind,
+  type AccountLimit,
+  type BucketOutput,
+  type MessageToHolder,
+} from '../../decisions/limits/index.js';
+import type { HolderLease } from '../holder/index.js';
+import { EarlyRequests } from './earlyRequests.js';
+
+const NO_LIMIT: AccountLimit = { rate: 0, burst: 0 };
+
+/** The accounts whose rate is handed out here, under the present lease. */
+export class HeldAccounts {
+  private readonly buckets = new Map<AccountId, RateBucket>();
+  private readonly released = new Set<AccountId>();
+  private readonly early = new EarlyRequests();
+  private lease: LeaseId | undefined;
+
+  constructor(
+    private readonly records: DaemonRecords,
+    private readonly daemonLease: HolderLease,
+    private readonly metrics: Metrics,
+    private readonly reportNow: () => void,
+  ) {}
+
+  /** Accounts held here, with those given up that control has not freed yet. */
+  get count(): number {
+    return this.buckets.size + this.released.size;
+  }
+
+  /** Accounts given up under the present lease. */
+  get releasedAccounts(): readonly AccountId[] {
+    return [...this.released];
+  }
+
+  /** Takes on an account's limit and assignment. */
+  update(account: AccountId, nowMs: number): BucketOutput[] {
+    this.observeLease();
+    const assignment = this.records.getAccountAssignment(account);
+    const lease = assignment?.holder?.lease;
+    if (assignment === undefined || lease === undefined || lease !== this.lease) {
+      this.buckets.delete(account);
+      this.released.delete(account);
+      return [];
+    }
+    return this.released.has(account) ? [] : this.hold(assignment, lease, nowMs);
+  }
+
+  /** Drops what was held under a lease that ended. */
+  observeLease(): void {
+    const { id } = this.daemonLease;
+    const lease = this.daemonLease.isValid() ? id : undefined;
+    if (lease !== this.lease) {
+      this.lease = lease;
+      this.buckets.clear();
+      this.released.clear();
+    }
+  }
+
+  /** Handles a message of an entry daemon. */
+  receive(message: MessageToHolder, nowMs: number): BucketOutput[] {
+    this.observeLease();
+    if (this.lease === undefined || message.lease !== this.lease) {
+      return [];
+    }
+    const bucket = this.buckets.get(message.account);
+    if (bucket === undefined) {
+      this.early.add(message, nowMs);
+      return [];
+    }
+    bucket.setLeaseEnd(nowMs + this.daemonLease.leftMs);
+    return this.record(bucket, bucket.receive(message, nowMs));
+  }
+
+  /** Grants what the rates have given, and ends buckets that were given up. */
+  tick(nowMs: number): BucketOutput[] {
+    this.observeLease();
+    const leaseEndMs = nowMs + this.daemonLease.leftMs;
+    const outputs: BucketOutput[] = [];
+    for (const [account, bucket] of this.buckets) {
+      bucket.setLeaseEnd(leaseEndMs);
+      outputs.push(...this.record(bucket, bucket.tick(nowMs)));
+      if (bucket.release(nowMs)) {
+        this.giveUp(account);
+      }
+    }
+    return outputs;
+  }
+
+  private hold(assignment: AccountAssignment, lease: LeaseId, nowMs: number): BucketOutput[] {
+    const { account, draining } = assignment;
+    const state = this.records.getAccount(account);
+    const limit = state === undefined ? NO_LIMIT : { rate: state.rate, burst: state.burst };
+    const bucket = this.buckets.get(account);
+    if (bucket !== undefined) {
+      return this.change(bucket, limit, draining, nowMs);
+    }
+    if (draining) {
+      // Nothing was granted under this lease, so nothing has to run out.
+      this.giveUp(account);
+      return [];
+    }
+    return this.take(account, lease, limit, nowMs);
+  }
+
+  private change(
+    bucket: RateBucket,
+    limit: AccountLimit,
+    draining: boolean,
+    nowMs: number,
+  ): BucketOutput[] {
+    if (draining) {
+      bucket.drain(nowMs);
+    }
+    return this.record(bucket, bucket.setLimit(limit, nowMs));
+  }
+
+  private take(
+    account: AccountId,
+    lease: LeaseId,
+    limit: AccountLimit,
+    nowMs: number,
+  ): BucketOutput[] {
+    const leaseEndMs = nowMs + this.daemonLease.leftMs;
+    const bucket = new RateBucket({ account, lease, limit, assignedMs: nowMs, leaseEndMs });
+    this.buckets.set(account, bucket);
+    return this.early
+      .take(account, nowMs)
+      .flatMap((message) => this.record(bucket, bucket.receive(message, nowMs)));
+  }
+
+  private giveUp(account: AccountId): void {
+    this.buckets.delete(account);
+    this.released.add(account);
+    this.reportNow();
+  }
+
+  private record(bucket: RateBucket, outputs: BucketOutput[]): BucketOutput[] {
+    const returned = bucket.takeReturned();
+    let granted = 0;
+    for (const { message } of outputs) {
+      granted += message.kind === TokenMessageKind.Grant ? message.amount : 0;
+    }
+    if (granted > 0 || returned > 0) {
+      const account = this.metrics.getAccount(bucket.account);
+      account.recordTokensGranted(granted);
+      account.recordTokensReturned(returned);
+    }
+    return outputs;
+  }
+}
--- a/src/daemon/rates/rateTask.ts
+++ b/src/daemon/rates/rateTask.ts
@@ -1,5 +1,6 @@
 import type { AccountId, HostId, Incarnation, RequestId } from '../../common/ids/index.js';
 import { createFault, type Fault } from '../../common/diagnostics/index.js';
+import type { Metrics } from '../../common/metrics/index.js';
 import type { TimerService } from '../../common/timer/index.js';
 import {
   RecordKind,
@@ -9,7 +10,6 @@
 import {
   EntryLimiter,
   LimiterOutputKind,
-  RateBucket,
   TokenMessageKind,
   type AdmissionRequest,
   type BucketOutput,
@@ -20,6 +20,7 @@
 } from '../../decisions/limits/index.js';
 import { SubjectKind } from '../../decisions/tickets/index.js';
 import type { HolderLease } from '../holder/index.js';
+import { HeldAccounts } from './heldAccounts.js';
 import { MeshKind, type Mesh, type MeshLink } from '../mesh/index.js';
 
 const TICK_INTERVAL_MS = 5;
@@ -30,8 +31,7 @@
 /** Admits requests under their accounts' rates, and hands out the rates of the accounts held here. */
 export class RateTask {
   private readonly limiter: EntryLimiter;
-  private readonly buckets = new Map<AccountId, RateBucket>();
-  private readonly released = new Set<AccountId>();
+  private readonly held: HeldAccounts;
   private readonly waiting = new Map<RequestId, AdmissionCallback>();
   private readonly links = new Map<HostId, MeshLink>();
 
@@ -41,8 +41,11 @@
     private readonly mesh: Mesh,
     private readonly timer: TimerService,
     private readonly records: DaemonRecords,
-    private readonly lease: HolderLease,
+    lease: HolderLease,
+    metrics: Metrics,
+    reportNow: () => void,
   ) {
+    this.held = new HeldAccounts(records, lease, metrics, reportNow);
     this.limiter = new EntryLimiter(host, incarnation);
     mesh.receive(MeshKind.TokenMessage, ({ link, message }) => {
       this.receive(link, message.content as TokenMessage);
@@ -50,14 +53,14 @@
     timer.subscribe(TICK_INTERVAL_MS, (nowMs) => this.tick(nowMs));
   }
 
-  /** Accounts whose rate is handed out here. */
+  /** Accounts held here, with those given up that control has not freed yet. */
   get count(): number {
-    return this.buckets.size;
+    return this.held.count;
   }
 
   /** Accounts given up under the present lease. */
   get releasedAccounts(): readonly AccountId[] {
-    return [...this.released];
+    return this.held.releasedAccounts;
   }
 
   /** Admits a request, perhaps after a wait. */
@@ -85,8 +88,7 @@
 
   /** The lease began or ended: what was held under it counts no more. */
   leaseChanged(): void {
-    this.released.clear();
-    this.buckets.clear();
+    this.held.observeLease();
     for (const account of this.records.getAccounts()) {
       this.setHolder(account);
     }
@@ -96,43 +98,20 @@
     const state = this.records.getAccount(account);
     const limit = state === undefined ? undefined : { rate: state.rate, burst: state.burst };
     this.performEntry(this.limiter.setLimit(account, limit));
-    const bucket = this.buckets.get(account);
-    if (limit !== undefined && bucket !== undefined) {
-      this.performBucket(bucket.setLimit(limit, this.timer.now()));
-    }
     this.setHolder(account);
   }
 
+  /** The bucket comes first, so that an entry limiter on the same host finds it. */
   private setHolder(account: AccountId): void {
     const nowMs = this.timer.now();
-    const assignment = this.records.getAccountAssignment(account);
-    const holder = assignment?.holder;
+    const holder = this.records.getAccountAssignment(account)?.holder;
+    this.performBucket(this.held.update(account, nowMs));
     this.performEntry(this.limiter.setHolder(account, holder, nowMs));
-    const state = this.records.getAccount(account);
-    const isOwn = holder !== undefined && holder.lease === this.lease.id && this.lease.isValid();
-    if (!isOwn || state === undefined) {
-      this.buckets.delete(account);
-      this.released.delete(account);
-      return;
-    }
-    if (assignment?.draining === true) {
-      this.buckets.delete(account);
-      this.released.add(account);
-    } else if (this.buckets.get(account)?.lease !== holder.lease) {
-      const limit = { rate: state.rate, burst: state.burst };
-      const { lease } = holder;
-      this.buckets.set(account, new RateBucket({ account, lease, limit, assignedMs: nowMs }));
-    }
   }
 
   private tick(nowMs: number): void {
     this.performEntry(this.limiter.tick(nowMs));
-    if (!this.lease.isValid()) {
-      return;
-    }
-    for (const bucket of this.buckets.values()) {
-      this.performBucket(bucket.tick(nowMs));
-    }
+    this.performBucket(this.held.tick(nowMs));
   }
 
   private receive(link: MeshLink, message: TokenMessage): void {
@@ -151,10 +130,7 @@
   }
 
   private receiveAtHolder(message: MessageToHolder): void {
-    const bucket = this.buckets.get(message.account);
-    if (bucket !== undefined && this.lease.isValid()) {
-      this.performBucket(bucket.receive(message, this.timer.now()));
-    }
+    this.performBucket(this.held.receive(message, this.timer.now()));
   }
 
   private performEntry(outputs: readonly EntryOutput[]): void {
--- a/src/decisions/limits/rateBucket.ts
+++ b/src/decisions/limits/rateBucket.ts
@@ -5,7 +5,8 @@
 import {
   GRANT_BATCH_MS,
   GRANT_SETTLED_MS,
-  GRANT_VALIDITY_MS,
+  getSettledMs,
+  getValidityMs,
   LEDGER_RETENTION_MS,
   RECALL_INTERVAL_MS,
 } from './limitTiming.js';
@@ -30,23 +31,28 @@
   readonly limit: AccountLimit;
   /** When this daemon learned that it holds the account, by its own clock. */
   readonly assignedMs: number;
+  /** When the lease ends, by this daemon's clock; see `RateBucket.setLeaseEnd`. */
+  readonly leaseEndMs: number;
 }
 
 /**
  * The bucket of one account at the account's holder. It hands out the account's rate in small
- * grants. It starts empty, after every grant of an earlier holder has expired.
+ * grants, none of which outlives the holder's lease or the release of the account. It therefore
+ * starts at once, and empty: every grant of an earlier holder is over.
  */
 export class RateBucket {
   readonly account: AccountId;
   readonly lease: LeaseId;
   protected readonly pool: TokenPool;
-  private readonly startMs: number;
   private readonly ledgers = new Map<string, EntryLedger>();
   private readonly parked = new ParkedRequests();
   private openGrants: OpenGrant[] = [];
   private totalDemand = 0;
   private limit: AccountLimit;
-  private leaseEndMs = Number.POSITIVE_INFINITY;
+  private leaseEndMs: number;
+  private drainEndMs = Number.POSITIVE_INFINITY;
+  private openCount = 0;
+  private returnedTokens = 0;
   private sweptMs: number;
   private recalledMs = Number.NEGATIVE_INFINITY;
 
@@ -54,16 +60,36 @@
     this.account = options.account;
     this.lease = options.lease;
     this.limit = options.limit;
-    this.startMs = options.assignedMs + this.getStartDelayMs();
-    this.pool = this.createPool(options.limit, this.startMs);
+    this.leaseEndMs = options.leaseEndMs;
+    this.pool = this.createPool(options.limit, options.assignedMs);
     this.sweptMs = options.assignedMs;
   }
 
-  /** Sets the time, by this daemon's clock, from which nothing is granted any more. */
+  /** Sets the time, by this daemon's clock, that no grant outlives. */
   setLeaseEnd(leaseEndMs: number): void {
     this.leaseEndMs = leaseEndMs;
   }
 
+  /** Begins to give the account up: every grant from now on ends by the same moment. */
+  drain(nowMs: number): void {
+    this.drainEndMs = Math.min(this.drainEndMs, nowMs + GRANT_SETTLED_MS);
+  }
+
+  /**
+   * Ends a draining bucket and returns whether it ended: once no grant can be used any more
+   * anywhere, so that a successor may start. An ended bucket grants nothing.
+   */
+  release(nowMs: number): boolean {
+    if (this.drainEndMs === Number.POSITIVE_INFINITY) {
+      return false;
+    }
+    this.advance(nowMs);
+    if (this.openCount === 0) {
+      this.drainEndMs = Math.min(this.drainEndMs, nowMs);
+    }
+    return nowMs >= this.drainEndMs;
+  }
+
   /** Takes on another rate and burst; outstanding grants count against the new burst. */
   setLimit(limit: AccountLimit, nowMs: number): BucketOutput[] {
     this.advance(nowMs);
@@ -93,11 +119,6 @@
     return this.distribute(nowMs);
   }
 
-  /** Whether every grant of earlier holders has expired, so that this one grants. */
-  isReady(nowMs: number): boolean {
-    return nowMs >= this.startMs;
-  }
-
   /** Tokens granted and not settled. */
   getOutstanding(): number {
     return this.pool.getOutstanding();
@@ -108,14 +129,16 @@
     return this.pool.getAvailable();
   }
 
-  /** How long after its assignment a holder grants nothing. */
-  protected getStartDelayMs(): number {
-    return GRANT_SETTLED_MS;
+  /** Tokens that came back unused since the last call. */
+  takeReturned(): number {
+    const tokens = this.returnedTokens;
+    this.returnedTokens = 0;
+    return tokens;
   }
 
-  /** How long after it was issued a grant can still be used somewhere. */
-  protected getGrantLifeMs(): number {
-    return GRANT_SETTLED_MS;
+  /** Life of a grant made now; it ends before the lease and before a release. */
+  protected getGrantValidityMs(nowMs: number): number {
+    return getValidityMs(this.getEndMs() - nowMs);
   }
 
   /** Creates the pool that is empty at `startMs`. */
@@ -130,7 +153,9 @@
       return;
     }
     ledger.grants.delete(settlement.sequence);
+    this.openCount -= 1;
     const used = Math.min(amount, Math.max(0, settlement.used));
+    this.returnedTokens += amount - used;
     this.pool.settle(amount, amount - used);
   }
 
@@ -178,9 +203,13 @@
     }
   }
 
+  private getEndMs(): number {
+    return Math.min(this.leaseEndMs, this.drainEndMs);
+  }
+
   private distribute(nowMs: number): BucketOutput[] {
     const outputs: BucketOutput[] = [];
-    if (!this.isReady(nowMs) || nowMs >= this.leaseEndMs) {
+    if (nowMs >= this.getEndMs()) {
       return outputs;
     }
     for (let next = this.parked.peekUrgent(nowMs); next !== undefined;) {
@@ -233,18 +262,17 @@
     this.parked.remove(request);
     this.pool.grant(amount);
     ledger.grants.set(request.sequence, amount);
-    this.openGrants.push({
-      ledger,
-      sequence: request.sequence,
-      endsMs: nowMs + this.getGrantLifeMs(),
-    });
+    this.openCount += 1;
+    const validityMs = this.getGrantValidityMs(nowMs);
+    const endsMs = nowMs + getSettledMs(validityMs);
+    this.openGrants.push({ ledger, sequence: request.sequence, endsMs });
     return this.send(ledger, {
       kind: TokenMessageKind.Grant,
       account: this.account,
       lease: this.lease,
       sequence: request.sequence,
       amount,
-      validityMs: GRANT_VALIDITY_MS,
+      validityMs,
       heldMs: nowMs - receivedMs,
       available: this.pool.getWhole(),
       share: this.getShare(ledger),
--- a/src/decisions/limits/tokenLink.ts
+++ b/src/decisions/limits/tokenLink.ts
@@ -55,6 +55,16 @@
     private readonly incarnation: Incarnation,
   ) {}
 
+  /** Sequence of the last request. */
+  getLastSequence(): number {
+    return this.lastSequence;
+  }
+
+  /** Has sequences begin after one that a holder may have seen; call it before the first request. */
+  startAfter(sequence: number): void {
+    this.lastSequence = sequence;
+  }
+
   getHolder(): AccountHolder | undefined {
     return this.holder;
   }
@@ -81,6 +91,7 @@
     this.holder = holder;
     this.pending = undefined;
     this.settlements = [];
+    this.retryMs = REQUEST_RETRY_MS;
   }
 
   /** Notes closed grants for the holder. */
