--- a/bench/experiment/experimentRun.ts
+++ b/bench/experiment/experimentRun.ts
@@ -13,6 +13,7 @@
 
 const SETTLE_MS = 10_000;
 const ACCOUNT_DECISION_MS = 10;
+const RENEWAL_MS = 200;
 
 /** What one run of an experiment recorded. */
 export interface RunRecord {
@@ -233,7 +234,8 @@
       (request) => this.forward(request),
       (request, retryAfterMs) => this.refused(request, RequestOutcome.RefusedByRate, retryAfterMs),
     );
-    const terms = { leaseMs: control.lease_ms, decisionMs: ACCOUNT_DECISION_MS };
+    const leaseMs = control.lease_ms;
+    const terms = { leaseMs, renewalMs: RENEWAL_MS, decisionMs: ACCOUNT_DECISION_MS };
     const fleet = new TokenFleet(this.loop, this.network, daemons, factory, observer, terms);
     for (const [index, account] of accounts.entries()) {
       fleet.setLimit(toAccountId(account.name), { rate: account.rate, burst: account.burst });
--- a/bench/experiment/fleetControl.ts
+++ b/bench/experiment/fleetControl.ts
@@ -4,7 +4,6 @@
 import type { FleetDaemon } from './fleetDaemon.js';
 import type { FleetLease } from './fleetLease.js';
 
-const RENEWAL_INTERVAL_MS = 50;
 /** Stands for control in the fake network. */
 const CONTROL_INDEX = -1;
 
@@ -12,6 +11,7 @@
 export interface FleetTerms {
   /** Length of a daemon lease, by its holder's clock. */
   readonly leaseMs: number;
+  readonly renewalMs: number;
   /** From a release or the end of a lease until the next holder is assigned. */
   readonly decisionMs: number;
 }
@@ -52,7 +52,7 @@
     private readonly observer: ControlObserver,
   ) {
     this.renewAll();
-    loop.every(RENEWAL_INTERVAL_MS, () => this.renewAll());
+    loop.every(terms.renewalMs, () => this.renewAll());
   }
 
   /** Who holds an account; undefined while it moves. */
--- a/bench/experiment/main.ts
+++ b/bench/experiment/main.ts
@@ -6,6 +6,7 @@
 import { type ExperimentResult, runExperiment } from './experimentResult.js';
 import { plotMeasures, plotTimeline } from './plots.js';
 import { measureCosts } from './costs.js';
+import { formatHolderGaps, measureHolderGaps } from './holderGaps.js';
 import { formatComparison, formatResult } from './table.js';
 
 const DEFAULT_FOLDER = 'data/experiments';
@@ -49,11 +50,14 @@
   .option('policy', { type: 'string', describe: 'Queue policy instead of the one in the file.' })
   .option('compare', { type: 'string', array: true, describe: 'Two result files to compare.' })
   .option('costs', { type: 'boolean', describe: 'Measure the processor time of the decisions.' })
+  .option('gaps', { type: 'boolean', describe: 'Measure gaps in admission when a holder changes.' })
   .strictOptions();
 const argv = await parser.parse();
 const [file] = argv._.map(String);
 if (argv.costs === true) {
   process.stdout.write(`${measureCosts()}\n`);
+} else if (argv.gaps === true) {
+  process.stdout.write(`${formatHolderGaps(measureHolderGaps())}\n`);
 } else if (argv.compare !== undefined) {
   compareFiles(argv.compare, argv.out);
 } else if (file !== undefined) {
--- a/bench/experiment/tokenFleet.test.ts
+++ b/bench/experiment/tokenFleet.test.ts
@@ -24,6 +24,7 @@
 }
 
 const LEASE_MS = 1500;
+const RENEWAL_MS = 200;
 const DECISION_MS = 10;
 const mill = toAccountId('mill');
 
@@ -35,7 +36,7 @@
   const factory = new ProductLimiterFactory();
   const daemons = Array.from({ length: size }, (_, i) => new FleetDaemon(i, 1000 * i, 0, factory));
   const tally = new Tally();
-  const terms = { leaseMs: LEASE_MS, decisionMs: DECISION_MS };
+  const terms = { leaseMs: LEASE_MS, renewalMs: RENEWAL_MS, decisionMs: DECISION_MS };
   const fleet = new TokenFleet(loop, network, daemons, factory, tally, terms);
   return { loop, random, network, fleet, tally };
 }
--- a/src/daemon/rates/heldAccounts.ts
+++ b/src/daemon/rates/heldAccounts.ts
@@ -11,8 +11,6 @@
 import type { HolderLease } from '../holder/index.js';
 import { EarlyRequests } from './earlyRequests.js';
 
-const NO_LIMIT: AccountLimit = { rate: 0, burst: 0 };
-
 /** The accounts whose rate is handed out here, under the present lease. */
 export class HeldAccounts {
   private readonly buckets = new Map<AccountId, RateBucket>();
@@ -93,18 +91,20 @@
 
   private hold(assignment: AccountAssignment, lease: LeaseId, nowMs: number): BucketOutput[] {
     const { account, draining } = assignment;
-    const state = this.records.getAccount(account);
-    const limit = state === undefined ? NO_LIMIT : { rate: state.rate, burst: state.burst };
     const bucket = this.buckets.get(account);
-    if (bucket !== undefined) {
-      return this.change(bucket, limit, draining, nowMs);
-    }
-    if (draining) {
+    if (draining && bucket === undefined) {
       // Nothing was granted under this lease, so nothing has to run out.
       this.giveUp(account);
       return [];
     }
-    return this.take(account, lease, limit, nowMs);
+    const state = this.records.getAccount(account);
+    if (state === undefined) {
+      return [];
+    }
+    const limit = { rate: state.rate, burst: state.burst };
+    return bucket === undefined
+      ? this.take(account, lease, limit, nowMs)
+      : this.change(bucket, limit, draining, nowMs);
   }
 
   private change(
--- a/src/decisions/limits/entryAccount.ts
+++ b/src/decisions/limits/entryAccount.ts
@@ -61,16 +61,6 @@
     return this.stock.getRemainingAt(nowMs);
   }
 
-  /** Sequence of the last token request. */
-  getLastSequence(): number {
-    return this.link.getLastSequence();
-  }
-
-  /** Has the sequences of token requests begin after one; call it before the first request. */
-  startAfter(sequence: number): void {
-    this.link.startAfter(sequence);
-  }
-
   setLimit(limit: AccountLimit): void {
     this.share = Math.min(limit.rate, this.share * (limit.rate / this.limit.rate) || limit.rate);
     this.limit = limit;
--- a/src/decisions/limits/entryLimiter.ts
+++ b/src/decisions/limits/entryLimiter.ts
@@ -26,9 +26,6 @@
     (left, right) => left.latestMs < right.latestMs,
   );
 
-  /** Highest sequence of any removed account; holders ignore requests up to it. */
-  private removedSequence = 0;
-
   constructor(
     private readonly entry: HostId,
     private readonly incarnation: Incarnation,
@@ -40,13 +37,11 @@
     const known = this.accounts.get(account);
     if (limit === undefined) {
       known?.refuseAll(outputs);
-      this.removedSequence = Math.max(this.removedSequence, known?.getLastSequence() ?? 0);
       this.accounts.delete(account);
     } else if (known !== undefined) {
       known.setLimit(limit);
     } else {
       const created = this.createAccount(account, limit);
-      created.startAfter(this.removedSequence);
       created.setHolder(this.holders.get(account), 0, []);
       this.accounts.set(account, created);
     }
--- a/src/decisions/limits/limitTiming.ts
+++ b/src/decisions/limits/limitTiming.ts
@@ -5,7 +5,7 @@
 export const CLOCK_DRIFT = 0.01;
 
 /** The time after which a grant is over on every clock, measured on the clock of another host. */
-export const GRANT_SETTLED_MS = getSettledMs(GRANT_VALIDITY_MS);
+export const GRANT_SETTLED_MS = (GRANT_VALIDITY_MS * (1 + CLOCK_DRIFT)) / (1 - CLOCK_DRIFT);
 
 /** How long an entry daemon waits for its first grant before it sends a new request. */
 export const REQUEST_RETRY_MS = GRANT_VALIDITY_MS / 4;
@@ -56,8 +56,3 @@
 export function getValidityMs(leftMs: number): number {
   return Math.min(GRANT_VALIDITY_MS, (leftMs * (1 - CLOCK_DRIFT)) / (1 + CLOCK_DRIFT));
 }
-
-/** The time after which a grant of that life is over on every clock, on the clock of its holder. */
-export function getSettledMs(validityMs: number): number {
-  return (validityMs * (1 + CLOCK_DRIFT)) / (1 - CLOCK_DRIFT);
-}
--- a/src/decisions/limits/rateBucket.ts
+++ b/src/decisions/limits/rateBucket.ts
@@ -5,7 +5,6 @@
 import {
   GRANT_BATCH_MS,
   GRANT_SETTLED_MS,
-  getSettledMs,
   getValidityMs,
   LEDGER_RETENTION_MS,
   RECALL_INTERVAL_MS,
@@ -136,9 +135,17 @@
     return tokens;
   }
 
-  /** Life of a grant made now; it ends before the lease and before a release. */
-  protected getGrantValidityMs(nowMs: number): number {
-    return getValidityMs(this.getEndMs() - nowMs);
+  /**
+   * Life of a grant for a request received then. It counts from before that moment, and ends
+   * before the lease and before a release.
+   */
+  protected getGrantValidityMs(receivedMs: number): number {
+    return getValidityMs(this.getEndMs() - receivedMs);
+  }
+
+  /** The time, by this daemon's clock, by which every grant made now is over. */
+  protected getEndMs(): number {
+    return Math.min(this.leaseEndMs, this.drainEndMs);
   }
 
   /** Creates the pool that is empty at `startMs`. */
@@ -203,10 +210,6 @@
     }
   }
 
-  private getEndMs(): number {
-    return Math.min(this.leaseEndMs, this.drainEndMs);
-  }
-
   private distribute(nowMs: number): BucketOutput[] {
     const outputs: BucketOutput[] = [];
     if (nowMs >= this.getEndMs()) {
@@ -263,8 +266,7 @@
     this.pool.grant(amount);
     ledger.grants.set(request.sequence, amount);
     this.openCount += 1;
-    const validityMs = this.getGrantValidityMs(nowMs);
-    const endsMs = nowMs + getSettledMs(validityMs);
+    const endsMs = Math.min(nowMs + GRANT_SETTLED_MS, this.getEndMs());
     this.openGrants.push({ ledger, sequence: request.sequence, endsMs });
     return this.send(ledger, {
       kind: TokenMessageKind.Grant,
@@ -272,7 +274,7 @@
       lease: this.lease,
       sequence: request.sequence,
       amount,
-      validityMs,
+      validityMs: this.getGrantValidityMs(receivedMs),
       heldMs: nowMs - receivedMs,
       available: this.pool.getWhole(),
       share: this.getShare(ledger),
--- a/src/decisions/limits/strictBound.test.ts
+++ b/src/decisions/limits/strictBound.test.ts
@@ -124,7 +124,7 @@
     this.network = new FakeNetwork(this.loop, this.random, conditions, (daemon) => daemon);
     const daemons = scenario.drifts.map((drift, i) => new FleetDaemon(i, 500 * i, drift, factory));
     const { leaseMs, decisionMs } = scenario;
-    const terms = { leaseMs, decisionMs };
+    const terms = { leaseMs, renewalMs: 50, decisionMs };
     this.fleet = new TokenFleet(this.loop, this.network, daemons, factory, undefined, terms);
     this.setLimit(scenario.limit);
     this.fleet.assign(mill, 0);
@@ -278,6 +278,12 @@
   }
 }
 
+class DriftlessBucket extends RateBucket {
+  protected override getGrantValidityMs(receivedMs: number): number {
+    return Math.min(GRANT_VALIDITY_MS, this.getEndMs() - receivedMs);
+  }
+}
+
 class HastyBucket extends RateBucket {
   private isDraining = false;
 
@@ -375,6 +381,7 @@
 
 test.each([
   ['grants what outlives the lease', new BucketFactory(OutlivingBucket)],
+  ['counts the lease by one clock alone', new BucketFactory(DriftlessBucket)],
   ['is released before its grants ended', new BucketFactory(HastyBucket)],
   ['carries the burst over to a new holder', new BucketFactory(createBucketClass(CarriedPool))],
   ['takes expired grants back as unused', new BucketFactory(ReclaimingBucket)],
--- a/src/decisions/limits/tokenLink.ts
+++ b/src/decisions/limits/tokenLink.ts
@@ -55,16 +55,6 @@
     private readonly incarnation: Incarnation,
   ) {}
 
-  /** Sequence of the last request. */
-  getLastSequence(): number {
-    return this.lastSequence;
-  }
-
-  /** Has sequences begin after one that a holder may have seen; call it before the first request. */
-  startAfter(sequence: number): void {
-    this.lastSequence = sequence;
-  }
-
   getHolder(): AccountHolder | undefined {
     return this.holder;
   }
