--- a/src/decisions/limits/index.ts
+++ b/src/decisions/limits/index.ts
@@ -12,6 +12,7 @@
 export * from './limitTiming.js';
 export * from './tokenLink.js';
 export * from './tokenPool.js';
+export * from './rateBucketOptions.js';
 export * from './rateBucket.js';
 export * from './entryAccount.js';
 export * from './entryLimiter.js';
--- a/src/decisions/limits/rateBucket.ts
+++ b/src/decisions/limits/rateBucket.ts
@@ -10,6 +10,7 @@
   RECALL_INTERVAL_MS,
 } from './limitTiming.js';
 import { type ParkedRequest, ParkedRequests } from './parkedRequests.js';
+import type { RateBucketOptions } from './rateBucketOptions.js';
 import type { Settlement } from './settlement.js';
 import type { MessageToEntry, MessageToHolder } from './tokenMessage.js';
 import { TokenMessageKind } from './tokenMessageKind.js';
@@ -22,18 +23,6 @@
   readonly endsMs: number;
 }
 
-/** What a rate bucket is created with. */
-export interface RateBucketOptions {
-  readonly account: AccountId;
-  /** The lease under which this daemon holds the account. */
-  readonly lease: LeaseId;
-  readonly limit: AccountLimit;
-  /** When this daemon learned that it holds the account, by its own clock. */
-  readonly assignedMs: number;
-  /** When the lease ends, by this daemon's clock; see `RateBucket.setLeaseEnd`. */
-  readonly leaseEndMs: number;
-}
-
 /**
  * The bucket of one account at the account's holder. It hands out the account's rate in small
  * grants, none of which outlives the holder's lease or the release of the account. It therefore
