--- a/src/decisions/limits/tokenLink.ts
+++ b/src/decisions/limits/tokenLink.ts
@@ -81,6 +81,7 @@
     this.holder = holder;
     this.pending = undefined;
     this.settlements = [];
+    this.retryMs = REQUEST_RETRY_MS;
   }
 
   /** Notes closed grants for the holder. */
