--- a/src/daemon/control/controlHost.ts
+++ b/src/daemon/control/controlHost.ts
@@ -24,7 +24,7 @@
   type Promote,
   type SubjectReading,
 } from '../../decisions/control/index.js';
-import { SubjectKind } from '../../decisions/tickets/index.js';
+import { SubjectKind, tryParseTicket } from '../../decisions/tickets/index.js';
 import { MeshKind, type Mesh, type MeshLink, type MeshMessage } from '../mesh/index.js';
 import type { RequestIds } from '../requests/index.js';
 import type { LogStorage, OpenedLog } from '../storage/index.js';
@@ -67,12 +67,17 @@
   private readonly subscriptions: Unsubscribe[] = [];
 
   constructor(private readonly options: ControlHostOptions) {
-    const { opened, storage, state, ids, timer, random, mesh } = options;
+    const { opened, storage, state, ids, timer, random, mesh, logger } = options;
     this.member = new QuorumMember(opened, storage, state, ids, timer, random, this);
     this.leader = new ControlLeader(state);
     mesh.receive(MeshKind.Consensus, ({ message }) => this.member.receive(message.content));
     mesh.receive(MeshKind.LeaseRenewal, ({ link, message }) => this.renew(link, message));
-    mesh.receive(MeshKind.ControlCall, ({ link, message }) => void this.answer(link, message));
+    mesh.receive(MeshKind.ControlCall, ({ link, message }) => {
+      this.answer(link, message).catch((cause: unknown) => {
+        const reason = cause instanceof Error ? cause.message : String(cause);
+        logger.report(Diagnostics.TaskFailed, { reason }, { step: 'control.call' });
+      });
+    });
   }
 
   /** Begins to take part in the quorum. */
@@ -221,9 +226,7 @@
 
   private async call(content: ControlCallContent): Promise<Result<unknown, Fault>> {
     if (content.kind === ControlCallKind.SubmitTicket) {
-      const command = { kind: CommandKind.SubmitTicket, ticket: content.ticket } as const;
-      const proposed = await this.member.propose(command);
-      return proposed.map(({ ticket }) => ticket);
+      return this.submit(content.ticket);
     }
     const passed = await this.member.passBarrier();
     if (passed.isErr()) {
@@ -240,6 +243,19 @@
     }
   }
 
+  /** Checks a ticket once more: it came over the mesh and every member will apply it. */
+  private async submit(content: unknown): Promise<Result<unknown, Fault>> {
+    const parsed = tryParseTicket(content);
+    if (parsed.isErr()) {
+      return err(parsed.error);
+    }
+    const proposed = await this.member.propose({
+      kind: CommandKind.SubmitTicket,
+      ticket: parsed.value,
+    });
+    return proposed.map(({ ticket }) => ticket);
+  }
+
   private readInForce(subject: string | undefined, nowMs: number): readonly SubjectReading[] {
     const readings = this.leader.getReadings(subject, nowMs);
     const isWanted = subject === undefined || subject === CONTROL_MEMBERS;
