Fake fleet: control is a replaceable part, simulated members tell a listener

Change: FleetControl, SimulationListener, one-way cuts, faults brought about one by one. The tests of src/decisions/control and src/decisions/consensus run unchanged.

--- a/tests/support/consensus/simulatedShell.ts
+++ b/tests/support/consensus/simulatedShell.ts
@@ -15,6 +15,7 @@
 import type { EventQueue } from './eventQueue.js';
 import type { InvariantChecker } from './invariantChecker.js';
 import type { SimulatedHost } from './simulatedHost.js';
+import type { SimulationListener } from './simulationListener.js';
 import type { SimulatedNetwork } from './simulatedNetwork.js';
 
 const SYNC_MS = 2;
@@ -35,6 +36,7 @@
   constructor(
     private readonly simulation: ShellSurroundings,
     private readonly addresses: ReadonlyMap<MemberId, SimulatedHost>,
+    private readonly listener: SimulationListener | undefined,
   ) {}
 
   /** Carries out all outputs of one call. */
@@ -65,9 +67,11 @@
         break;
       case OutputKind.ProposalAppended:
         checker.noteProposal(host, output.request, output.index, output.term);
+        this.listener?.proposalAppended(host, output);
         break;
       case OutputKind.ReadReady:
         checker.noteReadReady(host, output.request, output.index);
+        this.listener?.readReady(host, output.request);
         break;
       case OutputKind.LeadershipChanged:
         this.noteLeadership(host, output);
@@ -86,6 +90,7 @@
       if (entry.kind === EntryKind.Command) {
         host.commands.push(entry.command);
       }
+      this.listener?.applied(host, entry);
     }
   }
 
@@ -93,6 +98,7 @@
     if (output.role === Role.Leader) {
       this.simulation.checker.noteLeader(output.term, host.identity);
     }
+    this.listener?.leadershipChanged(host, output);
   }
 
   private send(host: SimulatedHost, output: SendOutput<string>): void {
@@ -109,6 +115,7 @@
     host.commands = JSON.parse(new TextDecoder().decode(snapshot.state)) as string[];
     host.appliedIndex = snapshot.index;
     this.simulation.checker.noteRestore(snapshot, host.commands);
+    this.listener?.restored(host, snapshot.index);
   }
 
   private scheduleCompact(host: SimulatedHost): void {
--- a/tests/support/consensus/simulation.ts
+++ b/tests/support/consensus/simulation.ts
@@ -1,4 +1,4 @@
-import { toRequestId } from '../../../src/common/ids/index.js';
+import { toRequestId, type RequestId } from '../../../src/common/ids/index.js';
 import {
   ConsensusMember,
   ConsensusRules,
@@ -17,6 +17,7 @@
 import { SimulatedDisk } from './simulatedDisk.js';
 import { SimulatedHost } from './simulatedHost.js';
 import { SimulatedShell } from './simulatedShell.js';
+import type { SimulationListener } from './simulationListener.js';
 import { SimulatedNetwork, soundNetwork, type NetworkQuality } from './simulatedNetwork.js';
 
 const TICK_MS = 10;
@@ -31,6 +32,7 @@
   readonly quality?: NetworkQuality;
   /** Breaks the rule that a host without its disk gets a new identity. */
   readonly keepsIdentity?: boolean;
+  readonly listener?: SimulationListener;
 }
 
 /** Several members over a fake network, with fake disks and clocks, checked after each event. */
@@ -54,7 +56,7 @@
     this.rules = options.rules ?? new ConsensusRules();
     const quality = options.quality ?? soundNetwork;
     this.network = new SimulatedNetwork(this.events, this.random, quality);
-    this.shell = new SimulatedShell(this, this.addresses);
+    this.shell = new SimulatedShell(this, this.addresses, options.listener);
     this.found(options.hostCount);
   }
 
@@ -88,10 +90,11 @@
   }
 
   /** Starts a read at a host. */
-  read(host: SimulatedHost): void {
+  read(host: SimulatedHost): RequestId {
     const request = this.nextRequest();
     this.checker.noteReadStart(request);
     this.input(host, { kind: InputKind.RequestReadBarrier, request });
+    return request;
   }
 
   /** Asks a host to hand leadership over. */
@@ -125,6 +128,7 @@
       rules: this.rules,
     });
     this.addresses.set(host.identity, host);
+    this.options.listener?.started(host);
     this.shell.carryOut(host, host.member.start(host.getClock(this.events.nowMs)));
     this.scheduleTick(host, host.incarnation);
   }
@@ -160,16 +164,25 @@
 
   /** Gives an input to a host's member, unless it is down. */
   input(host: SimulatedHost, input: ConsensusInput<string>): void {
+    this.deliver(host, () => {
+      if (host.member !== undefined) {
+        const clockMs = host.getClock(this.events.nowMs);
+        this.shell.carryOut(host, host.member.handle(input, clockMs));
+      }
+    });
+  }
+
+  /** Lets a host's process act once it is awake, unless it ends before. */
+  deliver(host: SimulatedHost, act: () => void): void {
     if (host.isPaused) {
       const { incarnation } = host;
       host.backlog.push(() => {
         if (host.incarnation === incarnation) {
-          this.input(host, input);
+          this.deliver(host, act);
         }
       });
     } else if (host.member !== undefined) {
-      const clockMs = host.getClock(this.events.nowMs);
-      this.shell.carryOut(host, host.member.handle(input, clockMs));
+      act();
     }
   }
 
--- a/tests/support/fleet/fakeControl.ts
+++ b/tests/support/fleet/fakeControl.ts
@@ -10,13 +10,16 @@
   type Command,
   type CommandAnswer,
   type ControlInput,
-  type ControlOutput,
   type ControlSnapshot,
+  type Grant,
   type LeaseRenewal,
 } from '../../../src/decisions/control/index.js';
 import type { Ticket } from '../../../src/decisions/tickets/index.js';
+import type { FakeDaemon } from './fakeDaemon.js';
 import type { FakeFleet } from './fakeFleet.js';
+import { FleetControl } from './fleetControl.js';
 
+const CONTROL = 'control';
 const COMMIT_MS = 8;
 const TICK_MS = 50;
 const RESUBMIT_MS = 300;
@@ -44,7 +47,7 @@
 }
 
 /** A control quorum without its consensus: one log, one leader, and leaders that were isolated. */
-export class FakeControl {
+export class FakeControl extends FleetControl {
   readonly truth: ControlState;
   private revision = toRevision(0);
   private current: FakeLeader | undefined;
@@ -56,15 +59,16 @@
   private resubmitMs = 0;
 
   constructor(private readonly fleet: FakeFleet) {
+    super();
     this.truth = fleet.options.createState();
   }
 
-  get leader(): ControlLeader | undefined {
+  override get leader(): ControlLeader | undefined {
     return this.current?.leader;
   }
 
   /** Isolates the leader; another is elected after the gap. */
-  isolateLeader(gapMs: number): void {
+  override isolateLeader(gapMs: number): void {
     const { current } = this;
     if (current === undefined) {
       return;
@@ -77,13 +81,20 @@
   }
 
   /** Submits a ticket, and submits it again until it is answered. */
-  submit(ticket: Ticket): void {
+  override submit(ticket: Ticket): void {
     this.unanswered.set(ticket.number, ticket);
     this.resubmitMs = this.fleet.nowMs;
   }
 
+  override sendRenewal(daemon: FakeDaemon, renewal: LeaseRenewal): void {
+    const { network } = this.fleet;
+    network.send(daemon.host, CONTROL, this.fleet.nowMs, () => {
+      this.receiveRenewal(renewal, (output) => this.fleet.sendGrant(CONTROL, daemon, output));
+    });
+  }
+
   /** A renewal goes to one of those who lead or believe that they do. */
-  receiveRenewal(renewal: LeaseRenewal, reply: (output: ControlOutput) => void): void {
+  private receiveRenewal(renewal: LeaseRenewal, reply: (output: Grant) => void): void {
     const hosts = this.current === undefined ? this.former : [...this.former, this.current];
     const chosen = this.fleet.random.next() < 0.8 ? hosts.at(-1) : this.fleet.pick(hosts);
     if (chosen === undefined) {
@@ -96,13 +107,13 @@
     this.run(chosen, input, reply);
   }
 
-  handle(input: ControlInput): void {
+  private handle(input: ControlInput): void {
     if (this.current !== undefined) {
       this.run(this.current, input);
     }
   }
 
-  step(): void {
+  override step(): void {
     if (this.electionMs !== undefined && this.fleet.nowMs >= this.electionMs) {
       this.elect();
     }
@@ -172,11 +183,7 @@
     this.run(this.current, { kind: ControlInputKind.BecameLeader, host, controlTerm });
   }
 
-  private run(
-    each: FakeLeader,
-    input: ControlInput,
-    reply?: (output: ControlOutput) => void,
-  ): void {
+  private run(each: FakeLeader, input: ControlInput, reply?: (output: Grant) => void): void {
     const outputs = each.leader.handle(input, this.fleet.nowMs * each.clockRate);
     for (const output of outputs) {
       if (output.kind === ControlOutputKind.Propose) {
@@ -185,7 +192,7 @@
       } else if (output.kind === ControlOutputKind.Grant && reply !== undefined) {
         reply(output);
       } else {
-        this.fleet.receiveOutput(output);
+        this.fleet.receiveOutput(output, CONTROL, (result) => this.handle(result));
       }
     }
   }
--- a/tests/support/fleet/fakeDaemon.ts
+++ b/tests/support/fleet/fakeDaemon.ts
@@ -167,7 +167,7 @@
       this.lease = this.createLease();
       this.held.clear();
     }
-    this.fleet.sendRenewal(this, this.createRenewal());
+    this.fleet.control.sendRenewal(this, this.createRenewal());
   }
 
   private createRenewal(): LeaseRenewal {
--- a/tests/support/fleet/fakeFleet.ts
+++ b/tests/support/fleet/fakeFleet.ts
@@ -18,21 +18,21 @@
   PrimaryPhase,
   type Command,
   type CommandAnswer,
+  type ControlInput,
   type ControlOutput,
-  type LeaseRenewal,
+  type Grant,
   type Promote,
 } from '../../../src/decisions/control/index.js';
 import { getInForceBoundMs } from '../../../src/decisions/leases/index.js';
 import type { Ticket } from '../../../src/decisions/tickets/index.js';
-import { FakeControl } from './fakeControl.js';
 import { FakeDaemon } from './fakeDaemon.js';
 import { FakeInstance } from './fakeInstance.js';
 import { FakeNetwork } from './fakeNetwork.js';
+import type { FleetControl } from './fleetControl.js';
 import type { FleetOptions } from './fleetOptions.js';
 
 const STEP_MS = 10;
 const ANNOUNCE_INTERVAL_MS = 100;
-const CONTROL = 'control';
 
 interface AcknowledgedWrite {
   readonly term: Term;
@@ -49,7 +49,7 @@
   nowMs = 0;
   readonly random: SeededRandom;
   readonly network: FakeNetwork;
-  readonly control: FakeControl;
+  readonly control: FleetControl;
   readonly daemons: FakeDaemon[] = [];
   readonly instances = new Map<InstanceId, FakeInstance>();
   readonly groups: GroupId[] = [];
@@ -61,7 +61,7 @@
   constructor(readonly options: FleetOptions) {
     this.random = new SeededRandom(options.seed);
     this.network = new FakeNetwork(this.random, options.network);
-    this.control = new FakeControl(this);
+    this.control = options.createControl(this);
     for (let index = 0; index < options.daemons; index++) {
       this.addDaemon(index);
     }
@@ -150,38 +150,36 @@
     }
   }
 
-  sendRenewal(daemon: FakeDaemon, renewal: LeaseRenewal): void {
-    this.network.send(daemon.host, CONTROL, this.nowMs, () => {
-      this.control.receiveRenewal(renewal, (output) => {
-        if (output.kind === ControlOutputKind.Grant) {
-          const { grant } = output;
-          this.network.send(CONTROL, daemon.host, this.nowMs, () =>
-            daemon.receive(() => daemon.receiveGrant(grant)),
-          );
-        }
-      });
-    });
+  sendGrant(from: string, daemon: FakeDaemon, { grant }: Grant): void {
+    this.network.send(from, daemon.host, this.nowMs, () =>
+      daemon.receive(() => daemon.receiveGrant(grant)),
+    );
   }
 
-  receiveOutput(output: ControlOutput): void {
+  /** Carries out what a control leader wants; `reply` is told what came of a promotion. */
+  receiveOutput(output: ControlOutput, from: string, reply: (result: ControlInput) => void): void {
     if (output.kind === ControlOutputKind.Update) {
       for (const daemon of this.daemons.filter((each) => output.hosts.includes(each.host))) {
-        this.network.send(CONTROL, daemon.host, this.nowMs, () =>
+        this.network.send(from, daemon.host, this.nowMs, () =>
           daemon.receive(() => daemon.receiveUpdate(output.update)),
         );
       }
     } else if (output.kind === ControlOutputKind.Promote) {
-      this.orderPromotion(output);
+      this.orderPromotion(output, from, reply);
     }
   }
 
-  private orderPromotion(order: Promote): void {
+  private orderPromotion(
+    order: Promote,
+    from: string,
+    reply: (result: ControlInput) => void,
+  ): void {
     const { group, instance, term } = order;
-    this.network.send(CONTROL, instance, this.nowMs, () => {
+    this.network.send(from, instance, this.nowMs, () => {
       const target = this.getInstance(instance);
       const position = target.isAlive ? target.promote(term) : undefined;
-      this.network.send(instance, CONTROL, this.nowMs, () =>
-        this.control.handle({
+      this.network.send(instance, from, this.nowMs, () =>
+        reply({
           kind: ControlInputKind.PromotionResult,
           ...{ group, instance, term, ok: position !== undefined },
           position: position ?? target.position,
--- a/tests/support/fleet/fakeNetwork.ts
+++ b/tests/support/fleet/fakeNetwork.ts
@@ -23,7 +23,7 @@
 
   constructor(
     private readonly random: RandomSource,
-    private readonly faults: NetworkFaults,
+    public faults: NetworkFaults,
   ) {}
 
   separate(node: string, side: number): void {
@@ -36,6 +36,11 @@
     this.cuts.add(`${second} ${first}`);
   }
 
+  /** Cuts the way in one direction. */
+  cutOneWay(from: string, to: string): void {
+    this.cuts.add(`${from} ${to}`);
+  }
+
   heal(): void {
     this.sides.clear();
     this.cuts.clear();
--- a/tests/support/fleet/fleetFault.ts
+++ b/tests/support/fleet/fleetFault.ts
@@ -4,6 +4,7 @@
   toFailureDomain,
   toTicketNumber,
   type FailureDomain,
+  type TicketNumber,
 } from '../../../src/common/ids/index.js';
 import { SubjectKind, type SubjectState } from '../../../src/decisions/tickets/index.js';
 import type { FakeFleet } from './fakeFleet.js';
@@ -62,14 +63,9 @@
   run(faults: readonly FleetFault[]): void {
     for (const fault of faults) {
       this.advance(fault.afterMs);
-      const recover = this.apply(fault);
-      if (recover !== undefined) {
-        this.recoveries.push({ atMs: this.fleet.nowMs + fault.durationMs, recover });
-      }
-    }
-    while (this.recoveries.length > 0) {
-      this.advance(500);
+      this.bring(fault);
     }
+    this.endFaults();
   }
 
   /** Puts every failure domain and backend server back in service. */
@@ -83,7 +79,8 @@
     this.submit(...states);
   }
 
-  private advance(durationMs: number): void {
+  /** Runs for a time, in which faults end. */
+  advance(durationMs: number): void {
     const endMs = this.fleet.nowMs + durationMs;
     while (this.fleet.nowMs < endMs) {
       this.fleet.run(10);
@@ -95,6 +92,31 @@
     }
   }
 
+  /** Brings one fault about; it ends after its time. */
+  bring(fault: FleetFault): void {
+    this.recoverLater(this.apply(fault), fault.durationMs);
+  }
+
+  /** Has a fault end after a time. */
+  recoverLater(recover: (() => void) | undefined, durationMs: number): void {
+    if (recover !== undefined) {
+      this.recoveries.push({ atMs: this.fleet.nowMs + durationMs, recover });
+    }
+  }
+
+  /** Runs until every fault has ended. */
+  endFaults(): void {
+    while (this.recoveries.length > 0) {
+      this.advance(500);
+    }
+  }
+
+  /** A ticket number above those used so far. */
+  nextTicketNumber(): TicketNumber {
+    this.ticketNumber++;
+    return toTicketNumber(this.ticketNumber);
+  }
+
   private apply(fault: FleetFault): (() => void) | undefined {
     switch (fault.kind) {
       case FaultKind.KillDaemon:
@@ -203,8 +225,7 @@
   }
 
   private submit(...subjects: SubjectState[]): void {
-    this.ticketNumber++;
-    this.fleet.submit({ number: toTicketNumber(this.ticketNumber), subjects });
+    this.fleet.submit({ number: this.nextTicketNumber(), subjects });
   }
 
   private getDomains(): FailureDomain[] {
--- a/tests/support/fleet/fleetOptions.ts
+++ b/tests/support/fleet/fleetOptions.ts
@@ -5,7 +5,10 @@
   type ControlLeaderParts,
 } from '../../../src/decisions/control/index.js';
 import { HeldLease, type LeaseTerms } from '../../../src/decisions/leases/index.js';
+import { FakeControl } from './fakeControl.js';
+import type { FakeFleet } from './fakeFleet.js';
 import type { NetworkFaults } from './fakeNetwork.js';
+import type { FleetControl } from './fleetControl.js';
 
 /** The size of a fake fleet, how its network fails, and the parts that a test replaces. */
 export interface FleetOptions {
@@ -24,6 +27,7 @@
   readonly leaderParts: ControlLeaderParts;
   readonly createState: () => ControlState;
   readonly createHeldLease: (id: LeaseId) => HeldLease;
+  readonly createControl: (fleet: FakeFleet) => FleetControl;
 }
 
 /** Three failure domains of two daemons each, and two groups of three instances. */
@@ -41,4 +45,5 @@
   leaderParts: {},
   createState: () => new ControlState(),
   createHeldLease: (id) => new HeldLease(id),
+  createControl: (fleet) => new FakeControl(fleet),
 };
