Long randomised run over the whole pure core

Change: bench/soak drives consensus members with simulated disks, the control state and leader, daemons with WriteConfirmations, sessions through GroupRouter and ticket clients in virtual time.

--- /dev/null
+++ b/bench/soak/committedLog.ts
@@ -0,0 +1,46 @@
+import { toRevision } from '../../src/common/ids/index.js';
+import type { Command, CommandAnswer, ControlState } from '../../src/decisions/control/index.js';
+
+interface CommittedCommand {
+  readonly index: number;
+  readonly command: Command;
+  readonly answer: string;
+}
+
+/** Every command in the order in which it was first known to be committed, applied once. */
+export class CommittedLog {
+  readonly state: ControlState;
+  private readonly commands: CommittedCommand[] = [];
+  private readonly answers = new Map<number, string>();
+
+  constructor(private readonly createState: () => ControlState) {
+    this.state = createState();
+  }
+
+  /** Applies a command unless its index is known; gives the answer when it is new. */
+  add(index: number, command: Command): CommandAnswer | undefined {
+    if (this.answers.has(index)) {
+      return undefined;
+    }
+    const answer = this.state.apply(command, toRevision(index));
+    const text = JSON.stringify(answer);
+    this.commands.push({ index, command, answer: text });
+    this.answers.set(index, text);
+    return answer;
+  }
+
+  getAnswer(index: number): string | undefined {
+    return this.answers.get(index);
+  }
+
+  /** The state after the commands up to an index. */
+  replay(index: number): ControlState {
+    const state = this.createState();
+    for (const each of this.commands) {
+      if (each.index <= index) {
+        state.apply(each.command, toRevision(each.index));
+      }
+    }
+    return state;
+  }
+}
--- a/tests/support/consensus/simulationListener.ts
+++ b/tests/support/consensus/simulationListener.ts
@@ -7,19 +7,19 @@
 import type { SimulatedHost } from './simulatedHost.js';
 
 /** Is told what the members of a simulation do; must give inputs only through later events. */
-export abstract class SimulationListener {
+export interface SimulationListener {
   /** A process starts; nothing is applied yet. */
-  abstract started(host: SimulatedHost): void;
+  started(host: SimulatedHost): void;
 
   /** A committed entry is applied. */
-  abstract applied(host: SimulatedHost, entry: LogEntry<string>): void;
+  applied(host: SimulatedHost, entry: LogEntry<string>): void;
 
   /** The state up to an index is taken over from a snapshot. */
-  abstract restored(host: SimulatedHost, index: number): void;
+  restored(host: SimulatedHost, index: number): void;
 
-  abstract leadershipChanged(host: SimulatedHost, output: LeadershipChangedOutput): void;
+  leadershipChanged(host: SimulatedHost, output: LeadershipChangedOutput): void;
 
-  abstract proposalAppended(host: SimulatedHost, output: ProposalAppendedOutput): void;
+  proposalAppended(host: SimulatedHost, output: ProposalAppendedOutput): void;
 
-  abstract readReady(host: SimulatedHost, request: RequestId): void;
+  readReady(host: SimulatedHost, request: RequestId): void;
 }
--- a/tests/support/fleet/fakeDaemon.ts
+++ b/tests/support/fleet/fakeDaemon.ts
@@ -14,6 +14,7 @@
   DaemonRecords,
   PrimaryPhase,
   type Announcement,
+  type GroupPrimary,
   type GroupReport,
   type InstanceSighting,
   type LeaseGrant,
@@ -22,19 +23,19 @@
 } from '../../../src/decisions/control/index.js';
 import { HeldLease } from '../../../src/decisions/leases/index.js';
 import { InstanceRole } from '../../../src/decisions/control/index.js';
-import { Acknowledgement } from '../../../src/decisions/tickets/index.js';
+import type {
+  GroupView,
+  InstanceView,
+  PendingWrite,
+} from '../../../src/decisions/routing/index.js';
+import { getPositionStatus, PositionStatus } from '../../../src/decisions/sessions/index.js';
 import type { FakeFleet } from './fakeFleet.js';
 import type { FakeInstance } from './fakeInstance.js';
+import { HeldWrites } from './heldWrites.js';
 
 const UNREACHABLE_STEPS = 20;
 const RENEWAL_INTERVAL_MS = 200;
-
-interface PendingWrite {
-  readonly entry: string;
-  readonly term: Term;
-  readonly position: number;
-  isConfirmed: boolean;
-}
+const WRITE_DEADLINE_MS = 2000;
 
 class HeldGroup {
   fencedTerm = toTerm(0);
@@ -42,7 +43,7 @@
   baseline: Term | undefined;
   isReleased = false;
   failures = 0;
-  pending: PendingWrite[] = [];
+  readonly writes = new HeldWrites();
 
   constructor(
     readonly group: GroupId,
@@ -144,6 +145,21 @@
     return this.lease.isValid(this.now()) && held !== undefined && !held.isReleased;
   }
 
+  /** What this daemon routes reads of a held group by. */
+  getRoutingView(group: GroupId): GroupView | undefined {
+    const held = this.held.get(group);
+    const primary = this.records.getPrimary(group);
+    if (held === undefined || primary === undefined) {
+      return undefined;
+    }
+    const acknowledged =
+      held.baseline === primary.term
+        ? { term: primary.term, position: held.acknowledged }
+        : undefined;
+    const fenced = held.fencedTerm >= primary.term;
+    return { primary, fenced, acknowledged, instances: this.getViews(group) };
+  }
+
   isServing(): boolean {
     return this.isAlive && this.lease.isValid(this.now());
   }
@@ -261,44 +277,71 @@
     this.writes++;
     const entry = `${this.host}/${this.lives}/${this.writes}`;
     instance.entries.push(entry);
-    const position = instance.entries.length;
-    held.pending.push({ entry, term: instance.term, position, isConfirmed: false });
+    const { term, position } = instance;
+    held.writes.add(entry, { term, position }, this.now() + WRITE_DEADLINE_MS);
   }
 
   /** Notes which writes a replica has; they are acknowledged at the next step. */
   private confirm(held: HeldGroup): void {
-    const isSafe = this.records.getAcknowledgement(held.group) === Acknowledgement.Replica;
-    const others = this.records
-      .getInstances(held.group)
-      .filter((record) => !this.records.isLeaving(held.group, record.instance))
-      .map((record) => this.fleet.getInstance(record.instance))
-      .filter((each) => this.canReach(each) && each.role === InstanceRole.Replica);
-    for (const write of held.pending) {
-      write.isConfirmed ||=
-        !isSafe ||
-        others.some(
-          (each) => each.term === write.term && each.entries[write.position - 1] === write.entry,
-        );
+    held.writes.expire(this.now());
+    for (const { instance } of this.records.getInstances(held.group)) {
+      const replica = this.fleet.getInstance(instance);
+      if (this.canReach(replica) && replica.role === InstanceRole.Replica) {
+        const { term, position } = replica;
+        held.writes.replicaReached(instance, { term, position });
+      } else {
+        held.writes.forgetReplica(instance);
+      }
     }
   }
 
   private acknowledge(held: HeldGroup): void {
     const primary = this.records.getPrimary(held.group);
-    const ready = held.pending.filter((write) => write.isConfirmed);
-    held.pending = held.pending.filter((write) => !write.isConfirmed).slice(-50);
-    for (const { entry, term, position } of ready) {
-      const isAllowed =
-        primary?.term === term &&
-        primary.phase !== PrimaryPhase.Promoting &&
-        held.fencedTerm < term &&
-        this.isActing(held.group);
-      if (isAllowed) {
-        held.acknowledged = toLogPosition(Math.max(held.acknowledged, position));
-        this.fleet.noteAcknowledged(this, held.group, term, entry);
+    if (primary === undefined) {
+      return;
+    }
+    for (const write of held.writes.takeConfirmed()) {
+      if (write.position.term === primary.term && this.mayAcknowledge(held, primary)) {
+        this.finish(held, primary.term, write);
+      } else {
+        held.writes.hold(write);
+      }
+    }
+    if (primary.phase !== PrimaryPhase.Serving) {
+      return;
+    }
+    for (const write of held.writes.takeBefore(primary.term)) {
+      const isIncluded = getPositionStatus(write.position, primary) === PositionStatus.Included;
+      if (isIncluded && this.mayAcknowledge(held, primary)) {
+        this.finish(held, primary.term, write);
       }
     }
   }
 
+  private mayAcknowledge(held: HeldGroup, primary: GroupPrimary): boolean {
+    const isServing = primary.phase !== PrimaryPhase.Promoting;
+    return isServing && held.fencedTerm < primary.term && this.isActing(held.group);
+  }
+
+  private finish(held: HeldGroup, term: Term, { id, position }: PendingWrite): void {
+    held.acknowledged = toLogPosition(Math.max(held.acknowledged, position.position));
+    this.fleet.noteAcknowledged(this, held.group, term, id, position);
+  }
+
+  private getViews(group: GroupId): InstanceView[] {
+    return this.records.getInstances(group).map(({ instance, domain }) => {
+      const present = this.fleet.getInstance(instance);
+      const { term, position } = present;
+      const isLeaving = this.records.isLeaving(group, instance);
+      return {
+        ...{ instance, domain, slots: 2, load: 0, latencyMs: 1, ageMs: 0, warmth: 1 },
+        reachable: this.canReach(present),
+        inService: !isLeaving && this.records.isInService(domain),
+        position: { term, position },
+      };
+    });
+  }
+
   private canReach(instance: FakeInstance): boolean {
     return instance.isAlive && this.fleet.network.isReachable(this.host, instance.instance);
   }
--- a/tests/support/fleet/fakeFleet.ts
+++ b/tests/support/fleet/fakeFleet.ts
@@ -24,10 +24,12 @@
   type Promote,
 } from '../../../src/decisions/control/index.js';
 import { getInForceBoundMs } from '../../../src/decisions/leases/index.js';
+import type { SessionPosition } from '../../../src/decisions/sessions/index.js';
 import type { Ticket } from '../../../src/decisions/tickets/index.js';
 import { FakeDaemon } from './fakeDaemon.js';
 import { FakeInstance } from './fakeInstance.js';
 import { FakeNetwork } from './fakeNetwork.js';
+import type { FleetObserver } from './fleetObserver.js';
 import type { FleetControl } from './fleetControl.js';
 import type { FleetOptions } from './fleetOptions.js';
 
@@ -55,6 +57,7 @@
   readonly groups: GroupId[] = [];
   readonly acknowledged = new Map<GroupId, AcknowledgedWrite[]>();
   readonly log: string[] = [];
+  observer: FleetObserver | undefined;
   private readonly tickets: CommittedTicket[] = [];
   private nextAnnouncementMs = 0;
 
@@ -125,7 +128,13 @@
     return this.acknowledged.get(group)?.length ?? 0;
   }
 
-  noteAcknowledged(daemon: FakeDaemon, group: GroupId, term: Term, entry: string): void {
+  noteAcknowledged(
+    daemon: FakeDaemon,
+    group: GroupId,
+    term: Term,
+    entry: string,
+    position: SessionPosition,
+  ): void {
     const { truth } = this.control;
     const holder = truth.getGroupAssignment(group)?.holder?.lease;
     assertInvariant(holder === daemon.lease.id, 'only the holder acknowledges');
@@ -135,6 +144,7 @@
     const writes = this.acknowledged.get(group) ?? [];
     writes.push({ term, entry });
     this.acknowledged.set(group, writes);
+    this.observer?.acknowledged(group, entry, position);
   }
 
   noteCommit(command: Command, answer: CommandAnswer): void {
@@ -201,6 +211,7 @@
       daemon.step();
     }
     this.check();
+    this.observer?.stepped();
   }
 
   private replicate(): void {
