--- a/bench/soak/committedLog.ts
+++ b/bench/soak/committedLog.ts
@@ -1,5 +1,12 @@
-import { toRevision } from '../../src/common/ids/index.js';
-import type { Command, CommandAnswer, ControlState } from '../../src/decisions/control/index.js';
+import { assertInvariant } from '../../src/common/diagnostics/index.js';
+import { toRevision, type TicketNumber } from '../../src/common/ids/index.js';
+import {
+  CommandKind,
+  type Command,
+  type CommandAnswer,
+  type ControlState,
+} from '../../src/decisions/control/index.js';
+import { getSubjectName, type Ticket } from '../../src/decisions/tickets/index.js';
 
 interface CommittedCommand {
   readonly index: number;
@@ -12,6 +19,7 @@
   readonly state: ControlState;
   private readonly commands: CommittedCommand[] = [];
   private readonly answers = new Map<number, string>();
+  private readonly inForce = new Map<string, TicketNumber>();
 
   constructor(private readonly createState: () => ControlState) {
     this.state = createState();
@@ -23,6 +31,9 @@
       return undefined;
     }
     const answer = this.state.apply(command, toRevision(index));
+    if (command.kind === CommandKind.SubmitTicket && answer.changed) {
+      this.checkLater(command.ticket);
+    }
     const text = JSON.stringify(answer);
     this.commands.push({ index, command, answer: text });
     this.answers.set(index, text);
@@ -33,6 +44,15 @@
     return this.answers.get(index);
   }
 
+  private checkLater({ number, subjects }: Ticket): void {
+    for (const state of subjects) {
+      const subject = getSubjectName(state);
+      const isLater = number > (this.inForce.get(subject) ?? 0);
+      assertInvariant(isLater, 'a later ticket is replaced by none before it');
+      this.inForce.set(subject, number);
+    }
+  }
+
   /** The state after the commands up to an index. */
   replay(index: number): ControlState {
     const state = this.createState();
--- a/bench/soak/soakDriver.ts
+++ b/bench/soak/soakDriver.ts
@@ -10,6 +10,7 @@
 const ACCOUNTS = 6;
 const BURST_TICKETS = 40;
 const RACERS = 3;
+const SLOW_FAULTS = { loss: 0.1, duplication: 0.1, lateness: 0.5 };
 
 /** Brings the steps of a schedule about. */
 export class SoakDriver {
@@ -55,6 +56,8 @@
       case SoakKind.CutInstanceOneWay:
       case SoakKind.CutAnswers:
         return this.cutLink(step);
+      case SoakKind.SlowNetwork:
+        return this.slowNetwork();
       case SoakKind.RestartAll:
         return this.restartAll();
       default:
@@ -122,6 +125,12 @@
     return () => this.healNetworks();
   }
 
+  private slowNetwork(): () => void {
+    const { network } = this.fleet;
+    network.faults = SLOW_FAULTS;
+    return () => (network.faults = this.fleet.options.network);
+  }
+
   private healNetworks(): void {
     this.fleet.network.heal();
     this.control.simulation.network.heal();
--- a/bench/soak/soakStep.ts
+++ b/bench/soak/soakStep.ts
@@ -10,6 +10,7 @@
   CutDaemonOneWay = 'cut-daemon-one-way',
   CutInstanceOneWay = 'cut-instance-one-way',
   CutAnswers = 'cut-answers',
+  SlowNetwork = 'slow-network',
   TransferControl = 'transfer-control',
   RestartAll = 'restart-all',
   TicketRace = 'ticket-race',
