--- a/bench/soak/brokenVariants.ts
+++ b/bench/soak/brokenVariants.ts
@@ -5,6 +5,7 @@
   type ControlSettings,
 } from '../../src/decisions/control/index.js';
 import { DaemonLeases, HeldLease } from '../../src/decisions/leases/index.js';
+import { RateBucket, TokenPool, type AccountLimit } from '../../src/decisions/limits/index.js';
 import { PromotionRules, type Fence, type GroupView } from '../../src/decisions/promotion/index.js';
 import type { SoakVariant } from './soakRun.js';
 
@@ -44,6 +45,23 @@
   }
 }
 
+class CarriedOver extends RateBucket {
+  protected override getStartDelayMs(): number {
+    return 0;
+  }
+
+  protected override createPool(limit: AccountLimit, startMs: number): TokenPool {
+    return new FullPool(limit, startMs);
+  }
+}
+
+class FullPool extends TokenPool {
+  constructor(limit: AccountLimit, startMs: number) {
+    super(limit, startMs);
+    this.available = limit.burst;
+  }
+}
+
 /** A rule that is broken on purpose, and the invariant by which the run finds it. */
 export interface BrokenVariant {
   readonly name: string;
@@ -86,6 +104,11 @@
     },
     finding: /an equal ticket number is accepted once/,
   },
+  {
+    name: 'grant carried over to a new holder',
+    variant: { createBucket: (options) => new CarriedOver(options) },
+    finding: /within rate and burst over every window/,
+  },
   {
     name: 'older ticket replaces a newer one',
     variant: {
--- a/bench/soak/sessionClients.ts
+++ b/bench/soak/sessionClients.ts
@@ -13,6 +13,8 @@
 } from '../../src/decisions/sessions/index.js';
 import { FleetObserver, type FakeDaemon, type FakeFleet } from '../../tests/support/fleet/index.js';
 
+import type { AccountRates } from './accountRates.js';
+
 const SESSIONS_PER_GROUP = 3;
 const READ_INTERVAL_MS = 50;
 
@@ -38,7 +40,10 @@
   private writes = 0;
   private nextReadMs = 0;
 
-  constructor(private readonly fleet: FakeFleet) {
+  constructor(
+    private readonly fleet: FakeFleet,
+    private readonly rates: AccountRates,
+  ) {
     super();
     for (const group of fleet.groups) {
       const sessions = Array.from({ length: SESSIONS_PER_GROUP }, () => new Session());
@@ -58,6 +63,7 @@
   }
 
   override stepped(): void {
+    this.rates.step();
     if (this.fleet.nowMs < this.nextReadMs) {
       return;
     }
--- a/bench/soak/soakDriver.ts
+++ b/bench/soak/soakDriver.ts
@@ -1,5 +1,11 @@
 import { assertInvariant } from '../../src/common/diagnostics/index.js';
-import { toAccountId, toFailureDomain, toHostId } from '../../src/common/ids/index.js';
+import {
+  toAccountId,
+  toFailureDomain,
+  toHostId,
+  type AccountId,
+} from '../../src/common/ids/index.js';
+import type { AccountLimit } from '../../src/decisions/limits/index.js';
 import { SubjectKind, type SubjectState, type Ticket } from '../../src/decisions/tickets/index.js';
 import type { SimulatedHost } from '../../tests/support/consensus/simulatedHost.js';
 import { FaultDriver, type FakeFleet } from '../../tests/support/fleet/index.js';
@@ -42,6 +48,12 @@
     this.submitMembers();
   }
 
+  /** Creates a client account that no step changes. */
+  submitAccount(account: AccountId, limit: AccountLimit): void {
+    const number = this.faults.nextTicketNumber();
+    this.submit({ number, subjects: [createAccount(account, limit)] });
+  }
+
   private bring(step: SoakStep): (() => void) | undefined {
     switch (step.kind) {
       case SoakKind.CrashControl:
@@ -156,12 +168,12 @@
       const number = this.faults.nextTicketNumber();
       for (let racer = 0; racer < RACERS; racer++) {
         const rate = 1 + ((step.other + racer) % RACERS);
-        this.submit({ number, subjects: [createAccount(step.target, rate)] });
+        this.submit({ number, subjects: [createNumbered(step.target, rate)] });
       }
     } else {
       for (let count = 0; count < BURST_TICKETS; count++) {
         const number = this.faults.nextTicketNumber();
-        this.submit({ number, subjects: [createAccount(step.target + count, 1 + count)] });
+        this.submit({ number, subjects: [createNumbered(step.target + count, 1 + count)] });
       }
     }
   }
@@ -182,11 +194,15 @@
   }
 }
 
-function createAccount(index: number, rate: number): SubjectState {
+function createNumbered(index: number, rate: number): SubjectState {
+  return createAccount(toAccountId(`a${index % ACCOUNTS}`), { rate, burst: 10 });
+}
+
+function createAccount(account: AccountId, limit: AccountLimit): SubjectState {
   return {
     kind: SubjectKind.Account,
-    account: toAccountId(`a${index % ACCOUNTS}`),
-    ...{ rate, burst: 10, salt: 'c2FsdA==', iterations: 4096, keys: [] },
-    maximumOpenTransactions: 1,
+    account,
+    ...limit,
+    ...{ salt: 'c2FsdA==', iterations: 4096, keys: [], maximumOpenTransactions: 1 },
   };
 }
--- a/bench/soak/soakRun.ts
+++ b/bench/soak/soakRun.ts
@@ -1,4 +1,6 @@
 import { assertInvariant } from '../../src/common/diagnostics/index.js';
+import { toAccountId } from '../../src/common/ids/index.js';
+import { RateBucket, type RateBucketOptions } from '../../src/decisions/limits/index.js';
 import { ConsensusRules } from '../../src/decisions/consensus/index.js';
 import { PrimaryPhase } from '../../src/decisions/control/index.js';
 import {
@@ -6,11 +8,14 @@
   FakeFleet,
   type FleetOptions,
 } from '../../tests/support/fleet/index.js';
+import { AccountRates, type BucketFactory } from './accountRates.js';
 import { QuorumControl } from './quorumControl.js';
 import { SessionClients } from './sessionClients.js';
 import { SoakDriver } from './soakDriver.js';
 import type { SoakTrace } from './soakTrace.js';
 
+const BUSY_ACCOUNT = toAccountId('busy');
+const BUSY_LIMIT = { rate: 20, burst: 10 };
 const START_MS = 2500;
 const RECOVERY_MS = 15_000;
 const WRITE_BOUND_MS = 1000;
@@ -20,6 +25,7 @@
 /** What a run replaces, to show that the checks find broken rules. */
 export interface SoakVariant extends Partial<FleetOptions> {
   readonly rules?: ConsensusRules;
+  readonly createBucket?: BucketFactory;
 }
 
 /** What a run did. */
@@ -31,12 +37,13 @@
   readonly acceptedTickets: number;
   readonly refusedTickets: number;
   readonly readBacks: number;
+  readonly admissions: number;
 }
 
 /** Runs a schedule through the whole core; throws when an invariant does not hold. */
 export function runTrace(trace: SoakTrace, variant: SoakVariant = {}): SoakOutcome {
   const { seed, daemons, groups, isPoor, controlHosts } = trace;
-  const { rules = new ConsensusRules(), ...options } = variant;
+  const { rules = new ConsensusRules(), createBucket = createProductBucket, ...options } = variant;
   const controls: QuorumControl[] = [];
   const fleet = new FakeFleet({
     ...DEFAULT_FLEET_OPTIONS,
@@ -50,16 +57,23 @@
   });
   const [control] = controls;
   assertInvariant(control !== undefined, 'the fleet has a control quorum');
-  const sessions = new SessionClients(fleet);
+  const rates = new AccountRates(fleet, BUSY_ACCOUNT, createBucket);
+  const sessions = new SessionClients(fleet, rates);
   fleet.observer = sessions;
   fleet.run(START_MS);
   const driver = new SoakDriver(fleet, control);
+  driver.submitAccount(BUSY_ACCOUNT, BUSY_LIMIT);
   driver.run(trace.steps);
   heal(fleet, control);
   driver.restoreService();
   fleet.run(RECOVERY_MS);
   checkRecovered(fleet, control);
-  return createOutcome(fleet, control, sessions);
+  rates.check(BUSY_LIMIT);
+  return createOutcome(fleet, control, sessions, rates);
+}
+
+function createProductBucket(options: RateBucketOptions): RateBucket {
+  return new RateBucket(options);
 }
 
 function heal(fleet: FakeFleet, control: QuorumControl): void {
@@ -88,6 +102,7 @@
   fleet: FakeFleet,
   { tickets }: QuorumControl,
   sessions: SessionClients,
+  rates: AccountRates,
 ): SoakOutcome {
   const writes = fleet.groups.reduce((sum, group) => sum + fleet.count(group), 0);
   return {
@@ -98,5 +113,6 @@
     acceptedTickets: tickets.accepted.size,
     refusedTickets: tickets.refusedCount,
     readBacks: tickets.readBackCount,
+    admissions: rates.admissions.length,
   };
 }
--- a/tests/support/fleet/fakeDaemon.ts
+++ b/tests/support/fleet/fakeDaemon.ts
@@ -7,6 +7,7 @@
   type FailureDomain,
   type GroupId,
   type HostId,
+  type Incarnation,
   type LogPosition,
   type Term,
 } from '../../../src/common/ids/index.js';
@@ -77,6 +78,15 @@
     this.lease = this.createLease();
   }
 
+  get incarnation(): Incarnation {
+    return toIncarnation(`${this.host}-${this.lives}`);
+  }
+
+  /** The daemon's own clock. */
+  get clockMs(): number {
+    return this.now();
+  }
+
   kill(): void {
     this.isAlive = false;
     this.inbox.length = 0;
@@ -160,6 +170,13 @@
     return { primary, fenced, acknowledged, instances: this.getViews(group) };
   }
 
+  /** Whether this daemon would hand out a client account's rate now. */
+  isHandingOut(account: AccountId): boolean {
+    const assignment = this.records.getAccountAssignment(account);
+    const isOwn = assignment?.holder?.lease === this.lease.id && !assignment.draining;
+    return isOwn && this.lease.isValid(this.now()) && !this.isStopping;
+  }
+
   isServing(): boolean {
     return this.isAlive && this.lease.isValid(this.now());
   }
@@ -196,7 +213,7 @@
     return {
       ...this.lease.beginRenewal(nowMs),
       host: this.host,
-      incarnation: toIncarnation(`${this.host}-${this.lives}`),
+      incarnation: this.incarnation,
       lease: this.lease.id,
       domain: this.domain,
       address: '127.0.0.1:1',
