--- a/tests/support/fleet/fakeDaemon.ts
+++ b/tests/support/fleet/fakeDaemon.ts
@@ -229,7 +229,8 @@
   private getReleasedAccounts(): AccountId[] {
     return this.records.getAccounts().filter((account) => {
       const assignment = this.records.getAccountAssignment(account);
-      return assignment?.draining === true && assignment.holder?.lease === this.lease.id;
+      const isOwn = assignment?.holder?.lease === this.lease.id;
+      return isOwn && (assignment.draining || this.isStopping);
     });
   }
 
