Fake holder: held groups in their own module; the long run counts what it brought about

Change: HeldGroup moved out of FakeDaemon; leaderships, restores, lost disks, promotions, moves and retired leases are counted.

--- a/bench/soak/committedLog.ts
+++ b/bench/soak/committedLog.ts
@@ -17,6 +17,8 @@
 /** Every command in the order in which it was first known to be committed, applied once. */
 export class CommittedLog {
   readonly state: ControlState;
+  /** How many commands of each kind changed the state. */
+  readonly changes = new Map<CommandKind, number>();
   private readonly commands: CommittedCommand[] = [];
   private readonly answers = new Map<number, string>();
   private readonly inForce = new Map<string, TicketNumber>();
@@ -34,6 +36,9 @@
     if (command.kind === CommandKind.SubmitTicket && answer.changed) {
       this.checkLater(command.ticket);
     }
+    if (answer.changed) {
+      this.changes.set(command.kind, (this.changes.get(command.kind) ?? 0) + 1);
+    }
     const text = JSON.stringify(answer);
     this.commands.push({ index, command, answer: text });
     this.answers.set(index, text);
--- a/bench/soak/quorumControl.ts
+++ b/bench/soak/quorumControl.ts
@@ -48,6 +48,8 @@
   readonly tickets: TicketClient;
   private readonly seats = new Map<SimulatedHost, ControlSeat>();
   private readonly routes = new Map<FakeDaemon, ControlRoute>();
+  leaderships = 0;
+  restores = 0;
   private requests = 0;
   private nextTickMs = 0;
   private nextMembershipMs = 0;
@@ -159,6 +161,9 @@
   }
 
   restored(host: SimulatedHost, index: number): void {
+    if (index > 0) {
+      this.restores++;
+    }
     this.getSeat(host).restore(index);
   }
 
@@ -166,6 +171,7 @@
     const seat = this.getSeat(host);
     seat.leadershipChanged(output);
     if (output.role === Role.Leader) {
+      this.leaderships++;
       this.later(host, () => seat.beginLeading(output.term));
     }
   }
--- a/bench/soak/soakRun.ts
+++ b/bench/soak/soakRun.ts
@@ -2,7 +2,7 @@
 import { toAccountId } from '../../src/common/ids/index.js';
 import { RateBucket, type RateBucketOptions } from '../../src/decisions/limits/index.js';
 import { ConsensusRules } from '../../src/decisions/consensus/index.js';
-import { PrimaryPhase } from '../../src/decisions/control/index.js';
+import { CommandKind, PrimaryPhase } from '../../src/decisions/control/index.js';
 import {
   DEFAULT_FLEET_OPTIONS,
   FakeFleet,
@@ -38,6 +38,12 @@
   readonly refusedTickets: number;
   readonly readBacks: number;
   readonly admissions: number;
+  readonly leaderships: number;
+  readonly snapshotRestores: number;
+  readonly lostDisks: number;
+  readonly promotions: number;
+  readonly plannedMoves: number;
+  readonly retiredLeases: number;
 }
 
 /** Runs a schedule through the whole core; throws when an invariant does not hold. */
@@ -100,7 +106,7 @@
 
 function createOutcome(
   fleet: FakeFleet,
-  { tickets }: QuorumControl,
+  { tickets, simulation, log, leaderships, restores }: QuorumControl,
   sessions: SessionClients,
   rates: AccountRates,
 ): SoakOutcome {
@@ -114,5 +120,11 @@
     refusedTickets: tickets.refusedCount,
     readBacks: tickets.readBackCount,
     admissions: rates.admissions.length,
+    leaderships,
+    snapshotRestores: restores,
+    lostDisks: simulation.hosts.reduce((sum, host) => sum + host.diskCount - 1, 0),
+    promotions: log.changes.get(CommandKind.CompletePromotion) ?? 0,
+    plannedMoves: log.changes.get(CommandKind.BeginMove) ?? 0,
+    retiredLeases: log.changes.get(CommandKind.RetireLease) ?? 0,
   };
 }
--- a/tests/support/fleet/fakeDaemon.ts
+++ b/tests/support/fleet/fakeDaemon.ts
@@ -8,14 +8,10 @@
   type GroupId,
   type HostId,
   type Incarnation,
-  type LogPosition,
-  type Term,
 } from '../../../src/common/ids/index.js';
 import {
   DaemonRecords,
-  PrimaryPhase,
   type Announcement,
-  type GroupPrimary,
   type GroupReport,
   type InstanceSighting,
   type LeaseGrant,
@@ -23,34 +19,12 @@
   type RecordUpdate,
 } from '../../../src/decisions/control/index.js';
 import { HeldLease } from '../../../src/decisions/leases/index.js';
-import { InstanceRole } from '../../../src/decisions/control/index.js';
-import type {
-  GroupView,
-  InstanceView,
-  PendingWrite,
-} from '../../../src/decisions/routing/index.js';
-import { getPositionStatus, PositionStatus } from '../../../src/decisions/sessions/index.js';
+import type { GroupView } from '../../../src/decisions/routing/index.js';
 import type { FakeFleet } from './fakeFleet.js';
 import type { FakeInstance } from './fakeInstance.js';
-import { HeldWrites } from './heldWrites.js';
+import { HeldGroup } from './heldGroup.js';
 
-const UNREACHABLE_STEPS = 20;
 const RENEWAL_INTERVAL_MS = 200;
-const WRITE_DEADLINE_MS = 2000;
-
-class HeldGroup {
-  fencedTerm = toTerm(0);
-  acknowledged: LogPosition = toLogPosition(0);
-  baseline: Term | undefined;
-  isReleased = false;
-  failures = 0;
-  readonly writes = new HeldWrites();
-
-  constructor(
-    readonly group: GroupId,
-    readonly since: number,
-  ) {}
-}
 
 /** A daemon that holds groups, writes through them and acknowledges, as control lets it. */
 export class FakeDaemon {
@@ -119,14 +93,14 @@
       return;
     }
     for (const held of this.held.values()) {
-      this.acknowledge(held);
+      held.acknowledge();
     }
     for (const take of this.inbox.splice(0)) {
       take();
     }
     this.updateHeld();
     for (const held of this.held.values()) {
-      this.work(held);
+      held.work();
     }
     if (this.fleet.nowMs >= this.nextRenewalMs) {
       this.renew();
@@ -157,17 +131,13 @@
 
   /** What this daemon routes reads of a held group by. */
   getRoutingView(group: GroupId): GroupView | undefined {
-    const held = this.held.get(group);
-    const primary = this.records.getPrimary(group);
-    if (held === undefined || primary === undefined) {
-      return undefined;
-    }
-    const acknowledged =
-      held.baseline === primary.term
-        ? { term: primary.term, position: held.acknowledged }
-        : undefined;
-    const fenced = held.fencedTerm >= primary.term;
-    return { primary, fenced, acknowledged, instances: this.getViews(group) };
+    return this.held.get(group)?.getRoutingView();
+  }
+
+  /** The name of a new log entry. */
+  nextEntry(): string {
+    this.writes++;
+    return `${this.host}/${this.lives}/${this.writes}`;
   }
 
   /** Whether this daemon would hand out a client account's rate now. */
@@ -254,7 +224,9 @@
       }
       const present = this.held.get(group);
       const held =
-        present?.since === assignment.since ? present : new HeldGroup(group, assignment.since);
+        present?.since === assignment.since
+          ? present
+          : new HeldGroup(group, assignment.since, this, this.fleet);
       this.held.set(group, held);
       if (assignment.draining || this.isStopping) {
         held.isReleased = true;
@@ -262,105 +234,7 @@
     }
   }
 
-  private work(held: HeldGroup): void {
-    const primary = this.records.getPrimary(held.group);
-    if (primary === undefined || primary.phase === PrimaryPhase.Promoting) {
-      return;
-    }
-    if (primary.phase === PrimaryPhase.Moving) {
-      held.fencedTerm = primary.term;
-      return;
-    }
-    const instance = this.fleet.getInstance(primary.instance);
-    const isPrimary =
-      this.canReach(instance) &&
-      instance.role === InstanceRole.Primary &&
-      instance.term === primary.term;
-    held.failures = isPrimary ? 0 : held.failures + 1;
-    if (held.failures >= UNREACHABLE_STEPS) {
-      held.fencedTerm = primary.term;
-      held.failures = 0;
-    }
-    if (isPrimary && held.fencedTerm < primary.term && this.isActing(held.group)) {
-      this.write(held, instance);
-    }
-    this.confirm(held);
-  }
-
-  private write(held: HeldGroup, instance: FakeInstance): void {
-    if (held.baseline !== instance.term) {
-      held.baseline = instance.term;
-      held.acknowledged = instance.position;
-    }
-    this.writes++;
-    const entry = `${this.host}/${this.lives}/${this.writes}`;
-    instance.entries.push(entry);
-    const { term, position } = instance;
-    held.writes.add(entry, { term, position }, this.now() + WRITE_DEADLINE_MS);
-  }
-
-  /** Notes which writes a replica has; they are acknowledged at the next step. */
-  private confirm(held: HeldGroup): void {
-    held.writes.expire(this.now());
-    for (const { instance } of this.records.getInstances(held.group)) {
-      const replica = this.fleet.getInstance(instance);
-      if (this.canReach(replica) && replica.role === InstanceRole.Replica) {
-        const { term, position } = replica;
-        held.writes.replicaReached(instance, { term, position });
-      } else {
-        held.writes.forgetReplica(instance);
-      }
-    }
-  }
-
-  private acknowledge(held: HeldGroup): void {
-    const primary = this.records.getPrimary(held.group);
-    if (primary === undefined) {
-      return;
-    }
-    for (const write of held.writes.takeConfirmed()) {
-      if (write.position.term === primary.term && this.mayAcknowledge(held, primary)) {
-        this.finish(held, primary.term, write);
-      } else {
-        held.writes.hold(write);
-      }
-    }
-    if (primary.phase !== PrimaryPhase.Serving) {
-      return;
-    }
-    for (const write of held.writes.takeBefore(primary.term)) {
-      const isIncluded = getPositionStatus(write.position, primary) === PositionStatus.Included;
-      if (isIncluded && this.mayAcknowledge(held, primary)) {
-        this.finish(held, primary.term, write);
-      }
-    }
-  }
-
-  private mayAcknowledge(held: HeldGroup, primary: GroupPrimary): boolean {
-    const isServing = primary.phase !== PrimaryPhase.Promoting;
-    return isServing && held.fencedTerm < primary.term && this.isActing(held.group);
-  }
-
-  private finish(held: HeldGroup, term: Term, { id, position }: PendingWrite): void {
-    held.acknowledged = toLogPosition(Math.max(held.acknowledged, position.position));
-    this.fleet.noteAcknowledged(this, held.group, term, id, position);
-  }
-
-  private getViews(group: GroupId): InstanceView[] {
-    return this.records.getInstances(group).map(({ instance, domain }) => {
-      const present = this.fleet.getInstance(instance);
-      const { term, position } = present;
-      const isLeaving = this.records.isLeaving(group, instance);
-      return {
-        ...{ instance, domain, slots: 2, load: 0, latencyMs: 1, ageMs: 0, warmth: 1 },
-        reachable: this.canReach(present),
-        inService: !isLeaving && this.records.isInService(domain),
-        position: { term, position },
-      };
-    });
-  }
-
-  private canReach(instance: FakeInstance): boolean {
+  canReach(instance: FakeInstance): boolean {
     return instance.isAlive && this.fleet.network.isReachable(this.host, instance.instance);
   }
 }
