--- a/tests/support/fleet/fakeDaemon.ts
+++ b/tests/support/fleet/fakeDaemon.ts
@@ -7,12 +7,10 @@
   type FailureDomain,
   type GroupId,
   type HostId,
-  type LogPosition,
-  type Term,
+  type Incarnation,
 } from '../../../src/common/ids/index.js';
 import {
   DaemonRecords,
-  PrimaryPhase,
   type Announcement,
   type GroupReport,
   type InstanceSighting,
@@ -21,35 +19,13 @@
   type RecordUpdate,
 } from '../../../src/decisions/control/index.js';
 import { HeldLease } from '../../../src/decisions/leases/index.js';
-import { InstanceRole } from '../../../src/decisions/control/index.js';
-import { Acknowledgement } from '../../../src/decisions/tickets/index.js';
+import type { GroupView } from '../../../src/decisions/routing/index.js';
 import type { FakeFleet } from './fakeFleet.js';
 import type { FakeInstance } from './fakeInstance.js';
+import { HeldGroup } from './heldGroup.js';
 
-const UNREACHABLE_STEPS = 20;
 const RENEWAL_INTERVAL_MS = 200;
 
-interface PendingWrite {
-  readonly entry: string;
-  readonly term: Term;
-  readonly position: number;
-  isConfirmed: boolean;
-}
-
-class HeldGroup {
-  fencedTerm = toTerm(0);
-  acknowledged: LogPosition = toLogPosition(0);
-  baseline: Term | undefined;
-  isReleased = false;
-  failures = 0;
-  pending: PendingWrite[] = [];
-
-  constructor(
-    readonly group: GroupId,
-    readonly since: number,
-  ) {}
-}
-
 /** A daemon that holds groups, writes through them and acknowledges, as control lets it. */
 export class FakeDaemon {
   isAlive = true;
@@ -76,6 +52,15 @@
     this.lease = this.createLease();
   }
 
+  get incarnation(): Incarnation {
+    return toIncarnation(`${this.host}-${this.lives}`);
+  }
+
+  /** The daemon's own clock. */
+  get clockMs(): number {
+    return this.now();
+  }
+
   kill(): void {
     this.isAlive = false;
     this.inbox.length = 0;
@@ -108,14 +93,14 @@
       return;
     }
     for (const held of this.held.values()) {
-      this.acknowledge(held);
+      held.acknowledge();
     }
     for (const take of this.inbox.splice(0)) {
       take();
     }
     this.updateHeld();
     for (const held of this.held.values()) {
-      this.work(held);
+      held.work();
     }
     if (this.fleet.nowMs >= this.nextRenewalMs) {
       this.renew();
@@ -144,6 +129,17 @@
     return this.lease.isValid(this.now()) && held !== undefined && !held.isReleased;
   }
 
+  /** What this daemon routes reads of a held group by. */
+  getRoutingView(group: GroupId): GroupView | undefined {
+    return this.held.get(group)?.getRoutingView();
+  }
+
+  /** The name of a new log entry. */
+  nextEntry(): string {
+    this.writes++;
+    return `${this.host}/${this.lives}/${this.writes}`;
+  }
+
   /** Whether this daemon would hand out a client account's rate now. */
   isHandingOut(account: AccountId): boolean {
     const assignment = this.records.getAccountAssignment(account);
@@ -174,7 +170,7 @@
       this.lease = this.createLease();
       this.held.clear();
     }
-    this.fleet.sendRenewal(this, this.createRenewal());
+    this.fleet.control.sendRenewal(this, this.createRenewal());
   }
 
   private createRenewal(): LeaseRenewal {
@@ -187,7 +183,7 @@
     return {
       ...this.lease.beginRenewal(nowMs),
       host: this.host,
-      incarnation: toIncarnation(`${this.host}-${this.lives}`),
+      incarnation: this.incarnation,
       lease: this.lease.id,
       domain: this.domain,
       address: '127.0.0.1:1',
@@ -228,7 +224,9 @@
       }
       const present = this.held.get(group);
       const held =
-        present?.since === assignment.since ? present : new HeldGroup(group, assignment.since);
+        present?.since === assignment.since
+          ? present
+          : new HeldGroup(group, assignment.since, this, this.fleet);
       this.held.set(group, held);
       if (assignment.draining || this.isStopping) {
         held.isReleased = true;
@@ -236,78 +234,7 @@
     }
   }
 
-  private work(held: HeldGroup): void {
-    const primary = this.records.getPrimary(held.group);
-    if (primary === undefined || primary.phase === PrimaryPhase.Promoting) {
-      return;
-    }
-    if (primary.phase === PrimaryPhase.Moving) {
-      held.fencedTerm = primary.term;
-      return;
-    }
-    const instance = this.fleet.getInstance(primary.instance);
-    const isPrimary =
-      this.canReach(instance) &&
-      instance.role === InstanceRole.Primary &&
-      instance.term === primary.term;
-    held.failures = isPrimary ? 0 : held.failures + 1;
-    if (held.failures >= UNREACHABLE_STEPS) {
-      held.fencedTerm = primary.term;
-      held.failures = 0;
-    }
-    if (isPrimary && held.fencedTerm < primary.term && this.isActing(held.group)) {
-      this.write(held, instance);
-    }
-    this.confirm(held);
-  }
-
-  private write(held: HeldGroup, instance: FakeInstance): void {
-    if (held.baseline !== instance.term) {
-      held.baseline = instance.term;
-      held.acknowledged = instance.position;
-    }
-    this.writes++;
-    const entry = `${this.host}/${this.lives}/${this.writes}`;
-    instance.entries.push(entry);
-    const position = instance.entries.length;
-    held.pending.push({ entry, term: instance.term, position, isConfirmed: false });
-  }
-
-  /** Notes which writes a replica has; they are acknowledged at the next step. */
-  private confirm(held: HeldGroup): void {
-    const isSafe = this.records.getAcknowledgement(held.group) === Acknowledgement.Replica;
-    const others = this.records
-      .getInstances(held.group)
-      .filter((record) => !this.records.isLeaving(held.group, record.instance))
-      .map((record) => this.fleet.getInstance(record.instance))
-      .filter((each) => this.canReach(each) && each.role === InstanceRole.Replica);
-    for (const write of held.pending) {
-      write.isConfirmed ||=
-        !isSafe ||
-        others.some(
-          (each) => each.term === write.term && each.entries[write.position - 1] === write.entry,
-        );
-    }
-  }
-
-  private acknowledge(held: HeldGroup): void {
-    const primary = this.records.getPrimary(held.group);
-    const ready = held.pending.filter((write) => write.isConfirmed);
-    held.pending = held.pending.filter((write) => !write.isConfirmed).slice(-50);
-    for (const { entry, term, position } of ready) {
-      const isAllowed =
-        primary?.term === term &&
-        primary.phase !== PrimaryPhase.Promoting &&
-        held.fencedTerm < term &&
-        this.isActing(held.group);
-      if (isAllowed) {
-        held.acknowledged = toLogPosition(Math.max(held.acknowledged, position));
-        this.fleet.noteAcknowledged(this, held.group, term, entry);
-      }
-    }
-  }
-
-  private canReach(instance: FakeInstance): boolean {
+  canReach(instance: FakeInstance): boolean {
     return instance.isAlive && this.fleet.network.isReachable(this.host, instance.instance);
   }
 }
