--- a/bench/placement/leaderRun.ts
+++ b/bench/placement/leaderRun.ts
@@ -70,6 +70,7 @@
     this.lost.add(toHostId('h0'));
     const before = this.commits;
     this.advance(MEASURE_MS);
+    globalThis.gc?.();
     return {
       size: this.size.name,
       renewalMicroseconds: (renewalMs / renewals) * MICROSECONDS_PER_MS,
--- a/src/common/metrics/index.ts
+++ b/src/common/metrics/index.ts
@@ -5,4 +5,5 @@
 export * from './timeSeries.js';
 export * from './timeHistogram.js';
 export * from './accountMetrics.js';
+export * from './meshTraffic.js';
 export * from './metrics.js';
--- a/src/common/metrics/metrics.test.ts
+++ b/src/common/metrics/metrics.test.ts
@@ -8,6 +8,7 @@
   Metrics,
   ReadSource,
   RequestClass,
+  TrafficDirection,
   TIME_BUCKETS_SECONDS,
 } from './index.js';
 
@@ -85,6 +86,19 @@
   `);
 });
 
+test('messages between daemons are counted with their bytes, by direction and kind', async () => {
+  const metrics = new Metrics();
+  metrics.meshTraffic.record(TrafficDirection.Sent, 'LeaseRenewal', 200);
+  metrics.meshTraffic.record(TrafficDirection.Sent, 'LeaseRenewal', 300);
+  metrics.meshTraffic.record(TrafficDirection.Received, 'LeaseGrant', 90);
+  expect(await readLines(metrics, 'mesh_')).toEqual([
+    'filbertpoint_mesh_messages_total{direction="sent",kind="LeaseRenewal"} 2',
+    'filbertpoint_mesh_messages_total{direction="received",kind="LeaseGrant"} 1',
+    'filbertpoint_mesh_bytes_total{direction="sent",kind="LeaseRenewal"} 500',
+    'filbertpoint_mesh_bytes_total{direction="received",kind="LeaseGrant"} 90',
+  ]);
+});
+
 test('accounts beyond the bound share one label', async () => {
   const metrics = new Metrics(2);
   for (let index = 0; index < 50; index += 1) {
--- a/src/common/metrics/metrics.ts
+++ b/src/common/metrics/metrics.ts
@@ -3,6 +3,7 @@
 import type { AccountId, GroupId, Revision, Term } from '../ids/index.js';
 import { AccountMetrics, type AccountCollectors } from './accountMetrics.js';
 import { ConnectionSide } from './connectionSide.js';
+import { MeshTraffic } from './meshTraffic.js';
 import { ReadSource } from './readSource.js';
 import { TimeHistogram } from './timeHistogram.js';
 
@@ -13,6 +14,7 @@
 /** The metrics of one daemon, on a registry of its own. */
 export class Metrics {
   readonly registry = new Registry();
+  readonly meshTraffic = new MeshTraffic(this.registry);
   private readonly collectors: AccountCollectors;
   private readonly accounts = new Map<string, AccountMetrics>();
   private readonly groups = new Set<GroupId>();
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -172,6 +172,7 @@
       },
       timer,
       logger,
+      this.metrics.meshTraffic,
     );
   }
 
--- a/src/daemon/mesh/mesh.ts
+++ b/src/daemon/mesh/mesh.ts
@@ -4,6 +4,7 @@
 import { WebSocket, WebSocketServer, type ClientOptions } from 'ws';
 import type { Incarnation } from '../../common/ids/index.js';
 import { Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import type { MeshTraffic } from '../../common/metrics/index.js';
 import type { Logger } from '../../common/logging/index.js';
 import { Mailbox } from '../../common/tasks/index.js';
 import type { TimerService } from '../../common/timer/index.js';
@@ -34,6 +35,7 @@
     private readonly options: MeshOptions,
     private readonly timer: TimerService,
     private readonly logger: Logger,
+    readonly traffic: MeshTraffic,
   ) {
     this.web = createWebServer(options);
     this.server = new WebSocketServer({
--- a/src/daemon/mesh/meshLink.ts
+++ b/src/daemon/mesh/meshLink.ts
@@ -1,5 +1,6 @@
 import { WebSocket, type RawData } from 'ws';
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import { TrafficDirection, type MeshTraffic } from '../../common/metrics/index.js';
 import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
 import { encodeFrame, tryDecodeFrame } from './frameCodec.js';
 import { MeshKind } from './meshKind.js';
@@ -15,6 +16,8 @@
 
 /** What a link tells its owner. */
 export interface MeshLinkOwner {
+  /** Counts what all links send and receive. */
+  readonly traffic: MeshTraffic;
   linkOpened(link: MeshLink): void;
   messageReceived(link: MeshLink, message: MeshMessage): void;
   linkClosed(link: MeshLink, fault: Fault): void;
@@ -65,7 +68,7 @@
     if (this.closed) {
       return;
     }
-    const frame = encodeFrame(message);
+    const frame = this.encode(message);
     if (this.peer !== undefined) {
       this.socket.send(frame);
       return;
@@ -94,16 +97,28 @@
   }
 
   private greet(): void {
-    this.socket.send(encodeFrame(this.hello));
+    this.socket.send(this.encode(this.hello));
+  }
+
+  private encode(message: MeshMessage): Uint8Array {
+    const frame = encodeFrame(message);
+    this.count(TrafficDirection.Sent, message, frame.length);
+    return frame;
+  }
+
+  private count(direction: TrafficDirection, { kind }: MeshMessage, byteLength: number): void {
+    this.owner.traffic.record(direction, MeshKind[kind], byteLength);
   }
 
   private receive(data: RawData): void {
     this.lastHeardMs = this.timer.now();
-    const decoded = tryDecodeFrame(data as Buffer, this.address);
+    const frame = data as Buffer;
+    const decoded = tryDecodeFrame(frame, this.address);
     if (decoded.isErr()) {
       this.close(decoded.error.message);
       return;
     }
+    this.count(TrafficDirection.Received, decoded.value, frame.length);
     this.take(decoded.value);
   }
 
