--- a/src/decisions/queue/instanceQueue.ts
+++ b/src/decisions/queue/instanceQueue.ts
@@ -126,6 +126,11 @@
     return outputs;
   }
 
+  /** Changes how long a transaction may be open. */
+  setTransactionLimit(limitMs: number): void {
+    this.openTransactions.limitMs = limitMs;
+  }
+
   /** Refuses what can no longer start in time and reports transactions that took too long. */
   tick(nowMs: number): QueueOutput[] {
     const outputs: QueueOutput[] = [];
@@ -133,7 +138,7 @@
       this.refuseWaiting(overdue, nowMs, outputs);
     }
     for (const overdue of this.openTransactions.takeOverdue(nowMs)) {
-      outputs.push(createAbort(overdue.item, this.limits.transactionLimitMs));
+      outputs.push(createAbort(overdue.item, this.openTransactions.limitMs));
     }
     this.startReady(nowMs, outputs);
     return outputs;
