--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -178,6 +178,7 @@
       },
       timer,
       logger,
+      this.metrics.meshTraffic,
     );
   }
 
--- a/tests/callers/tls.test.ts
+++ b/tests/callers/tls.test.ts
@@ -4,6 +4,7 @@
 import { afterAll, beforeAll, expect, test } from 'vitest';
 import { toHostId, toIncarnation } from '../../src/common/ids/index.js';
 import { Logger } from '../../src/common/logging/index.js';
+import { Metrics } from '../../src/common/metrics/index.js';
 import { Mesh, type MeshTls } from '../../src/daemon/mesh/index.js';
 import { CallerFleet, getError } from './callerFleet.js';
 
@@ -34,6 +35,7 @@
     },
     fleet.timer,
     logger,
+    new Metrics().meshTraffic,
   );
   await mesh.listen();
   const link = mesh.getLink(fleet.getDaemon('entry-1').settings.mesh.listen);
