Quickstart and fleet start again after a promotion

Cause: the stand-ins keep nothing, control keeps terms and positions. The quickstart would have done the same with its data folder; that was reasoned, not run, before the change. Change: the quickstart's stand-ins begin under the term and primary that control recorded; the fleet begins anew each time.

--- a/bench/quickstart/main.ts
+++ b/bench/quickstart/main.ts
@@ -22,6 +22,7 @@
 const READY_TIMEOUT_MS = 20_000;
 const STOP_GRACE_MS = 2000;
 const SEED_RANGE = 2 ** 31;
+const HTTP_OK = 200;
 
 const timer = new SystemTimerService();
 const http = new HttpJson();
@@ -38,7 +39,8 @@
   const settings = await createSettings(options.port, options.adminPort, options.data);
   const daemon = createDaemon(settings, options.data);
   await daemon.start();
-  const instances = await startInstances(daemon.operatorAddress);
+  const known = await readKnownPrimary(daemon.operatorAddress);
+  const instances = await startInstances(daemon.operatorAddress, known);
   const key = await openAccount(daemon.operatorAddress);
   const callers = `postgres://${ACCOUNT}:${key}@${IP}:${daemon.callerPort}/${DATABASE}`;
   process.stdout.write(`ready ${callers} admin http://${daemon.operatorAddress}\n`);
@@ -85,7 +87,33 @@
   });
 }
 
-async function startInstances(operators: string): Promise<readonly StandinInstance[]> {
+/** A primary as control recorded it. */
+interface KnownPrimary {
+  readonly primary: string;
+  readonly term: number;
+}
+
+/** Reads the primary of an earlier run: the stand-ins keep nothing and begin again under its term. */
+async function readKnownPrimary(operators: string): Promise<KnownPrimary | undefined> {
+  let known: KnownPrimary | undefined;
+  await waitFor(async () => {
+    const { status, body } = await http.get(operators, '/status');
+    if (status !== HTTP_OK) {
+      return false;
+    }
+    const { groups } = body as { readonly groups: readonly Partial<KnownPrimary>[] };
+    const [{ primary, term } = {}] = groups;
+    known = primary === undefined || term === undefined ? undefined : { primary, term };
+    return true;
+  });
+  return known;
+}
+
+async function startInstances(
+  operators: string,
+  known: KnownPrimary | undefined,
+): Promise<readonly StandinInstance[]> {
+  const primary = known?.primary ?? `${DATABASE}-a`;
   const names = ['a', 'b', 'c'];
   const ports = await findFreePorts(IP, names.length * 2);
   const https = names.map((_name, index) => `${IP}:${ports[index * 2 + 1] ?? 0}`);
@@ -100,7 +128,8 @@
         http: https[index] ?? '',
         peers: https.filter((_address, other) => other !== index),
         filbertpoint: [operators],
-        role: index === 0 ? 'primary' : 'replica',
+        role: primary === `${DATABASE}-${name}` ? 'primary' : 'replica',
+        ...(known === undefined ? {} : { term: known.term }),
         lag_ms: 5,
       },
       timer,
@@ -122,13 +151,13 @@
   await waitFor(async () => {
     const number = (await readHighestTicket(operators)) + 1;
     const body = { number, subjects: [account, route] };
-    return (await http.post(operators, '/tickets', body)).status === 200;
+    return (await http.post(operators, '/tickets', body)).status === HTTP_OK;
   });
   await waitFor(async () => {
     const { body } = await http.get(operators, '/status');
     return JSON.stringify(body).includes('"phase":"serving"');
   });
-  await waitFor(async () => (await http.get(operators, '/readyz')).status === 200);
+  await waitFor(async () => (await http.get(operators, '/readyz')).status === HTTP_OK);
   return key;
 }
 
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,14 +1,12 @@
 #!/bin/sh
 # Starts the example fleet in the foreground: 3 control hosts, 6 entry hosts and one database group
 # of 3 stand-in instances, each process with its own TOML file. SIGINT or SIGTERM ends all of it.
+# It begins anew each time, because the stand-ins keep nothing.
 set -eu
 cd "$(dirname "$0")/.."
 sh scripts/setup.sh >&2
 
-found=""
-if [ ! -d .fleet ]; then
-  found="--found"
-fi
+rm -rf .fleet
 mkdir -p .fleet/logs
 
 pids=""
@@ -30,7 +28,7 @@
 }
 
 for n in 1 2 3; do
-  start "control-$n" dist/src/daemon/main.js "examples/fleet/control-$n.toml" $found
+  start "control-$n" dist/src/daemon/main.js "examples/fleet/control-$n.toml" --found
 done
 for n in 1 2 3 4 5 6; do
   start "entry-$n" dist/src/daemon/main.js "examples/fleet/entry-$n.toml"
