--- a/src/decisions/limits/limitTiming.ts
+++ b/src/decisions/limits/limitTiming.ts
@@ -51,3 +51,8 @@
 
 /** How long a holder remembers an entry daemon that holds no grant and sends nothing. */
 export const LEDGER_RETENTION_MS = 2000;
+
+/** Longest life of a grant that is over on every clock `leftMs` from now on the clock of its holder. */
+export function getValidityMs(leftMs: number): number {
+  return Math.min(GRANT_VALIDITY_MS, (leftMs * (1 - CLOCK_DRIFT)) / (1 + CLOCK_DRIFT));
+}
