--- a/src/daemon/mesh/mesh.ts
+++ b/src/daemon/mesh/mesh.ts
@@ -44,6 +44,8 @@
       perMessageDeflate: false,
     });
     this.hello = createHello(options, options.listen);
+    // Errors of the web server are seen by whoever waits for it to listen.
+    this.server.on('error', () => undefined);
     this.server.on('connection', (socket, request) => {
       const { remoteAddress, remotePort } = request.socket;
       this.addLink(`${remoteAddress ?? '?'}:${remotePort ?? 0}`, socket);
