Entry hosts of a failure domain that is out take no new callers and send idle ones away

Change: not ready, new callers refused with 57P01, idle callers told 57P01, running transactions end; all is taken back by a later ticket. Before: connect succeeded and /readyz was 200.

--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -59,6 +59,11 @@
   MessageMalformed: refusal(2012, 'A message of the caller was malformed.', '08P01'),
   ProtocolUnsupported: refusal(2014, 'Protocol version {version} is not supported.', '08P01'),
   EncryptionFailed: refusal(2015, 'TLS towards a caller failed: {reason}.', '08P01'),
+  DomainOutOfService: refusal(
+    2030,
+    'Failure domain "{domain}" is out of service; connect through another host.',
+    '57P01',
+  ),
   StatementTimeout: error(2006, 'The statement exceeded its deadline of {deadline} ms.', '57014'),
 
   // 3000: sessions and routing
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -162,7 +162,9 @@
   /** Whether callers may be sent here. */
   override read(): ReadinessReport {
     const hasLease = this.lease.isValid() && !this.stopping;
-    return { hasLease, hasCurrentConfiguration: hasLease };
+    const domain = toFailureDomain(this.options.settings.domain);
+    const isInService = this.records.isInService(domain);
+    return { hasLease, hasCurrentConfiguration: hasLease, isInService };
   }
 
   private createMesh(): Mesh {
@@ -192,7 +194,7 @@
     const entry = { ids, timer, records, lease, rates, dispatcher, holder, mesh, metrics };
     const context = {
       timer,
-      access: new CallerAccess(records, lease, files.fleetKey),
+      access: new CallerAccess(records, lease, files.fleetKey, toFailureDomain(settings.domain)),
       classifier: new StatementClassifier(),
       signer: new HmacSigner(files.fleetKey),
       requests: new EntryRequests(entry),
--- a/src/daemon/gateway/callerAccess.ts
+++ b/src/daemon/gateway/callerAccess.ts
@@ -2,7 +2,7 @@
 import { verifyScramSha256Password, type ScramSha256Data } from 'pg-gateway';
 import { err, ok, type Result } from 'neverthrow';
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
-import { toAccountId, type AccountId } from '../../common/ids/index.js';
+import { toAccountId, type AccountId, type FailureDomain } from '../../common/ids/index.js';
 import type { DaemonRecords } from '../../decisions/control/index.js';
 import type { KeyHash, RouteState } from '../../decisions/tickets/index.js';
 import type { HolderLease } from '../holder/index.js';
@@ -23,8 +23,21 @@
     private readonly records: DaemonRecords,
     private readonly lease: HolderLease,
     private readonly fleetKey: string,
+    private readonly domain: FailureDomain,
   ) {}
 
+  /** The route for a new caller; refused while this host's failure domain is out of service. */
+  tryAdmit(database: string): Result<RouteState, Fault> {
+    return this.tryGetRoute(database).andThen((route) =>
+      this.records.isInService(this.domain) ? ok(route) : err(this.createOutOfService()),
+    );
+  }
+
+  /** Why callers are to go to another host; undefined while this one is in service. */
+  findDrainReason(): Fault | undefined {
+    return this.records.isInService(this.domain) ? undefined : this.createOutOfService();
+  }
+
   /** The route of a database name; refused while this daemon's records may be outdated. */
   tryGetRoute(database: string): Result<RouteState, Fault> {
     if (!this.lease.isValid()) {
@@ -82,6 +95,11 @@
     return undefined;
   }
 
+  private createOutOfService(): Fault {
+    const context = { step: 'caller.domain' };
+    return createFault(Diagnostics.DomainOutOfService, { domain: this.domain }, context);
+  }
+
   private findKey(account: AccountId, isWanted: (key: KeyHash) => boolean): KeyHash | undefined {
     return this.records.getAccount(account)?.keys.find(isWanted);
   }
--- a/src/daemon/gateway/callerServer.ts
+++ b/src/daemon/gateway/callerServer.ts
@@ -71,10 +71,12 @@
     this.boundPort = (this.server.address() as AddressInfo).port;
   }
 
-  /** Ends sessions whose key or route is no longer in force. */
+  /** Ends sessions whose key or route is no longer in force, or whose host is out of service. */
   recordsChanged(): void {
+    const reason = this.getDrainReason();
     for (const session of [...this.sessions]) {
       session.recordsChanged();
+      session.setDraining(reason);
     }
   }
 
@@ -86,7 +88,7 @@
       socket.destroy();
     }
     for (const session of [...this.sessions]) {
-      session.drain();
+      session.setDraining(this.getDrainReason());
     }
   }
 
@@ -149,9 +151,13 @@
     socket.on('data', (bytes: Buffer) => session.receive(bytes));
     session.receive(caller.received);
     socket.resume();
-    if (this.draining) {
-      session.drain();
-    }
+    session.setDraining(this.getDrainReason());
+  }
+
+  private getDrainReason(): Fault | undefined {
+    return this.draining
+      ? createFault(Diagnostics.ShuttingDown, {}, { step: 'caller.drain' })
+      : this.context.access.findDrainReason();
   }
 
   private reportRefused(fault: Fault, socket: Socket): void {
--- a/src/daemon/gateway/callerSession.ts
+++ b/src/daemon/gateway/callerSession.ts
@@ -1,4 +1,4 @@
-import { createFault, Diagnostics, Execution, Fault } from '../../common/diagnostics/index.js';
+import { Diagnostics, Execution, Fault } from '../../common/diagnostics/index.js';
 import type { GroupId } from '../../common/ids/index.js';
 import type { TimerService } from '../../common/timer/index.js';
 import type { StatementClassifier } from '../../decisions/routing/index.js';
@@ -54,7 +54,7 @@
   /** The transaction was lost; the caller has not ended it yet. */
   private failed = false;
   private ended = false;
-  private draining = false;
+  private draining: Fault | undefined;
 
   constructor(
     private readonly caller: AuthenticatedCaller,
@@ -124,11 +124,11 @@
     }
   }
 
-  /** Ends the session as soon as nothing runs in it. */
-  drain(): void {
-    this.draining = true;
-    if (this.isIdle) {
-      this.fail(createFault(Diagnostics.ShuttingDown, {}, { step: 'caller.drain' }));
+  /** Ends the session with the reason as soon as nothing runs in it; undefined: goes on. */
+  setDraining(reason: Fault | undefined): void {
+    this.draining = reason;
+    if (reason !== undefined && this.isIdle) {
+      this.fail(reason);
     }
   }
 
@@ -182,9 +182,7 @@
       }
       const batch = this.waiting.take();
       if (batch === undefined) {
-        if (this.draining) {
-          this.drain();
-        }
+        this.setDraining(this.draining);
         return;
       }
       this.updateReading();
--- a/src/daemon/gateway/callerStartup.ts
+++ b/src/daemon/gateway/callerStartup.ts
@@ -97,7 +97,7 @@
   }
 
   private start(): void {
-    const found = this.context.access.tryGetRoute(this.getDatabase());
+    const found = this.context.access.tryAdmit(this.getDatabase());
     if (found.isErr()) {
       this.refuse(found.error);
       return;
--- a/src/daemon/operators/operatorServer.test.ts
+++ b/src/daemon/operators/operatorServer.test.ts
@@ -180,15 +180,16 @@
     '# TYPE filbertpoint_request_wait_seconds histogram',
   );
   expect((await request('GET', '/readyz', undefined, '')).status).toBe(200);
-  host.readiness.report = { hasLease: false, hasCurrentConfiguration: true };
+  host.readiness.report = { hasLease: false, hasCurrentConfiguration: true, isInService: true };
   expect((await request('GET', '/readyz', undefined, '')).status).toBe(503);
-  host.readiness.report = { hasLease: true, hasCurrentConfiguration: false };
+  host.readiness.report = { hasLease: true, hasCurrentConfiguration: false, isInService: true };
   const { status, body } = await request('GET', '/readyz', undefined, '');
   expect({ status, body }).toMatchInlineSnapshot(`
     {
       "body": {
         "hasCurrentConfiguration": false,
         "hasLease": true,
+        "isInService": true,
         "isReady": false,
       },
       "status": 503,
--- a/src/daemon/operators/operatorServer.ts
+++ b/src/daemon/operators/operatorServer.ts
@@ -52,7 +52,7 @@
     this.server.get('/healthz', (_request, reply) => reply.send({ status: 'running' }));
     this.server.get('/readyz', (_request, reply) => {
       const report = readiness.read();
-      const isReady = report.hasLease && report.hasCurrentConfiguration;
+      const isReady = report.hasLease && report.hasCurrentConfiguration && report.isInService;
       const status = isReady ? HttpStatus.Ok : HttpStatus.ServiceUnavailable;
       return reply.status(status).send({ isReady, ...report });
     });
--- a/src/daemon/operators/readiness.ts
+++ b/src/daemon/operators/readiness.ts
@@ -2,6 +2,8 @@
 export interface ReadinessReport {
   /** The daemon holds a lease that has not run out. */
   readonly hasLease: boolean;
+  /** The daemon's failure domain takes new work. */
+  readonly isInService: boolean;
   /** The configuration is as new as the lease demands. */
   readonly hasCurrentConfiguration: boolean;
 }
--- a/tests/support/operatorHost.ts
+++ b/tests/support/operatorHost.ts
@@ -12,7 +12,7 @@
 
 /** A readiness that tests set. */
 export class SettableReadiness extends Readiness {
-  report: ReadinessReport = { hasLease: true, hasCurrentConfiguration: true };
+  report: ReadinessReport = { hasLease: true, hasCurrentConfiguration: true, isInService: true };
 
   override read(): ReadinessReport {
     return this.report;
