Stand-in: a replica follows a new primary without waiting for peers that don't answer

Cause: with a stopped old primary a look at the peers took its whole time-out of 500 ms, and a notice of the promotion was left out meanwhile: writes that need a replica waited up to 1 s. Change: each peer's answer counts when it comes.

--- a/standin/replication/follower.ts
+++ b/standin/replication/follower.ts
@@ -37,7 +37,10 @@
   private stream: LogStream | undefined;
   private copyUntil: LogPosition | undefined;
   private isCopied = false;
-  private isPolling = false;
+  /** Peers that were asked for their state and have not answered yet. */
+  private readonly asked = new Set<string>();
+  /** The last answers of the peers that answer. */
+  private readonly seen = new Map<string, PeerState>();
   private endPolls: Unsubscribe | undefined;
 
   constructor(private readonly parts: FollowerParts) {
@@ -70,32 +73,49 @@
 
   /** The states of the peers that answer. */
   async fetchPeers(): Promise<readonly PeerState[]> {
-    const calls = this.parts.getPeers().map(async (address) => {
-      const path = '/replication/state';
-      const call = { address, method: 'GET', path, timeoutMs: STATE_TIMEOUT_MS } as const;
-      const answer = await this.parts.client.call(call);
-      const state = replicationStateSchema.safeParse(answer.unwrapOr(undefined));
-      return state.success ? [{ address, state: state.data }] : [];
-    });
-    return (await Promise.all(calls)).flat();
+    const states = await Promise.all(this.parts.getPeers().map((peer) => this.fetchPeer(peer)));
+    return states.flatMap((state) => state ?? []);
   }
 
-  /** Looks at the peers once and follows the primary of the highest term. */
+  /** Looks at the peers once and follows the primary of the highest term as soon as it answers. */
   async poll(): Promise<void> {
-    if (this.isPolling || this.isIsolated()) {
+    if (this.isIsolated()) {
       return;
     }
-    this.isPolling = true;
+    const peers = this.parts.getPeers().filter((peer) => !this.asked.has(peer));
+    await Promise.all(peers.map((peer) => this.look(peer)));
+  }
+
+  private async look(peer: string): Promise<void> {
+    this.asked.add(peer);
     try {
-      const primary = findPrimary(await this.fetchPeers());
-      if (primary !== undefined && this.endPolls !== undefined && !this.isIsolated()) {
-        this.follow(primary);
+      const state = await this.fetchPeer(peer);
+      if (state === undefined) {
+        this.seen.delete(peer);
+      } else {
+        this.seen.set(peer, state);
+        this.followBest();
       }
     } finally {
-      this.isPolling = false;
+      this.asked.delete(peer);
     }
   }
 
+  private followBest(): void {
+    const primary = findPrimary([...this.seen.values()]);
+    if (primary !== undefined && this.endPolls !== undefined && !this.isIsolated()) {
+      this.follow(primary);
+    }
+  }
+
+  private async fetchPeer(address: string): Promise<PeerState | undefined> {
+    const path = '/replication/state';
+    const call = { address, method: 'GET', path, timeoutMs: STATE_TIMEOUT_MS } as const;
+    const answer = await this.parts.client.call(call);
+    const state = replicationStateSchema.safeParse(answer.unwrapOr(undefined));
+    return state.success ? { address, state: state.data } : undefined;
+  }
+
   private isIsolated(): boolean {
     return this.parts.faults.cutOff || this.parts.faults.replicationStopped;
   }
