Restart of everything after hundreds of tickets as a test; holder split and one rule for silent connections

Change: one rule in endOverdue (what may be repeated gives a connection up on less evidence); planned move, lost outcome and queue item in files of their own; a start that does not run no longer counts as 0 ms of service.

--- a/bench/fleet/localFleet.ts
+++ b/bench/fleet/localFleet.ts
@@ -61,9 +61,7 @@
       }
     }
     await this.startInstances();
-    for (const { operators } of this.daemons) {
-      await this.waitFor(async () => (await this.http.get(operators, '/readyz')).status === 200);
-    }
+    await this.waitUntilReady();
   }
 
   /** Stops everything at once and removes the data folders. */
@@ -73,6 +71,20 @@
     rmSync(this.folder, { recursive: true, force: true });
   }
 
+  /** Stops every daemon at once and starts them again on their data folders. */
+  async restartDaemons(): Promise<void> {
+    const stopped = this.daemons.splice(0);
+    await Promise.all(stopped.map(({ daemon }) => daemon.stop(NO_GRACE_MS)));
+    for (const [index, { plan, settings }] of stopped.entries()) {
+      await this.startDaemon(plan, settings, index);
+    }
+    const addresses = this.daemons.map(({ operators }) => operators);
+    for (const { instance } of this.instances) {
+      instance.setFilbertpoint(addresses);
+    }
+    await this.waitUntilReady();
+  }
+
   /** The daemon on a host. */
   getDaemon(host: string): FleetDaemon {
     const found = this.daemons.find(({ plan }) => plan.host === host);
@@ -179,6 +191,12 @@
     return first?.operators ?? '';
   }
 
+  private async waitUntilReady(): Promise<void> {
+    for (const { operators } of this.daemons) {
+      await this.waitFor(async () => (await this.http.get(operators, '/readyz')).status === 200);
+    }
+  }
+
   private async createSettings(): Promise<readonly Settings[]> {
     const ports = await Promise.all(this.plan.daemons.map(({ ip }) => findFreePorts(ip, 1)));
     const addresses = this.plan.daemons.map(({ ip }, index) => `${ip}:${ports[index]?.[0] ?? 0}`);
--- /dev/null
+++ b/src/daemon/holder/createQueueItem.ts
@@ -0,0 +1,26 @@
+import type { DaemonRecords } from '../../decisions/control/index.js';
+import type { QueueItem } from '../../decisions/queue/index.js';
+import { RequestKind } from '../requests/index.js';
+import type { HeldInstance } from './heldInstance.js';
+import type { HeldRequest } from './heldRequest.js';
+
+/** Describes a request to the queue of the instance that is to run it. */
+export function createQueueItem(
+  { request, deadlineMs }: HeldRequest,
+  instance: HeldInstance,
+  records: DaemonRecords,
+): QueueItem {
+  const account = records.getAccount(request.account);
+  return {
+    requestId: request.id,
+    account: request.account,
+    weight: account?.rate ?? 1,
+    deadlineMs,
+    costClass: request.costClass,
+    isTransaction: request.kind === RequestKind.Begin,
+    maximumOpenTransactions: Math.min(
+      account?.maximumOpenTransactions ?? 1,
+      instance.maximumTransactions,
+    ),
+  };
+}
--- a/src/daemon/holder/endOverdue.ts
+++ b/src/daemon/holder/endOverdue.ts
@@ -2,7 +2,7 @@
 import type { HeldRequest } from './heldRequest.js';
 
 const CANCEL_WAIT_MS = 200;
-const SILENCE_WAIT_MS = 300;
+const SILENCE_WAIT_MS = 200;
 
 /** Ends a running request whose deadline has passed, or that waits on a connection gone silent. */
 export function endOverdue(held: HeldRequest, nowMs: number): void {
@@ -25,17 +25,17 @@
   return createFault(Diagnostics.StatementTimeout, values, context);
 }
 
-/** Whether a repeatable request has no answer on a connection older than one that went silent. */
+/** Whether a request has no answer on a connection that is older than one that proved dead. */
 function isSilent(held: HeldRequest, nowMs: number): boolean {
-  const { connection, request, startedMs = nowMs } = held;
-  const silenceMs = held.instance?.silenceMs;
+  const { connection, request, startedMs = nowMs, instance } = held;
+  // What may be repeated gives a connection up on less evidence than what may not.
+  const mayRepeat = request.idempotent && request.transaction === undefined;
+  const sinceMs = mayRepeat ? instance?.silenceMs : instance?.deadConnectionsMs;
   return (
-    silenceMs !== undefined &&
-    request.idempotent &&
-    request.transaction === undefined &&
-    !held.answered &&
+    sinceMs !== undefined &&
+    !held.heard &&
     connection !== undefined &&
-    connection.openedMs < silenceMs &&
-    nowMs - Math.max(startedMs, silenceMs) > SILENCE_WAIT_MS
+    connection.openedMs < sinceMs &&
+    nowMs - Math.max(startedMs, sinceMs) > SILENCE_WAIT_MS
   );
 }
--- a/src/daemon/holder/groupRequests.ts
+++ b/src/daemon/holder/groupRequests.ts
@@ -14,12 +14,12 @@
 import type { GroupWrites } from './groupWrites.js';
 import type { HeldInstance } from './heldInstance.js';
 import { HeldRequest, type HeldRequestOwner } from './heldRequest.js';
-import { createTimeout, endOverdue } from './endOverdue.js';
+import { createLostOutcome } from './createLostOutcome.js';
+import { createQueueItem } from './createQueueItem.js';
+import { endOverdue } from './endOverdue.js';
 import { HeldRequestHandle } from './heldRequestHandle.js';
 import type { HolderContext } from './holderContext.js';
 
-const SILENT_MS = 200;
-
 /** What the requests of a group need of it. */
 export interface RequestPlaces {
   route(request: ExecuteRequest): RouteDecision;
@@ -82,7 +82,7 @@
     this.closingFault = fault;
     for (const held of [...this.requests.values()]) {
       if (held.startedMs === undefined && held.request.transaction === undefined) {
-        held.instance?.complete(held.request.id);
+        held.instance?.cancel(held.request.id);
         this.failNotRun(held, fault);
       }
     }
@@ -112,20 +112,6 @@
     }
   }
 
-  /**
-   * Closes the connections of requests that had no byte of an answer for long, when other
-   * connections to the instance proved dead although it works.
-   */
-  closeSilent(instance: HeldInstance): void {
-    const nowMs = this.context.timer.now();
-    for (const held of [...this.requests.values()]) {
-      const isSilent = held.startedMs !== undefined && held.endedMs === undefined && !held.heard;
-      if (isSilent && held.instance === instance && nowMs - (held.startedMs ?? nowMs) > SILENT_MS) {
-        held.connection?.close();
-      }
-    }
-  }
-
   /** Refuses what has waited beyond its deadline and ends what runs beyond it. */
   tick(nowMs: number): void {
     for (const held of [...this.requests.values()]) {
@@ -197,16 +183,7 @@
       this.waiting.add(held);
       return;
     }
-    const execution = isHarmless ? Execution.NotRun : Execution.Unknown;
-    const { diagnostic, values, step, peer } = fault;
-    const context = { step, execution, ...(peer === undefined ? {} : { peer }) };
-    const known = request.kind === RequestKind.Read || isHarmless;
-    const shown = known ? diagnostic : Diagnostics.OutcomeUnknown;
-    if (held.timedOut && known) {
-      held.fail(createTimeout(held), { nowMs: this.context.timer.now() });
-      return;
-    }
-    held.fail(createFault(shown, values, context), { nowMs: this.context.timer.now() });
+    held.fail(createLostOutcome(held, fault, isHarmless), { nowMs: this.context.timer.now() });
   }
 
   private place(held: HeldRequest): void {
@@ -238,27 +215,14 @@
       this.waiting.add(held);
       return;
     }
-    const { request } = held;
-    const account = this.context.records.getAccount(request.account);
     held.instance = instance;
-    instance.enqueue({
-      requestId: request.id,
-      account: request.account,
-      weight: account?.rate ?? 1,
-      deadlineMs: held.deadlineMs,
-      costClass: request.costClass,
-      isTransaction: request.kind === RequestKind.Begin,
-      maximumOpenTransactions: Math.min(
-        account?.maximumOpenTransactions ?? 1,
-        instance.maximumTransactions,
-      ),
-    });
+    instance.enqueue(createQueueItem(held, instance, this.context.records));
   }
 
   private start(held: HeldRequest, instance: HeldInstance, connection: BackendConnection): void {
     if (held.finished || !this.places.mayStart(held, instance)) {
       instance.pool.release(connection, true);
-      instance.complete(held.request.id);
+      instance.cancel(held.request.id);
       this.waitAgain(held);
       return;
     }
@@ -266,7 +230,7 @@
   }
 
   private startFailed(held: HeldRequest, instance: HeldInstance, fault: Fault): void {
-    instance.complete(held.request.id);
+    instance.cancel(held.request.id);
     instance.monitor.check();
     this.context.logger.debug(fault.message, { step: fault.step, peer: fault.peer });
     this.waitAgain(held);
--- a/src/daemon/holder/heldGroup.ts
+++ b/src/daemon/holder/heldGroup.ts
@@ -31,11 +31,11 @@
 import { GroupWrites, type GroupWritesOwner } from './groupWrites.js';
 import { HeldInstance, type HeldInstanceListener } from './heldInstance.js';
 import { createUnknownOutcome, type HeldRequest } from './heldRequest.js';
+import { PlannedMove } from './plannedMove.js';
 import type { HolderContext } from './holderContext.js';
 
 const REMOTE_DOMAIN_PENALTY_MS = 2;
 const DEFAULT_TRANSACTION_LIMIT_MS = 30_000;
-const MOVE_GRACE_MS = 2000;
 
 /** A database group that this daemon holds: its instances, its primary, its requests. */
 export class HeldGroup implements HeldInstanceListener, GroupWritesOwner, RequestPlaces {
@@ -45,7 +45,7 @@
   private readonly router: GroupRouter;
   private readonly clock = new PositionClock();
   private draining = false;
-  private moveSinceMs: number | undefined;
+  private readonly move: PlannedMove;
 
   constructor(
     readonly group: GroupId,
@@ -53,6 +53,9 @@
   ) {
     this.writes = new GroupWrites(group, context, this);
     this.requests = new GroupRequests(context, this, this.writes);
+    this.move = new PlannedMove(context.timer, this.requests, this.writes, (id) =>
+      this.instances.get(id),
+    );
     const policy = new NearReplica(REMOTE_DOMAIN_PENALTY_MS);
     this.router = new GroupRouter(policy, context.domain, context.random);
     this.recordsChanged();
@@ -100,7 +103,7 @@
       this.primaryMoved();
     }
     this.requests.retryWaiting();
-    this.checkMove();
+    this.move.check(this.writes.primary);
   }
 
   /** Takes no new requests; what has not started is refused as not run. */
@@ -135,7 +138,7 @@
     }
     this.writes.tick(nowMs);
     this.requests.tick(nowMs);
-    this.checkMove();
+    this.move.check(this.writes.primary);
   }
 
   /** What the control leader is to know. */
@@ -177,7 +180,7 @@
   }
 
   requestEnded(): void {
-    this.checkMove();
+    this.move.check(this.writes.primary);
   }
 
   slotGranted(instance: HeldInstance, id: RequestId): void {
@@ -211,10 +214,6 @@
     this.writes.forgetReplica(instance.id);
   }
 
-  connectionsSuspected(instance: HeldInstance): void {
-    this.requests.closeSilent(instance);
-  }
-
   instanceLost(instance: HeldInstance): void {
     if (instance.id === this.writes.primary?.instance) {
       this.writes.fence('unreachable');
@@ -256,7 +255,6 @@
 
   /** Another term began: what was queued or known under the earlier one is void. */
   private primaryMoved(): void {
-    this.moveSinceMs = undefined;
     this.clock.reset();
     for (const instance of this.instances.values()) {
       const isPrimary = instance.id === this.writes.primary?.instance;
@@ -270,36 +268,6 @@
     }
   }
 
-  /** During a planned move, fences the primary once its running writes have ended. */
-  private checkMove(): void {
-    const { primary } = this.writes;
-    if (primary?.phase !== PrimaryPhase.Moving || this.writes.isFenced) {
-      return;
-    }
-    const nowMs = this.context.timer.now();
-    if (this.moveSinceMs === undefined) {
-      this.moveSinceMs = nowMs;
-      this.requeuePrimary();
-    }
-    const open = this.requests.transactions.getOpenOn(primary.instance);
-    if (nowMs - this.moveSinceMs > MOVE_GRACE_MS) {
-      for (const transaction of open) {
-        this.requests.transactions.abort(transaction.id);
-      }
-    }
-    if (open.length === 0 && this.writes.pendingCount === 0 && !this.requests.hasStartedWrites()) {
-      this.writes.fence('planned move');
-    }
-  }
-
-  private requeuePrimary(): void {
-    const id = this.writes.primary?.instance;
-    const instance = id === undefined ? undefined : this.instances.get(id);
-    if (instance !== undefined) {
-      this.requests.requeue(instance);
-    }
-  }
-
   private getView(): GroupView {
     const nowMs = this.context.timer.now();
     const instances = [...this.instances.values()].map((instance) => instance.getView(nowMs));
--- a/src/daemon/holder/heldInstance.ts
+++ b/src/daemon/holder/heldInstance.ts
@@ -29,8 +29,6 @@
   probeAnswered(instance: HeldInstance, answer: ProbeAnswer): void;
   /** The monitor's connection gave no answer; new ones may. */
   connectionCondemned(instance: HeldInstance): void;
-  /** Connections to the instance that give no answer may be dead. */
-  connectionsSuspected(instance: HeldInstance): void;
   instanceLost(instance: HeldInstance): void;
 }
 
@@ -43,6 +41,7 @@
   private latencyMs = 1;
   private positionSentMs = 0;
   private lastSilenceMs: number | undefined;
+  private lastDeadMs: number | undefined;
 
   constructor(
     readonly record: InstanceRecord,
@@ -115,6 +114,11 @@
     this.apply(this.queue.complete(id, this.context.timer.now()));
   }
 
+  /** Frees the slot of a request that was not run after all. */
+  cancel(id: RequestId): void {
+    this.apply(this.queue.cancel(id, this.context.timer.now()));
+  }
+
   /** Frees the slot of a transaction until its next statement. */
   pause(id: RequestId): void {
     this.apply(this.queue.pause(id, this.context.timer.now()));
@@ -156,8 +160,13 @@
     this.listener.connectionCondemned(this);
   }
 
+  /** When a new connection proved that older ones without an answer are dead, not slow. */
+  get deadConnectionsMs(): number | undefined {
+    return this.lastDeadMs;
+  }
+
   connectionsSuspected(): void {
-    this.listener.connectionsSuspected(this);
+    this.lastDeadMs = this.context.timer.now();
   }
 
   instanceLost(): void {
