--- a/src/daemon/holder/groupRequests.ts
+++ b/src/daemon/holder/groupRequests.ts
@@ -178,7 +178,8 @@
     instance?.complete(request.id);
     // An opened transaction ends with its connection: nothing was changed.
     const isHarmless = request.kind === RequestKind.Begin && !request.mayCommit;
-    if (!held.abandoned && this.mayRunAgain(held, isHarmless)) {
+    const mayRunAgain = !held.abandoned && this.mayRunAgain(held, isHarmless);
+    if (mayRunAgain && instance?.retries.tryTakeRetry() !== false) {
       held.reset();
       this.waiting.add(held);
       return;
--- a/src/daemon/holder/heldInstance.ts
+++ b/src/daemon/holder/heldInstance.ts
@@ -7,7 +7,11 @@
   type QueueItem,
   type QueueOutput,
 } from '../../decisions/queue/index.js';
-import { PositionClock, type InstanceView } from '../../decisions/routing/index.js';
+import {
+  RetryBudget,
+  type PositionClock,
+  type InstanceView,
+} from '../../decisions/routing/index.js';
 import type { SessionPosition } from '../../decisions/sessions/index.js';
 import { ConnectionPool, type BackendAccess, type ProbeAnswer } from '../backend/index.js';
 import type { HolderContext } from './holderContext.js';
@@ -17,6 +21,8 @@
 const MONITOR_CONNECTIONS = 1;
 const SLOW_START_MS = 3000;
 const LATENCY_WEIGHT = 0.1;
+const RETRY_SHARE = 0.2;
+const MAXIMUM_RETRIES = 50;
 
 /** What a held instance tells its group. */
 export interface HeldInstanceListener {
@@ -37,6 +43,8 @@
   readonly queue: InstanceQueue;
   readonly pool: ConnectionPool;
   readonly monitor: InstanceMonitor;
+  /** Bounds how many requests are run again after a lost connection. */
+  readonly retries = new RetryBudget(RETRY_SHARE, MAXIMUM_RETRIES);
   position: SessionPosition | undefined;
   private latencyMs = 1;
   private positionSentMs = 0;
@@ -106,6 +114,7 @@
   }
 
   enqueue(item: QueueItem): void {
+    this.retries.recordAttempt();
     this.apply(this.queue.enqueue(item, this.context.timer.now()));
   }
 
--- a/src/daemon/mesh/mesh.ts
+++ b/src/daemon/mesh/mesh.ts
@@ -125,7 +125,8 @@
   }
 
   linkOpened(link: MeshLink): void {
-    this.logger.debug('link opened', { step: 'mesh.link', peer: link.peer?.host });
+    const fields = { step: 'mesh.link', peer: link.peer?.host };
+    this.logger.report(Diagnostics.MeshLinkOpened, {}, fields);
   }
 
   messageReceived(link: MeshLink, message: MeshMessage): void {
@@ -144,7 +145,13 @@
     if (this.outgoing.get(link.address) === link) {
       this.outgoing.delete(link.address);
     }
-    this.logger.debug(fault.message, { step: fault.step, peer: fault.peer });
+    const { diagnostic, values, step, peer } = fault;
+    if (link.peer === undefined) {
+      // Attempts to reach a host that is down come many times a second.
+      this.logger.debug(fault.message, { step, peer });
+    } else {
+      this.logger.report(diagnostic, values, { step, peer });
+    }
     this.lost.post(link);
   }
 
