--- a/src/daemon/backend/instanceProbe.ts
+++ b/src/daemon/backend/instanceProbe.ts
@@ -7,8 +7,13 @@
   readonly position: LogPosition;
 }
 
-/** Reads the position as a primary has it. */
-export const PRIMARY_PROBE = 'SELECT pg_is_in_recovery(), pg_current_wal_lsn(), standin_term()';
+/**
+ * Reads the position as a primary has it. `filbertpoint_term()` is the platform's: it gives the term
+ * of the history that the instance is on.
+ */
+export const PRIMARY_PROBE =
+  'SELECT pg_is_in_recovery(), pg_current_wal_lsn(), filbertpoint_term()';
 
 /** Reads the position as a replica has it. */
-export const REPLICA_PROBE = 'SELECT pg_is_in_recovery(), pg_last_wal_replay_lsn(), standin_term()';
+export const REPLICA_PROBE =
+  'SELECT pg_is_in_recovery(), pg_last_wal_replay_lsn(), filbertpoint_term()';
--- a/standin/instance/faults.test.ts
+++ b/standin/instance/faults.test.ts
@@ -48,7 +48,7 @@
     const [one, two] = [await group.connect(), await group.connect()];
     const sleeping = one.query('SELECT pg_sleep(10)');
     await group.until(() => group.get(0).getStatus().executing.now === 1);
-    await two.query('SELECT pg_current_wal_lsn(), standin_term()');
+    await two.query('SELECT pg_current_wal_lsn(), filbertpoint_term()');
     expect(group.get(0).getStatus().executing.now).toBe(1);
     await group.get(0).stop();
     await expect(sleeping).rejects.toThrow();
--- a/standin/sql/sql.test.ts
+++ b/standin/sql/sql.test.ts
@@ -143,7 +143,7 @@
 describe('positions', () => {
   it('rise with each write and not with reads', async () => {
     const position = async (): Promise<unknown> =>
-      rowsOf('SELECT pg_current_wal_lsn() AS p, standin_term() AS t');
+      rowsOf('SELECT pg_current_wal_lsn() AS p, filbertpoint_term() AS t');
     const before = await position();
     await rowsOf('SELECT id FROM orchards');
     expect(await position()).toEqual(before);
--- a/standin/sql/sqlFunctions.ts
+++ b/standin/sql/sqlFunctions.ts
@@ -23,7 +23,7 @@
   ['pg_last_wal_receive_lsn', about(LogPosition, replayedPosition)],
   ['pg_is_in_recovery', about(Bool, ({ isReplica }) => isReplica)],
   ['pg_last_xact_replay_timestamp', about(Timestamp, lastReplayTime)],
-  ['standin_term', about(Integer, ({ term }) => term)],
+  ['filbertpoint_term', about(Integer, ({ term }) => term)],
   ['pg_backend_pid', about(Integer, ({ processId }) => processId)],
   ['current_database', about(Text, ({ database }) => database)],
   ['version', about(Text, () => 'PostgreSQL 16.0 (filbertpoint stand-in)')],
