Requests of a daemon without a lease wait for one instead of being refused

Change: the request waits for the lease within its deadline; keys are checked again before what waited is placed. After: tests/failures/restart.test.ts 'requests of a daemon without a lease wait for one' passes; before the change the insert was refused.

--- a/bench/fleet/localFleet.ts
+++ b/bench/fleet/localFleet.ts
@@ -71,12 +71,17 @@
     rmSync(this.folder, { recursive: true, force: true });
   }
 
-  /** Stops every daemon at once and starts them again on their data folders. */
-  async restartDaemons(): Promise<void> {
-    const stopped = this.daemons.splice(0);
+  /** Stops daemons at once and starts them again on their data folders. */
+  async restartDaemons(
+    isWanted: (host: string) => boolean = () => true,
+    whileStopped: () => Promise<void> = () => Promise.resolve(),
+  ): Promise<void> {
+    const stopped = this.daemons.filter(({ plan }) => isWanted(plan.host));
     await Promise.all(stopped.map(({ daemon }) => daemon.stop(NO_GRACE_MS)));
-    for (const [index, { plan, settings }] of stopped.entries()) {
-      await this.startDaemon(plan, settings, index);
+    await whileStopped();
+    for (const known of stopped) {
+      const index = this.daemons.indexOf(known);
+      await this.startDaemon(known.plan, known.settings, index);
     }
     const addresses = this.daemons.map(({ operators }) => operators);
     for (const { instance } of this.instances) {
@@ -241,7 +246,7 @@
       },
     });
     await daemon.start();
-    this.daemons.push({ plan, settings, daemon, operators: daemon.operatorAddress });
+    this.daemons[index] = { plan, settings, daemon, operators: daemon.operatorAddress };
   }
 
   private async startInstances(): Promise<void> {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -234,13 +234,15 @@
   private recordsChanged(changed: readonly ControlRecord[]): void {
     this.holder.recordsChanged();
     this.rates.recordsChanged(changed);
-    this.dispatcher.recordsChanged();
+    // Callers whose key is withdrawn are gone before what they sent is placed.
     this.callers?.recordsChanged();
+    this.dispatcher.recordsChanged();
   }
 
   private leaseChanged(): void {
     this.holder.recordsChanged();
     this.rates.leaseChanged();
+    this.callers?.recordsChanged();
     this.dispatcher.recordsChanged();
   }
 
--- a/src/daemon/gateway/callerServer.ts
+++ b/src/daemon/gateway/callerServer.ts
@@ -3,13 +3,14 @@
 import type { Logger } from '../../common/logging/index.js';
 import { splitAddress } from '../../common/settings/index.js';
 import type { AuthenticatedCaller } from './authenticatedCaller.js';
-import { CallerSession, type SessionContext } from './callerSession.js';
+import { CallerSession } from './callerSession.js';
 import { CallerStartup } from './callerStartup.js';
 import type { CallerTls } from './callerTls.js';
 import { CallerWriter } from './callerWriter.js';
 import { CancelKeys } from './cancelKeys.js';
 import { endSocket } from './endSocket.js';
 import { readStartupParameters } from './readStartupParameters.js';
+import type { SessionContext } from './sessionContext.js';
 import { encodeCancelKey, encodeError, encodeParameter, Severity } from './responses.js';
 
 const AUTHENTICATION_TIMEOUT_MS = 10_000;
--- a/src/daemon/gateway/callerSession.ts
+++ b/src/daemon/gateway/callerSession.ts
@@ -1,8 +1,6 @@
 import { Diagnostics, Execution, Fault } from '../../common/diagnostics/index.js';
 import type { GroupId } from '../../common/ids/index.js';
-import type { TimerService } from '../../common/timer/index.js';
-import type { StatementClassifier } from '../../decisions/routing/index.js';
-import { advanceSession, type TokenSigner } from '../../decisions/sessions/index.js';
+import { advanceSession } from '../../decisions/sessions/index.js';
 import {
   RequestKind,
   toFault,
@@ -12,30 +10,18 @@
 } from '../requests/index.js';
 import type { AuthenticatedCaller } from './authenticatedCaller.js';
 import { BatchAssembler } from './batchAssembler.js';
-import type { CallerAccess } from './callerAccess.js';
 import type { CallerBatch } from './callerBatch.js';
-import type { CallerRequests } from '../entry/index.js';
 import type { CallerWriter } from './callerWriter.js';
 import { createDraft } from './createDraft.js';
 import { FrontendFrames } from './frontendFrames.js';
 import { FrontendType, getFrontendType } from './frontendType.js';
 import { answerLocally, isLocal } from './localAnswers.js';
 import { encodeError, encodeParameter, encodeReady, Severity } from './responses.js';
+import type { SessionContext } from './sessionContext.js';
 import { SessionReceiver } from './sessionReceiver.js';
 import { SESSION_PARAMETER, SessionSettings } from './sessionSettings.js';
 import { WaitingBatches } from './waitingBatches.js';
 
-/** What caller sessions share. */
-export interface SessionContext {
-  readonly timer: TimerService;
-  readonly access: CallerAccess;
-  readonly classifier: StatementClassifier;
-  readonly signer: TokenSigner;
-  readonly requests: CallerRequests;
-  readonly statementTimeoutMs: number;
-  readonly maximumMessageBytes: number;
-}
-
 /** One authenticated caller: reads its batches, has them run one after another, answers in order. */
 export class CallerSession {
   private readonly settings: SessionSettings;
@@ -117,9 +103,7 @@
   recordsChanged(): void {
     const { account, keyId, route } = this.caller;
     const checked = this.context.access.tryCheck(account, keyId, route.route);
-    const isWithdrawn =
-      checked.isErr() && checked.error.diagnostic.code !== Diagnostics.LeaseExpired.code;
-    if (isWithdrawn) {
+    if (checked.isErr() && !isLeaseExpired(checked.error)) {
       this.fail(checked.error);
     }
   }
@@ -227,7 +211,8 @@
   private findFault(batch: CallerBatch): Fault | undefined {
     const { account, keyId, route } = this.caller;
     const checked = this.context.access.tryCheck(account, keyId, route.route);
-    return checked.isErr() ? checked.error : batch.fault;
+    // Without a lease the request waits for one; then the key is checked again before it runs.
+    return checked.isErr() && !isLeaseExpired(checked.error) ? checked.error : batch.fault;
   }
 
   private dispatch(batch: CallerBatch): void {
@@ -303,3 +288,7 @@
     this.writer.write(encodeReady(status));
   }
 }
+
+function isLeaseExpired({ diagnostic }: Fault): boolean {
+  return diagnostic.code === Diagnostics.LeaseExpired.code;
+}
--- a/tests/failures/restart.test.ts
+++ b/tests/failures/restart.test.ts
@@ -56,3 +56,19 @@
   });
   expect(lower.status).toBe(409);
 });
+
+test('requests of a daemon without a lease wait for one', async () => {
+  const caller = await fleet.connect('entry-2', 'mill', 'the key that replaces the first', GROUP);
+  const { operators } = fleet.getDaemon('entry-2');
+  let waiting: Promise<unknown> = Promise.resolve();
+  await fleet.restartDaemons(
+    (host) => host.startsWith('control'),
+    async () => {
+      await fleet.waitFor(async () => (await fleet.http.get(operators, '/readyz')).status === 503);
+      waiting = caller.query('INSERT INTO bookings VALUES (2)');
+    },
+  );
+  await waiting;
+  const { rows } = await caller.query('SELECT id FROM bookings WHERE id = 2');
+  expect(rows).toHaveLength(1);
+});
