Quickstart: the stand-ins keep no record of received bytes

Cause: a quickstart left running for an hour held 524 MB. Ruled out: the daemon (heap flat at 39 to 51 MB over 40 s). The stand-ins' recorder keeps received bytes for tests: external memory grew by 0.5 MB in 5 s. Change: its limit is 0 in the quickstart.

--- a/bench/quickstart/main.ts
+++ b/bench/quickstart/main.ts
@@ -131,6 +131,7 @@
         role: primary === `${DATABASE}-${name}` ? 'primary' : 'replica',
         ...(known === undefined ? {} : { term: known.term }),
         lag_ms: 5,
+        received_limit_bytes: 0,
       },
       timer,
       new Logger('warn', { instance: name }),
