--- a/tests/support/fleet/heldGroup.ts
+++ b/tests/support/fleet/heldGroup.ts
@@ -96,7 +96,9 @@
     this.writes.expire(this.daemon.clockMs);
     for (const { instance } of this.daemon.records.getInstances(this.group)) {
       const replica = this.fleet.getInstance(instance);
-      if (this.daemon.canReach(replica) && replica.role === InstanceRole.Replica) {
+      const isLeaving = this.daemon.records.isLeaving(this.group, instance);
+      const isReplica = replica.role === InstanceRole.Replica;
+      if (this.daemon.canReach(replica) && isReplica && !isLeaving) {
         const { term, position } = replica;
         this.writes.replicaReached(instance, { term, position });
       } else {
