--- a/bench/fleet/localFleet.ts
+++ b/bench/fleet/localFleet.ts
@@ -8,6 +8,7 @@
 import { settingsSchema, type Settings } from '../../src/common/settings/index.js';
 import { SystemTimerService } from '../../src/common/timer/index.js';
 import { Daemon } from '../../src/daemon/daemon.js';
+import { PostgresInterfaces } from '../../src/daemon/postgresInterfaces.js';
 import { SeededRandom } from '../../src/daemon/seededRandom.js';
 import { createAccountSubject, type AccountPlan } from './createAccountSubject.js';
 import type { FleetPlan, PlannedDaemon, PlannedInstance } from './fleetPlan.js';
@@ -227,6 +228,7 @@
   private async startDaemon(plan: PlannedDaemon, settings: Settings, index: number): Promise<void> {
     const logger = new Logger(this.logLevel, { host: plan.host });
     const daemon = new Daemon({
+      interfaces: new PostgresInterfaces(),
       settings,
       files: {
         fleetKey: FLEET_KEY,
--- a/bench/quickstart/main.ts
+++ b/bench/quickstart/main.ts
@@ -7,6 +7,7 @@
 import { settingsSchema, type Settings } from '../../src/common/settings/index.js';
 import { SystemTimerService } from '../../src/common/timer/index.js';
 import { Daemon } from '../../src/daemon/daemon.js';
+import { PostgresInterfaces } from '../../src/daemon/postgresInterfaces.js';
 import { SeededRandom } from '../../src/daemon/seededRandom.js';
 import { createStandinInstance, type StandinInstance } from '../../standin/index.js';
 import { createAccountSubject } from '../fleet/createAccountSubject.js';
@@ -67,6 +68,7 @@
 function createDaemon(settings: Settings, data: string): Daemon {
   const logger = new Logger(settings.log.level, { host: settings.host });
   return new Daemon({
+    interfaces: new PostgresInterfaces(),
     settings,
     files: {
       fleetKey: settings.fleet.token_key ?? '',
--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -32,6 +32,7 @@
   InvariantViolated: error(1000, 'Invariant violated: {invariant}.', 'XX000'),
   DaemonStarted: message(1001, 'Daemon started.'),
   DaemonStopping: message(1002, 'Graceful shutdown began.'),
+  SettingsReloaded: message(1005, 'The settings were read again.'),
   DaemonStopped: message(1003, 'Daemon stopped.'),
   EventLoopPaused: warning(1004, 'The process was paused for {pause} ms.'),
 
@@ -39,6 +40,7 @@
   KeyRefused: refusal(2000, 'No valid key for client account "{account}".', '28P01'),
   RouteUnknown: refusal(2001, 'No route is in force for database "{database}".', '3D000'),
   KeyWithdrawn: refusal(2002, 'The key of client account "{account}" was withdrawn.', '28P01'),
+  StatementUnknown: refusal(2016, 'Prepared statement "{name}" does not exist.', '26000'),
   ShuttingDown: refusal(2003, 'This daemon is shutting down.', '57P01'),
   FeatureNotSupported: refusal(2004, '{feature} is not supported through the proxy.', '0A000'),
   MessageTooLarge: refusal(
@@ -79,6 +81,11 @@
   BackendLost: error(3007, 'The connection to the backend server was lost.', '08006'),
 
   BackendUnreachable: error(3008, 'No connection to the backend server: {reason}.', '08006'),
+  BackendDeclined: refusal(
+    3020,
+    'The backend server did not run the statement: {refusal}.',
+    '57P03',
+  ),
   DeadlineExceeded: refusal(3010, 'The request could not start before its deadline.', '57014'),
   HolderMoved: refusal(3011, 'This daemon no longer holds group "{group}".', '57P03'),
   TransactionLost: error(3012, 'The transaction was lost and rolled back.', '40001'),
@@ -215,6 +222,7 @@
   // 8500: mesh, control shell
   LeadershipLost: refusal(8510, 'The control leader changed: the outcome is not known here.'),
   ControlRoleChanged: message(8511, 'This control host is now {role}.'),
+  ControlMembersPlanned: message(8518, 'The control quorum is to have the members {members}.'),
   PlatformFailed: error(8512, 'The platform did not promote: {reason}.'),
   ControlUnreachable: refusal(8513, 'The control quorum could not be reached in time.'),
   ControlRefused: refusal(8514, '{reason}'),
--- a/src/common/settings/settings.ts
+++ b/src/common/settings/settings.ts
@@ -43,6 +43,13 @@
   control: z
     .strictObject({
       members: z.array(memberSchema).min(1).describe('The control hosts to begin with.'),
+      member: nameSchema
+        .optional()
+        .describe('Name under which this host founds the quorum; its host id when absent.'),
+      admits_members: z
+        .boolean()
+        .default(false)
+        .describe('Control hosts join and lost ones are replaced without a ticket.'),
     })
     .describe('The control quorum.'),
   callers: z
--- a/src/common/timer/systemTimerService.ts
+++ b/src/common/timer/systemTimerService.ts
@@ -1,12 +1,22 @@
 import { performance } from 'node:perf_hooks';
+import { SuspensionDetector } from './suspensionDetector.js';
 import { TimerService, type Unsubscribe } from './timerService.js';
 
 /** Time from the operating system's monotonic clock. */
 export class SystemTimerService extends TimerService {
+  private readonly detector = new SuspensionDetector(
+    () => performance.now(),
+    () => Date.now(),
+  );
+
   override now(): number {
     return performance.now();
   }
 
+  override get suspensions(): number {
+    return this.detector.count();
+  }
+
   override subscribe(intervalMs: number, handler: (nowMs: number) => void): Unsubscribe {
     const handle = setInterval(() => handler(this.now()), intervalMs);
     return () => clearInterval(handle);
--- a/src/common/timer/timerService.ts
+++ b/src/common/timer/timerService.ts
@@ -5,6 +5,13 @@
 export abstract class TimerService {
   /** Monotonic time in milliseconds; not related to the wall clock. */
   abstract now(): number;
+  /**
+   * How often this process may have stood still without `now` moving, as when its host was
+   * suspended. What was promised for a time counts no more after such a moment.
+   */
+  get suspensions(): number {
+    return 0;
+  }
   /** Calls the handler about every `intervalMs` until unsubscribed. */
   abstract subscribe(intervalMs: number, handler: (nowMs: number) => void): Unsubscribe;
   /** Calls the handler once after `delayMs` unless unsubscribed. */
--- a/src/daemon/backend/connectionPool.test.ts
+++ b/src/daemon/backend/connectionPool.test.ts
@@ -2,7 +2,9 @@
 import { afterEach, beforeEach, expect, test } from 'vitest';
 import { createFault, Diagnostics } from '../../common/diagnostics/index.js';
 import { SystemTimerService } from '../../common/timer/index.js';
-import type { BackendConnection } from './backendConnection.js';
+import { toAccountId, toGroupId, toInstanceId } from '../../common/ids/index.js';
+import { PostgresProtocol } from '../postgres/index.js';
+import type { BackendLink } from './backendLink.js';
 import { ConnectionPool } from './connectionPool.js';
 
 const READY = Buffer.from([0x5a, 0, 0, 0, 5, 0x49]);
@@ -38,8 +40,9 @@
   });
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-  const access = { localIp: '127.0.0.1', user: 'u', password: undefined, database: 'd' };
-  pool = new ConnectionPool(address, access, limits, timer);
+  const protocol = new PostgresProtocol({ localIp: '127.0.0.1', user: 'u', password: undefined });
+  const target = { address, group: toGroupId('d'), instance: toInstanceId('i') };
+  pool = new ConnectionPool(target, protocol, limits, timer);
 });
 
 afterEach(() => {
@@ -47,9 +50,9 @@
   server.close();
 });
 
-function acquire(): Promise<BackendConnection> {
+function acquire(): Promise<BackendLink> {
   return new Promise((resolve, reject) => {
-    pool.acquire({ connected: resolve, failed: reject });
+    pool.acquire({ account: toAccountId('a'), connected: resolve, failed: reject });
   });
 }
 
--- a/src/daemon/backend/connectionPool.ts
+++ b/src/daemon/backend/connectionPool.ts
@@ -1,11 +1,13 @@
 import { Fault } from '../../common/diagnostics/index.js';
+import type { AccountId } from '../../common/ids/index.js';
 import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
-import type { BackendAccess } from './backendAccess.js';
-import { BackendConnection } from './backendConnection.js';
+import type { BackendLink } from './backendLink.js';
+import type { BackendProtocol, BackendTarget } from './backendProtocol.js';
 
 /** Takes a connection, or the fault that kept one from being opened. */
 export interface ConnectionWaiter {
-  connected(connection: BackendConnection): void;
+  readonly account: AccountId;
+  connected(connection: BackendLink): void;
   failed(fault: Fault): void;
 }
 
@@ -15,14 +17,14 @@
 
 /** An idle connection and since when it is idle. */
 interface IdleConnection {
-  readonly connection: BackendConnection;
+  readonly connection: BackendLink;
   readonly sinceMs: number;
 }
 
 /** How many connections a pool opens and how long that may take. */
 export interface PoolLimits {
   readonly maximumConnections: number;
-  /** Idle connections kept ready. */
+  /** Idle connections kept ready, where any account may use them. */
   readonly warmConnections: number;
   readonly openTimeoutMs: number;
 }
@@ -32,15 +34,17 @@
   /** Called when a connection gave no sign of life. */
   onCondemned: (() => void) | undefined;
   private idle: IdleConnection[] = [];
-  private readonly waiters: ConnectionWaiter[] = [];
-  private readonly open = new Set<BackendConnection>();
-  private opening = 0;
+  private waiters: ConnectionWaiter[] = [];
+  private readonly open = new Set<BackendLink>();
+  /** Connections being opened, by the account that they are for; under one key when for any. */
+  private readonly opening = new Map<string, number>();
+  private openingCount = 0;
   private closed = false;
   private readonly stopHeartbeats: Unsubscribe;
 
   constructor(
-    private readonly address: string,
-    private readonly access: BackendAccess,
+    private readonly target: BackendTarget,
+    private readonly protocol: BackendProtocol,
     private readonly limits: PoolLimits,
     private readonly timer: TimerService,
   ) {
@@ -49,12 +53,12 @@
 
   /** Connections that are open or being opened. */
   get size(): number {
-    return this.open.size + this.opening;
+    return this.open.size + this.openingCount;
   }
 
   /** Gives the waiter an idle connection or opens one. */
   acquire(waiter: ConnectionWaiter): void {
-    const connection = this.takeIdle();
+    const connection = this.takeIdle(waiter.account);
     if (connection !== undefined) {
       waiter.connected(connection);
       return;
@@ -64,24 +68,26 @@
   }
 
   /** Takes a connection back; one that is worn or unclean is closed. */
-  release(connection: BackendConnection, reusable: boolean): void {
+  release(connection: BackendLink, reusable: boolean): void {
     if (this.closed || !reusable || connection.isWorn) {
       connection.close();
       return;
     }
-    const waiter = this.waiters.shift();
-    if (waiter === undefined) {
-      this.idle.push({ connection, sinceMs: this.timer.now() });
+    const index = this.waiters.findIndex(({ account }) => isFor(connection, account));
+    const [waiter] = index < 0 ? [] : this.waiters.splice(index, 1);
+    if (waiter !== undefined) {
+      waiter.connected(connection);
       return;
     }
-    waiter.connected(connection);
+    this.idle.push({ connection, sinceMs: this.timer.now() });
+    this.openMissing();
   }
 
-  /** Opens connections until the wanted number is ready. */
-  warm(): void {
+  /** Opens connections until the wanted number is ready, where any account may use them. */
+  warm(account: AccountId): void {
     const missing = this.limits.warmConnections - this.size;
-    for (let count = 0; count < missing && !this.closed; count += 1) {
-      this.openOne();
+    for (let count = 0; count < missing && !this.closed && !this.protocol.isPerAccount; count++) {
+      this.openOne(account);
     }
   }
 
@@ -120,7 +126,7 @@
     }
   }
 
-  private checkOne(connection: BackendConnection): void {
+  private checkOne(connection: BackendLink): void {
     let answered = false;
     connection.heartbeat(() => {
       answered = true;
@@ -136,9 +142,13 @@
     });
   }
 
-  private takeIdle(): BackendConnection | undefined {
-    for (let item = this.idle.pop(); item !== undefined; item = this.idle.pop()) {
-      const { connection } = item;
+  private takeIdle(account: AccountId): BackendLink | undefined {
+    for (let index = this.idle.length - 1; index >= 0; index -= 1) {
+      const connection = this.idle[index]?.connection;
+      if (connection === undefined || !isFor(connection, account)) {
+        continue;
+      }
+      this.idle.splice(index, 1);
       if (!connection.isWorn) {
         return connection;
       }
@@ -147,39 +157,77 @@
     return undefined;
   }
 
+  /** Opens a connection for the first waiter whose account has too few under way. */
   private openMissing(): void {
-    if (this.opening < this.waiters.length && this.size < this.limits.maximumConnections) {
-      this.openOne();
+    const unserved = new Map(this.opening);
+    for (const { account } of [...this.waiters]) {
+      const key = this.getKey(account);
+      const underWay = unserved.get(key) ?? 0;
+      if (underWay > 0) {
+        unserved.set(key, underWay - 1);
+      } else if (this.hasRoom()) {
+        this.openOne(account);
+      } else {
+        return;
+      }
+    }
+  }
+
+  /** Whether one more may be opened, perhaps in place of one that idles for another account. */
+  private hasRoom(): boolean {
+    if (this.size < this.limits.maximumConnections) {
+      return true;
     }
+    this.idle.shift()?.connection.close();
+    return this.size < this.limits.maximumConnections;
   }
 
-  private openOne(): void {
-    this.opening += 1;
-    BackendConnection.open(this.address, this.access, this.limits.openTimeoutMs, this.timer).then(
-      (connection) => this.opened(connection),
-      (cause: unknown) => this.openFailed(cause),
+  private openOne(account: AccountId): void {
+    const { target, protocol, limits, timer } = this;
+    this.countOpening(account, 1);
+    protocol.open(target, account, limits.openTimeoutMs, timer).then(
+      (connection) => this.opened(connection, account),
+      (cause: unknown) => this.openFailed(cause, account),
     );
   }
 
-  private opened(connection: BackendConnection): void {
-    this.opening -= 1;
+  private opened(connection: BackendLink, account: AccountId): void {
+    this.countOpening(account, -1);
     this.open.add(connection);
     connection.onClosed = () => this.forget(connection);
     this.release(connection, true);
   }
 
-  private openFailed(cause: unknown): void {
-    this.opening -= 1;
+  private openFailed(cause: unknown, account: AccountId): void {
+    this.countOpening(account, -1);
     if (!(cause instanceof Fault)) {
       throw cause;
     }
-    this.waiters.shift()?.failed(cause);
+    const index = this.waiters.findIndex(
+      (waiter) => !this.protocol.isPerAccount || waiter.account === account,
+    );
+    const [waiter] = index < 0 ? [] : this.waiters.splice(index, 1);
+    waiter?.failed(cause);
     this.openMissing();
   }
 
-  private forget(connection: BackendConnection): void {
+  private countOpening(account: AccountId, change: number): void {
+    this.openingCount += change;
+    const key = this.getKey(account);
+    this.opening.set(key, (this.opening.get(key) ?? 0) + change);
+  }
+
+  private getKey(account: AccountId): string {
+    return this.protocol.isPerAccount ? account : '';
+  }
+
+  private forget(connection: BackendLink): void {
     this.open.delete(connection);
     this.idle = this.idle.filter((item) => item.connection !== connection);
     this.openMissing();
   }
 }
+
+function isFor(connection: BackendLink, account: AccountId): boolean {
+  return connection.account === undefined || connection.account === account;
+}
--- a/src/daemon/backend/instanceProbe.ts
+++ b/src/daemon/backend/instanceProbe.ts
@@ -1,19 +1,13 @@
 import type { LogPosition, Term } from '../../common/ids/index.js';
 
-/** What an instance said of itself. */
+/** Where an instance stands, as it says itself. */
 export interface ProbeAnswer {
-  readonly inRecovery: boolean;
+  /** Whether it is primary; undefined when the answer does not tell. */
+  readonly isPrimary: boolean | undefined;
+  /** Term of the history that it is on. */
   readonly term: Term;
+  /** Everything up to here can be read from it. */
   readonly position: LogPosition;
+  /** Everything up to here is in its log; undefined when the answer does not tell. */
+  readonly received: LogPosition | undefined;
 }
-
-/**
- * Reads the position as a primary has it. `filbertpoint_term()` is the platform's: it gives the term
- * of the history that the instance is on.
- */
-export const PRIMARY_PROBE =
-  'SELECT pg_is_in_recovery(), pg_current_wal_lsn(), filbertpoint_term()';
-
-/** Reads the position as a replica has it. */
-export const REPLICA_PROBE =
-  'SELECT pg_is_in_recovery(), pg_last_wal_replay_lsn(), filbertpoint_term()';
--- a/src/daemon/control/controlCalls.ts
+++ b/src/daemon/control/controlCalls.ts
@@ -1,4 +1,4 @@
-import type { TicketNumber } from '../../common/ids/index.js';
+import type { FailureDomain, TicketNumber } from '../../common/ids/index.js';
 import type { Ticket } from '../../decisions/tickets/index.js';
 
 /** The calls that any daemon makes to the control leader. */
@@ -7,6 +7,7 @@
   ReadTicket = 'read-ticket',
   ReadInForce = 'read-in-force',
   ReadStatus = 'read-status',
+  SwitchDomain = 'switch-domain',
 }
 
 /** One call with its argument. */
@@ -14,4 +15,9 @@
   | { readonly kind: ControlCallKind.SubmitTicket; readonly ticket: Ticket }
   | { readonly kind: ControlCallKind.ReadTicket; readonly number: TicketNumber }
   | { readonly kind: ControlCallKind.ReadInForce; readonly subject?: string }
-  | { readonly kind: ControlCallKind.ReadStatus };
+  | { readonly kind: ControlCallKind.ReadStatus }
+  | {
+      readonly kind: ControlCallKind.SwitchDomain;
+      readonly domain: FailureDomain;
+      readonly inService: boolean;
+    };
--- a/src/daemon/control/controlHost.ts
+++ b/src/daemon/control/controlHost.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from 'neverthrow';
 import { Diagnostics, type Fault } from '../../common/diagnostics/index.js';
-import { toLogPosition, type HostId, type Revision } from '../../common/ids/index.js';
+import { toFailureDomain, type HostId, type Revision } from '../../common/ids/index.js';
 import type { Logger } from '../../common/logging/index.js';
 import type { RandomSource } from '../../common/random.js';
 import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
@@ -16,11 +16,15 @@
   ControlInputKind,
   ControlLeader,
   ControlOutputKind,
+  getSubjectRecordName,
+  planMembers,
   type Command,
   type CommandAnswer,
   type ControlInput,
   type ControlOutput,
+  type ControlSettings,
   type ControlState,
+  type HeardMember,
   type Promote,
   type SubjectReading,
 } from '../../decisions/control/index.js';
@@ -33,12 +37,11 @@
 import type { Platform } from './platform.js';
 import { QuorumMember, type QuorumListener } from './quorumMember.js';
 
-const TICK_INTERVAL_MS = 20;
+const TICK_INTERVAL_MS = 40;
 const MEMBERSHIP_INTERVAL_MS = 200;
 const HANDOVER_LIMIT_MS = 500;
 /** Name of the subject with the quorum's members. */
 const CONTROL_MEMBERS: string = SubjectKind.ControlMembers;
-const NO_POSITION = toLogPosition(0);
 
 /** What a control host is made from. */
 export interface ControlHostOptions {
@@ -53,6 +56,9 @@
   readonly state: ControlState;
   readonly addresses: MemberAddresses;
   readonly platform: Platform;
+  readonly control: ControlSettings;
+  /** Hosts that ask become members without a ticket, and lost ones are replaced. */
+  readonly admitsMembers: boolean;
   /** The members that the quorum was founded with, in force until a ticket names others. */
   readonly foundedMembers: SubjectReading;
   /** The daemon can't go on, as after its disk failed. */
@@ -65,12 +71,22 @@
   private readonly leader: ControlLeader;
   private readonly links = new Map<HostId, MeshLink>();
   private readonly subscriptions: Unsubscribe[] = [];
+  private readonly heard = new Map<string, HeardMember>();
+  private leaderSinceMs = 0;
+  /** Suspensions suspected when a quorum last confirmed that this host leads. */
+  private trusted = 0;
+  private confirming = false;
 
   constructor(private readonly options: ControlHostOptions) {
     const { opened, storage, state, ids, timer, random, mesh, logger } = options;
     this.member = new QuorumMember(opened, storage, state, ids, timer, random, this);
-    this.leader = new ControlLeader(state);
-    mesh.receive(MeshKind.Consensus, ({ message }) => this.member.receive(message.content));
+    this.leader = new ControlLeader(state, { settings: options.control });
+    mesh.receive(MeshKind.Consensus, ({ link, message }) => {
+      if (link.peer !== undefined) {
+        options.addresses.learn(message.from, link.peer.address);
+      }
+      this.member.receive(message.content);
+    });
     mesh.receive(MeshKind.LeaseRenewal, ({ link, message }) => this.renew(link, message));
     mesh.receive(MeshKind.ControlCall, ({ link, message }) => {
       this.answer(link, message).catch((cause: unknown) => {
@@ -80,13 +96,21 @@
     });
   }
 
+  /** Identity of this host's log. */
+  get identity(): MemberId {
+    return this.member.identity;
+  }
+
   /** Begins to take part in the quorum. */
   start(): void {
     const { timer } = this.options;
     this.member.start();
     this.subscriptions.push(
       timer.subscribe(TICK_INTERVAL_MS, () => this.tell({ kind: ControlInputKind.Tick })),
-      timer.subscribe(MEMBERSHIP_INTERVAL_MS, () => this.adjustMembership()),
+      timer.subscribe(MEMBERSHIP_INTERVAL_MS, (nowMs) => {
+        this.planMembers(nowMs);
+        this.adjustMembership();
+      }),
     );
   }
 
@@ -117,6 +141,8 @@
   leadershipChanged(role: Role, term: number): void {
     const { logger, host } = this.options;
     logger.report(Diagnostics.ControlRoleChanged, { role }, { step: 'control.role', term });
+    this.leaderSinceMs = this.options.timer.now();
+    this.heard.clear();
     if (role !== Role.Leader) {
       this.tell({ kind: ControlInputKind.LostLeadership });
       return;
@@ -181,10 +207,11 @@
     const { group, instance, term } = order;
     const result = { kind: ControlInputKind.PromotionResult, group, instance, term } as const;
     void this.options.platform.promote(order).match(
-      (position) => this.tell({ ...result, ok: true, position }),
+      ({ position }) =>
+        this.tell({ ...result, ok: true, ...(position === undefined ? {} : { position }) }),
       (fault) => {
         this.options.logger.reportFault(fault, { term });
-        this.tell({ ...result, ok: false, position: NO_POSITION });
+        this.tell({ ...result, ok: false });
       },
     );
   }
@@ -199,10 +226,29 @@
     }
     const { renewal } = message;
     this.links.set(renewal.host, link);
-    const mayGrant = this.member.isLeaseValid();
+    if (renewal.member !== undefined) {
+      this.heard.set(renewal.member.member, {
+        member: renewal.member,
+        heardMs: this.options.timer.now(),
+      });
+    }
+    const mayGrant = this.isTrusted() && this.member.isLeaseValid();
     this.tell({ kind: ControlInputKind.Renewal, renewal, mayGrant });
   }
 
+  /** After a suspected suspension this host may lead no more: a quorum has to confirm it first. */
+  private isTrusted(): boolean {
+    const { suspensions } = this.options.timer;
+    if (suspensions !== this.trusted && !this.confirming) {
+      this.confirming = true;
+      void this.member.passBarrier().then((passed) => {
+        this.confirming = false;
+        this.trusted = passed.isOk() ? suspensions : this.trusted;
+      });
+    }
+    return suspensions === this.trusted;
+  }
+
   private sendTo(host: HostId, message: MeshMessage): void {
     const link = this.links.get(host);
     if (link?.isClosed === true) {
@@ -228,6 +274,9 @@
     if (content.kind === ControlCallKind.SubmitTicket) {
       return this.submit(content.ticket);
     }
+    if (content.kind === ControlCallKind.SwitchDomain) {
+      return this.switchDomain(content.domain, content.inService);
+    }
     const passed = await this.member.passBarrier();
     if (passed.isErr()) {
       return err(passed.error);
@@ -256,6 +305,14 @@
     return proposed.map(({ ticket }) => ticket);
   }
 
+  private switchDomain(domain: unknown, inService: unknown): Promise<Result<unknown, Fault>> {
+    return this.member.propose({
+      kind: CommandKind.SwitchDomain,
+      domain: toFailureDomain(String(domain)),
+      inService: inService === true,
+    });
+  }
+
   private readInForce(subject: string | undefined, nowMs: number): readonly SubjectReading[] {
     const readings = this.leader.getReadings(subject, nowMs);
     const isWanted = subject === undefined || subject === CONTROL_MEMBERS;
@@ -270,6 +327,36 @@
     return address === undefined ? {} : { leader: address };
   }
 
+  /** Admits hosts that ask and lets lost ones go, where no ticket does. */
+  private planMembers(nowMs: number): void {
+    const { state, admitsMembers, foundedMembers } = this.options;
+    if (!admitsMembers || !this.member.isLeader || !this.member.isMembershipCommitted) {
+      return;
+    }
+    const inForce = state.getControlMembers()?.members;
+    const { voters, learners } = this.member.membership;
+    const founded =
+      foundedMembers.state.kind === SubjectKind.ControlMembers
+        ? foundedMembers.state.members.filter(({ member }) => voters.includes(toMemberId(member)))
+        : [];
+    const present = inForce ?? founded;
+    const isSettled = present.length === voters.length + learners.length;
+    const sinceMs = this.leaderSinceMs;
+    const members = isSettled
+      ? planMembers({ present, heard: [...this.heard.values()], sinceMs, nowMs })
+      : undefined;
+    if (members === undefined) {
+      return;
+    }
+    const expected = state.getRecordRevision(getSubjectRecordName(CONTROL_MEMBERS));
+    this.options.logger.report(
+      Diagnostics.ControlMembersPlanned,
+      { members: members.map(({ member }) => member).join(' ') },
+      { step: 'control.members' },
+    );
+    void this.member.propose({ kind: CommandKind.SetControlMembers, members, expected });
+  }
+
   /** Brings the quorum's members nearer to those that the ticket in force names. */
   private adjustMembership(): void {
     const wanted = this.options.state.getControlMembers()?.members;
--- a/src/daemon/control/httpPlatform.ts
+++ b/src/daemon/control/httpPlatform.ts
@@ -2,10 +2,10 @@
 import { ResultAsync } from 'neverthrow';
 import { z } from 'zod';
 import { createFault, Diagnostics } from '../../common/diagnostics/index.js';
-import { toLogPosition, type LogPosition } from '../../common/ids/index.js';
+import { toLogPosition } from '../../common/ids/index.js';
 import type { Outcome } from '../../common/result.js';
 import { splitAddress } from '../../common/settings/index.js';
-import { Platform, type PromotionOrder } from './platform.js';
+import { Platform, type PromotionOrder, type PromotionReceipt } from './platform.js';
 
 const ORDER_TIMEOUT_MS = 1000;
 const MAXIMUM_ANSWER_BYTES = 65_536;
@@ -19,12 +19,12 @@
     super();
   }
 
-  override promote(order: PromotionOrder): Outcome<LogPosition> {
+  override promote(order: PromotionOrder): Outcome<PromotionReceipt> {
     const { group, instance, term } = order;
     const answered = this.post(order.platform, JSON.stringify({ group, instance, term }));
     const position = answered.then((text) => {
       const answer = answerSchema.parse(JSON.parse(text));
-      return toLogPosition(answer.position);
+      return { position: toLogPosition(answer.position) };
     });
     return ResultAsync.fromPromise(position, (cause) =>
       createFault(
--- a/src/daemon/control/memberAddresses.ts
+++ b/src/daemon/control/memberAddresses.ts
@@ -16,15 +16,22 @@
 
 /** Finds the mesh addresses of quorum members: from the ticket in force, else from the settings. */
 export class MemberAddresses {
+  private readonly learnt = new Map<string, string>();
+
   constructor(
     private readonly configured: readonly ConfiguredMember[],
     private readonly state: Pick<ControlState, 'getControlMembers'>,
   ) {}
 
+  /** Notes the address that a member's message came from. */
+  learn(member: string, address: string): void {
+    this.learnt.set(member, address);
+  }
+
   find(member: MemberId): string | undefined {
     const inForce = this.state.getControlMembers()?.members;
     const known = inForce?.find((candidate) => candidate.member === member);
-    return known?.address ?? this.findConfigured(member);
+    return known?.address ?? this.learnt.get(member) ?? this.findConfigured(member);
   }
 
   private findConfigured(member: MemberId): string | undefined {
--- a/src/daemon/control/meshControlClient.ts
+++ b/src/daemon/control/meshControlClient.ts
@@ -1,6 +1,6 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
-import type { RequestId, TicketNumber } from '../../common/ids/index.js';
+import type { FailureDomain, InstanceId, RequestId, TicketNumber } from '../../common/ids/index.js';
 import type { Outcome } from '../../common/result.js';
 import type { TimerService } from '../../common/timer/index.js';
 import type {
@@ -27,6 +27,12 @@
   Diagnostics.LeadershipLost.code,
 ]);
 
+/** Takes what backend servers say of themselves on its way to the control leader. */
+export interface AnnouncementReceiver {
+  announce(announcement: Announcement): void;
+  announceDeparture(instance: InstanceId): void;
+}
+
 /** Calls the control leader over the mesh, wherever it is. */
 export class MeshControlClient extends ControlClient {
   private readonly pending = new PendingCalls<ControlAnswer | undefined>();
@@ -36,7 +42,7 @@
     private readonly route: ControlRoute,
     private readonly ids: RequestIds,
     private readonly timer: TimerService,
-    private readonly takeAnnouncement: (announcement: Announcement) => void,
+    private readonly receiver: AnnouncementReceiver,
   ) {
     super();
     mesh.receive(MeshKind.ControlAnswer, ({ message }) => {
@@ -61,8 +67,16 @@
     return this.call({ kind: ControlCallKind.ReadStatus });
   }
 
+  override switchDomain(domain: FailureDomain, inService: boolean): Outcome<unknown> {
+    return this.call({ kind: ControlCallKind.SwitchDomain, domain, inService });
+  }
+
   override announce(announcement: Announcement): void {
-    this.takeAnnouncement(announcement);
+    this.receiver.announce(announcement);
+  }
+
+  override announceDeparture(instance: InstanceId): void {
+    this.receiver.announceDeparture(instance);
   }
 
   private call<Answer>(content: ControlCallContent): Outcome<Answer> {
@@ -86,7 +100,9 @@
       await this.pause();
     }
     // A submitted ticket may have been applied although its answer was lost.
-    const isWrite = content.kind === ControlCallKind.SubmitTicket;
+    const isWrite =
+      content.kind === ControlCallKind.SubmitTicket ||
+      content.kind === ControlCallKind.SwitchDomain;
     const execution = isWrite ? Execution.Unknown : Execution.NotRun;
     const context = { step: 'control.call', retryAfterMs: ATTEMPT_TIMEOUT_MS, execution };
     return err(createFault(Diagnostics.ControlUnreachable, {}, context));
--- a/src/daemon/control/platform.ts
+++ b/src/daemon/control/platform.ts
@@ -10,8 +10,14 @@
   readonly platform: string;
 }
 
+/** What became of an order to promote. */
+export interface PromotionReceipt {
+  /** The instance's position when it was promoted; absent when it has to be seen on the instance. */
+  readonly position?: LogPosition;
+}
+
 /** The platform that runs the database instances. */
 export abstract class Platform {
-  /** Promotes an instance; idempotent for the same term. Gives its position at the promotion. */
-  abstract promote(order: PromotionOrder): Outcome<LogPosition>;
+  /** Promotes an instance; idempotent for the same term. A fault: it was refused and will not run. */
+  abstract promote(order: PromotionOrder): Outcome<PromotionReceipt>;
 }
--- a/src/daemon/control/quorumMember.ts
+++ b/src/daemon/control/quorumMember.ts
@@ -34,7 +34,7 @@
 import type { LogStorage, OpenedLog } from '../storage/index.js';
 import { PendingCalls } from './pendingCalls.js';
 
-const TICK_INTERVAL_MS = 10;
+const TICK_INTERVAL_MS = 25;
 
 const COMMAND_KINDS: ReadonlySet<unknown> = new Set(Object.values(CommandKind));
 const messageSchema = createMessageSchema<Command>(
--- a/src/daemon/createControlHost.ts
+++ b/src/daemon/createControlHost.ts
@@ -5,15 +5,15 @@
 import type { Logger } from '../common/logging/index.js';
 import type { RandomSource } from '../common/random.js';
 import type { Outcome } from '../common/result.js';
-import { splitAddress, type Settings } from '../common/settings/index.js';
+import type { Settings } from '../common/settings/index.js';
 import type { TimerService } from '../common/timer/index.js';
 import { createEmptyState, createFoundingState, toMemberId } from '../decisions/consensus/index.js';
-import { ControlState, type Command } from '../decisions/control/index.js';
+import { ControlState, type Command, type ControlSettings } from '../decisions/control/index.js';
 import {
   ControlHost,
   createReplacementName,
-  HttpPlatform,
   MemberAddresses,
+  type Platform,
 } from './control/index.js';
 import { createFoundedMembers } from './createFoundedMembers.js';
 import type { Mesh } from './mesh/index.js';
@@ -33,12 +33,14 @@
   readonly ids: RequestIds;
   /** Founds a new quorum from the members of the settings when nothing is stored. */
   readonly isFounding: boolean;
+  readonly platform: Platform;
+  readonly control: ControlSettings;
   readonly onFatal: (fault: Fault) => void;
 }
 
 /** Opens the stored log and creates the control host on it. */
 export function createControlHost(context: ControlHostContext): Outcome<ControlHost> {
-  const { settings, mesh, timer, logger, random, ids, onFatal } = context;
+  const { settings, mesh, timer, logger, random, ids, platform, control, onFatal } = context;
   const folder = join(settings.data_folder ?? '.', LOG_FOLDER);
   const storage = new FileLogStorage<Command>(new FolderDisk(folder));
   const state = new ControlState();
@@ -64,7 +66,9 @@
         opened,
         state,
         addresses: new MemberAddresses(settings.control.members, state),
-        platform: new HttpPlatform(splitAddress(settings.mesh.listen).host),
+        platform,
+        control,
+        admitsMembers: settings.control.admits_members,
         foundedMembers: createFoundedMembers(settings),
         onFatal,
       });
@@ -72,11 +76,12 @@
 }
 
 function createFounding({ settings, isFounding }: ControlHostContext): LogFounding<Command> {
+  const name = settings.control.member ?? settings.host;
   if (isFounding) {
     const voters = settings.control.members.map(({ host }) => toMemberId(host));
-    return { identity: toMemberId(settings.host), state: createFoundingState(voters) };
+    return { identity: toMemberId(name), state: createFoundingState(voters) };
   }
   // An earlier log may have voted under the host's name: a new one must not.
-  const name = createReplacementName(settings.host, randomBytes(LIFE_BYTES).toString('hex'));
-  return { identity: toMemberId(name), state: createEmptyState() };
+  const replacement = createReplacementName(name, randomBytes(LIFE_BYTES).toString('hex'));
+  return { identity: toMemberId(replacement), state: createEmptyState() };
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -4,21 +4,24 @@
 import type { Logger } from '../common/logging/index.js';
 import { ConnectionSide, Metrics } from '../common/metrics/index.js';
 import type { RandomSource } from '../common/random.js';
-import { splitAddress, type Settings } from '../common/settings/index.js';
+import type { Settings } from '../common/settings/index.js';
 import type { TimerService } from '../common/timer/index.js';
 import { DaemonRecords, type ControlRecord } from '../decisions/control/index.js';
-import { StatementClassifier } from '../decisions/routing/index.js';
-import { tryParseTicket } from '../decisions/tickets/index.js';
+import { tryParseTicket, type ControlMember } from '../decisions/tickets/index.js';
 import { MeshControlClient, type ControlHost } from './control/index.js';
 import { createControlHost } from './createControlHost.js';
 import type { DaemonFiles } from './daemonFiles.js';
-import { Dispatcher, EntryRequests, RemoteRequests } from './entry/index.js';
-import { CallerAccess, CallerServer } from './gateway/index.js';
-import { HmacSigner } from './hmacSigner.js';
+import type { DaemonFront, DaemonInterfaces, DaemonParts } from './daemonInterfaces.js';
+import { Dispatcher, EntryRequests, RemoteRequests, type CallerFront } from './entry/index.js';
 import { ExecuteServer, GroupHolder } from './holder/index.js';
 import { ControlRoute, LeaseTask } from './lease/index.js';
 import { Mesh } from './mesh/index.js';
-import { OperatorServer, Readiness, type ReadinessReport } from './operators/index.js';
+import {
+  OperatorServer,
+  Readiness,
+  type ControlClient,
+  type ReadinessReport,
+} from './operators/index.js';
 import { RateTask } from './rates/index.js';
 import { RequestIds } from './requests/index.js';
 
@@ -26,7 +29,6 @@
 const FRAME_MARGIN_BYTES = 65_536;
 const DEFAULT_MESSAGE_BYTES = 33_554_432;
 const SNAPSHOT_BYTES = 67_108_864;
-const MAXIMUM_CALLERS = 100_000;
 const METRICS_INTERVAL_MS = 1000;
 const LATE_REQUEST_MS = 300;
 const DRAIN_CHECK_MS = 20;
@@ -35,6 +37,7 @@
 export interface DaemonOptions {
   readonly settings: Settings;
   readonly files: DaemonFiles;
+  readonly interfaces: DaemonInterfaces;
   readonly timer: TimerService;
   readonly logger: Logger;
   readonly random: RandomSource;
@@ -56,16 +59,18 @@
   private readonly rates: RateTask;
   private readonly dispatcher: Dispatcher;
   private readonly operators: OperatorServer;
-  private readonly callers: CallerServer | undefined;
+  private readonly callers: CallerFront | undefined;
+  private readonly fronts: readonly DaemonFront[];
   private control: ControlHost | undefined;
   private stopping = false;
+  private members: Settings['control']['members'];
 
   constructor(private readonly options: DaemonOptions) {
     super();
     const { settings, files, timer, logger, random } = options;
+    this.members = settings.control.members;
     const host = toHostId(settings.host);
     const domain = toFailureDomain(settings.domain);
-    const localIp = splitAddress(settings.mesh.listen).host;
     this.incarnation = toIncarnation(randomBytes(INCARNATION_BYTES).toString('base64url'));
     this.ids = new RequestIds(this.incarnation);
     this.mesh = this.createMesh();
@@ -77,6 +82,7 @@
       releasedGroups: this.holder.releasedGroups,
       releasedAccounts: this.rates.releasedAccounts,
       stopping: this.stopping || !settings.roles.includes('entry'),
+      ...(this.control === undefined ? {} : this.getMembership(this.control)),
     }));
     const { lease } = this;
     this.holder = new GroupHolder({
@@ -86,7 +92,7 @@
       random,
       records,
       lease,
-      access: { localIp, user: settings.backend.user, password: files.backendPassword },
+      protocol: options.interfaces.createBackend(settings, files),
       reportNow: () => lease.renewSoon(),
     });
     const { metrics } = this;
@@ -98,8 +104,10 @@
       records.isGroupHolder(group, wanted),
     );
     this.dispatcher = new Dispatcher(ids, timer, records, lease, this.holder, remote);
-    this.callers = this.createCallers();
-    this.operators = this.createOperators(new ControlRoute(() => this.getControlAddresses()));
+    const parts = this.createParts();
+    this.callers = options.interfaces.createCallers(parts);
+    this.fronts = options.interfaces.createFronts(parts);
+    this.operators = this.createOperators(parts.control);
     void lease.changed.stream.observe((changed) => this.recordsChanged(changed));
     void lease.validity.stream.observe(() => this.leaseChanged());
   }
@@ -118,7 +126,11 @@
     await this.mesh.listen();
     if (settings.roles.includes('control')) {
       const { mesh, ids } = this;
-      const context = { settings, mesh, timer, logger, random, ids, isFounding, onFatal };
+      const { interfaces } = this.options;
+      const platform = interfaces.createPlatform(settings, timer);
+      const { control } = interfaces;
+      const shared = { settings, mesh, timer, logger, random, ids, platform, control };
+      const context = { ...shared, isFounding, onFatal };
       const created = await createControlHost(context);
       if (created.isErr()) {
         throw created.error;
@@ -133,6 +145,9 @@
     }
     this.operatorAddress = `${bound.value.host}:${bound.value.port}`;
     await this.callers?.listen();
+    for (const front of this.fronts) {
+      await front.start();
+    }
     this.metrics.collectProcessMetrics();
     timer.subscribe(METRICS_INTERVAL_MS, () => this.updateMetrics());
     logger.report(Diagnostics.DaemonStarted, {}, { step: 'daemon.start', peer: this.mesh.address });
@@ -146,7 +161,10 @@
     const endMs = timer.now() + graceMs;
     this.lease.renewSoon();
     this.callers?.drain();
-    await this.waitUntil(() => (this.callers?.count ?? 0) === 0, endMs);
+    const noticedMs = timer.now() + this.options.interfaces.stopNoticeMs;
+    const hasNoCallers = (): boolean =>
+      this.callers === undefined || (this.callers.count === 0 && timer.now() >= noticedMs);
+    await this.waitUntil(hasNoCallers, endMs);
     this.callers?.close();
     await this.waitUntil(() => this.holder.count === 0 && this.rates.count === 0, endMs);
     // Requests that are still on their way here are refused as not run, not lost.
@@ -155,15 +173,26 @@
     this.lease.stop();
     await this.control?.stop();
     await this.operators.close();
+    for (const front of this.fronts) {
+      await front.stop();
+    }
     await this.mesh.close();
     logger.report(Diagnostics.DaemonStopped, {}, { step: 'daemon.stop' });
   }
 
+  /** Takes on settings that changed: where control hosts are looked for. */
+  reload(settings: Settings): void {
+    this.members = settings.control.members;
+    const { logger } = this.options;
+    logger.report(Diagnostics.SettingsReloaded, {}, { step: 'daemon.reload' });
+  }
+
   /** Whether callers may be sent here. */
   override read(): ReadinessReport {
     const hasLease = this.lease.isValid() && !this.stopping;
     const domain = toFailureDomain(this.options.settings.domain);
-    const isInService = this.records.isInService(domain);
+    const { leavesWithDomain } = this.options.interfaces;
+    const isInService = !leavesWithDomain || this.records.isInService(domain);
     return { hasLease, hasCurrentConfiguration: hasLease, isInService };
   }
 
@@ -184,34 +213,31 @@
     );
   }
 
-  private createCallers(): CallerServer | undefined {
+  private createParts(): DaemonParts {
     const { settings, files, timer, logger } = this.options;
-    const { callers } = settings;
-    if (callers === undefined || !settings.roles.includes('entry')) {
-      return undefined;
-    }
     const { ids, records, lease, rates, dispatcher, holder, mesh, metrics } = this;
     const entry = { ids, timer, records, lease, rates, dispatcher, holder, mesh, metrics };
-    const context = {
-      timer,
-      access: new CallerAccess(records, lease, files.fleetKey, toFailureDomain(settings.domain)),
-      classifier: new StatementClassifier(),
-      signer: new HmacSigner(files.fleetKey),
-      requests: new EntryRequests(entry),
-      statementTimeoutMs: callers.statement_timeout_ms,
-      maximumMessageBytes: callers.maximum_message_bytes,
-    };
-    const tls = files.callerTls;
-    const options = { listen: callers.listen, maximumConnections: MAXIMUM_CALLERS, tls };
-    return new CallerServer(options, context, logger);
+    const requests = new EntryRequests(entry);
+    const route = new ControlRoute(() => this.getControlAddresses());
+    const control = new MeshControlClient(mesh, route, ids, timer, lease);
+    const shared = { settings, files, timer, logger, metrics, records, lease };
+    return { ...shared, readiness: this, requests, control };
   }
 
-  private createOperators(route: ControlRoute): OperatorServer {
+  /** This host as a member of the quorum, where it is admitted without a ticket. */
+  private getMembership({ identity }: ControlHost): { readonly member?: ControlMember } {
+    const { settings } = this.options;
+    if (!settings.control.admits_members) {
+      return {};
+    }
+    const host = toHostId(settings.host);
+    const domain = toFailureDomain(settings.domain);
+    return { member: { member: identity, host, domain, address: this.mesh.address } };
+  }
+
+  private createOperators(control: ControlClient): OperatorServer {
     const { settings, files, timer, logger } = this.options;
     const { operatorTokens, announcerTokens } = files;
-    const control = new MeshControlClient(this.mesh, route, this.ids, timer, (announcement) =>
-      this.lease.announce(announcement),
-    );
     return new OperatorServer({
       listen: settings.operators.listen,
       control,
@@ -226,9 +252,9 @@
   }
 
   private getControlAddresses(): readonly string[] {
-    const inForce = this.records.getControlMembers()?.members;
-    const members = inForce ?? this.options.settings.control.members;
-    return members.map(({ address }) => address);
+    const inForce = this.records.getControlMembers()?.members ?? [];
+    const addresses = [...inForce, ...this.members].map(({ address }) => address);
+    return [...new Set(addresses)];
   }
 
   private recordsChanged(changed: readonly ControlRecord[]): void {
--- a/src/daemon/entry/callerRequests.ts
+++ b/src/daemon/entry/callerRequests.ts
@@ -6,7 +6,7 @@
 export abstract class CallerRequests {
   /**
    * Admits a request under its client account's rate and runs it. `statements` is the number of
-   * statements in it, `deadlineMs` the time by which it must have ended.
+   * statements in it that count, 0 when it was paid for with the transaction that it is in, `deadlineMs` the time by which it must have ended.
    */
   abstract run(
     draft: RequestDraft,
--- a/src/daemon/entry/dispatcher.ts
+++ b/src/daemon/entry/dispatcher.ts
@@ -1,5 +1,5 @@
 import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
-import type { TimerService } from '../../common/timer/index.js';
+import { AdaptiveTick, type TimerService } from '../../common/timer/index.js';
 import type { DaemonRecords, Holder } from '../../decisions/control/index.js';
 import type { GroupHolder, HolderLease } from '../holder/index.js';
 import {
@@ -12,7 +12,8 @@
 import { DispatchHandle, DispatchedRequest, type DispatchPlaces } from './dispatchedRequest.js';
 import type { RemoteRequests } from './remoteRequests.js';
 
-const TICK_INTERVAL_MS = 10;
+const BUSY_TICK_MS = 10;
+const IDLE_TICK_MS = 500;
 
 /** A request before its holder is known. */
 export type RequestDraft = Omit<ExecuteRequest, 'id' | 'lease' | 'remainingMs'>;
@@ -20,6 +21,7 @@
 /** Brings requests to the holders of their groups, again while they were not run. */
 export class Dispatcher implements DispatchPlaces {
   private readonly waiting = new Set<DispatchedRequest>();
+  private readonly ticks: AdaptiveTick;
 
   constructor(
     private readonly ids: RequestIds,
@@ -29,7 +31,10 @@
     private readonly holder: GroupHolder,
     private readonly remote: RemoteRequests,
   ) {
-    timer.subscribe(TICK_INTERVAL_MS, (nowMs) => this.tick(nowMs));
+    this.ticks = new AdaptiveTick(timer, BUSY_TICK_MS, IDLE_TICK_MS, (nowMs) => {
+      this.tick(nowMs);
+      return this.waiting.size > 0;
+    });
   }
 
   /** Runs a request; its answer, or a fault that says whether it was run, goes to the receiver. */
@@ -52,6 +57,7 @@
 
   waitForHolder(dispatched: DispatchedRequest): void {
     this.waiting.add(dispatched);
+    this.ticks.wake();
   }
 
   stopWaiting(dispatched: DispatchedRequest): boolean {
@@ -70,7 +76,7 @@
     }
     const holder = this.findHolder(dispatched.draft);
     if (holder === undefined) {
-      this.waiting.add(dispatched);
+      this.waitForHolder(dispatched);
       return;
     }
     const request: ExecuteRequest = {
--- a/src/daemon/entry/entryRequests.ts
+++ b/src/daemon/entry/entryRequests.ts
@@ -1,5 +1,5 @@
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
-import type { GroupId, RequestId } from '../../common/ids/index.js';
+import { toAccountId, type GroupId, type RequestId } from '../../common/ids/index.js';
 import { ReadSource, RequestClass, type Metrics } from '../../common/metrics/index.js';
 import type { TimerService } from '../../common/timer/index.js';
 import type { DaemonRecords } from '../../decisions/control/index.js';
@@ -27,6 +27,9 @@
   [RequestKind.End]: RequestClass.Transaction,
 };
 
+/** Runs what comes over routes open to all, unless a route names an account for it; not limited. */
+export const OPEN_ACCOUNT = toAccountId('open--callers');
+
 /** What the requests of callers need of the daemon. */
 export interface EntryContext {
   readonly ids: RequestIds;
@@ -91,12 +94,13 @@
     this.handle = new AdmittedHandle(this);
   }
 
-  /** Asks for tokens; the end of a transaction, which only frees what is held, needs none. */
+  /** Asks for tokens; what was paid for, or only frees what is held, needs none. */
   start(statements: number): void {
     const { draft, id, deadlineMs, context } = this;
     const account = context.records.getAccount(draft.account);
     const cost = Math.min(Math.max(1, statements), Math.floor(account?.burst ?? 1));
-    if (draft.kind === RequestKind.End) {
+    const isOpen = account === undefined && draft.account === OPEN_ACCOUNT;
+    if (draft.kind === RequestKind.End || statements === 0 || isOpen) {
       this.dispatch();
       return;
     }
--- a/src/daemon/entry/index.ts
+++ b/src/daemon/entry/index.ts
@@ -1,3 +1,4 @@
+export * from './callerFront.js';
 export * from './callerRequests.js';
 export * from './dispatcher.js';
 export * from './entryRequests.js';
--- a/src/daemon/entry/remoteRequests.ts
+++ b/src/daemon/entry/remoteRequests.ts
@@ -1,10 +1,11 @@
 import type { RequestId } from '../../common/ids/index.js';
-import type { TimerService } from '../../common/timer/index.js';
+import { AdaptiveTick, type TimerService } from '../../common/timer/index.js';
 import { MeshKind, type Mesh, type MeshLink } from '../mesh/index.js';
 import type { ExecuteRequest, ResponseReceiver, RunningRequest } from '../requests/index.js';
 import { RemoteRequest } from './remoteRequest.js';
 
-const SWEEP_INTERVAL_MS = 25;
+const BUSY_SWEEP_MS = 25;
+const IDLE_SWEEP_MS = 500;
 const RESEND_INTERVAL_MS = 50;
 /** Shorter than the time for which a holder remembers the ids of its requests. */
 const RESEND_LIMIT_MS = 4000;
@@ -13,6 +14,7 @@
 /** Requests that this daemon has sent to holders elsewhere. */
 export class RemoteRequests {
   private readonly requests = new Map<RequestId, RemoteRequest>();
+  private readonly sweeps: AdaptiveTick;
 
   constructor(
     private readonly mesh: Mesh,
@@ -27,7 +29,10 @@
       this.requests.get(id)?.takeEnd(offset, bytes, outcome);
     });
     void mesh.lost.stream.observe((link) => this.linkLost(link));
-    timer.subscribe(SWEEP_INTERVAL_MS, (nowMs) => this.sweep(nowMs));
+    this.sweeps = new AdaptiveTick(timer, BUSY_SWEEP_MS, IDLE_SWEEP_MS, (nowMs) => {
+      this.sweep(nowMs);
+      return this.requests.size > 0;
+    });
   }
 
   /** Sends a request to the daemon at an address. */
@@ -43,6 +48,7 @@
     );
     this.requests.set(request.id, remote);
     remote.send(nowMs);
+    this.sweeps.wake();
     return remote;
   }
 
--- a/src/daemon/gateway/callerServer.ts
+++ b/src/daemon/gateway/callerServer.ts
@@ -4,6 +4,7 @@
 import { splitAddress } from '../../common/settings/index.js';
 import type { AuthenticatedCaller } from './authenticatedCaller.js';
 import { CallerSession } from './callerSession.js';
+import { CallerFront } from '../entry/index.js';
 import { CallerStartup } from './callerStartup.js';
 import type { CallerTls } from './callerTls.js';
 import { CallerWriter } from './callerWriter.js';
@@ -35,7 +36,7 @@
 }
 
 /** Listens for callers and keeps their sessions. */
-export class CallerServer {
+export class CallerServer extends CallerFront {
   private readonly server: Server;
   private readonly cancelKeys = new CancelKeys();
   private readonly sessions = new Set<CallerSession>();
@@ -48,22 +49,20 @@
     private readonly context: SessionContext,
     private readonly logger: Logger,
   ) {
+    super();
     this.server = createServer({ noDelay: true, keepAlive: true }, (socket) => this.accept(socket));
     this.server.maxConnections = options.maximumConnections;
   }
 
-  /** Connected callers. */
-  get count(): number {
+  override get count(): number {
     return this.sessions.size;
   }
 
-  /** The port that callers connect to, or connected to before the server was closed. */
-  get port(): number {
+  override get port(): number {
     return this.boundPort;
   }
 
-  /** Starts to listen; fails when the address can't be had. */
-  async listen(): Promise<void> {
+  override async listen(): Promise<void> {
     const { host: ip, port } = splitAddress(this.options.listen);
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject);
@@ -73,7 +72,7 @@
   }
 
   /** Ends sessions whose key or route is no longer in force, or whose host is out of service. */
-  recordsChanged(): void {
+  override recordsChanged(): void {
     const reason = this.getDrainReason();
     for (const session of [...this.sessions]) {
       session.recordsChanged();
@@ -81,8 +80,7 @@
     }
   }
 
-  /** Refuses new callers and ends each session once nothing runs in it. */
-  drain(): void {
+  override drain(): void {
     this.draining = true;
     this.server.close();
     for (const socket of this.starting) {
@@ -93,8 +91,7 @@
     }
   }
 
-  /** Ends every session at once. */
-  close(): void {
+  override close(): void {
     this.drain();
     const fault = createFault(Diagnostics.ShuttingDown, {}, { step: 'caller.close' });
     for (const session of [...this.sessions]) {
--- a/src/daemon/holder/createReport.ts
+++ b/src/daemon/holder/createReport.ts
@@ -12,7 +12,8 @@
   const sightings: InstanceSighting[] = [];
   for (const instance of instances) {
     // Positions from before the fencing may be behind the last acknowledged write.
-    if (!writes.isFenced || instance.probedMs >= writes.fencedMs) {
+    const surveyedMs = instance.survey?.sentMs ?? 0;
+    if (!writes.isFenced || surveyedMs >= writes.fencedMs) {
       sightings.push(createSighting(instance));
     }
   }
@@ -20,12 +21,12 @@
   return { group, fencedTerm: writes.fencedTerm, acknowledged, sightings };
 }
 
-function createSighting(instance: HeldInstance): InstanceSighting {
-  const { position } = instance;
+function createSighting({ id, monitor, survey }: HeldInstance): InstanceSighting {
   return {
-    instance: instance.id,
-    reachable: instance.monitor.health.isReachable && position !== undefined,
-    term: position?.term ?? toTerm(0),
-    position: position?.position ?? toLogPosition(0),
+    instance: id,
+    reachable: monitor.health.isReachable && survey !== undefined,
+    term: survey?.term ?? toTerm(0),
+    position: survey?.position ?? toLogPosition(0),
+    ...(survey?.isPrimary === undefined ? {} : { isPrimary: survey.isPrimary }),
   };
 }
--- a/src/daemon/holder/groupHolder.ts
+++ b/src/daemon/holder/groupHolder.ts
@@ -1,3 +1,4 @@
+import { AdaptiveTick } from '../../common/timer/index.js';
 import {
   createFault,
   Diagnostics,
@@ -15,7 +16,8 @@
 import { HeldGroup } from './heldGroup.js';
 import type { HolderContext } from './holderContext.js';
 
-const TICK_INTERVAL_MS = 5;
+const BUSY_TICK_MS = 5;
+const IDLE_TICK_MS = 50;
 
 /** All database groups that this daemon holds under its lease. */
 export class GroupHolder {
@@ -23,9 +25,13 @@
   /** Groups given up, with the revision of the assignment that was given up. */
   private readonly released = new Map<GroupId, Revision>();
   private lease: LeaseId | undefined;
+  private readonly ticks: AdaptiveTick;
 
   constructor(private readonly context: HolderContext) {
-    context.timer.subscribe(TICK_INTERVAL_MS, (nowMs) => this.tick(nowMs));
+    this.ticks = new AdaptiveTick(context.timer, BUSY_TICK_MS, IDLE_TICK_MS, (nowMs) => {
+      this.tick(nowMs);
+      return this.isBusy;
+    });
   }
 
   /** Groups that are held now. */
@@ -63,6 +69,7 @@
       this.refuse(request, receiver, Diagnostics.HolderMoved);
       return undefined;
     }
+    this.ticks.wake();
     return group.execute(request, receiver);
   }
 
@@ -80,6 +87,7 @@
 
   /** Takes on assignments and everything else that control decided. */
   recordsChanged(): void {
+    this.ticks.wake();
     this.checkLease();
     if (!this.context.lease.isValid()) {
       return;
@@ -111,6 +119,10 @@
     }
   }
 
+  private get isBusy(): boolean {
+    return [...this.groups.values()].some((group) => group.isBusy);
+  }
+
   private updateGroup(id: GroupId): void {
     const assignment = this.context.records.getGroupAssignment(id);
     const isOwn = assignment?.holder !== undefined && assignment.holder.lease === this.lease;
--- a/src/daemon/holder/groupRequests.ts
+++ b/src/daemon/holder/groupRequests.ts
@@ -2,7 +2,7 @@
 import type { InstanceId, RequestId } from '../../common/ids/index.js';
 import { mayRetry, RouteKind, type RouteDecision } from '../../decisions/routing/index.js';
 import type { SessionPosition } from '../../decisions/sessions/index.js';
-import type { BackendConnection, ProbeAnswer } from '../backend/index.js';
+import { BackendRefusal, type BackendLink, type ProbeAnswer } from '../backend/index.js';
 import {
   RequestKind,
   TransactionStatus,
@@ -22,10 +22,16 @@
 
 /** What the requests of a group need of it. */
 export interface RequestPlaces {
-  route(request: ExecuteRequest): RouteDecision;
+  route(held: HeldRequest): RouteDecision;
   getInstance(id: InstanceId): HeldInstance | undefined;
   /** Whether a request may be sent to an instance at this very moment. */
   mayStart(held: HeldRequest, instance: HeldInstance): boolean;
+  /** What an instance's log must hold before it runs a request. */
+  getMinimum(held: HeldRequest): SessionPosition | undefined;
+  /** An instance answered a request that was sent at that time. */
+  standingSeen(instance: HeldInstance, standing: ProbeAnswer, sentMs: number): void;
+  /** The primary says that it leads no more. */
+  leadLost(instance: HeldInstance): void;
   /** A request has ended. */
   requestEnded(): void;
 }
@@ -140,6 +146,7 @@
       return;
     }
     instance.pool.acquire({
+      account: held.request.account,
       connected: (connection) => this.start(held, instance, connection),
       failed: (fault) => this.startFailed(held, instance, fault),
     });
@@ -153,22 +160,49 @@
     }
   }
 
-  requestRan(held: HeldRequest, written: ProbeAnswer | undefined): void {
+  requestRan(held: HeldRequest, standing: ProbeAnswer | undefined): void {
     const nowMs = this.context.timer.now();
+    const { instance, startedMs = nowMs } = held;
     held.endedMs = nowMs;
-    held.instance?.recordLatency(nowMs - (held.startedMs ?? nowMs));
+    instance?.recordLatency(nowMs - startedMs);
+    if (instance !== undefined && standing !== undefined) {
+      this.places.standingSeen(instance, standing, startedMs);
+    }
     if (held.status !== TransactionStatus.Idle) {
       this.transactions.keepOpen(held);
       return;
     }
     this.releaseAfter(held);
     if (held.request.mayCommit && !held.failedOnServer) {
-      this.writes.confirm(held, written);
+      this.writes.confirm(held, standing);
     } else {
       held.finish(this.withPosition(held, nowMs));
     }
   }
 
+  requestDeclined(held: HeldRequest, refusal: BackendRefusal): void {
+    const { instance, connection, request } = held;
+    const peer = instance?.id;
+    const context = { step: 'holder.declined', ...(peer === undefined ? {} : { peer }) };
+    if (refusal === BackendRefusal.NotPrimary && instance !== undefined) {
+      this.places.leadLost(instance);
+    }
+    if (request.transaction !== undefined) {
+      this.transactions.declined(
+        held,
+        createFault(Diagnostics.BackendDeclined, { refusal }, context),
+      );
+      return;
+    }
+    instance?.cancel(request.id);
+    if (connection !== undefined) {
+      instance?.pool.release(connection, refusal !== BackendRefusal.StatementUnknown);
+    }
+    held.avoidsReplicas ||= refusal === BackendRefusal.Behind;
+    held.reset();
+    this.waitAgain(held);
+  }
+
   requestLost(held: HeldRequest, fault: Fault): void {
     const { instance, request } = held;
     instance?.monitor.check();
@@ -195,7 +229,7 @@
       this.failNotRun(held, this.closingFault);
       return;
     }
-    const decision = this.places.route(held.request);
+    const decision = this.places.route(held);
     switch (decision.kind) {
       case RouteKind.Instance:
         this.waiting.delete(held);
@@ -220,13 +254,14 @@
     instance.enqueue(createQueueItem(held, instance, this.context.records));
   }
 
-  private start(held: HeldRequest, instance: HeldInstance, connection: BackendConnection): void {
+  private start(held: HeldRequest, instance: HeldInstance, connection: BackendLink): void {
     if (held.finished || !this.places.mayStart(held, instance)) {
       instance.pool.release(connection, true);
       instance.cancel(held.request.id);
       this.waitAgain(held);
       return;
     }
+    held.minimum = this.places.getMinimum(held);
     held.run(connection, this, this.context.timer.now());
   }
 
--- a/src/daemon/holder/groupTransactions.ts
+++ b/src/daemon/holder/groupTransactions.ts
@@ -151,6 +151,18 @@
     );
   }
 
+  /** Ends a transaction because one of its statements was not run. */
+  declined(held: HeldRequest, fault: Fault): void {
+    const { transaction: id } = held.request;
+    const transaction = id === undefined ? undefined : this.open.get(id);
+    if (id !== undefined && transaction !== undefined) {
+      this.end(id);
+      transaction.connection.close();
+    }
+    held.status = TransactionStatus.Idle;
+    held.fail(fault, this.getDetails());
+  }
+
   private failLost(held: HeldRequest): void {
     const context = { step: 'holder.transaction', execution: Execution.NotRun };
     held.status = TransactionStatus.Idle;
--- a/src/daemon/holder/groupWrites.ts
+++ b/src/daemon/holder/groupWrites.ts
@@ -7,7 +7,11 @@
   type InstanceId,
   type Term,
 } from '../../common/ids/index.js';
-import { PrimaryPhase, type GroupPrimary } from '../../decisions/control/index.js';
+import {
+  getServedTimeline,
+  PrimaryPhase,
+  type GroupPrimary,
+} from '../../decisions/control/index.js';
 import { WriteConfirmations, type PendingWrite } from '../../decisions/routing/index.js';
 import {
   getFurthest,
@@ -46,6 +50,11 @@
     private readonly owner: GroupWritesOwner,
   ) {}
 
+  /** Term of the log positions of the primary that served last. */
+  get timeline(): Term | undefined {
+    return this.primary && getServedTimeline(this.primary);
+  }
+
   get isFenced(): boolean {
     return this.primary === undefined || this.fencedTerm >= this.primary.term;
   }
@@ -61,10 +70,11 @@
 
   /** Takes on the primary that control decided, and settles writes of earlier terms. */
   setPrimary(primary: GroupPrimary): void {
-    const changed = this.primary !== undefined && primary.term > this.primary.term;
+    const timeline = this.timeline;
+    const changed = this.primary !== undefined && getServedTimeline(primary) !== timeline;
     this.primary = primary;
     if (changed) {
-      this.acknowledged = undefined;
+      this.acknowledged = getServedStartPosition(primary);
     }
     if (primary.phase === PrimaryPhase.Serving) {
       this.settleEarlierTerms(primary);
@@ -89,7 +99,11 @@
 
   /** Acknowledges a committed write, at once or when a replica has it. */
   confirm(request: HeldRequest, written: ProbeAnswer | undefined): void {
-    if (written === undefined || written.inRecovery || !this.mayAcknowledge(written.term)) {
+    if (
+      written === undefined ||
+      written.isPrimary === false ||
+      !this.mayAcknowledge(written.term)
+    ) {
       this.keepOrGiveUp(request, written);
       return;
     }
@@ -117,7 +131,7 @@
 
   /** Takes in the primary's own position. */
   primaryReached(position: SessionPosition): void {
-    if (position.term === this.primary?.term) {
+    if (position.term === this.timeline) {
       this.acknowledged ??= position;
     }
   }
@@ -139,8 +153,8 @@
 
   private mayAcknowledge(term: Term): boolean {
     return (
-      this.primary?.term === term &&
-      this.primary.phase !== PrimaryPhase.Promoting &&
+      this.timeline === term &&
+      this.primary?.phase !== PrimaryPhase.Promoting &&
       !this.isFenced &&
       this.context.lease.isValid()
     );
@@ -154,7 +168,7 @@
   /** A fenced write waits for the next term, which may contain it. */
   private keepOrGiveUp(request: HeldRequest, written: ProbeAnswer | undefined): void {
     const nowMs = this.context.timer.now();
-    const isOwnTerm = written?.term === this.primary?.term && written?.inRecovery === false;
+    const isOwnTerm = written?.term === this.timeline && written?.isPrimary !== false;
     if (written === undefined || !isOwnTerm || !this.isFenced || nowMs >= request.deadlineMs) {
       this.failUnknown(request);
       return;
@@ -181,10 +195,11 @@
   }
 
   private settleEarlierTerms(primary: GroupPrimary): void {
-    for (const write of this.confirmations.takeBefore(primary.term)) {
+    const timeline = getServedTimeline(primary) ?? primary.term;
+    for (const write of this.confirmations.takeBefore(timeline)) {
       const request = this.take(write);
       const included = getPositionStatus(write.position, primary) === PositionStatus.Included;
-      if (request !== undefined && included && this.mayAcknowledge(primary.term)) {
+      if (request !== undefined && included && this.mayAcknowledge(timeline)) {
         this.acknowledge(request, write.position);
       } else if (request !== undefined) {
         this.failUnknown(request);
@@ -219,3 +234,10 @@
     this.owner.setUrgent(this.confirmations.isWaiting && !this.isFenced);
   }
 }
+
+/** Where the history of the last primary that served began: every earlier acknowledged write is before. */
+function getServedStartPosition(primary: GroupPrimary): SessionPosition | undefined {
+  const term = getServedTimeline(primary);
+  const start = primary.history.at(-1);
+  return term === undefined || start === undefined ? undefined : { term, position: start.position };
+}
--- a/src/daemon/holder/heldGroup.ts
+++ b/src/daemon/holder/heldGroup.ts
@@ -13,13 +13,16 @@
   type InstanceRecord,
 } from '../../decisions/control/index.js';
 import {
+  getReadMinimum,
   GroupRouter,
   NearReplica,
   PositionClock,
   type GroupView,
+  type ReadRequirement,
   type RouteDecision,
 } from '../../decisions/routing/index.js';
 import type { ProbeAnswer } from '../backend/index.js';
+import type { SessionPosition } from '../../decisions/sessions/index.js';
 import {
   RequestKind,
   type ExecuteRequest,
@@ -66,6 +69,11 @@
     return this.draining && this.requests.isIdle;
   }
 
+  /** Something in it has to be looked at again soon. */
+  get isBusy(): boolean {
+    return this.draining || !this.requests.isIdle || this.isSurveying;
+  }
+
   /** Connections to the group's instances. */
   get connectionCount(): number {
     let count = 0;
@@ -90,6 +98,7 @@
     const { records } = this.context;
     const primary = records.getPrimary(this.group);
     const previousTerm = this.writes.primary?.term;
+    const previousTimeline = this.writes.timeline;
     if (primary !== undefined) {
       this.writes.setPrimary(primary);
     }
@@ -99,9 +108,11 @@
         this.writes.forgetReplica(record.instance);
       }
     }
-    if (primary?.term !== previousTerm) {
-      this.primaryMoved();
+    this.dropGone();
+    if (primary?.term !== previousTerm || this.writes.timeline !== previousTimeline) {
+      this.primaryMoved(previousTimeline);
     }
+    this.updateSurveying();
     this.requests.retryWaiting();
     this.move.check(this.writes.primary);
   }
@@ -137,6 +148,7 @@
       instance.tick(nowMs);
     }
     this.writes.tick(nowMs);
+    this.updateSurveying();
     this.requests.tick(nowMs);
     this.move.check(this.writes.primary);
   }
@@ -159,11 +171,10 @@
     }
   }
 
-  route(request: ExecuteRequest): RouteDecision {
-    const { session, maximumStalenessMs } = request;
-    return request.kind === RequestKind.Read
-      ? this.router.routeRead(this.getView(), { session, maximumStalenessMs })
-      : this.router.routeWrite(this.getView(), session);
+  route({ request, avoidsReplicas }: HeldRequest): RouteDecision {
+    return isRead(request)
+      ? this.router.routeRead(this.getView(), getRequirement(request, avoidsReplicas))
+      : this.router.routeWrite(this.getView(), request.session);
   }
 
   getInstance(id: InstanceId): HeldInstance | undefined {
@@ -179,6 +190,27 @@
     return held.onReplica || (isServing && primary.instance === instance.id);
   }
 
+  getMinimum({ request, avoidsReplicas }: HeldRequest): SessionPosition | undefined {
+    const { primary, acknowledged } = this.writes;
+    if (primary === undefined || !this.context.protocol.checksMinimum || isBlindWrite(request)) {
+      return undefined;
+    }
+    const writes = { primary, acknowledged, clock: this.clock };
+    const nowMs = this.context.timer.now();
+    return getReadMinimum(getRequirement(request, avoidsReplicas), writes, nowMs);
+  }
+
+  standingSeen(instance: HeldInstance, standing: ProbeAnswer, sentMs: number): void {
+    instance.noteStanding(standing, sentMs);
+    this.noteStanding(instance, standing, sentMs);
+  }
+
+  leadLost(instance: HeldInstance): void {
+    if (instance.id === this.writes.primary?.instance) {
+      this.writes.fence('the instance says that it leads no more');
+    }
+  }
+
   requestEnded(): void {
     this.move.check(this.writes.primary);
   }
@@ -195,19 +227,28 @@
     this.requests.transactions.abort(id);
   }
 
-  probeAnswered(instance: HeldInstance, answer: ProbeAnswer): void {
-    const { primary } = this.writes;
+  probeAnswered(instance: HeldInstance, answer: ProbeAnswer, sentMs: number): void {
+    this.noteStanding(instance, answer, sentMs);
+    if (answer.received !== undefined && this.isSurveying) {
+      this.context.reportNow();
+    }
+    this.requests.retryWaiting();
+  }
+
+  private noteStanding(instance: HeldInstance, answer: ProbeAnswer, sentMs: number): void {
+    const { primary, timeline } = this.writes;
     const position = { term: answer.term, position: answer.position };
     if (instance.id !== primary?.instance) {
       // A leaving replica does not count: control leaves it out when it chooses a primary.
       if (!this.context.records.isLeaving(this.group, instance.id)) {
         this.writes.replicaReached(instance.id, position);
       }
-    } else if (answer.term === primary.term && !answer.inRecovery) {
-      this.clock.record(answer.position, instance.probedMs);
+    } else if (answer.isPrimary === false) {
+      this.leadLost(instance);
+    } else if (answer.term === timeline && primary.phase !== PrimaryPhase.Promoting) {
+      this.clock.record(answer.position, sentMs);
       this.writes.primaryReached(position);
     }
-    this.requests.retryWaiting();
   }
 
   connectionCondemned(instance: HeldInstance): void {
@@ -226,10 +267,13 @@
 
   private updateInstance(record: InstanceRecord): void {
     const known = this.instances.get(record.instance);
+    const limit = this.context.records.getGroup(this.group)?.connectionLimit;
+    const connectionLimit = Math.min(limit ?? record.connectionLimit, record.connectionLimit);
     const isSame =
       known?.record.address === record.address &&
       known.record.slots === record.slots &&
-      known.record.connectionLimit === record.connectionLimit;
+      known.record.startedMs === record.startedMs &&
+      known.record.connectionLimit === connectionLimit;
     const limitMs =
       this.context.records.getGroup(this.group)?.transactionLimitMs ?? DEFAULT_TRANSACTION_LIMIT_MS;
     if (isSame) {
@@ -241,8 +285,7 @@
       known.stop(this.createMovedFault());
     }
     const created = new HeldInstance(
-      record,
-      { ...this.context.access, database: this.group },
+      { ...record, connectionLimit },
       limitMs,
       this.context,
       this,
@@ -253,21 +296,58 @@
     created.start();
   }
 
-  /** Another term began: what was queued or known under the earlier one is void. */
-  private primaryMoved(): void {
-    this.clock.reset();
+  private get isSurveying(): boolean {
+    const { primary, isFenced } = this.writes;
+    return isFenced || primary?.phase !== PrimaryPhase.Serving;
+  }
+
+  /** While the primary is in doubt, control needs all that the instances received. */
+  private updateSurveying(): void {
+    for (const { monitor } of this.instances.values()) {
+      monitor.setSurveying(this.isSurveying);
+    }
+  }
+
+  /** Gives up instances that are gone for good. */
+  private dropGone(): void {
+    const present = new Set(
+      this.context.records.getInstances(this.group).map((each) => each.instance),
+    );
+    for (const [id, instance] of [...this.instances]) {
+      if (!present.has(id)) {
+        this.instances.delete(id);
+        this.writes.forgetReplica(id);
+        this.requests.requeue(instance);
+        instance.stop(this.createMovedFault());
+      }
+    }
+  }
+
+  /** The primary changed: what was queued for the earlier one, or known of its log, is void. */
+  private primaryMoved(previousTimeline: Term | undefined): void {
+    const isOtherTimeline = this.writes.timeline !== previousTimeline;
+    if (isOtherTimeline) {
+      this.clock.reset();
+    }
     for (const instance of this.instances.values()) {
       const isPrimary = instance.id === this.writes.primary?.instance;
-      for (const transaction of this.requests.transactions.getOpenOn(instance.id)) {
-        this.requests.transactions.abort(transaction.id);
+      if (isOtherTimeline || instance.id === this.writes.primary?.base?.instance) {
+        this.abortOpen(instance.id);
+        instance.position = undefined;
       }
-      instance.position = undefined;
       instance.monitor.setExpectsPrimary(isPrimary);
       instance.monitor.check();
       this.requests.requeue(instance);
     }
   }
 
+  private abortOpen(instance: InstanceId): void {
+    const { transactions } = this.requests;
+    for (const transaction of transactions.getOpenOn(instance)) {
+      transactions.abort(transaction.id);
+    }
+  }
+
   private getView(): GroupView {
     const nowMs = this.context.timer.now();
     const instances = [...this.instances.values()].map((instance) => instance.getView(nowMs));
@@ -279,3 +359,17 @@
     return createFault(Diagnostics.HolderMoved, { group: this.group }, { step: 'holder.group' });
   }
 }
+
+function isRead({ kind, readOnly }: ExecuteRequest): boolean {
+  return kind === RequestKind.Read || readOnly === true;
+}
+
+/** A single write reads nothing that could be outdated. */
+function isBlindWrite({ kind }: ExecuteRequest): boolean {
+  return kind === RequestKind.Write;
+}
+
+function getRequirement(request: ExecuteRequest, avoidsReplicas: boolean): ReadRequirement {
+  const { session, maximumStalenessMs, latest = false } = request;
+  return { session, maximumStalenessMs, latest, avoidsReplicas };
+}
--- a/src/daemon/holder/heldInstance.ts
+++ b/src/daemon/holder/heldInstance.ts
@@ -1,4 +1,4 @@
-import type { InstanceId, RequestId } from '../../common/ids/index.js';
+import { toAccountId, type InstanceId, type RequestId } from '../../common/ids/index.js';
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
 import type { InstanceRecord } from '../../decisions/control/index.js';
 import {
@@ -13,7 +13,7 @@
   type InstanceView,
 } from '../../decisions/routing/index.js';
 import type { SessionPosition } from '../../decisions/sessions/index.js';
-import { ConnectionPool, type BackendAccess, type ProbeAnswer } from '../backend/index.js';
+import { ConnectionPool, type BackendTarget, type ProbeAnswer } from '../backend/index.js';
 import type { HolderContext } from './holderContext.js';
 import { InstanceMonitor, type MonitorListener } from './instanceMonitor.js';
 
@@ -22,8 +22,16 @@
 const SLOW_START_MS = 3000;
 const LATENCY_WEIGHT = 0.1;
 const RETRY_SHARE = 0.2;
+/** Where connections are opened for any account. */
+const NO_ACCOUNT = toAccountId('');
 const MAXIMUM_RETRIES = 50;
 
+/** What an instance said of itself, and when it was asked. */
+export interface InstanceSurvey extends SessionPosition {
+  readonly isPrimary?: boolean;
+  readonly sentMs: number;
+}
+
 /** What a held instance tells its group. */
 export interface HeldInstanceListener {
   /** A queued request has a slot. */
@@ -32,7 +40,7 @@
   slotRefused(instance: HeldInstance, id: RequestId, fault: Fault): void;
   /** A transaction was open for too long. */
   transactionOverdue(instance: HeldInstance, id: RequestId, fault: Fault): void;
-  probeAnswered(instance: HeldInstance, answer: ProbeAnswer): void;
+  probeAnswered(instance: HeldInstance, answer: ProbeAnswer, sentMs: number): void;
   /** The monitor's connection gave no answer; new ones may. */
   connectionCondemned(instance: HeldInstance): void;
   instanceLost(instance: HeldInstance): void;
@@ -47,13 +55,12 @@
   readonly retries = new RetryBudget(RETRY_SHARE, MAXIMUM_RETRIES);
   position: SessionPosition | undefined;
   private latencyMs = 1;
-  private positionSentMs = 0;
+  private lastSurvey: InstanceSurvey | undefined;
   private lastSilenceMs: number | undefined;
   private lastDeadMs: number | undefined;
 
   constructor(
     readonly record: InstanceRecord,
-    access: BackendAccess,
     transactionLimitMs: number,
     private readonly context: HolderContext,
     private readonly listener: HeldInstanceListener,
@@ -66,9 +73,15 @@
       warmConnections: Math.min(record.slots, record.connectionLimit - MONITOR_CONNECTIONS),
       openTimeoutMs: OPEN_TIMEOUT_MS,
     };
-    this.pool = new ConnectionPool(record.address, access, limits, context.timer);
+    const { protocol, timer } = context;
+    const target: BackendTarget = {
+      address: record.address,
+      group: record.group,
+      instance: record.instance,
+    };
+    this.pool = new ConnectionPool(target, protocol, limits, timer);
     this.pool.onCondemned = () => this.noteSilence();
-    this.monitor = new InstanceMonitor(record.address, access, context.timer, this, expectsPrimary);
+    this.monitor = new InstanceMonitor(target, protocol, timer, this, expectsPrimary);
   }
 
   get id(): InstanceId {
@@ -83,7 +96,7 @@
 
   start(): void {
     this.monitor.start();
-    this.pool.warm();
+    this.pool.warm(NO_ACCOUNT);
   }
 
   stop(fault: Fault): void {
@@ -148,14 +161,23 @@
   }
 
   probeAnswered(answer: ProbeAnswer, sentMs: number): void {
-    this.positionSentMs = sentMs;
-    this.position = { term: answer.term, position: answer.position };
-    this.listener.probeAnswered(this, answer);
+    this.noteStanding(answer, sentMs);
+    this.listener.probeAnswered(this, answer, sentMs);
+  }
+
+  /** Takes in where the instance stood at some time after it was asked. */
+  noteStanding(answer: ProbeAnswer, sentMs: number): void {
+    const { term, position, received, isPrimary } = answer;
+    this.position = { term, position };
+    if (received !== undefined) {
+      const known = { term, position: received, sentMs };
+      this.lastSurvey = isPrimary === undefined ? known : { ...known, isPrimary };
+    }
   }
 
-  /** When the last answered probe was sent. */
-  get probedMs(): number {
-    return this.positionSentMs;
+  /** What the instance last said of all that it received. */
+  get survey(): InstanceSurvey | undefined {
+    return this.lastSurvey;
   }
 
   /** When a connection last gave no sign of life; others opened before may be silent too. */
@@ -166,6 +188,7 @@
   connectionCondemned(): void {
     this.noteSilence();
     this.position = undefined;
+    this.lastSurvey = undefined;
     this.listener.connectionCondemned(this);
   }
 
--- a/src/daemon/holder/heldRequest.ts
+++ b/src/daemon/holder/heldRequest.ts
@@ -1,9 +1,12 @@
-import { Parser } from 'pg-protocol/dist/parser.js';
 import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
-import { toTerm } from '../../common/ids/index.js';
-import { tryParseLogPosition } from '../../common/logPosition.js';
 import type { SessionPosition } from '../../decisions/sessions/index.js';
-import { BackendExchange, type BackendConnection, type ProbeAnswer } from '../backend/index.js';
+import {
+  BackendExchange,
+  type BackendLink,
+  type BackendRefusal,
+  type ExchangeResult,
+  type ProbeAnswer,
+} from '../backend/index.js';
 import {
   RequestKind,
   toRequestFault,
@@ -13,35 +16,31 @@
   type ResponseReceiver,
 } from '../requests/index.js';
 import type { HeldInstance } from './heldInstance.js';
-import { POSITION_QUERY } from './positionQuery.js';
 
-const TAG_OFFSET = 5;
 const WINDOW_BYTES = 262_144;
 const MAXIMUM_HELD_BACK_BYTES = 33_554_432;
 
-/** A row in text form. */
-interface Row {
-  readonly fields: readonly (string | null)[];
-}
-
 /** What the owner of a request learns from its run. */
 export interface HeldRequestOwner {
-  /** The answer is whole; `written` is the position after a commit that is to be confirmed. */
-  requestRan(request: HeldRequest, written: ProbeAnswer | undefined): void;
+  /** The answer is whole; `standing` says where the instance stands after it. */
+  requestRan(request: HeldRequest, standing: ProbeAnswer | undefined): void;
+  /** The backend server did not run the request. */
+  requestDeclined(request: HeldRequest, refusal: BackendRefusal): void;
   /** The connection was lost while the request ran. */
   requestLost(request: HeldRequest, fault: Fault): void;
 }
 
 /** One request at its holder, from its arrival to the end of its answer. */
 export class HeldRequest extends BackendExchange {
-  override payload: readonly Uint8Array[] = [];
-  override addedParses: readonly string[] = [];
-  connection: BackendConnection | undefined;
+  override minimum: SessionPosition | undefined;
+  connection: BackendLink | undefined;
   instance: HeldInstance | undefined;
   /** Called once when the answer has ended. */
   onFinished: (() => void) | undefined;
   status = TransactionStatus.Idle;
   onReplica = false;
+  /** A replica lacked its minimum: the next attempt goes to the primary. */
+  avoidsReplicas = false;
   /** Some byte of an answer has gone to the receiver. */
   answered = false;
   /** Some byte came back over the backend connection. */
@@ -57,9 +56,6 @@
   private heldBackBytes = 0;
   private holding = false;
   private failed = false;
-  private committed = false;
-  private inPositionPhase = false;
-  private written: ProbeAnswer | undefined;
   private sentBytes = 0;
   private consumedBytes = 0;
   private owner: HeldRequestOwner | undefined;
@@ -78,19 +74,14 @@
 
   /** The request ended with an error of the backend server and committed nothing. */
   get failedOnServer(): boolean {
-    return this.failed && !this.committed;
+    return this.failed;
   }
 
   /** Sends the request over a connection. */
-  run(connection: BackendConnection, owner: HeldRequestOwner, nowMs: number): void {
-    const missing = this.request.prepared.filter(({ name }) => !connection.hasPrepared(name));
+  run(connection: BackendLink, owner: HeldRequestOwner, nowMs: number): void {
     this.owner = owner;
     this.connection = connection;
     this.startedMs = nowMs;
-    this.addedParses = missing.map(({ name }) => name);
-    const parses = missing.map(({ message }) => message);
-    const tail = this.request.mayCommit ? [POSITION_QUERY] : [];
-    this.payload = [...parses, this.request.payload, ...tail];
     connection.run(this);
   }
 
@@ -103,9 +94,7 @@
     this.heard = false;
     this.holding = false;
     this.failed = false;
-    this.committed = false;
-    this.inPositionPhase = false;
-    this.written = undefined;
+    this.instance = undefined;
   }
 
   /** Notes how much of the answer the receiver has consumed. */
@@ -117,47 +106,24 @@
     }
   }
 
-  override passThrough(bytes: Buffer): void {
+  override answer(bytes: Buffer, isAcknowledgement: boolean): void {
     this.heard = true;
-    if (this.inPositionPhase) {
-      this.readPosition(bytes);
-    } else {
-      this.forward(bytes);
-    }
+    this.holding ||= isAcknowledgement;
+    this.forward(bytes);
   }
 
-  override commandComplete(frame: Buffer): void {
+  override ran({ status, failed, standing }: ExchangeResult): void {
     this.heard = true;
-    if (this.inPositionPhase) {
-      return;
-    }
-    this.holding ||= this.request.mayCommit;
-    this.committed ||= frame.toString('latin1', TAG_OFFSET, TAG_OFFSET + 6) === 'COMMIT';
-    this.forward(frame);
+    this.status = status;
+    this.failed = failed;
+    this.connection?.setPaused(false);
+    this.owner?.requestRan(this, standing);
   }
 
-  override errorResponse(frame: Buffer): void {
+  override declined(refusal: BackendRefusal, status: TransactionStatus): void {
     this.heard = true;
-    if (!this.inPositionPhase) {
-      this.failed = true;
-      this.forward(frame);
-    }
-  }
-
-  override isLastReady(): boolean {
-    return this.inPositionPhase || !this.request.mayCommit;
-  }
-
-  override ready(status: TransactionStatus): void {
-    if (!this.inPositionPhase) {
-      this.status = status;
-    }
-    if (this.inPositionPhase || !this.request.mayCommit) {
-      this.connection?.setPaused(false);
-      this.owner?.requestRan(this, this.written);
-      return;
-    }
-    this.inPositionPhase = true;
+    this.status = status;
+    this.owner?.requestDeclined(this, refusal);
   }
 
   override lost(fault: Fault): void {
@@ -226,14 +192,6 @@
       this.connection?.setPaused(true);
     }
   }
-
-  private readPosition(bytes: Buffer): void {
-    new Parser().parse(bytes, (message) => {
-      if (message.name === 'dataRow') {
-        this.written = toProbeAnswer((message as unknown as Row).fields);
-      }
-    });
-  }
 }
 
 /** What the owner adds to a request's outcome. */
@@ -248,15 +206,3 @@
   const context = { step, execution: Execution.Unknown, ...(peer === undefined ? {} : { peer }) };
   return createFault(Diagnostics.OutcomeUnknown, {}, context);
 }
-
-function toProbeAnswer(fields: readonly (string | null)[]): ProbeAnswer | undefined {
-  const position = tryParseLogPosition(fields[1] ?? '');
-  if (position.isErr()) {
-    return undefined;
-  }
-  return {
-    inRecovery: fields[0]?.startsWith('t') === true,
-    position: position.value,
-    term: toTerm(Number(fields[2])),
-  };
-}
--- a/src/daemon/holder/heldTransaction.ts
+++ b/src/daemon/holder/heldTransaction.ts
@@ -1,5 +1,5 @@
 import type { RequestId } from '../../common/ids/index.js';
-import type { BackendConnection } from '../backend/index.js';
+import type { BackendLink } from '../backend/index.js';
 import type { HeldInstance } from './heldInstance.js';
 import type { HeldRequest } from './heldRequest.js';
 
@@ -8,7 +8,7 @@
   /** Named by the caller's next request; the id of the request that opened it. */
   readonly id: RequestId;
   readonly instance: HeldInstance;
-  readonly connection: BackendConnection;
+  readonly connection: BackendLink;
   /** The request that runs or waits in it. */
   current: HeldRequest | undefined;
 }
--- a/src/daemon/holder/holderContext.ts
+++ b/src/daemon/holder/holderContext.ts
@@ -3,7 +3,7 @@
 import type { RandomSource } from '../../common/random.js';
 import type { TimerService } from '../../common/timer/index.js';
 import type { DaemonRecords } from '../../decisions/control/index.js';
-import type { BackendAccess } from '../backend/index.js';
+import type { BackendProtocol } from '../backend/index.js';
 import type { HolderLease } from './holderLease.js';
 
 /** What the parts of a holder share. */
@@ -14,7 +14,7 @@
   readonly random: RandomSource;
   readonly records: DaemonRecords;
   readonly lease: HolderLease;
-  readonly access: Omit<BackendAccess, 'database'>;
+  readonly protocol: BackendProtocol;
   /** Asks for a lease renewal at once, as when there is something to report. */
   readonly reportNow: () => void;
 }
--- a/src/daemon/holder/instanceMonitor.ts
+++ b/src/daemon/holder/instanceMonitor.ts
@@ -1,11 +1,18 @@
 import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
 import { InstanceHealth } from '../../decisions/routing/index.js';
-import type { BackendAccess, ProbeAnswer } from '../backend/index.js';
-import { ProbeConnection } from './probeConnection.js';
-
-const PROBE_INTERVAL_MS = 50;
+import {
+  ProbeDepth,
+  type BackendProbe,
+  type BackendProtocol,
+  type BackendTarget,
+  type ProbeAnswer,
+} from '../backend/index.js';
+
+const PROBE_INTERVAL_MS = 100;
 const URGENT_PROBE_INTERVAL_MS = 1;
 const PROBE_TIMEOUT_MS = 250;
+/** Such a probe takes a slot of an instance that has few. */
+const SURVEY_INTERVAL_MS = 1000;
 const CONNECT_TIMEOUT_MS = 250;
 /** Two attempts overlap, so that a lost packet is told from a lost instance without waiting twice. */
 const ATTEMPT_SPACING_MS = 100;
@@ -30,17 +37,19 @@
 /** Watches one instance over a connection of its own. */
 export class InstanceMonitor {
   readonly health = new InstanceHealth();
-  private connection: ProbeConnection | undefined;
-  private readonly attempts = new Set<ProbeConnection>();
+  private connection: BackendProbe | undefined;
+  private readonly attempts = new Set<BackendProbe>();
   private scheduled: Unsubscribe | undefined;
-  private asking: ProbeConnection | undefined;
+  private asking: BackendProbe | undefined;
   private urgent = false;
+  private surveying = false;
+  private surveyedMs = -SURVEY_INTERVAL_MS;
   private stopped = false;
   private condemnedMs: number | undefined;
 
   constructor(
-    private readonly address: string,
-    private readonly access: BackendAccess,
+    private readonly target: BackendTarget,
+    private readonly protocol: BackendProtocol,
     private readonly timer: TimerService,
     private readonly listener: MonitorListener,
     private expectsPrimary: boolean,
@@ -56,6 +65,14 @@
     this.expectsPrimary = expectsPrimary;
   }
 
+  /** Has each probe ask for all that the instance can tell, or no longer. */
+  setSurveying(surveying: boolean): void {
+    if (surveying && !this.surveying) {
+      this.askAfter(0);
+    }
+    this.surveying = surveying;
+  }
+
   /** Asks again as soon as possible while somebody waits for a position. */
   setUrgent(urgent: boolean): void {
     if (urgent === this.urgent) {
@@ -88,7 +105,7 @@
     if (this.stopped || this.connection !== undefined) {
       return;
     }
-    const attempt = new ProbeConnection(this.address, this.access, this.timer);
+    const attempt = this.protocol.createProbe(this.target, this.timer);
     this.attempts.add(attempt);
     attempt.open(CONNECT_TIMEOUT_MS).then(
       () => this.opened(attempt),
@@ -97,7 +114,7 @@
     this.timer.once(ATTEMPT_SPACING_MS, () => this.attempt());
   }
 
-  private opened(attempt: ProbeConnection): void {
+  private opened(attempt: BackendProbe): void {
     this.attempts.delete(attempt);
     if (this.stopped || this.connection !== undefined) {
       attempt.close();
@@ -107,7 +124,7 @@
     void this.ask(attempt);
   }
 
-  private attemptFailed(attempt: ProbeConnection): void {
+  private attemptFailed(attempt: BackendProbe): void {
     this.attempts.delete(attempt);
     if (this.stopped || this.connection !== undefined) {
       return;
@@ -119,11 +136,15 @@
     }
   }
 
-  private async ask(connection: ProbeConnection): Promise<void> {
+  private async ask(connection: BackendProbe): Promise<void> {
     this.asking = connection;
     const sentMs = this.timer.now();
     try {
-      const answer = await connection.ask(this.expectsPrimary, PROBE_TIMEOUT_MS);
+      const answer = await connection.ask(
+        this.getDepth(sentMs),
+        this.expectsPrimary,
+        PROBE_TIMEOUT_MS,
+      );
       if (this.connection === connection) {
         this.health.probeAnswered(this.timer.now());
         this.listener.probeAnswered(answer, sentMs);
@@ -138,6 +159,15 @@
     this.askAfter(this.urgent ? URGENT_PROBE_INTERVAL_MS : PROBE_INTERVAL_MS);
   }
 
+  /** All that can be told is asked now and then, and each time while somebody needs it. */
+  private getDepth(nowMs: number): ProbeDepth {
+    if (!this.surveying && nowMs - this.surveyedMs < SURVEY_INTERVAL_MS) {
+      return ProbeDepth.Position;
+    }
+    this.surveyedMs = nowMs;
+    return ProbeDepth.Standing;
+  }
+
   private askAfter(delayMs: number): void {
     const { connection } = this;
     if (connection === undefined || this.asking === connection) {
@@ -159,7 +189,7 @@
     }
   }
 
-  private condemn(connection: ProbeConnection): void {
+  private condemn(connection: BackendProbe): void {
     connection.close();
     if (this.connection === connection) {
       this.connection = undefined;
--- a/src/daemon/lease/leaseTask.ts
+++ b/src/daemon/lease/leaseTask.ts
@@ -6,6 +6,7 @@
   type GroupId,
   type HostId,
   type Incarnation,
+  type InstanceId,
   type LeaseId,
 } from '../../common/ids/index.js';
 import type { Logger } from '../../common/logging/index.js';
@@ -19,13 +20,18 @@
   LeaseGrant,
 } from '../../decisions/control/index.js';
 import { GrantEffect, HeldLease } from '../../decisions/leases/index.js';
+import type { ControlMember } from '../../decisions/tickets/index.js';
 import { HolderLease } from '../holder/index.js';
 import { MeshKind, type Mesh } from '../mesh/index.js';
 import type { ControlRoute } from './controlRoute.js';
 import { RecentAnnouncements } from './recentAnnouncements.js';
 
-const RENEWAL_INTERVAL_MS = 200;
-const CHECK_INTERVAL_MS = 20;
+const RENEWAL_INTERVAL_MS = 300;
+const CHECK_INTERVAL_MS = 50;
+/** Shortest time between two renewals. */
+const RENEWAL_SPACING_MS = 5;
+/** How long a departure is repeated: longer than a change of the control leader takes. */
+const DEPARTURE_RETENTION_MS = 3000;
 
 /** What goes with each renewal. */
 export interface RenewalContents {
@@ -33,6 +39,8 @@
   readonly releasedGroups: readonly GroupId[];
   readonly releasedAccounts: readonly AccountId[];
   readonly stopping: boolean;
+  /** This host as a member of the control quorum, when it is to be admitted by itself. */
+  readonly member?: ControlMember;
 }
 
 /** Who the daemon is towards control. */
@@ -53,7 +61,12 @@
   private wasValid = false;
   private lastSentMs = 0;
   private readonly sentMs = new Map<number, number>();
+  /** Suspensions suspected until a renewal was sent, by its sequence. */
+  private readonly sentSuspensions = new Map<number, number>();
+  /** Suspensions suspected until the last granted renewal was sent. */
+  private trusted = 0;
   private readonly announcements = new RecentAnnouncements();
+  private readonly departures = new Map<InstanceId, number>();
   private readonly subscriptions: Unsubscribe[] = [];
 
   constructor(
@@ -85,11 +98,11 @@
   }
 
   override isValid(): boolean {
-    return this.lease.isValid(this.timer.now());
+    return this.isTrusted && this.lease.isValid(this.timer.now());
   }
 
   override get leftMs(): number {
-    return this.lease.getLeftMs(this.timer.now());
+    return this.isTrusted ? this.lease.getLeftMs(this.timer.now()) : 0;
   }
 
   /** Begins to renew. */
@@ -106,23 +119,37 @@
     this.lease.end();
   }
 
-  /** Takes a backend server's announcement, to go with the next renewal. */
+  /** Takes a backend server's announcement, to go with the next renewal; with one at once when it is news. */
   announce(announcement: Announcement): void {
-    this.announcements.add(announcement, this.timer.now());
+    if (this.announcements.add(announcement, this.timer.now())) {
+      this.renewSoon();
+    }
+  }
+
+  /** Takes a backend server's word that it is gone; passed on for a while, as answers get lost. */
+  announceDeparture(instance: InstanceId): void {
+    this.departures.set(instance, this.timer.now());
+    this.renewSoon();
   }
 
   /** Renews without waiting for the interval, as when there is something to report. */
   renewSoon(): void {
-    const waitMs = this.lastSentMs + CHECK_INTERVAL_MS / 4 - this.timer.now();
+    const waitMs = this.lastSentMs + RENEWAL_SPACING_MS - this.timer.now();
     this.timer.once(Math.max(0, waitMs), () => this.renew());
   }
 
+  /** After a suspected suspension only a renewal sent later shows that the lease still lasts. */
+  private get isTrusted(): boolean {
+    return this.timer.suspensions === this.trusted;
+  }
+
   private check(nowMs: number): void {
     this.observeValidity();
+    this.forgetDepartures(nowMs);
     if (this.lease.isOver(nowMs)) {
       this.lease = this.createLease();
       this.renew();
-    } else if (nowMs - this.lastSentMs >= RENEWAL_INTERVAL_MS) {
+    } else if (nowMs - this.lastSentMs >= RENEWAL_INTERVAL_MS || !this.isTrusted) {
       this.renew();
     }
   }
@@ -133,6 +160,7 @@
     const start = this.lease.beginRenewal(nowMs);
     this.lastSentMs = nowMs;
     this.sentMs.set(start.sequence, nowMs);
+    this.sentSuspensions.set(start.sequence, this.timer.suspensions);
     this.mesh.send(address, {
       kind: MeshKind.LeaseRenewal,
       renewal: {
@@ -143,6 +171,7 @@
         address: this.mesh.address,
         revision: this.records.revision,
         announcements: this.announcements.getForwarded(nowMs),
+        ...(this.departures.size === 0 ? {} : { departures: [...this.departures.keys()] }),
       },
     });
   }
@@ -152,6 +181,9 @@
     const changed = this.records.applyRecords(grant.records, grant.revision);
     const effect = this.lease.receiveGrant(grant, nowMs);
     if (grant.lease === this.lease.id) {
+      if (effect === GrantEffect.Extended) {
+        this.trusted = this.sentSuspensions.get(grant.sequence) ?? this.trusted;
+      }
       this.forgetSent(grant.sequence);
     }
     this.observeValidity();
@@ -165,6 +197,14 @@
     }
   }
 
+  private forgetDepartures(nowMs: number): void {
+    for (const [instance, sinceMs] of this.departures) {
+      if (nowMs - sinceMs > DEPARTURE_RETENTION_MS) {
+        this.departures.delete(instance);
+      }
+    }
+  }
+
   private forgetSent(sequence: number): void {
     const sentMs = this.sentMs.get(sequence);
     if (sentMs !== undefined) {
@@ -173,6 +213,7 @@
     for (const known of this.sentMs.keys()) {
       if (known <= sequence) {
         this.sentMs.delete(known);
+        this.sentSuspensions.delete(known);
       }
     }
   }
@@ -197,6 +238,7 @@
   private createLease(): HeldLease {
     this.leaseCount += 1;
     this.sentMs.clear();
+    this.sentSuspensions.clear();
     return new HeldLease(toLeaseId(`${this.identity.incarnation}.${this.leaseCount}`));
   }
 }
--- a/src/daemon/lease/recentAnnouncements.ts
+++ b/src/daemon/lease/recentAnnouncements.ts
@@ -8,10 +8,18 @@
 /** The newest announcement of each instance, until the control leader has it. */
 export class RecentAnnouncements {
   private readonly received = new Map<string, ReceivedAnnouncement>();
+  /** What each instance last said of its role and whether it leaves. */
+  private readonly contents = new Map<string, string>();
 
-  add(announcement: Announcement, nowMs: number): void {
+  /** Keeps an announcement; whether it says something that control should know at once. */
+  add(announcement: Announcement, nowMs: number): boolean {
     const key = `${announcement.group}/${announcement.instance}`;
+    const { role, leaving, startedMs } = announcement;
+    const content = `${role} ${leaving} ${startedMs ?? ''}`;
+    const isNews = this.contents.get(key) !== content;
+    this.contents.set(key, content);
     this.received.set(key, { announcement, receivedMs: nowMs });
+    return isNews;
   }
 
   /** What is to go with the next renewal. */
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -7,6 +7,7 @@
 import { tryReadSettings, type Settings } from '../common/settings/index.js';
 import { SystemTimerService } from '../common/timer/index.js';
 import { Daemon } from './daemon.js';
+import { PostgresInterfaces } from './postgresInterfaces.js';
 import { tryReadDaemonFiles, type DaemonFiles } from './daemonFiles.js';
 import { SeededRandom } from './seededRandom.js';
 
@@ -46,6 +47,7 @@
   const { host, domain, log } = settings;
   const logger = new Logger(log.level, { host, domain });
   const daemon = new Daemon({
+    interfaces: new PostgresInterfaces(),
     settings,
     files,
     timer: new SystemTimerService(),
--- a/src/daemon/mesh/meshLink.ts
+++ b/src/daemon/mesh/meshLink.ts
@@ -7,7 +7,7 @@
 import type { Hello, MeshMessage } from './meshMessage.js';
 import type { MeshPeer } from './meshPeer.js';
 
-const HEARTBEAT_INTERVAL_MS = 200;
+const HEARTBEAT_INTERVAL_MS = 250;
 const SILENCE_LIMIT_MS = 800;
 const FINISH_LIMIT_MS = 200;
 const MAXIMUM_WAITING_FRAMES = 10_000;
@@ -142,9 +142,8 @@
         this.welcome(message);
         return;
       case MeshKind.Heartbeat:
-        this.send({ kind: MeshKind.HeartbeatAnswer, sequence: message.sequence });
-        return;
       case MeshKind.HeartbeatAnswer:
+        // Both sides send them: what was heard is noted already.
         return;
       default:
         if (this.peer === undefined) {
--- a/src/daemon/operators/controlClient.ts
+++ b/src/daemon/operators/controlClient.ts
@@ -1,7 +1,7 @@
 import type { Outcome } from '../../common/result.js';
 import type { Announcement, SubjectReading, TicketAnswer } from '../../decisions/control/index.js';
 import type { Ticket } from '../../decisions/tickets/index.js';
-import type { TicketNumber } from '../../common/ids/index.js';
+import type { FailureDomain, InstanceId, TicketNumber } from '../../common/ids/index.js';
 import type { FleetStatus } from './fleetStatus.js';
 
 /** The way from a daemon's HTTP interface to the control quorum, on whichever host its leader is. */
@@ -14,6 +14,10 @@
   abstract readInForce(subject: string | undefined): Outcome<readonly SubjectReading[]>;
   /** Reads the state of the fleet as the control leader sees it. */
   abstract readStatus(): Outcome<FleetStatus>;
+  /** Takes a failure domain out of service or back; idempotent. */
+  abstract switchDomain(domain: FailureDomain, inService: boolean): Outcome<unknown>;
+  /** Takes a backend server's word that it is gone for good. */
+  abstract announceDeparture(instance: InstanceId): void;
   /** Takes a backend server's announcement; the newest of each instance goes to the control leader. */
   abstract announce(announcement: Announcement): void;
 }
--- /dev/null
+++ b/src/daemon/postgres/index.ts
@@ -0,0 +1,1 @@
+export * from './postgresProtocol.js';
--- a/src/daemon/backend/openSocket.ts
+++ b/src/daemon/postgres/openSocket.ts
@@ -3,7 +3,7 @@
 import { createFault, Diagnostics } from '../../common/diagnostics/index.js';
 import type { TimerService } from '../../common/timer/index.js';
 import { splitAddress } from '../../common/settings/index.js';
-import type { BackendAccess } from './backendAccess.js';
+import type { PostgresAccess } from './postgresAccess.js';
 import { createBoundSocket } from './boundSocket.js';
 
 /** An authenticated connection whose bytes are no longer read by the client library. */
@@ -23,7 +23,7 @@
 /** Connects and authenticates with the client library, then takes the socket over; throws a Fault. */
 export async function openSocket(
   address: string,
-  access: BackendAccess,
+  access: PostgresAccess,
   timeoutMs: number,
   timer: TimerService,
 ): Promise<OpenedSocket> {
--- a/src/daemon/backend/backendAccess.ts
+++ b/src/daemon/postgres/postgresAccess.ts
@@ -1,5 +1,5 @@
-/** How the daemon presents itself to backend servers. */
-export interface BackendAccess {
+/** How the daemon presents itself to PostgreSQL backend servers. */
+export interface PostgresAccess {
   /** The daemon's own IP address, to which outgoing connections are bound. */
   readonly localIp: string;
   readonly user: string;
--- a/src/daemon/backend/backendConnection.ts
+++ b/src/daemon/postgres/postgresLink.ts
@@ -8,8 +8,10 @@
 import type { TimerService } from '../../common/timer/index.js';
 import { splitAddress } from '../../common/settings/index.js';
 import { TransactionStatus } from '../requests/index.js';
-import type { BackendAccess } from './backendAccess.js';
-import type { BackendExchange } from './backendExchange.js';
+import { BackendLink, type BackendExchange, type ProbeAnswer } from '../backend/index.js';
+import type { PostgresAccess } from './postgresAccess.js';
+import { POSITION_QUERY } from './positionQuery.js';
+import { readPosition } from './readPosition.js';
 import { FrameScanner, type FrameListener } from './frameScanner.js';
 import { FrameType } from './frameType.js';
 import { openSocket, type OpenedSocket } from './openSocket.js';
@@ -18,17 +20,19 @@
 const CANCEL_REQUEST_CODE = 80877102;
 const MAXIMUM_PREPARED_STATEMENTS = 500;
 const STATUS_OFFSET = 5;
+const TAG_OFFSET = 5;
+const COMMIT_TAG = 'COMMIT';
 const SYNC = Buffer.from([0x53, 0, 0, 0, 4]);
 
 /** One connection to a backend server; it runs one exchange at a time. */
-export class BackendConnection implements FrameListener {
-  /** Called once when the connection is gone, whoever closed it. */
-  onClosed: (() => void) | undefined;
-  /** When the connection was ready for its first request. */
-  readonly openedMs: number;
+export class PostgresLink extends BackendLink implements FrameListener {
+  override readonly account = undefined;
+  override readonly openedMs: number;
   private readonly scanner = new FrameScanner(this);
   private readonly prepared = new Set<string>();
   private exchange: BackendExchange | undefined;
+  /** What was seen of the running exchange's answer. */
+  private progress = createProgress();
   /** Names of added Parse messages whose answers are still to come. */
   private hiddenParses: string[] = [];
   /** Called with the answers to heartbeats that are still to come, oldest first. */
@@ -39,9 +43,10 @@
   private constructor(
     readonly address: string,
     private readonly opened: OpenedSocket,
-    private readonly access: BackendAccess,
+    private readonly access: PostgresAccess,
     private readonly timer: TimerService,
   ) {
+    super();
     this.openedMs = timer.now();
     const { socket } = opened;
     socket.on('data', (chunk: Buffer) => this.scanner.push(chunk));
@@ -54,55 +59,53 @@
   /** Opens a connection; throws a Fault. */
   static async open(
     address: string,
-    access: BackendAccess,
+    access: PostgresAccess,
     timeoutMs: number,
     timer: TimerService,
-  ): Promise<BackendConnection> {
+  ): Promise<PostgresLink> {
     const opened = await openSocket(address, access, timeoutMs, timer);
-    return new BackendConnection(address, opened, access, timer);
+    return new PostgresLink(address, opened, access, timer);
   }
 
-  get isClosed(): boolean {
+  override get isClosed(): boolean {
     return this.closed;
   }
 
-  /** No further request should be given to it although it works. */
-  get isWorn(): boolean {
+  override get isWorn(): boolean {
     // A cancel request that comes late would hit the next statement.
     return this.closed || this.cancelled || this.prepared.size > MAXIMUM_PREPARED_STATEMENTS;
   }
 
-  /** Whether a prepared statement of that name exists on the connection. */
-  hasPrepared(name: string): boolean {
-    return this.prepared.has(name);
-  }
-
-  /** Sends a request. */
-  run(exchange: BackendExchange): void {
+  override run(exchange: BackendExchange): void {
     assertInvariant(this.exchange === undefined, 'a backend connection runs one request at a time');
     if (this.closed) {
       exchange.lost(this.createLostFault('closed'));
       return;
     }
+    const { prepared, payload, mayCommit } = exchange.request;
+    const missing = prepared.filter(({ name }) => !this.prepared.has(name));
     this.exchange = exchange;
-    this.hiddenParses = [...exchange.addedParses];
+    this.progress = createProgress();
+    this.hiddenParses = missing.map(({ name }) => name);
     const { socket } = this.opened;
     socket.cork();
-    for (const part of exchange.payload) {
-      socket.write(part);
+    for (const { message } of missing) {
+      socket.write(message);
+    }
+    socket.write(payload);
+    if (mayCommit) {
+      socket.write(POSITION_QUERY);
     }
     socket.uncork();
   }
 
-  /** Asks for a sign of life; the handler is called when it comes. */
-  heartbeat(onAnswer: () => void): void {
+  override heartbeat(onAnswer: () => void): void {
     assertInvariant(this.exchange === undefined, 'only an idle connection has heartbeats');
     this.heartbeats.push(onAnswer);
     this.opened.socket.write(SYNC);
   }
 
-  /** Stops or continues to read the answer. */
-  setPaused(paused: boolean): void {
+  override setPaused(paused: boolean): void {
     if (paused) {
       this.opened.socket.pause();
     } else {
@@ -110,8 +113,7 @@
     }
   }
 
-  /** Asks the backend server to cancel the running request. */
-  cancel(): void {
+  override cancel(): void {
     this.cancelled = true;
     const { host: ip, port } = splitAddress(this.address);
     const socket = new Socket();
@@ -127,13 +129,16 @@
     this.timer.once(CANCEL_TIMEOUT_MS, () => socket.destroy());
   }
 
-  /** Closes the connection; a running request is lost. */
-  close(): void {
+  override close(): void {
     this.fail('closed by this daemon');
   }
 
   passThrough(bytes: Buffer): void {
-    this.exchange?.passThrough(bytes);
+    if (this.progress.inPositionPhase) {
+      this.progress.standing = readPosition(bytes) ?? this.progress.standing;
+    } else {
+      this.exchange?.answer(bytes, false);
+    }
   }
 
   invalid(reason: string): void {
@@ -147,7 +152,7 @@
         return;
       case FrameType.CommandComplete:
       case FrameType.EmptyQuery:
-        this.exchange?.commandComplete(bytes);
+        this.takeComplete(bytes);
         return;
       case FrameType.Error:
         this.takeError(bytes);
@@ -169,19 +174,31 @@
   private takeParseComplete(bytes: Buffer): void {
     const added = this.hiddenParses.shift();
     if (added === undefined) {
-      this.exchange?.passThrough(bytes);
+      this.passThrough(bytes);
     } else if (added !== '') {
       this.prepared.add(added);
     }
   }
 
+  private takeComplete(bytes: Buffer): void {
+    if (this.exchange === undefined || this.progress.inPositionPhase) {
+      return;
+    }
+    const tag = bytes.toString('latin1', TAG_OFFSET, TAG_OFFSET + COMMIT_TAG.length);
+    this.progress.committed ||= tag === COMMIT_TAG;
+    this.exchange.answer(bytes, this.exchange.request.mayCommit);
+  }
+
   private takeError(bytes: Buffer): void {
     this.hiddenParses = [];
     if (this.exchange === undefined) {
       this.fail('an error came while no request ran');
       return;
     }
-    this.exchange.errorResponse(bytes);
+    if (!this.progress.inPositionPhase) {
+      this.progress.failed = true;
+      this.exchange.answer(bytes, false);
+    }
   }
 
   private takeReady(bytes: Buffer): void {
@@ -199,10 +216,21 @@
     if (exchange === undefined) {
       return;
     }
-    if (exchange.isLastReady()) {
-      this.exchange = undefined;
+    const { progress } = this;
+    if (!progress.inPositionPhase) {
+      progress.status = status;
+    }
+    if (exchange.request.mayCommit && !progress.inPositionPhase) {
+      progress.inPositionPhase = true;
+      return;
     }
-    exchange.ready(status);
+    this.exchange = undefined;
+    const { standing, failed, committed } = progress;
+    exchange.ran({
+      status: progress.status,
+      failed: failed && !committed,
+      ...(standing === undefined ? {} : { standing }),
+    });
   }
 
   private fail(reason: string): void {
@@ -223,6 +251,21 @@
   }
 }
 
+/** What was seen of one exchange's answer. */
+interface ExchangeProgress {
+  status: TransactionStatus;
+  failed: boolean;
+  committed: boolean;
+  /** The answer is whole; what follows is the position after it. */
+  inPositionPhase: boolean;
+  standing: ProbeAnswer | undefined;
+}
+
+function createProgress(): ExchangeProgress {
+  const status = TransactionStatus.Idle;
+  return { status, failed: false, committed: false, inPositionPhase: false, standing: undefined };
+}
+
 function isTransactionStatus(status: string): status is TransactionStatus {
   return (
     status === (TransactionStatus.Idle as string) ||
--- a/src/daemon/holder/probeConnection.ts
+++ b/src/daemon/postgres/postgresProbe.ts
@@ -1,31 +1,28 @@
 import pg from 'pg';
-import { toTerm } from '../../common/ids/index.js';
-import { tryParseLogPosition } from '../../common/logPosition.js';
+import { createFault, Diagnostics } from '../../common/diagnostics/index.js';
 import { splitAddress } from '../../common/settings/index.js';
 import { startTimeout, type TimerService } from '../../common/timer/index.js';
-import {
-  createBoundSocket,
-  PRIMARY_PROBE,
-  REPLICA_PROBE,
-  type BackendAccess,
-  type ProbeAnswer,
-} from '../backend/index.js';
+import { BackendProbe, type ProbeAnswer, type ProbeDepth } from '../backend/index.js';
+import { createBoundSocket } from './boundSocket.js';
+import { PRIMARY_PROBE, REPLICA_PROBE } from './positionQuery.js';
+import type { PostgresAccess } from './postgresAccess.js';
+import { toProbeAnswer } from './readPosition.js';
 
 /** The fields of the client library that its types leave out. */
 interface ClientInside {
   readonly connection: { readonly stream: { destroy(): void } };
 }
 
-/** One connection over which an instance's position is read. */
-export class ProbeConnection {
-  isClosed = false;
+/** Reads an instance's position over a connection of the client library. */
+export class PostgresProbe extends BackendProbe {
   private readonly client: pg.Client;
 
   constructor(
     address: string,
-    access: BackendAccess,
+    access: PostgresAccess,
     private readonly timer: TimerService,
   ) {
+    super();
     const { host, port } = splitAddress(address);
     this.client = new pg.Client({
       host,
@@ -39,30 +36,26 @@
     this.client.once('end', () => this.close());
   }
 
-  /** Opens the connection; fails when there is no answer within the time. */
-  async open(timeoutMs: number): Promise<void> {
+  override async open(timeoutMs: number): Promise<void> {
     await this.within(timeoutMs, this.client.connect());
   }
 
-  /** Reads the position; fails when there is no answer within the time. */
-  async ask(isPrimary: boolean, timeoutMs: number): Promise<ProbeAnswer> {
+  override async ask(
+    _depth: ProbeDepth,
+    isPrimary: boolean,
+    timeoutMs: number,
+  ): Promise<ProbeAnswer> {
     const text = isPrimary ? PRIMARY_PROBE : REPLICA_PROBE;
     const query = this.client.query<unknown[]>({ text, rowMode: 'array' });
     const { rows } = await this.within(timeoutMs, query);
-    const [inRecovery, position, term] = rows[0] ?? [];
-    const parsed = tryParseLogPosition(String(position));
-    if (parsed.isErr()) {
-      throw parsed.error;
+    const answer = toProbeAnswer(rows[0] ?? []);
+    if (answer === undefined) {
+      throw createFault(Diagnostics.LogPositionMalformed, { text }, { step: 'probe.ask' });
     }
-    return {
-      inRecovery: String(inRecovery).startsWith('t'),
-      term: toTerm(Number(term)),
-      position: parsed.value,
-    };
+    return answer;
   }
 
-  close(): void {
-    this.isClosed = true;
+  override close(): void {
     (this.client as unknown as ClientInside).connection.stream.destroy();
   }
 
--- a/src/daemon/rates/rateTask.ts
+++ b/src/daemon/rates/rateTask.ts
@@ -1,11 +1,12 @@
 import type { AccountId, HostId, Incarnation, RequestId } from '../../common/ids/index.js';
 import { createFault, type Fault } from '../../common/diagnostics/index.js';
 import type { Metrics } from '../../common/metrics/index.js';
-import type { TimerService } from '../../common/timer/index.js';
+import { AdaptiveTick, type TimerService } from '../../common/timer/index.js';
 import {
   RecordKind,
   type ControlRecord,
   type DaemonRecords,
+  type SubjectInForce,
 } from '../../decisions/control/index.js';
 import {
   EntryLimiter,
@@ -23,7 +24,10 @@
 import { HeldAccounts } from './heldAccounts.js';
 import { MeshKind, type Mesh, type MeshLink } from '../mesh/index.js';
 
-const TICK_INTERVAL_MS = 5;
+const BUSY_TICK_MS = 5;
+const IDLE_TICK_MS = 100;
+/** How long after its last message or request a daemon looks after its tokens often. */
+const BUSY_MS = 500;
 
 /** Takes the outcome of an admission: nothing when admitted, else why not. */
 export type AdmissionCallback = (refusal: Fault | undefined) => void;
@@ -34,6 +38,9 @@
   private readonly held: HeldAccounts;
   private readonly waiting = new Map<RequestId, AdmissionCallback>();
   private readonly links = new Map<HostId, MeshLink>();
+  private configured: readonly AccountId[] = [];
+  private readonly ticks: AdaptiveTick;
+  private usedMs = 0;
 
   constructor(
     private readonly host: HostId,
@@ -50,7 +57,10 @@
     mesh.receive(MeshKind.TokenMessage, ({ link, message }) => {
       this.receive(link, message.content as TokenMessage);
     });
-    timer.subscribe(TICK_INTERVAL_MS, (nowMs) => this.tick(nowMs));
+    this.ticks = new AdaptiveTick(timer, BUSY_TICK_MS, IDLE_TICK_MS, (nowMs) => {
+      this.tick(nowMs);
+      return this.waiting.size > 0 || nowMs - this.usedMs < BUSY_MS;
+    });
   }
 
   /** Accounts held here, with those given up that control has not freed yet. */
@@ -65,6 +75,7 @@
 
   /** Admits a request, perhaps after a wait. */
   admit(request: AdmissionRequest, callback: AdmissionCallback): void {
+    this.noteUse();
     this.waiting.set(request.requestId, callback);
     this.performEntry(this.limiter.request(request, this.timer.now()));
   }
@@ -80,6 +91,8 @@
     for (const { value } of changed) {
       if (value.kind === RecordKind.Subject && value.state.kind === SubjectKind.Account) {
         this.setLimit(value.state.account);
+      } else if (value.kind === RecordKind.Subject && isConfiguration(value)) {
+        this.setConfigured();
       } else if (value.kind === RecordKind.AccountHolder) {
         this.setHolder(value.account);
       }
@@ -94,6 +107,15 @@
     }
   }
 
+  /** Takes on the limits of a whole configuration; accounts that it lacks are removed. */
+  private setConfigured(): void {
+    const accounts = new Set([...this.configured, ...this.records.getAccounts()]);
+    this.configured = this.records.getAccounts();
+    for (const account of accounts) {
+      this.setLimit(account);
+    }
+  }
+
   private setLimit(account: AccountId): void {
     const state = this.records.getAccount(account);
     const limit = state === undefined ? undefined : { rate: state.rate, burst: state.burst };
@@ -114,7 +136,13 @@
     this.performBucket(this.held.tick(nowMs));
   }
 
+  private noteUse(): void {
+    this.usedMs = this.timer.now();
+    this.ticks.wake();
+  }
+
   private receive(link: MeshLink, message: TokenMessage): void {
+    this.noteUse();
     if (link.peer !== undefined) {
       this.links.set(link.peer.host, link);
     }
@@ -179,3 +207,7 @@
     callback?.(refusal);
   }
 }
+
+function isConfiguration({ state }: SubjectInForce): boolean {
+  return state.kind === SubjectKind.Configuration;
+}
--- a/src/daemon/requests/executeRequest.ts
+++ b/src/daemon/requests/executeRequest.ts
@@ -3,6 +3,12 @@
 import type { PreparedStatement } from './preparedStatement.js';
 import type { RequestKind } from './requestKind.js';
 
+/** A value that a session has set. */
+export interface SessionValue {
+  readonly name: string;
+  readonly value: string;
+}
+
 /** One request of a caller on its way to the holder of its database group. */
 export interface ExecuteRequest {
   /** Unique over the sender's incarnation; the same when the request is sent again. */
@@ -18,6 +24,12 @@
   readonly mayCommit: boolean;
   /** Time left until the deadline when the request was sent, in milliseconds. */
   readonly remainingMs: number;
+  /** It reads only, also as the first of a transaction that only reads. */
+  readonly readOnly?: boolean;
+  /** It must see every write acknowledged before it. */
+  readonly latest?: boolean;
+  /** Values that the session has set, applied to the connection where it has others. */
+  readonly values?: readonly SessionValue[];
   readonly session?: SessionPosition;
   readonly maximumStalenessMs?: number;
   /** The open transaction that the request belongs to. */
@@ -27,6 +39,6 @@
   /** Names statements of similar cost. */
   readonly costClass: string;
   readonly prepared: readonly PreparedStatement[];
-  /** Whole frontend messages, ending with a Query or Sync. */
+  /** What the backend server is to run, in the form of its protocol. */
   readonly payload: Uint8Array;
 }
--- a/src/daemon/requests/preparedStatement.ts
+++ b/src/daemon/requests/preparedStatement.ts
@@ -2,6 +2,6 @@
 export interface PreparedStatement {
   /** Name towards backend servers, made from the statement's text and parameter types. */
   readonly name: string;
-  /** The whole Parse message under that name. */
+  /** The whole message that prepares it under that name. */
   readonly message: Uint8Array;
 }
--- /dev/null
+++ b/src/daemon/sessions/sessionAccess.ts
@@ -0,0 +1,54 @@
+import { err, ok, type Result } from 'neverthrow';
+import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import type { AccountId } from '../../common/ids/index.js';
+import type { DaemonRecords } from '../../decisions/control/index.js';
+import type { RouteState } from '../../decisions/tickets/index.js';
+import { OPEN_ACCOUNT } from '../entry/index.js';
+import type { HolderLease } from '../holder/index.js';
+
+/** What a caller presented. */
+export interface CallerCredentials {
+  readonly database: string;
+  /** Digest of its key; undefined when it presented none. */
+  readonly keyDigest: string | undefined;
+}
+
+/** A caller's right to use a route now. */
+export interface SessionGrant {
+  readonly account: AccountId;
+  readonly route: RouteState;
+}
+
+/** Decides from the configuration in force who may use which route. */
+export class SessionAccess {
+  constructor(
+    private readonly records: DaemonRecords,
+    private readonly lease: HolderLease,
+  ) {}
+
+  /** Whether a configuration is known that may be in force. */
+  get isKnown(): boolean {
+    return this.lease.isValid() && this.records.getConfiguration() !== undefined;
+  }
+
+  /** The right of a caller as of now; a fault that says why it has none. */
+  tryGrant({ database, keyDigest }: CallerCredentials): Result<SessionGrant, Fault> {
+    const configuration = this.records.getConfiguration();
+    const route = configuration?.getRoute(database);
+    const context = { step: 'session.access' };
+    if (route === undefined) {
+      return err(createFault(Diagnostics.RouteUnknown, { database }, context));
+    }
+    if (route.openAs !== undefined) {
+      return ok({ account: OPEN_ACCOUNT, route });
+    }
+    const account = keyDigest === undefined ? undefined : configuration?.findAccount(keyDigest);
+    if (account === undefined) {
+      return err(createFault(Diagnostics.KeyRefused, { account: 'unknown' }, context));
+    }
+    const isAllowed = route.accounts?.includes(account) ?? true;
+    return isAllowed
+      ? ok({ account, route })
+      : err(createFault(Diagnostics.RouteForbidden, { account, database }, context));
+  }
+}
--- /dev/null
+++ b/src/daemon/sessions/statementSession.ts
@@ -0,0 +1,453 @@
+import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
+import type { AccountId, GroupId } from '../../common/ids/index.js';
+import type { TimerService } from '../../common/timer/index.js';
+import { getFurthest, type SessionPosition } from '../../decisions/sessions/index.js';
+import { Consistency, type RouteState } from '../../decisions/tickets/index.js';
+import type { CallerRequests, RequestDraft } from '../entry/index.js';
+import {
+  RequestKind,
+  ResponseReceiver,
+  toFault,
+  TransactionStatus,
+  type RequestOutcome,
+  type RunningRequest,
+} from '../requests/index.js';
+import { StatementVerb, type CallerStatement, type SessionStatement } from './callerStatement.js';
+import type { CallerCredentials, SessionAccess, SessionGrant } from './sessionAccess.js';
+import type { SessionReplies } from './sessionReplies.js';
+import type { StatementForm } from './statementForm.js';
+
+const MAXIMUM_WAITING_STATEMENTS = 64;
+/** Deadline of a statement whose route sets none, in milliseconds. */
+const DEFAULT_STATEMENT_TIMEOUT_MS = 30_000;
+/** Idle time of a transaction whose route sets none, in milliseconds. */
+const DEFAULT_TRANSACTION_IDLE_MS = 30_000;
+
+/** What statement sessions share. */
+export interface StatementContext {
+  readonly timer: TimerService;
+  readonly access: SessionAccess;
+  readonly requests: CallerRequests;
+  readonly form: StatementForm;
+}
+
+/** A transaction of the caller; it is opened on a backend server with its first statement. */
+interface SessionTransaction {
+  readonly grant: SessionGrant;
+  readonly readOnly: boolean;
+  /** Its name at the group's holder, once it is open there. */
+  id: string | undefined;
+  wrote: boolean;
+}
+
+/** How a statement is sent to a backend server. */
+interface SentStatement {
+  readonly kind: RequestKind;
+  readonly mayCommit: boolean;
+  /** It commits the transaction that it is in. */
+  readonly endsTransaction?: boolean;
+  readonly prepared: SessionStatement | undefined;
+}
+
+/** One caller that sends statements: runs them one after another and keeps the session's state. */
+export class StatementSession {
+  private readonly values = new Map<string, string>();
+  private readonly prepared = new Map<string, SessionStatement>();
+  private readonly positions = new Map<GroupId, SessionPosition>();
+  private waiting: CallerStatement[] = [];
+  private transaction: SessionTransaction | undefined;
+  /** The transaction failed and the caller has not ended it yet. */
+  private failed = false;
+  private running: RunningRequest | undefined;
+  private busy = false;
+  private ended = false;
+  private draining = false;
+  private idleSinceMs: number;
+
+  constructor(
+    private readonly credentials: CallerCredentials,
+    private readonly context: StatementContext,
+    private readonly replies: SessionReplies,
+    private readonly onEnded: () => void,
+  ) {
+    this.idleSinceMs = context.timer.now();
+  }
+
+  /** Takes a statement; it runs when those before it have been answered. */
+  receive(statement: CallerStatement): void {
+    if (this.ended) {
+      return;
+    }
+    this.waiting.push(statement);
+    this.replies.setReading(this.waiting.length < MAXIMUM_WAITING_STATEMENTS);
+    this.next();
+  }
+
+  /** Ends the session as soon as nothing runs in it and no transaction is open. */
+  drain(): void {
+    this.draining = true;
+    this.endWhenIdle();
+  }
+
+  /** Rolls a transaction back that idles for too long. */
+  tick(nowMs: number): void {
+    const { transaction } = this;
+    if (this.busy || transaction?.id === undefined) {
+      return;
+    }
+    const { transactionIdleMs = DEFAULT_TRANSACTION_IDLE_MS } = transaction.grant.route;
+    if (nowMs - this.idleSinceMs > transactionIdleMs) {
+      this.dropTransaction();
+      this.failed = true;
+    }
+  }
+
+  /** Ends the session at once. */
+  end(): void {
+    if (!this.ended) {
+      this.replies.end();
+      this.close();
+    }
+  }
+
+  /** Forgets the caller, which is gone, and gives up what runs for it. */
+  close(): void {
+    if (this.ended) {
+      return;
+    }
+    this.ended = true;
+    this.waiting = [];
+    this.running?.abandon();
+    this.dropTransaction();
+    this.onEnded();
+  }
+
+  private get status(): TransactionStatus {
+    if (this.failed) {
+      return TransactionStatus.Failed;
+    }
+    return this.transaction === undefined ? TransactionStatus.Idle : TransactionStatus.Open;
+  }
+
+  private next(): void {
+    while (!this.busy && !this.ended) {
+      const statement = this.waiting.shift();
+      if (statement === undefined) {
+        this.endWhenIdle();
+        return;
+      }
+      this.replies.setReading(true);
+      this.run(statement);
+    }
+  }
+
+  private endWhenIdle(): void {
+    const isIdle = !this.busy && this.waiting.length === 0;
+    if (this.draining && isIdle && this.status === TransactionStatus.Idle) {
+      this.end();
+    }
+  }
+
+  private run(statement: CallerStatement): void {
+    if (this.failed) {
+      this.runFailed(statement);
+      return;
+    }
+    switch (statement.verb) {
+      case StatementVerb.Begin:
+        this.begin(statement);
+        return;
+      case StatementVerb.Commit:
+        this.commit(statement);
+        return;
+      case StatementVerb.Rollback:
+        this.dropTransaction();
+        this.answerDone();
+        return;
+      case StatementVerb.Set:
+        this.values.set(statement.name ?? '', statement.value ?? '');
+        this.answerDone();
+        return;
+      case StatementVerb.Prepare:
+        this.prepared.set(statement.name ?? '', this.context.form.createPrepared(statement));
+        this.answerDone();
+        return;
+      case StatementVerb.Deallocate:
+        this.deallocate(statement);
+        return;
+      case StatementVerb.Execute:
+        this.execute(statement);
+        return;
+      case StatementVerb.Read:
+      case StatementVerb.Write:
+        this.dispatch(statement, statement.verb === StatementVerb.Write, undefined);
+        return;
+      case StatementVerb.Malformed:
+        this.refuse(createFault(Diagnostics.MessageMalformed, {}, { step: 'session.read' }));
+    }
+  }
+
+  /** After a failure the transaction can only be ended, which rolls back. */
+  private runFailed({ verb }: CallerStatement): void {
+    if (verb === StatementVerb.Rollback) {
+      this.failed = false;
+      this.answerDone();
+      return;
+    }
+    const context = { step: 'session.failed', execution: Execution.NotRun };
+    this.failed = verb !== StatementVerb.Commit;
+    const diagnostic = this.failed ? Diagnostics.TransactionFailed : Diagnostics.TransactionLost;
+    this.replies.refuse(createFault(diagnostic, {}, context));
+    this.answerReady();
+  }
+
+  private begin({ readOnly = false }: CallerStatement): void {
+    const granted = this.context.access.tryGrant(this.credentials);
+    if (granted.isErr() || this.transaction !== undefined) {
+      const step = 'session.begin';
+      this.refuse(
+        granted.isErr() ? granted.error : createFault(Diagnostics.MessageMalformed, {}, { step }),
+      );
+      return;
+    }
+    this.transaction = { grant: granted.value, readOnly, id: undefined, wrote: false };
+    this.answerDone();
+  }
+
+  private commit(statement: CallerStatement): void {
+    const { transaction } = this;
+    if (transaction === undefined) {
+      this.refuse(createFault(Diagnostics.MessageMalformed, {}, { step: 'session.commit' }));
+      return;
+    }
+    this.send(statement, transaction.grant, {
+      kind: transaction.id === undefined ? RequestKind.Begin : RequestKind.End,
+      mayCommit: transaction.wrote,
+      endsTransaction: true,
+      prepared: undefined,
+    });
+  }
+
+  private deallocate({ name = '' }: CallerStatement): void {
+    if (this.prepared.delete(name)) {
+      this.answerDone();
+    } else {
+      this.refuse(createFault(Diagnostics.StatementUnknown, { name }, { step: 'session.forget' }));
+    }
+  }
+
+  private execute(statement: CallerStatement): void {
+    const { name = '' } = statement;
+    const prepared = this.prepared.get(name);
+    if (prepared === undefined) {
+      this.refuse(createFault(Diagnostics.StatementUnknown, { name }, { step: 'session.execute' }));
+      return;
+    }
+    this.dispatch(statement, prepared.isWrite, prepared);
+  }
+
+  private dispatch(
+    statement: CallerStatement,
+    isWrite: boolean,
+    prepared: SessionStatement | undefined,
+  ): void {
+    const { transaction } = this;
+    const granted = this.context.access.tryGrant(this.credentials);
+    if (granted.isErr()) {
+      this.refuse(granted.error);
+      return;
+    }
+    if (transaction === undefined) {
+      const kind = isWrite ? RequestKind.Write : RequestKind.Read;
+      this.send(statement, granted.value, { kind, mayCommit: isWrite, prepared });
+      return;
+    }
+    transaction.wrote ||= isWrite;
+    const kind = transaction.id === undefined ? RequestKind.Begin : RequestKind.Inside;
+    // A change of the route applies from the next transaction on.
+    this.send(statement, transaction.grant, { kind, mayCommit: false, prepared });
+  }
+
+  private send(
+    statement: CallerStatement,
+    { account, route }: SessionGrant,
+    { kind, mayCommit, prepared, endsTransaction = false }: SentStatement,
+  ): void {
+    const { timer, form, requests } = this.context;
+    const draft: RequestDraft = {
+      ...this.createDraft(account, route, kind),
+      mayCommit,
+      costClass: `${route.route}/${statement.verb}`,
+      prepared:
+        prepared === undefined ? [] : [{ name: prepared.sharedName, message: prepared.message }],
+      payload: form.createPayload(statement, prepared),
+    };
+    const isPaid = kind === RequestKind.Inside || kind === RequestKind.End;
+    const timeoutMs = route.statementTimeoutMs ?? DEFAULT_STATEMENT_TIMEOUT_MS;
+    this.busy = true;
+    const receiver = new StatementReceiver(this.replies, (outcome) =>
+      this.answered(route.group, endsTransaction, outcome),
+    );
+    const deadlineMs = timer.now() + timeoutMs;
+    const running = requests.run(draft, isPaid ? 0 : 1, deadlineMs, receiver);
+    if (!receiver.isFinished) {
+      receiver.running = running;
+      this.running = running;
+    }
+  }
+
+  private createDraft(
+    account: AccountId,
+    route: RouteState,
+    kind: RequestKind,
+  ): Omit<RequestDraft, 'mayCommit' | 'costClass' | 'prepared' | 'payload'> {
+    const { transaction } = this;
+    const { group, maximumStalenessMs, consistency = Consistency.Session } = route;
+    const session = consistency === Consistency.Session ? this.positions.get(group) : undefined;
+    const values = [...this.values].map(([name, value]) => ({ name, value }));
+    return {
+      group,
+      account,
+      kind,
+      idempotent: kind === RequestKind.Read,
+      closesConnection: false,
+      latest: consistency === Consistency.Latest,
+      readOnly: kind === RequestKind.Read || transaction?.readOnly === true,
+      ...(values.length === 0 ? {} : { values }),
+      ...(session === undefined ? {} : { session }),
+      ...(maximumStalenessMs === undefined ? {} : { maximumStalenessMs }),
+      ...(transaction?.id === undefined ? {} : { transaction: transaction.id }),
+    };
+  }
+
+  private answered(group: GroupId, isEnd: boolean, outcome: RequestOutcome): void {
+    this.busy = false;
+    this.running = undefined;
+    if (this.ended) {
+      this.rollBack(group, outcome.transaction);
+      return;
+    }
+    this.takeTransaction(isEnd, outcome);
+    if (outcome.fault !== undefined) {
+      this.replies.refuse(toFault(outcome.fault));
+    }
+    const { position } = outcome;
+    if (position !== undefined && outcome.wrote && outcome.fault === undefined) {
+      const furthest = getFurthest(this.positions.get(group), position);
+      this.positions.set(group, furthest ?? position);
+    }
+    this.answerReady(position);
+    this.next();
+  }
+
+  /** A statement that failed ends its transaction, whatever the caller does next. */
+  private takeTransaction(isEnd: boolean, outcome: RequestOutcome): void {
+    const { transaction } = this;
+    if (transaction === undefined) {
+      return;
+    }
+    const { grant } = transaction;
+    if (outcome.fault === undefined && outcome.status === TransactionStatus.Open && !isEnd) {
+      transaction.id = outcome.transaction;
+      return;
+    }
+    this.transaction = undefined;
+    this.rollBack(grant.route.group, outcome.transaction, grant);
+    this.failed = !isEnd;
+  }
+
+  private dropTransaction(): void {
+    const { transaction } = this;
+    this.transaction = undefined;
+    if (transaction?.id !== undefined && !this.busy) {
+      this.rollBack(transaction.grant.route.group, transaction.id, transaction.grant);
+    }
+  }
+
+  /** Frees the backend connection of a transaction; the caller need not wait for it. */
+  private rollBack(group: GroupId, id: string | undefined, grant?: SessionGrant): void {
+    if (id === undefined) {
+      return;
+    }
+    const { requests, form, timer } = this.context;
+    if (grant === undefined) {
+      requests.abortTransaction(group, id);
+      return;
+    }
+    const { account, route } = grant;
+    const draft: RequestDraft = {
+      ...this.createDraft(account, route, RequestKind.End),
+      transaction: id,
+      mayCommit: false,
+      costClass: 'rollback',
+      prepared: [],
+      payload: form.createRollback(),
+    };
+    const receiver = new RollbackReceiver((outcome) => {
+      if (outcome.transaction !== undefined) {
+        requests.abortTransaction(group, outcome.transaction);
+      }
+    });
+    const deadlineMs = timer.now() + DEFAULT_STATEMENT_TIMEOUT_MS;
+    requests.run(draft, 0, deadlineMs, receiver);
+  }
+
+  private answerDone(): void {
+    this.replies.done();
+    this.answerReady();
+  }
+
+  private refuse(fault: Fault): void {
+    if (this.transaction !== undefined) {
+      this.dropTransaction();
+      this.failed = true;
+    }
+    this.replies.refuse(fault);
+    this.answerReady();
+  }
+
+  private answerReady(position?: SessionPosition): void {
+    this.idleSinceMs = this.context.timer.now();
+    this.replies.ready(this.status, position);
+  }
+}
+
+/** Passes the answer to one statement on to the caller. */
+class StatementReceiver extends ResponseReceiver {
+  isFinished = false;
+  running: RunningRequest | undefined;
+  private total = 0;
+
+  constructor(
+    private readonly replies: SessionReplies,
+    private readonly onFinished: (outcome: RequestOutcome) => void,
+  ) {
+    super();
+  }
+
+  override accept(bytes: Uint8Array): void {
+    this.total += bytes.length;
+    this.replies.passOn(bytes);
+    this.running?.consume(this.total);
+  }
+
+  override finish(outcome: RequestOutcome): void {
+    this.isFinished = true;
+    this.onFinished(outcome);
+  }
+}
+
+/** Takes the answer to a rollback that nobody waits for. */
+class RollbackReceiver extends ResponseReceiver {
+  constructor(private readonly onFinished: (outcome: RequestOutcome) => void) {
+    super();
+  }
+
+  override accept(): void {
+    // Nobody waits for the answer.
+  }
+
+  override finish(outcome: RequestOutcome): void {
+    this.onFinished(outcome);
+  }
+}
--- a/src/decisions/control/announcement.ts
+++ b/src/decisions/control/announcement.ts
@@ -22,9 +22,14 @@
   /** HTTP address `ip:port` at which the platform takes orders for this instance. */
   readonly platform: string;
   readonly role: InstanceRole;
+  /** 0 when the backend server announces no position; it is learnt over connections then. */
   readonly term: Term;
   readonly position: LogPosition;
   readonly slots: number;
   readonly connectionLimit: number;
   readonly leaving: boolean;
+  /** When the instance started, in Unix milliseconds; another life of it starts later. */
+  readonly startedMs?: number;
+  /** Rises with each announcement of one life. */
+  readonly sequence?: number;
 }
--- a/src/decisions/control/commandKind.ts
+++ b/src/decisions/control/commandKind.ts
@@ -2,6 +2,8 @@
 export enum CommandKind {
   SubmitTicket = 'submit-ticket',
   RegisterInstance = 'register-instance',
+  SwitchDomain = 'switch-domain',
+  SetControlMembers = 'set-control-members',
   AssignGroup = 'assign-group',
   DrainGroup = 'drain-group',
   ReleaseGroup = 'release-group',
--- a/src/decisions/control/controlState.ts
+++ b/src/decisions/control/controlState.ts
@@ -1,6 +1,7 @@
 import { Diagnostics } from '../../common/diagnostics/index.js';
 import {
   toRevision,
+  toTicketNumber,
   type AccountId,
   type GroupId,
   type InstanceId,
@@ -11,7 +12,7 @@
 import { SubjectKind, type Ticket } from '../tickets/index.js';
 import type { Assignment } from './assignment.js';
 import { AssignmentBook } from './assignmentBook.js';
-import type { Command } from './command.js';
+import type { Command, SetControlMembers, SwitchDomain } from './command.js';
 import type { CommandAnswer } from './commandAnswer.js';
 import { CommandKind } from './commandKind.js';
 import type { ControlRecord, ControlRecordValue } from './controlRecord.js';
@@ -27,6 +28,9 @@
 import type { SubjectInForce } from './subjectInForce.js';
 import { TicketRegister } from './ticketRegister.js';
 
+/** Number of what is in force without a ticket. */
+const NO_TICKET = toTicketNumber(0);
+
 /** The replaceable parts of a control state. */
 export interface ControlStateParts {
   readonly createRegister?: () => TicketRegister;
@@ -67,6 +71,10 @@
         return this.submitTicket(command.ticket, revision);
       case CommandKind.RegisterInstance:
         return this.registerInstance(command.instance, command.expected, revision);
+      case CommandKind.SwitchDomain:
+        return this.switchDomain(command, revision);
+      case CommandKind.SetControlMembers:
+        return this.setControlMembers(command, revision);
       case CommandKind.RecordPrimary:
       case CommandKind.BeginMove:
       case CommandKind.BeginPromotion:
@@ -77,9 +85,9 @@
     }
   }
 
-  /** Every record that changed after a revision, by rising revision. */
+  /** Every record that changed after a revision, by rising revision, as daemons are to have them. */
   getRecordsSince(revision: Revision): readonly ControlRecord[] {
-    return this.records.getSince(revision);
+    return this.records.getSince(revision).map(withoutSource);
   }
 
   /** The accepted ticket of that number, while it is in force on at least one subject. */
@@ -187,6 +195,25 @@
     return toAnswer(true);
   }
 
+  private switchDomain({ domain, inService }: SwitchDomain, revision: Revision): CommandAnswer {
+    const changed = this.isInService(domain) !== inService;
+    if (changed) {
+      const state = { kind: SubjectKind.FailureDomain, domain, inService } as const;
+      this.set({ kind: RecordKind.Subject, ticket: NO_TICKET, state }, revision);
+    }
+    return { changed };
+  }
+
+  private setControlMembers(command: SetControlMembers, revision: Revision): CommandAnswer {
+    const { members, expected } = command;
+    if (this.getRecordRevision(getSubjectRecordName(SubjectKind.ControlMembers)) !== expected) {
+      return toAnswer(false);
+    }
+    const state = { kind: SubjectKind.ControlMembers, members } as const;
+    this.set({ kind: RecordKind.Subject, ticket: NO_TICKET, state }, revision);
+    return toAnswer(true);
+  }
+
   private set(value: ControlRecordValue, revision: Revision): void {
     this.records.set(value, revision);
     this.index.add(value);
@@ -197,6 +224,15 @@
   }
 }
 
+/** A configuration's text serves operators only: they read it back from the control quorum. */
+function withoutSource(record: ControlRecord): ControlRecord {
+  const { value } = record;
+  if (value.kind !== RecordKind.Subject || value.state.kind !== SubjectKind.Configuration) {
+    return record;
+  }
+  return { ...record, value: { ...value, state: { ...value.state, source: '' } } };
+}
+
 function toAnswer(changed: boolean): CommandAnswer {
   return changed ? { changed } : { changed, refusal: Diagnostics.CommandOutdated.code };
 }
--- a/src/decisions/control/groupReport.ts
+++ b/src/decisions/control/groupReport.ts
@@ -4,6 +4,8 @@
 export interface InstanceSighting {
   readonly instance: InstanceId;
   readonly reachable: boolean;
+  /** Whether it said that it is primary; absent when it did not tell. */
+  readonly isPrimary?: boolean;
   readonly term: Term;
   readonly position: LogPosition;
 }
--- a/src/decisions/control/index.ts
+++ b/src/decisions/control/index.ts
@@ -31,3 +31,4 @@
 export * from './recordReader.js';
 export * from './leader/index.js';
 export * from './placement/index.js';
+export * from './members/index.js';
--- a/src/decisions/control/instanceRecord.ts
+++ b/src/decisions/control/instanceRecord.ts
@@ -15,4 +15,10 @@
   readonly slots: number;
   /** Connections that the instance accepts. */
   readonly connectionLimit: number;
+  /** It said that it is to stop, and takes no new work. */
+  readonly leaving?: boolean;
+  /** It is gone for good, with its log. */
+  readonly gone?: boolean;
+  /** When this life of it started, in Unix milliseconds, where it says so. */
+  readonly startedMs?: number;
 }
--- a/src/decisions/control/leader/commandKey.ts
+++ b/src/decisions/control/leader/commandKey.ts
@@ -1,3 +1,4 @@
+import { SubjectKind } from '../../tickets/index.js';
 import type { Command } from '../command.js';
 import { CommandKind } from '../commandKind.js';
 import {
@@ -5,13 +6,17 @@
   getGroupHolderRecordName,
   getInstanceRecordName,
   getPrimaryRecordName,
+  getSubjectRecordName,
 } from '../recordNames.js';
 
 /** Name of the record that a proposal is about; undefined for tickets. */
 export function getCommandKey(command: Command): string | undefined {
   switch (command.kind) {
     case CommandKind.SubmitTicket:
+    case CommandKind.SwitchDomain:
       return undefined;
+    case CommandKind.SetControlMembers:
+      return getSubjectRecordName(SubjectKind.ControlMembers);
     case CommandKind.RegisterInstance:
       return getInstanceRecordName(command.instance.group, command.instance.instance);
     case CommandKind.AssignGroup:
--- a/src/decisions/control/leader/commitIntake.ts
+++ b/src/decisions/control/leader/commitIntake.ts
@@ -169,12 +169,25 @@
           this.context.groupAgenda.add(group);
         }
         break;
+      case SubjectKind.Configuration:
+        this.noteConfiguration();
+        break;
       case SubjectKind.Route:
       case SubjectKind.ControlMembers:
         break;
     }
   }
 
+  private noteConfiguration(): void {
+    const { state, accountAgenda, groupAgenda } = this.context;
+    for (const account of state.getAccounts()) {
+      accountAgenda.add(account);
+    }
+    for (const group of state.getGroups()) {
+      groupAgenda.add(group);
+    }
+  }
+
   private place(assignment: Assignment | undefined, name: string | undefined): void {
     const { groupPlacement, accountPlacement } = this.context;
     if (name === undefined) {
--- a/src/decisions/control/leader/controlInput.ts
+++ b/src/decisions/control/leader/controlInput.ts
@@ -60,8 +60,8 @@
   readonly term: Term;
   readonly instance: InstanceId;
   readonly ok: boolean;
-  /** The instance's position when it was promoted; 0 when it was not. */
-  readonly position: LogPosition;
+  /** The instance's position when it was promoted; absent when that is to be seen yet. */
+  readonly position?: LogPosition;
 }
 
 /** Whatever the control leader is told. */
--- a/src/decisions/control/leader/controlLeader.ts
+++ b/src/decisions/control/leader/controlLeader.ts
@@ -171,7 +171,9 @@
     if (primary?.term !== term || primary.instance !== instance || watch.order?.term !== term) {
       return;
     }
-    if (result.ok) {
+    if (result.ok && position === undefined) {
+      groupAgenda.add(group);
+    } else if (result.ok && position !== undefined) {
       const command = { kind: CommandKind.CompletePromotion, group, term, position } as const;
       outbox.propose(getPrimaryRecordName(group), command, nowMs);
     } else {
--- a/src/decisions/control/leader/createGroupView.ts
+++ b/src/decisions/control/leader/createGroupView.ts
@@ -17,6 +17,7 @@
   return {
     group,
     nowMs,
+    leader: context.host,
     leaderSinceMs: sinceMs,
     acknowledgement: state.getAcknowledgement(group),
     instances: state.getInstances(group).map((each) => createInstanceView(context, watch, each)),
--- a/src/decisions/control/leader/groupDecisions.ts
+++ b/src/decisions/control/leader/groupDecisions.ts
@@ -2,6 +2,7 @@
 import { toTerm, type GroupId } from '../../../common/ids/index.js';
 import {
   PromotionStep,
+  type CompleteDecision,
   type GroupView,
   type PromoteDecision,
   type PromotionRules,
@@ -57,6 +58,9 @@
       case PromotionStep.Order:
         this.order(view);
         return true;
+      case PromotionStep.Complete:
+        this.complete(view, decision);
+        return true;
     }
   }
 
@@ -72,9 +76,9 @@
 
   private record(view: GroupView, decision: RecordDecision): void {
     const { group, nowMs } = view;
-    const { term, instance } = decision;
-    const kind = CommandKind.RecordPrimary;
-    const command = { kind, group, term, instance } as const;
+    const { term, timeline, instance } = decision;
+    const recorded = { kind: CommandKind.RecordPrimary, group, term, instance } as const;
+    const command = timeline === undefined ? recorded : { ...recorded, timeline };
     this.context.outbox.propose(getPrimaryRecordName(group), command, nowMs);
   }
 
@@ -96,12 +100,23 @@
       term,
       instance,
       required,
+      leader: this.context.host,
       expectedTerm: primary?.term ?? NO_TERM,
       ...(holder === undefined ? {} : { expectedLease: holder.lease }),
     } as const;
     this.context.outbox.propose(getPrimaryRecordName(group), command, nowMs);
   }
 
+  private complete(view: GroupView, { timeline, position }: CompleteDecision): void {
+    const { group, nowMs, primary } = view;
+    if (primary !== undefined) {
+      const { term } = primary;
+      const kind = CommandKind.CompletePromotion;
+      const command = { kind, group, term, timeline, position } as const;
+      this.context.outbox.propose(getPrimaryRecordName(group), command, nowMs);
+    }
+  }
+
   private logBefore(view: GroupView, reason: string): void {
     const { group, primary } = view;
     if (primary === undefined) {
--- a/src/decisions/control/leader/groupWatch.ts
+++ b/src/decisions/control/leader/groupWatch.ts
@@ -82,8 +82,8 @@
       this.sightings.clear();
     }
     this.acknowledged = report.acknowledged;
-    for (const { instance, reachable, term, position } of report.sightings) {
-      this.sightings.set(instance, { reachable, term, position, receivedAtMs: nowMs });
+    for (const { instance, ...sighting } of report.sightings) {
+      this.sightings.set(instance, { ...sighting, receivedAtMs: nowMs });
     }
   }
 
@@ -98,8 +98,13 @@
 }
 
 function goesBack(before: Announcement, after: Announcement): boolean {
+  const startedMs = (after.startedMs ?? 0) - (before.startedMs ?? 0);
+  const isEarlier = (after.sequence ?? 0) < (before.sequence ?? 0);
   return (
-    after.term < before.term || (after.term === before.term && after.position < before.position)
+    startedMs < 0 ||
+    (startedMs === 0 && isEarlier) ||
+    after.term < before.term ||
+    (after.term === before.term && after.position < before.position)
   );
 }
 
--- a/src/decisions/control/leader/renewalIntake.ts
+++ b/src/decisions/control/leader/renewalIntake.ts
@@ -4,8 +4,10 @@
 import { InstanceRole, type Announcement } from '../announcement.js';
 import type { Assignment } from '../assignment.js';
 import { CommandKind } from '../commandKind.js';
+import { PrimaryPhase } from '../groupPrimary.js';
 import type { GroupReport } from '../groupReport.js';
 import type { LeaseRenewal } from '../leaseRenewal.js';
+import type { InstanceRecord } from '../instanceRecord.js';
 import { RecordKind } from '../recordKind.js';
 import {
   getAccountHolderRecordName,
@@ -61,6 +63,7 @@
       const measuredFromMs = sentFromMs === undefined ? -Infinity : sentFromMs - ageMs;
       this.noteAnnouncement({ announcement, receivedAtMs: nowMs, measuredFromMs });
     }
+    this.noteDepartures(renewal, nowMs);
     this.noteGroupReports(renewal, nowMs);
     this.noteReleases(renewal, nowMs);
   }
@@ -92,11 +95,19 @@
   private register(announcement: Announcement, nowMs: number): void {
     const { state, outbox } = this.context;
     const { group, instance, domain, address, platform, slots, connectionLimit } = announcement;
+    const { startedMs } = announcement;
+    const leaving = announcement.leaving && startedMs !== undefined;
     const present = state.getInstance(group, instance);
+    if (present?.gone === true && (startedMs ?? 0) <= (present.startedMs ?? 0)) {
+      return;
+    }
     const isKnown =
       present?.domain === domain &&
       present.address === address &&
       present.platform === platform &&
+      present.gone !== true &&
+      present.startedMs === startedMs &&
+      (present.leaving ?? false) === leaving &&
       present.slots === slots &&
       present.connectionLimit === connectionLimit;
     if (isKnown) {
@@ -104,12 +115,52 @@
     }
     const kind = RecordKind.Instance;
     const name = getInstanceRecordName(group, instance);
-    const command = {
-      kind: CommandKind.RegisterInstance,
-      instance: { kind, group, instance, domain, address, platform, slots, connectionLimit },
-      expected: state.getRecordRevision(name),
-    } as const;
+    const record: InstanceRecord = {
+      ...{ kind, group, instance, domain, address, platform, slots, connectionLimit },
+      ...(leaving ? { leaving } : {}),
+      ...(startedMs === undefined ? {} : { startedMs }),
+    };
+    const expected = state.getRecordRevision(name);
+    const command = { kind: CommandKind.RegisterInstance, instance: record, expected } as const;
     outbox.propose(name, command, nowMs);
+    this.retireReplaced(record, nowMs);
+  }
+
+  /** An instance that starts at another's address is what came in its place. */
+  private retireReplaced(
+    { group, instance, address, startedMs }: InstanceRecord,
+    nowMs: number,
+  ): void {
+    const { state } = this.context;
+    if (startedMs === undefined) {
+      return;
+    }
+    const groups = [...new Set([...state.getGroups(), group])];
+    for (const other of groups.flatMap((each) => state.getInstances(each))) {
+      const isOther = other.instance !== instance || other.group !== group;
+      if (isOther && other.address === address && (other.startedMs ?? 0) < startedMs) {
+        this.retire(other, nowMs);
+      }
+    }
+  }
+
+  private noteDepartures({ departures = [] }: LeaseRenewal, nowMs: number): void {
+    const { state } = this.context;
+    for (const group of departures.length === 0 ? [] : state.getGroups()) {
+      for (const instance of state.getInstances(group)) {
+        if (departures.includes(instance.instance)) {
+          this.retire(instance, nowMs);
+        }
+      }
+    }
+  }
+
+  private retire(instance: InstanceRecord, nowMs: number): void {
+    const { state, outbox } = this.context;
+    const name = getInstanceRecordName(instance.group, instance.instance);
+    const expected = state.getRecordRevision(name);
+    const kind = CommandKind.RegisterInstance;
+    outbox.propose(name, { kind, instance: { ...instance, gone: true }, expected }, nowMs);
   }
 
   private noteGroupReports(renewal: LeaseRenewal, nowMs: number): void {
@@ -130,10 +181,11 @@
   private isPrimaryInDoubt(report: GroupReport): boolean {
     const primary = this.context.state.getPrimary(report.group);
     if (primary === undefined) {
-      return false;
+      return true;
     }
     const sighting = report.sightings.find((each) => each.instance === primary.instance);
-    return report.fencedTerm >= primary.term || sighting?.reachable === false;
+    const isPromoted = primary.phase === PrimaryPhase.Promoting && sighting?.isPrimary === true;
+    return report.fencedTerm >= primary.term || sighting?.reachable === false || isPromoted;
   }
 
   private noteReleases(renewal: LeaseRenewal, nowMs: number): void {
--- a/src/decisions/control/leaseRenewal.ts
+++ b/src/decisions/control/leaseRenewal.ts
@@ -1,9 +1,11 @@
+import type { ControlMember } from '../tickets/index.js';
 import type {
   AccountId,
   FailureDomain,
   GroupId,
   HostId,
   Incarnation,
+  InstanceId,
   LeaseId,
   Revision,
 } from '../../common/ids/index.js';
@@ -27,10 +29,14 @@
   readonly revision: Revision;
   /** The newest announcement of each instance since the last renewal. */
   readonly announcements: readonly ForwardedAnnouncement[];
+  /** Instances that said that they are gone, with their logs. */
+  readonly departures?: readonly InstanceId[];
   readonly reports: readonly GroupReport[];
   /** Resources that the daemon gave up: it acts on them no more. */
   readonly releasedGroups: readonly GroupId[];
   readonly releasedAccounts: readonly AccountId[];
   /** The daemon takes no resources and gives up those it has: it is stopping or no entry host. */
   readonly stopping: boolean;
+  /** The sender as a member of the control quorum, when it is to be admitted by itself. */
+  readonly member?: ControlMember;
 }
--- /dev/null
+++ b/src/decisions/control/members/index.ts
@@ -0,0 +1,1 @@
+export * from './memberPlan.js';
--- /dev/null
+++ b/src/decisions/control/members/memberPlan.test.ts
@@ -0,0 +1,89 @@
+import fc from 'fast-check';
+import { expect, test } from 'vitest';
+import { toFailureDomain, toHostId } from '../../../common/ids/index.js';
+import type { ControlMember } from '../../tickets/index.js';
+import { DEFAULT_MEMBER_PLAN_SETTINGS, planMembers, type HeardMember } from './memberPlan.js';
+
+const NOW_MS = 100_000;
+const { replaceMs, removeMs, minimumMembers } = DEFAULT_MEMBER_PLAN_SETTINGS;
+
+function createMember(index: number, life = ''): ControlMember {
+  return {
+    member: `10.0.0.${index}${life}`,
+    host: toHostId(`control-${index}`),
+    domain: toFailureDomain('a'),
+    address: `10.0.0.${index}:7560`,
+  };
+}
+
+function hear(member: ControlMember, silentMs = 0): HeardMember {
+  return { member, heardMs: NOW_MS - silentMs };
+}
+
+function plan(present: readonly ControlMember[], heard: readonly HeardMember[], sinceMs = 0) {
+  return planMembers({ present, heard, sinceMs, nowMs: NOW_MS })?.map(({ member }) => member);
+}
+
+const [one, two, three, four] = [1, 2, 3, 4].map((index) => createMember(index)) as [
+  ControlMember,
+  ControlMember,
+  ControlMember,
+  ControlMember,
+];
+const founders = [one, two, three];
+
+test('a host that asks is admitted besides the others', () => {
+  expect(
+    plan(
+      founders,
+      [...founders, four].map((each) => hear(each)),
+    ),
+  ).toEqual([one.member, two.member, three.member, four.member]);
+});
+
+test('a host that lost its disk takes the place of its earlier log at once', () => {
+  const wiped = createMember(2, '.life-1');
+  const heard = [hear(one), hear(two, 100), hear(three), hear(wiped)];
+  expect(plan(founders, heard)).toEqual([one.member, three.member, wiped.member]);
+});
+
+test('a new host takes the place of a silent member', () => {
+  const heard = [hear(one), hear(two), hear(three, replaceMs), hear(four)];
+  expect(plan(founders, heard)).toEqual([one.member, two.member, four.member]);
+});
+
+test('a new leader counts nobody as silent before it could hear of them', () => {
+  const heard = [hear(one), hear(four)];
+  expect(plan(founders, heard, NOW_MS - replaceMs + 1)).toHaveLength(4);
+});
+
+test('a silent member without a successor goes only while enough others are heard', () => {
+  const members = [...founders, four];
+  const heard = [hear(one), hear(two), hear(three), hear(four, removeMs)];
+  expect(plan(members, heard)).toEqual(founders.map(({ member }) => member));
+  expect(plan(founders, [hear(one), hear(two), hear(three, removeMs)])).toBeUndefined();
+});
+
+test('plans settle, change one member at a time and never leave fewer heard than are needed', () => {
+  const silences = fc.array(fc.nat({ max: 2 * removeMs }), { minLength: 5, maxLength: 9 });
+  fc.assert(
+    fc.property(silences, fc.integer({ min: 3, max: 5 }), (each, size) => {
+      const all = each.map((silentMs, index) => hear(createMember(index), silentMs));
+      let present: readonly ControlMember[] = all.slice(0, size).map(({ member }) => member);
+      for (let round = 0; round < 40; round += 1) {
+        const next = planMembers({ present, heard: all, sinceMs: 0, nowMs: NOW_MS });
+        if (next === undefined) {
+          return;
+        }
+        const kept = present.filter((member) =>
+          next.some((other) => other.member === member.member),
+        );
+        expect(present.length - kept.length).toBeLessThanOrEqual(1);
+        expect(next.length).toBeGreaterThanOrEqual(Math.min(minimumMembers, present.length));
+        present = next;
+      }
+      throw new Error('the plan never settled');
+    }),
+    { seed: 7, numRuns: 300 },
+  );
+});
--- /dev/null
+++ b/src/decisions/control/members/memberPlan.ts
@@ -0,0 +1,97 @@
+import type { ControlMember } from '../../tickets/index.js';
+
+/** Bounds for the members that the control quorum plans by itself. */
+export interface MemberPlanSettings {
+  /** Most members of the quorum. */
+  readonly maximumMembers: number;
+  /** A member silent for this long is replaced when another host can take its place. */
+  readonly replaceMs: number;
+  /** A member silent for this long is removed although nobody takes its place. */
+  readonly removeMs: number;
+  /** Fewest members that are heard; below that nobody is removed. */
+  readonly minimumMembers: number;
+}
+
+/** The bounds used unless set otherwise. */
+export const DEFAULT_MEMBER_PLAN_SETTINGS: MemberPlanSettings = {
+  maximumMembers: 9,
+  replaceMs: 2000,
+  removeMs: 8000,
+  minimumMembers: 3,
+};
+
+/** A host that asks to be a member, and when the leader last heard of it. */
+export interface HeardMember {
+  readonly member: ControlMember;
+  readonly heardMs: number;
+}
+
+/** What the plan depends on. */
+export interface MemberPlanInput {
+  /** The members wanted so far. */
+  readonly present: readonly ControlMember[];
+  readonly heard: readonly HeardMember[];
+  /** Since when this leader can have heard of the others. */
+  readonly sinceMs: number;
+  readonly nowMs: number;
+}
+
+/**
+ * Plans the members of the control quorum, for a fleet whose hosts come and go without a ticket:
+ * admits hosts that ask, and lets those go that were replaced or are silent. Answers lost, wiped and
+ * moved control hosts: a dead member weighs on the quorum until it is removed. Gives the members
+ * wanted from now on, or undefined when nothing changes. One member changes at a time.
+ */
+export function planMembers(
+  input: MemberPlanInput,
+  settings: MemberPlanSettings = DEFAULT_MEMBER_PLAN_SETTINGS,
+): readonly ControlMember[] | undefined {
+  const { present, nowMs, sinceMs } = input;
+  const alive = input.heard.filter(({ heardMs }) => nowMs - heardMs < settings.replaceMs);
+  const known = new Map(input.heard.map((each) => [each.member.member, each]));
+  const getSilentMs = ({ member }: ControlMember): number =>
+    nowMs - Math.max(sinceMs, known.get(member)?.heardMs ?? sinceMs);
+  const updated = present.map((each) => known.get(each.member)?.member ?? each);
+  const added = alive
+    .map(({ member }) => member)
+    .find((each) => !present.some(({ member }) => member === each.member));
+  const silent = updated.reduce<ControlMember | undefined>(
+    (longest, each) =>
+      longest === undefined || getSilentMs(each) > getSilentMs(longest) ? each : longest,
+    undefined,
+  );
+  if (added !== undefined) {
+    return admit(updated, added, silent, silent === undefined ? 0 : getSilentMs(silent), settings);
+  }
+  const heardCount = updated.filter((each) => getSilentMs(each) < settings.replaceMs).length;
+  const isRemovable = silent !== undefined && getSilentMs(silent) >= settings.removeMs;
+  if (isRemovable && heardCount >= settings.minimumMembers && heardCount * 2 > updated.length) {
+    return updated.filter((each) => each !== silent);
+  }
+  return updated.some((each, index) => differs(each, present[index])) ? updated : undefined;
+}
+
+/** Admits a host in place of what it replaces, or besides the others. */
+function admit(
+  members: readonly ControlMember[],
+  added: ControlMember,
+  silent: ControlMember | undefined,
+  silentMs: number,
+  settings: MemberPlanSettings,
+): readonly ControlMember[] | undefined {
+  // An earlier log of the same host or address is gone: its identity never comes back.
+  const earlier = members.find(
+    ({ host, address }) => host === added.host || address === added.address,
+  );
+  const replaced = earlier ?? (silentMs >= settings.replaceMs ? silent : undefined);
+  if (replaced !== undefined) {
+    return [...members.filter((each) => each !== replaced), added];
+  }
+  return members.length < settings.maximumMembers ? [...members, added] : undefined;
+}
+
+function differs(left: ControlMember, right: ControlMember | undefined): boolean {
+  return (
+    left.host !== right?.host || left.address !== right.address || left.domain !== right.domain
+  );
+}
--- a/src/decisions/control/primaryBook.ts
+++ b/src/decisions/control/primaryBook.ts
@@ -1,7 +1,12 @@
 import { toLogPosition, toRevision, type GroupId, type Revision } from '../../common/ids/index.js';
 import type { AssignmentBook } from './assignmentBook.js';
 import { CommandKind } from './commandKind.js';
-import { PrimaryPhase, type GroupPrimary, type PromotionBase } from './groupPrimary.js';
+import {
+  getServedTimeline,
+  PrimaryPhase,
+  type GroupPrimary,
+  type PromotionBase,
+} from './groupPrimary.js';
 import type {
   BeginMove,
   BeginPromotion,
@@ -62,6 +67,7 @@
       instance: command.instance,
       phase: PrimaryPhase.Promoting,
       since: toRevision(0),
+      ...(command.leader === undefined ? {} : { decidedBy: command.leader }),
       base: createBase(command, present),
       history: present?.history ?? [],
     };
@@ -79,7 +85,9 @@
   if (present.base !== undefined) {
     return present.base;
   }
-  return { term: present.term, instance: present.instance, required: command.required };
+  const { term, timeline, instance } = present;
+  const { required } = command;
+  return { term, instance, required, ...(timeline === undefined ? {} : { timeline }) };
 }
 
 function recordPrimary(command: RecordPrimary, revision: Revision): GroupPrimary {
@@ -87,6 +95,7 @@
     kind: RecordKind.Primary,
     group: command.group,
     term: command.term,
+    ...(command.timeline === undefined ? {} : { timeline: command.timeline }),
     instance: command.instance,
     phase: PrimaryPhase.Serving,
     since: revision,
@@ -116,8 +125,18 @@
   if (command.position < required) {
     return undefined;
   }
-  const { base, ...rest } = present;
-  const ended = { term: base?.term ?? present.term, position: command.position };
+  const { kind, group, term, instance } = present;
+  const { timeline } = command;
+  const ended = { term: getServedTimeline(present) ?? term, position: command.position };
   const history = [...present.history, ended].slice(-MAXIMUM_TERM_ENDS);
-  return { ...rest, phase: PrimaryPhase.Serving, since: revision, history };
+  const served = {
+    kind,
+    group,
+    term,
+    instance,
+    phase: PrimaryPhase.Serving,
+    since: revision,
+    history,
+  };
+  return timeline === undefined ? served : { ...served, timeline };
 }
--- a/src/decisions/control/primaryCommand.ts
+++ b/src/decisions/control/primaryCommand.ts
@@ -1,4 +1,11 @@
-import type { GroupId, InstanceId, LeaseId, LogPosition, Term } from '../../common/ids/index.js';
+import type {
+  HostId,
+  GroupId,
+  InstanceId,
+  LeaseId,
+  LogPosition,
+  Term,
+} from '../../common/ids/index.js';
 import type { CommandKind } from './commandKind.js';
 
 /** Records the primary of a group that control sees for the first time. */
@@ -6,6 +13,8 @@
   readonly kind: CommandKind.RecordPrimary;
   readonly group: GroupId;
   readonly term: Term;
+  /** Term of its log positions, where the platform numbers them itself. */
+  readonly timeline?: Term;
   readonly instance: InstanceId;
 }
 
@@ -28,6 +37,8 @@
   readonly expectedTerm: Term;
   /** Lease of the present holder, which has fenced the earlier terms; absent when none holds. */
   readonly expectedLease?: LeaseId;
+  /** The control leader that decides. */
+  readonly leader?: HostId;
 }
 
 /** Puts the promoted instance in service; the earlier term ended at `position`. */
@@ -35,6 +46,8 @@
   readonly kind: CommandKind.CompletePromotion;
   readonly group: GroupId;
   readonly term: Term;
+  /** Term of its log positions, where the platform numbers them itself. */
+  readonly timeline?: Term;
   /** The promoted instance's position when it was promoted. */
   readonly position: LogPosition;
 }
--- a/src/decisions/control/recordIndex.ts
+++ b/src/decisions/control/recordIndex.ts
@@ -9,12 +9,18 @@
   private readonly instances = new Map<GroupId, Map<string, InstanceRecord>>();
   private readonly subjects = new Set<string>();
   private readonly accounts = new Set<AccountId>();
+  /** Client accounts of the whole configuration. */
+  private configured: readonly AccountId[] = [];
 
   /** Takes in a new or changed record. */
   add(value: ControlRecordValue): void {
     if (value.kind === RecordKind.Instance) {
       const group = this.instances.get(value.group) ?? new Map<string, InstanceRecord>();
-      group.set(value.instance, value);
+      if (value.gone === true) {
+        group.delete(value.instance);
+      } else {
+        group.set(value.instance, value);
+      }
       this.instances.set(value.group, group);
     } else if (value.kind === RecordKind.Subject) {
       this.addSubject(value.state);
@@ -33,18 +39,21 @@
 
   /** Every group with a registered instance. */
   getGroups(): GroupId[] {
-    return [...this.instances.keys()];
+    return [...this.instances].filter(([, group]) => group.size > 0).map(([id]) => id);
   }
 
   /** Every client account. */
   getAccounts(): AccountId[] {
-    return [...this.accounts];
+    return this.configured.length === 0
+      ? [...this.accounts]
+      : [...new Set([...this.accounts, ...this.configured])];
   }
 
   /** Drops all lists. */
   clear(): void {
     this.instances.clear();
     this.accounts.clear();
+    this.configured = [];
     this.subjects.clear();
   }
 
@@ -52,6 +61,8 @@
     this.subjects.add(getSubjectName(state));
     if (state.kind === SubjectKind.Account) {
       this.accounts.add(state.account);
+    } else if (state.kind === SubjectKind.Configuration) {
+      this.configured = state.accounts.map(({ account }) => account);
     }
   }
 }
--- a/src/decisions/control/recordReader.ts
+++ b/src/decisions/control/recordReader.ts
@@ -7,6 +7,7 @@
 } from '../../common/ids/index.js';
 import {
   Acknowledgement,
+  ConfigurationIndex,
   SubjectKind,
   type AccountState,
   type ControlMembersState,
@@ -31,24 +32,39 @@
 
 /** Typed lookups over a copy of the replicated records. */
 export abstract class RecordReader {
+  private configuration: ConfigurationIndex | undefined;
+
   /** What is in force on a subject such as `account/mill-7`. */
   getSubject(subject: string): SubjectInForce | undefined {
     return this.getValue(RecordKind.Subject, getSubjectRecordName(subject));
   }
 
+  /** The whole configuration, where operators replace it as one. */
+  getConfiguration(): ConfigurationIndex | undefined {
+    const state = this.getState(SubjectKind.Configuration, SubjectKind.Configuration);
+    if (state !== this.configuration?.state) {
+      this.configuration = state && new ConfigurationIndex(state);
+    }
+    return this.configuration;
+  }
+
   /** A client account. */
   getAccount(account: AccountId): AccountState | undefined {
-    return this.getState(SubjectKind.Account, `${SubjectKind.Account}/${account}`);
+    const configured = this.getConfiguration()?.getAccount(account);
+    const subject = `${SubjectKind.Account}/${account}`;
+    return configured ?? this.getState(SubjectKind.Account, subject);
   }
 
   /** A route, by the database name that callers ask for. */
   getRoute(route: string): RouteState | undefined {
-    return this.getState(SubjectKind.Route, `${SubjectKind.Route}/${route}`);
+    const configured = this.getConfiguration()?.getRoute(route);
+    return configured ?? this.getState(SubjectKind.Route, `${SubjectKind.Route}/${route}`);
   }
 
   /** A group as operators set it; undefined when no ticket did. */
   getGroup(group: GroupId): GroupState | undefined {
-    return this.getState(SubjectKind.Group, `${SubjectKind.Group}/${group}`);
+    const configured = this.getConfiguration()?.getGroup(group);
+    return configured ?? this.getState(SubjectKind.Group, `${SubjectKind.Group}/${group}`);
   }
 
   /** When the group's writes are acknowledged; the safe way when no ticket says. */
@@ -62,10 +78,11 @@
     return this.getState(SubjectKind.FailureDomain, subject)?.inService ?? true;
   }
 
-  /** Whether a ticket says that a backend server is leaving. */
+  /** Whether a ticket or the backend server itself says that it is leaving. */
   isLeaving(group: GroupId, instance: InstanceId): boolean {
     const subject = `${SubjectKind.BackendServer}/${group}/${instance}`;
-    return this.getState(SubjectKind.BackendServer, subject)?.leaving ?? false;
+    const isOrdered = this.getState(SubjectKind.BackendServer, subject)?.leaving ?? false;
+    return isOrdered || this.getInstance(group, instance)?.leaving === true;
   }
 
   /** The members that the control quorum is to have. */
--- a/src/decisions/promotion/candidates.ts
+++ b/src/decisions/promotion/candidates.ts
@@ -1,8 +1,8 @@
-import type { GroupPrimary } from '../control/groupPrimary.js';
+import { getServedTimeline, type GroupPrimary } from '../control/groupPrimary.js';
 import type { GroupView } from './groupView.js';
-import { getServedTerm, isOnHistory } from './history.js';
+import { isOnHistory } from './history.js';
 import type { InstanceView } from './instanceView.js';
-import { compareFurthest, getPlace, isAnnouncing } from './places.js';
+import { compareFurthest, getPlace, getToldPlace, isAnnouncing } from './places.js';
 import type { PromotionSettings } from './promotionSettings.js';
 
 /** Which instances are asked for. */
@@ -41,7 +41,8 @@
   settings: PromotionSettings,
 ): boolean {
   const isHidden = instance.sighted !== undefined && !instance.sighted.reachable;
-  const isSame = instance.announced?.term === getServedTerm(primary);
+  const place = getToldPlace(instance) ?? instance.sighted;
+  const isSame = place?.term === getServedTimeline(primary);
   return isSame && isAnnouncing(view, instance, settings) && !isHidden;
 }
 
--- a/src/decisions/promotion/fence.ts
+++ b/src/decisions/promotion/fence.ts
@@ -1,6 +1,6 @@
 import type { Term } from '../../common/ids/index.js';
 import type { GroupView } from './groupView.js';
-import { pickFurther } from './places.js';
+import { getToldPlace, pickFurther } from './places.js';
 import type { InstanceView, Measurement } from './instanceView.js';
 import type { PromotionSettings } from './promotionSettings.js';
 
@@ -33,7 +33,8 @@
   fence: Fence,
   settings: PromotionSettings,
 ): Measurement | undefined {
-  const { announced, sighted } = instance;
+  const { sighted } = instance;
+  const announced = getToldPlace(instance);
   const isLate =
     announced !== undefined && announced.measuredFromMs >= fence.atMs + settings.settleMs;
   const isSeen =
--- a/src/decisions/promotion/firstSight.ts
+++ b/src/decisions/promotion/firstSight.ts
@@ -1,7 +1,13 @@
 import { toLogPosition, toTerm } from '../../common/ids/index.js';
 import type { GroupView } from './groupView.js';
 import type { InstanceView } from './instanceView.js';
-import { compareFurthest, isAnnouncedPrimary, isAnnouncing } from './places.js';
+import {
+  compareFurthest,
+  getPlace,
+  getToldPlace,
+  isAnnouncedPrimary,
+  isAnnouncing,
+} from './places.js';
 import { createWait, PromotionStep, type PromotionDecision } from './promotionDecision.js';
 import type { PromotionSettings } from './promotionSettings.js';
 
@@ -12,12 +18,19 @@
     return createWait('first announcements');
   }
   const present = view.instances.filter((each) => isAnnouncing(view, each, settings));
-  const highest = Math.max(0, ...present.map((each) => each.announced?.term ?? 0));
+  const highest = Math.max(0, ...present.map((each) => getPlace(each)?.term ?? 0));
   const primaries = present.filter(isAnnouncedPrimary);
-  const leaders = primaries.filter((each) => each.announced?.term === highest);
+  const leaders = primaries.filter((each) => getPlace(each)?.term === highest);
   const [only] = leaders;
+  if (primaries.length > 0 && highest === 0) {
+    return createWait('the position of the primary is not known');
+  }
   if (only !== undefined && leaders.length === 1) {
-    return { step: PromotionStep.Record, instance: only.instance, term: toTerm(highest) };
+    const record = { step: PromotionStep.Record, instance: only.instance } as const;
+    const term = toTerm(highest);
+    return getToldPlace(only) === undefined
+      ? { ...record, term, timeline: term }
+      : { ...record, term };
   }
   if (leaders.length > 1) {
     return createWait('several instances announce themselves primary of the same term');
@@ -37,16 +50,17 @@
   }
   const [best] = present
     .filter((each) => each.inService && !each.leaving && each.announced?.leaving !== true)
-    .filter((each) => each.announced?.term === highest)
+    .filter((each) => getPlace(each)?.term === highest)
     .sort(compareFurthest);
-  if (best?.announced === undefined) {
+  const place = best && getPlace(best);
+  if (best === undefined || place === undefined) {
     return createWait('no instance can be the first primary');
   }
   return {
     step: PromotionStep.Promote,
     instance: best.instance,
     term: toTerm(highest + 1),
-    required: toLogPosition(best.announced.position),
+    required: place.position,
     reason: 'the group has no primary',
   };
 }
--- a/src/decisions/promotion/groupView.ts
+++ b/src/decisions/promotion/groupView.ts
@@ -1,4 +1,11 @@
-import type { GroupId, InstanceId, LeaseId, LogPosition, Term } from '../../common/ids/index.js';
+import type {
+  HostId,
+  GroupId,
+  InstanceId,
+  LeaseId,
+  LogPosition,
+  Term,
+} from '../../common/ids/index.js';
 import type { GroupPrimary } from '../control/groupPrimary.js';
 import type { Acknowledgement } from '../tickets/index.js';
 import type { InstanceView } from './instanceView.js';
@@ -27,6 +34,8 @@
 export interface GroupView {
   readonly group: GroupId;
   readonly nowMs: number;
+  /** The control leader that decides. */
+  readonly leader?: HostId;
   /** Since when this leader receives announcements. */
   readonly leaderSinceMs: number;
   readonly acknowledgement: Acknowledgement;
--- a/src/decisions/promotion/history.ts
+++ b/src/decisions/promotion/history.ts
@@ -1,5 +1,5 @@
 import type { LogPosition, Term } from '../../common/ids/index.js';
-import { PrimaryPhase, type GroupPrimary } from '../control/groupPrimary.js';
+import { getServedTimeline, PrimaryPhase, type GroupPrimary } from '../control/groupPrimary.js';
 
 /** The last term of a group that served. */
 export function getServedTerm(primary: GroupPrimary): Term | undefined {
@@ -16,10 +16,15 @@
  * since then. What lies beyond the end of an earlier term is on another history.
  */
 export function isOnHistory(primary: GroupPrimary, term: Term, position: LogPosition): boolean {
-  const served = getServedTerm(primary) ?? 0;
+  const served = getServedTimeline(primary) ?? 0;
   if (term >= served) {
-    return term <= primary.term;
+    return hasOwnTimeline(primary) || term <= primary.term;
   }
   const end = primary.history.find((each) => each.term === term);
   return end !== undefined && position <= end.position;
 }
+
+/** Whether the platform numbers the terms of log positions itself: only its orders begin one. */
+function hasOwnTimeline({ timeline, base }: GroupPrimary): boolean {
+  return timeline !== undefined || base?.timeline !== undefined;
+}
--- a/src/decisions/promotion/instanceView.ts
+++ b/src/decisions/promotion/instanceView.ts
@@ -25,6 +25,8 @@
 /** What the holder saw last of an instance. */
 export interface SightedPlace extends Measurement {
   readonly reachable: boolean;
+  /** Whether it said that it is primary; absent when it did not tell. */
+  readonly isPrimary?: boolean;
 }
 
 /** One instance as the choice of a primary sees it. */
--- a/src/decisions/promotion/places.ts
+++ b/src/decisions/promotion/places.ts
@@ -1,11 +1,16 @@
 import { InstanceRole } from '../control/announcement.js';
 import type { GroupView } from './groupView.js';
-import type { InstanceView, Measurement } from './instanceView.js';
+import type { AnnouncedPlace, InstanceView, Measurement } from './instanceView.js';
 import type { PromotionSettings } from './promotionSettings.js';
 
+/** The place that an instance announced; undefined when its announcements tell none. */
+export function getToldPlace({ announced }: InstanceView): AnnouncedPlace | undefined {
+  return announced !== undefined && announced.term > 0 ? announced : undefined;
+}
+
 /** The furthest place that is known of an instance. */
 export function getPlace(instance: InstanceView): Measurement | undefined {
-  return pickFurther(instance.announced, instance.sighted);
+  return pickFurther(getToldPlace(instance), instance.sighted);
 }
 
 /** The further of two places of one instance. */
--- a/src/decisions/promotion/promotionDecision.ts
+++ b/src/decisions/promotion/promotionDecision.ts
@@ -14,6 +14,8 @@
   Promote = 'promote',
   /** Order the platform to promote the instance decided on. */
   Order = 'order',
+  /** Put the promoted instance in service. */
+  Complete = 'complete',
 }
 
 /** A step without further content. */
@@ -34,6 +36,16 @@
   readonly step: PromotionStep.Record;
   readonly instance: InstanceId;
   readonly term: Term;
+  /** Term of its log positions, where the platform numbers them itself. */
+  readonly timeline?: Term;
+}
+
+/** The promoted instance leads, as was seen. */
+export interface CompleteDecision {
+  readonly step: PromotionStep.Complete;
+  /** Term of its log positions. */
+  readonly timeline: Term;
+  readonly position: LogPosition;
 }
 
 /** The instance to promote. */
@@ -47,7 +59,8 @@
 }
 
 /** What is to be done about a group's primary. */
-export type PromotionDecision = PlainDecision | WaitDecision | RecordDecision | PromoteDecision;
+export type PromotionDecision =
+  PlainDecision | WaitDecision | RecordDecision | PromoteDecision | CompleteDecision;
 
 /** Nothing to do. */
 export const REST: PlainDecision = { step: PromotionStep.Rest };
--- a/src/decisions/promotion/promotionRules.ts
+++ b/src/decisions/promotion/promotionRules.ts
@@ -1,5 +1,5 @@
 import { toLogPosition, toTerm, type LogPosition, type Term } from '../../common/ids/index.js';
-import { PrimaryPhase, type GroupPrimary } from '../control/groupPrimary.js';
+import { getServedTimeline, PrimaryPhase, type GroupPrimary } from '../control/groupPrimary.js';
 import { Acknowledgement } from '../tickets/index.js';
 import { Candidates, getCandidates, hasToMove, mayServeAgain } from './candidates.js';
 import { findFence, getPlaceAfter, type Fence } from './fence.js';
@@ -7,7 +7,7 @@
 import type { GroupView } from './groupView.js';
 import { getServedStart } from './history.js';
 import type { InstanceView } from './instanceView.js';
-import { getPlace, isAnnouncedPrimary, isAnnouncing } from './places.js';
+import { getPlace, getToldPlace, isAnnouncedPrimary, isAnnouncing } from './places.js';
 import {
   createBlocked,
   createWait,
@@ -74,7 +74,7 @@
       if (place === undefined && !this.isWithoutVote(primary, instance)) {
         return undefined;
       }
-      if (place?.term === primary.term) {
+      if (place !== undefined && place.term === getServedTimeline(primary)) {
         furthest = Math.max(furthest, place.position);
       }
     }
@@ -123,7 +123,7 @@
     if (isLate) {
       return this.choose(view, primary, fence, 'the move took too long');
     }
-    if (last?.term !== primary.term) {
+    if (last === undefined || last.term !== getServedTimeline(primary)) {
       return createWait('the last position of the primary is not known');
     }
     const [best] = getCandidates(view, primary, this.settings, Candidates.Others);
@@ -136,6 +136,13 @@
 
   private decidePromoting(view: GroupView, primary: GroupPrimary): PromotionDecision {
     const { order, nowMs } = view;
+    const completed = findCompletion(view, primary);
+    if (completed !== undefined) {
+      return completed;
+    }
+    if (!this.settings.adoptsOrders && primary.decidedBy !== view.leader) {
+      return this.decideAnew(view, primary);
+    }
     if (order?.term !== primary.term) {
       return { step: PromotionStep.Order };
     }
@@ -150,6 +157,19 @@
       : createWait('the platform has not answered');
   }
 
+  /** An earlier leader's order may still be carried out: one under a higher term outbids it. */
+  private decideAnew(view: GroupView, primary: GroupPrimary): PromotionDecision {
+    const required = primary.base?.required ?? toLogPosition(0);
+    const candidates = getCandidates(view, primary, this.settings, Candidates.All).filter(
+      (each) => (getPlace(each)?.position ?? -1) >= required,
+    );
+    const same = candidates.find((each) => each.instance === primary.instance);
+    const next = same ?? candidates[0];
+    return next === undefined
+      ? createBlocked('no candidate has every write')
+      : this.createPromotion(view, next, required, 'an earlier leader began it');
+  }
+
   /** Another instance for an unfinished promotion; one that failed before comes last. */
   private findAlternative(view: GroupView, primary: GroupPrimary): InstanceView | undefined {
     const required = primary.base?.required ?? 0;
@@ -176,8 +196,9 @@
     }
     const own = findInstance(view, primary);
     const ownPlace = own && getPlaceAfter(own, fence, this.settings);
-    if (own !== undefined && ownPlace?.term === primary.term) {
-      if (mayServeAgain(view, primary, own, this.settings)) {
+    if (own !== undefined && ownPlace !== undefined) {
+      const isSame = ownPlace.term === getServedTimeline(primary);
+      if (isSame && mayServeAgain(view, primary, own, this.settings)) {
         return this.createPromotion(view, own, ownPlace.position, 'the last primary goes on');
       }
     }
@@ -210,7 +231,9 @@
     if (announced === undefined || announced.measuredFromMs < servingSinceMs) {
       return false;
     }
-    return !isAnnouncedPrimary(instance) || announced.term < primary.term;
+    const told = getToldPlace(instance);
+    const isBehind = told !== undefined && told.term < (getServedTimeline(primary) ?? 0);
+    return !isAnnouncedPrimary(instance) || isBehind;
   }
 
   /** Announcements are only missed once this leader had time to receive them. */
@@ -256,6 +279,19 @@
   return toTerm(highest + 1);
 }
 
+/** A promotion is complete once its instance was seen to lead a later term of the log. */
+function findCompletion(view: GroupView, primary: GroupPrimary): PromotionDecision | undefined {
+  const { base } = primary;
+  const sighted = findInstance(view, primary)?.sighted;
+  if (base?.timeline === undefined || sighted?.isPrimary !== true || !sighted.reachable) {
+    return undefined;
+  }
+  const { term: timeline, position } = sighted;
+  return timeline > base.timeline && position >= base.required
+    ? { step: PromotionStep.Complete, timeline, position }
+    : undefined;
+}
+
 function findInstance(view: GroupView, primary: GroupPrimary): InstanceView | undefined {
   return view.instances.find((each) => each.instance === primary.instance);
 }
--- a/src/decisions/promotion/promotionSettings.ts
+++ b/src/decisions/promotion/promotionSettings.ts
@@ -16,6 +16,8 @@
   readonly moveMs: number;
   /** Time after a planned move was given up until the group tries another. */
   readonly moveIntervalMs: number;
+  /** Whether a new leader repeats an earlier leader's order; else it decides under a term of its own. */
+  readonly adoptsOrders: boolean;
 }
 
 /** The bounds used unless set otherwise. */
@@ -28,4 +30,5 @@
   abandonMs: 1500,
   moveMs: 2000,
   moveIntervalMs: 5000,
+  adoptsOrders: true,
 };
--- a/src/decisions/routing/groupRouter.ts
+++ b/src/decisions/routing/groupRouter.ts
@@ -1,7 +1,7 @@
 import { createFault, Diagnostics } from '../../common/diagnostics/index.js';
 import type { FailureDomain } from '../../common/ids/index.js';
 import type { RandomSource } from '../../common/random.js';
-import { PrimaryPhase, type GroupPrimary } from '../control/index.js';
+import { getServedTimeline, PrimaryPhase, type GroupPrimary } from '../control/index.js';
 import { getPositionStatus, PositionStatus, type SessionPosition } from '../sessions/index.js';
 import type { InstanceView } from './instanceView.js';
 import type { ReadRequirement } from './readRequirement.js';
@@ -45,8 +45,9 @@
     if (refused !== undefined) {
       return refused;
     }
-    const eligible = group.instances.filter((view) =>
-      isEligibleReplica(view, group, primary, requirement),
+    const isWanted = requirement.avoidsReplicas !== true;
+    const eligible = group.instances.filter(
+      (view) => isWanted && isEligibleReplica(view, group, primary, requirement),
     );
     if (eligible.length === 0) {
       return this.toPrimary(group, primary);
@@ -62,7 +63,7 @@
     if (session === undefined) {
       return undefined;
     }
-    if (primary.phase === PrimaryPhase.Promoting) {
+    if (primary.phase === PrimaryPhase.Promoting && !isKept(primary, session)) {
       // Where the earlier term ends is known only once the promotion is complete.
       return { kind: RouteKind.Wait };
     }
@@ -92,15 +93,19 @@
   requirement: ReadRequirement,
 ): boolean {
   const { position } = view;
-  if (view.instance === primary.instance || !view.reachable || !view.inService) {
+  const served = primary.base === undefined ? primary.instance : primary.base.instance;
+  if (view.instance === served || !view.reachable || !view.inService) {
     return false;
   }
-  if (position?.term !== primary.term) {
+  if (position === undefined || position.term !== getServedTimeline(primary)) {
     return false;
   }
   if (requirement.session !== undefined && !hasReached(position, requirement.session)) {
     return false;
   }
+  if (requirement.latest === true) {
+    return group.acknowledged !== undefined && hasReached(position, group.acknowledged);
+  }
   if (requirement.maximumStalenessMs !== undefined) {
     return view.ageMs <= requirement.maximumStalenessMs;
   }
@@ -108,6 +113,12 @@
   return wanted !== undefined && hasReached(position, wanted);
 }
 
+/** Whether a position is among those that the promotion under way can't drop. */
+function isKept({ base }: GroupPrimary, { term, position }: SessionPosition): boolean {
+  const timeline = base?.timeline ?? base?.term;
+  return base !== undefined && term === timeline && position <= base.required;
+}
+
 function hasReached(position: SessionPosition, wanted: SessionPosition): boolean {
   return position.position >= wanted.position;
 }
--- a/src/decisions/routing/index.ts
+++ b/src/decisions/routing/index.ts
@@ -3,6 +3,7 @@
 export * from './classifyStatement.js';
 export * from './statementClassifier.js';
 export * from './positionClock.js';
+export * from './readMinimum.js';
 export * from './readRequirement.js';
 export * from './instanceView.js';
 export * from './replicaPolicy.js';
--- a/src/decisions/routing/positionClock.ts
+++ b/src/decisions/routing/positionClock.ts
@@ -29,6 +29,12 @@
     this.samples = [];
   }
 
+  /** A position that holds every write acknowledged before a time; undefined when none is known. */
+  getPositionAt(timeMs: number): LogPosition | undefined {
+    return (this.samples.find((sample) => sample.timeMs >= timeMs) ?? this.samples.at(-1))
+      ?.position;
+  }
+
   /** An upper bound on the age in milliseconds of data at a position; infinite when unknown. */
   getAgeMs(position: LogPosition, nowMs: number): number {
     for (let index = this.samples.length - 1; index >= 0; index -= 1) {
--- a/src/decisions/routing/readRequirement.ts
+++ b/src/decisions/routing/readRequirement.ts
@@ -6,4 +6,8 @@
   readonly session: SessionPosition | undefined;
   /** Oldest data that the caller accepts, in milliseconds; absent: the latest acknowledged. */
   readonly maximumStalenessMs: number | undefined;
+  /** Every write acknowledged before the read has to be seen. */
+  readonly latest?: boolean;
+  /** No replica is tried, as after one lacked what the read needs. */
+  readonly avoidsReplicas?: boolean;
 }
--- a/src/decisions/sessions/positionStatus.ts
+++ b/src/decisions/sessions/positionStatus.ts
@@ -1,4 +1,4 @@
-import type { GroupPrimary } from '../control/index.js';
+import { getServedTimeline, type GroupPrimary } from '../control/groupPrimary.js';
 import type { SessionPosition } from './sessionPosition.js';
 
 /** How a session's position relates to the history of the group's present primary. */
@@ -16,10 +16,11 @@
   position: SessionPosition,
   primary: GroupPrimary,
 ): PositionStatus {
-  if (position.term > primary.term) {
+  const timeline = getServedTimeline(primary) ?? primary.term;
+  if (position.term > timeline) {
     return PositionStatus.Future;
   }
-  if (position.term === primary.term) {
+  if (position.term === timeline) {
     return PositionStatus.Included;
   }
   const end = primary.history.find((entry) => entry.term === position.term);
--- a/src/decisions/tickets/groupState.ts
+++ b/src/decisions/tickets/groupState.ts
@@ -9,4 +9,6 @@
   readonly acknowledgement: Acknowledgement;
   /** Longest time a transaction may stay open, in milliseconds. */
   readonly transactionLimitMs: number;
+  /** Connections that each instance accepts from all daemons; as announced when absent. */
+  readonly connectionLimit?: number;
 }
--- a/src/decisions/tickets/routeState.ts
+++ b/src/decisions/tickets/routeState.ts
@@ -1,4 +1,5 @@
 import type { AccountId, GroupId } from '../../common/ids/index.js';
+import type { Consistency } from './consistency.js';
 import type { SubjectKind } from './subjectKind.js';
 
 /** The whole state of a route: the database name that callers ask for. */
@@ -11,4 +12,14 @@
   readonly openAs?: AccountId;
   /** When set, only these client accounts may use the route. */
   readonly accounts?: readonly AccountId[];
+  /** What reads have to see; session consistency when absent. */
+  readonly consistency?: Consistency;
+  /** Oldest data that reads may see, in milliseconds. */
+  readonly maximumStalenessMs?: number;
+  /** Longest time of a statement, in milliseconds. */
+  readonly statementTimeoutMs?: number;
+  /** Time within which callers want an answer, in milliseconds. */
+  readonly targetLatencyMs?: number;
+  /** Longest time for which a transaction may idle, in milliseconds. */
+  readonly transactionIdleMs?: number;
 }
--- a/src/decisions/tickets/subjectKind.ts
+++ b/src/decisions/tickets/subjectKind.ts
@@ -6,4 +6,5 @@
   FailureDomain = 'failure-domain',
   BackendServer = 'backend-server',
   ControlMembers = 'control-members',
+  Configuration = 'configuration',
 }
--- a/src/decisions/tickets/subjectState.ts
+++ b/src/decisions/tickets/subjectState.ts
@@ -1,3 +1,4 @@
+import type { ConfigurationState } from './configurationState.js';
 import type { AccountState } from './accountState.js';
 import type { BackendServerState } from './backendServerState.js';
 import type { ControlMembersState } from './controlMembersState.js';
@@ -13,7 +14,8 @@
   | RouteState
   | FailureDomainState
   | BackendServerState
-  | ControlMembersState;
+  | ControlMembersState
+  | ConfigurationState;
 
 /** The subject's name, such as `account/mill-7`; one subject is in force under it at a time. */
 export function getSubjectName(state: SubjectState): string {
@@ -30,5 +32,7 @@
       return `backend-server/${state.group}/${state.instance}`;
     case SubjectKind.ControlMembers:
       return 'control-members';
+    case SubjectKind.Configuration:
+      return 'configuration';
   }
 }
