--- a/src/decisions/tickets/ticketSchema.ts
+++ b/src/decisions/tickets/ticketSchema.ts
@@ -1,12 +1,17 @@
 import { z } from 'zod';
 import { Acknowledgement } from './acknowledgement.js';
+import { Consistency } from './consistency.js';
 import { SubjectKind } from './subjectKind.js';
 
 const MAXIMUM_NUMBER = Number.MAX_SAFE_INTEGER;
 const MAXIMUM_SUBJECTS = 1000;
 const MAXIMUM_KEYS = 100;
 const MAXIMUM_ACCOUNTS = 10_000;
-const MAXIMUM_MEMBERS = 7;
+const MAXIMUM_MEMBERS = 15;
+const MAXIMUM_CONNECTIONS = 1_000_000;
+const MAXIMUM_ROUTES = 100_000;
+const MAXIMUM_GROUPS = 100_000;
+const MAXIMUM_SOURCE_LENGTH = 16_777_216;
 const MAXIMUM_RATE_PER_SECOND = 100_000_000;
 const MAXIMUM_BURST = 100_000_000;
 const MINIMUM_ITERATIONS = 1;
@@ -39,14 +44,22 @@
   group: name,
   acknowledgement: z.enum(Acknowledgement),
   transactionLimitMs: z.number().positive().max(MAXIMUM_TRANSACTION_MS),
+  connectionLimit: z.int().min(1).max(MAXIMUM_CONNECTIONS).optional(),
 });
 
+const milliseconds = z.number().positive().max(MAXIMUM_TRANSACTION_MS);
+
 const routeSchema = z.strictObject({
   kind: z.literal(SubjectKind.Route),
   route: name,
   group: name,
   openAs: name.optional(),
   accounts: z.array(name).max(MAXIMUM_ACCOUNTS).optional(),
+  consistency: z.enum(Consistency).optional(),
+  maximumStalenessMs: milliseconds.optional(),
+  statementTimeoutMs: milliseconds.optional(),
+  targetLatencyMs: milliseconds.optional(),
+  transactionIdleMs: milliseconds.optional(),
 });
 
 const failureDomainSchema = z.strictObject({
@@ -74,6 +87,28 @@
     .refine((members) => isUnique(members.map((each) => each.host)), 'expected each host once'),
 });
 
+const configurationSchema = z.strictObject({
+  kind: z.literal(SubjectKind.Configuration),
+  routes: z
+    .array(routeSchema)
+    .max(MAXIMUM_ROUTES)
+    .refine((routes) => isUnique(routes.map((each) => each.route)), 'expected each route once'),
+  accounts: z
+    .array(
+      accountSchema
+        .omit({ keys: true, salt: true, iterations: true })
+        .extend({ keyDigests: z.array(z.string().min(1).max(128)).max(MAXIMUM_KEYS) }),
+    )
+    .max(MAXIMUM_ACCOUNTS)
+    .refine((all) => isUnique(all.map((each) => each.account)), 'expected each account once')
+    .refine((all) => isUnique(all.flatMap((each) => each.keyDigests)), 'expected each key once'),
+  groups: z
+    .array(groupSchema)
+    .max(MAXIMUM_GROUPS)
+    .refine((groups) => isUnique(groups.map((each) => each.group)), 'expected each group once'),
+  source: z.string().max(MAXIMUM_SOURCE_LENGTH),
+});
+
 /** The schema of a ticket as operators write it. */
 export const ticketSchema = z.strictObject({
   number: z.int().min(1).max(MAXIMUM_NUMBER),
@@ -86,6 +121,7 @@
         failureDomainSchema,
         backendServerSchema,
         controlMembersSchema,
+        configurationSchema,
       ]),
     )
     .min(1)
--- a/tests/support/memoryControlClient.ts
+++ b/tests/support/memoryControlClient.ts
@@ -1,7 +1,12 @@
 import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 import type { Outcome } from '../../src/common/result.js';
 import type { Fault } from '../../src/common/diagnostics/index.js';
-import { toHostId, toRevision, type TicketNumber } from '../../src/common/ids/index.js';
+import {
+  toHostId,
+  toRevision,
+  type InstanceId,
+  type TicketNumber,
+} from '../../src/common/ids/index.js';
 import {
   TicketRegister,
   type Announcement,
@@ -14,6 +19,7 @@
 /** A control client for tests: one register in memory, which can be made to fail. */
 export class MemoryControlClient extends ControlClient {
   readonly announcements: Announcement[] = [];
+  readonly departures: InstanceId[] = [];
   readonly submitted: Ticket[] = [];
   /** When set, the next `faultsLeft` requests end with it. */
   fault: Fault | undefined;
@@ -57,6 +63,14 @@
     this.announcements.push(announcement);
   }
 
+  override switchDomain(): Outcome<unknown> {
+    return this.answer(() => ({ changed: true }));
+  }
+
+  override announceDeparture(instance: InstanceId): void {
+    this.departures.push(instance);
+  }
+
   private answer<Value>(compute: () => Value): Outcome<Value> {
     this.requests += 1;
     const { gate } = this;
