--- a/src/daemon/control/controlHost.ts
+++ b/src/daemon/control/controlHost.ts
@@ -9,6 +9,7 @@
   Role,
   toMemberId,
   type ConsensusMessage,
+  type ConsensusSettings,
   type MemberId,
 } from '../../decisions/consensus/index.js';
 import {
@@ -57,6 +58,7 @@
   readonly addresses: MemberAddresses;
   readonly platform: Platform;
   readonly control: ControlSettings;
+  readonly consensus: ConsensusSettings;
   /** Hosts that ask become members without a ticket, and lost ones are replaced. */
   readonly admitsMembers: boolean;
   /** The members that the quorum was founded with, in force until a ticket names others. */
@@ -79,7 +81,8 @@
 
   constructor(private readonly options: ControlHostOptions) {
     const { opened, storage, state, ids, timer, random, mesh, logger } = options;
-    this.member = new QuorumMember(opened, storage, state, ids, timer, random, this);
+    const { consensus } = options;
+    this.member = new QuorumMember(opened, storage, state, ids, timer, random, consensus, this);
     this.leader = new ControlLeader(state, { settings: options.control });
     mesh.receive(MeshKind.Consensus, ({ link, message }) => {
       if (link.peer !== undefined) {
--- a/src/daemon/createControlHost.ts
+++ b/src/daemon/createControlHost.ts
@@ -7,7 +7,12 @@
 import type { Outcome } from '../common/result.js';
 import type { Settings } from '../common/settings/index.js';
 import type { TimerService } from '../common/timer/index.js';
-import { createEmptyState, createFoundingState, toMemberId } from '../decisions/consensus/index.js';
+import {
+  createEmptyState,
+  createFoundingState,
+  toMemberId,
+  type ConsensusSettings,
+} from '../decisions/consensus/index.js';
 import { ControlState, type Command, type ControlSettings } from '../decisions/control/index.js';
 import {
   ControlHost,
@@ -35,6 +40,7 @@
   readonly isFounding: boolean;
   readonly platform: Platform;
   readonly control: ControlSettings;
+  readonly consensus: ConsensusSettings;
   readonly onFatal: (fault: Fault) => void;
 }
 
@@ -68,6 +74,7 @@
         addresses: new MemberAddresses(settings.control.members, state),
         platform,
         control,
+        consensus: context.consensus,
         admitsMembers: settings.control.admits_members,
         foundedMembers: createFoundedMembers(settings),
         onFatal,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -128,8 +128,8 @@
       const { mesh, ids } = this;
       const { interfaces } = this.options;
       const platform = interfaces.createPlatform(settings, timer);
-      const { control } = interfaces;
-      const shared = { settings, mesh, timer, logger, random, ids, platform, control };
+      const { control, consensus } = interfaces;
+      const shared = { settings, mesh, timer, logger, random, ids, platform, control, consensus };
       const context = { ...shared, isFounding, onFatal };
       const created = await createControlHost(context);
       if (created.isErr()) {
--- a/src/daemon/daemonInterfaces.ts
+++ b/src/daemon/daemonInterfaces.ts
@@ -3,6 +3,7 @@
 import type { Settings } from '../common/settings/index.js';
 import type { TimerService } from '../common/timer/index.js';
 import type { ControlSettings, DaemonRecords } from '../decisions/control/index.js';
+import type { ConsensusSettings } from '../decisions/consensus/index.js';
 import type { BackendProtocol } from './backend/index.js';
 import type { Platform } from './control/index.js';
 import type { DaemonFiles } from './daemonFiles.js';
@@ -36,6 +37,8 @@
 export abstract class DaemonInterfaces {
   /** Bounds that fit the platform's ways. */
   abstract readonly control: ControlSettings;
+  /** Timing of the control quorum. */
+  abstract readonly consensus: ConsensusSettings;
   /** Whether callers are turned away while this host's failure domain is out of service. */
   abstract readonly leavesWithDomain: boolean;
   /** Time for which new callers may still come after this host said that it is not ready. */
--- a/src/daemon/entry/entryRequests.ts
+++ b/src/daemon/entry/entryRequests.ts
@@ -19,6 +19,9 @@
 import { CallerRequests } from './callerRequests.js';
 import type { Dispatcher, RequestDraft } from './dispatcher.js';
 
+/** Part of the wanted latency that a request may wait for tokens; beyond it, a refusal serves better. */
+const TOKEN_WAIT_SHARE = 0.25;
+
 const CLASSES: Readonly<Record<RequestKind, RequestClass>> = {
   [RequestKind.Read]: RequestClass.Read,
   [RequestKind.Write]: RequestClass.Write,
@@ -104,7 +107,11 @@
       this.dispatch();
       return;
     }
-    const request = { requestId: id, account: draft.account, cost: Math.max(1, cost), deadlineMs };
+    const { targetMs } = draft;
+    const request = {
+      ...{ requestId: id, account: draft.account, cost: Math.max(1, cost), deadlineMs },
+      ...(targetMs === undefined ? {} : { maximumWaitMs: targetMs * TOKEN_WAIT_SHARE }),
+    };
     context.rates.admit(request, (refusal) => {
       if (refusal === undefined) {
         this.dispatch();
--- a/src/daemon/postgresInterfaces.ts
+++ b/src/daemon/postgresInterfaces.ts
@@ -1,5 +1,6 @@
 import { toFailureDomain } from '../common/ids/index.js';
 import { splitAddress, type Settings } from '../common/settings/index.js';
+import { defaultConsensusSettings } from '../decisions/consensus/index.js';
 import { DEFAULT_CONTROL_SETTINGS } from '../decisions/control/index.js';
 import { StatementClassifier } from '../decisions/routing/index.js';
 import type { BackendProtocol } from './backend/index.js';
@@ -16,6 +17,7 @@
 /** The product's own interfaces: PostgreSQL both ways, and the platform over HTTP. */
 export class PostgresInterfaces extends DaemonInterfaces {
   override readonly control = DEFAULT_CONTROL_SETTINGS;
+  override readonly consensus = defaultConsensusSettings;
   override readonly leavesWithDomain = true;
   override readonly stopNoticeMs = 0;
 
--- a/src/daemon/requests/executeRequest.ts
+++ b/src/daemon/requests/executeRequest.ts
@@ -26,6 +26,8 @@
   readonly remainingMs: number;
   /** It reads only, also as the first of a transaction that only reads. */
   readonly readOnly?: boolean;
+  /** Time within which the caller wants the answer, in milliseconds. */
+  readonly targetMs?: number;
   /** It must see every write acknowledged before it. */
   readonly latest?: boolean;
   /** Values that the session has set, applied to the connection where it has others. */
--- a/src/daemon/sessions/statementSession.ts
+++ b/src/daemon/sessions/statementSession.ts
@@ -302,7 +302,8 @@
     kind: RequestKind,
   ): Omit<RequestDraft, 'mayCommit' | 'costClass' | 'prepared' | 'payload'> {
     const { transaction } = this;
-    const { group, maximumStalenessMs, consistency = Consistency.Session } = route;
+    const { group, maximumStalenessMs, targetLatencyMs } = route;
+    const { consistency = Consistency.Session } = route;
     const session = consistency === Consistency.Session ? this.positions.get(group) : undefined;
     const values = [...this.values].map(([name, value]) => ({ name, value }));
     return {
@@ -316,6 +317,7 @@
       ...(values.length === 0 ? {} : { values }),
       ...(session === undefined ? {} : { session }),
       ...(maximumStalenessMs === undefined ? {} : { maximumStalenessMs }),
+      ...(targetLatencyMs === undefined ? {} : { targetMs: targetLatencyMs }),
       ...(transaction?.id === undefined ? {} : { transaction: transaction.id }),
     };
   }
--- a/src/decisions/control/members/memberPlan.ts
+++ b/src/decisions/control/members/memberPlan.ts
@@ -61,7 +61,8 @@
     undefined,
   );
   if (added !== undefined) {
-    return admit(updated, added, silent, silent === undefined ? 0 : getSilentMs(silent), settings);
+    const silentMs = silent === undefined ? 0 : getSilentMs(silent);
+    return admit(updated, added, silent, silentMs, alive.length, settings);
   }
   const heardCount = updated.filter((each) => getSilentMs(each) < settings.replaceMs).length;
   const isRemovable = silent !== undefined && getSilentMs(silent) >= settings.removeMs;
@@ -77,6 +78,7 @@
   added: ControlMember,
   silent: ControlMember | undefined,
   silentMs: number,
+  heardCount: number,
   settings: MemberPlanSettings,
 ): readonly ControlMember[] | undefined {
   // An earlier log of the same host or address is gone: its identity never comes back.
@@ -87,7 +89,17 @@
   if (replaced !== undefined) {
     return [...members.filter((each) => each !== replaced), added];
   }
-  return members.length < settings.maximumMembers ? [...members, added] : undefined;
+  const wanted = getWantedCount(heardCount, settings);
+  return members.length < wanted ? [...members, added] : undefined;
+}
+
+/**
+ * An odd number: another member beside it would make larger majorities without bearing one more
+ * loss, and would let a fleet that is cut in two halves stand still.
+ */
+function getWantedCount(heardCount: number, { maximumMembers }: MemberPlanSettings): number {
+  const bounded = Math.min(heardCount, maximumMembers);
+  return bounded % 2 === 0 ? bounded - 1 : bounded;
 }
 
 function differs(left: ControlMember, right: ControlMember | undefined): boolean {
--- a/src/decisions/limits/admissionRequest.ts
+++ b/src/decisions/limits/admissionRequest.ts
@@ -8,4 +8,6 @@
   readonly cost: number;
   /** When the request must have ended, by this daemon's clock. */
   readonly deadlineMs: number;
+  /** Longest wait for tokens of a known holder that is still worth it; a longer one is refused at once. */
+  readonly maximumWaitMs?: number;
 }
--- a/src/decisions/limits/entryAccount.ts
+++ b/src/decisions/limits/entryAccount.ts
@@ -170,7 +170,10 @@
       return this.refuse(waiting, Diagnostics.CostAboveBurst, WARM_MS, outputs);
     }
     const waitMs = this.getWaitMs(cost, nowMs);
-    const excessMs = nowMs + waitMs - waiting.latestMs;
+    const { maximumWaitMs = Infinity } = waiting.request;
+    const isHeld = this.link.getHolder() !== undefined;
+    const latestMs = Math.min(waiting.latestMs, isHeld ? nowMs + maximumWaitMs : Infinity);
+    const excessMs = nowMs + waitMs - latestMs;
     if (excessMs > 0) {
       return this.refuse(waiting, Diagnostics.RateExceeded, excessMs, outputs);
     }
