--- a/src/daemon/holder/heldGroup.ts
+++ b/src/daemon/holder/heldGroup.ts
@@ -206,7 +206,9 @@
   }
 
   leadLost(instance: HeldInstance): void {
-    if (instance.id === this.writes.primary?.instance) {
+    const { primary } = this.writes;
+    // One that is being promoted does not lead yet.
+    if (instance.id === primary?.instance && primary.phase !== PrimaryPhase.Promoting) {
       this.writes.fence('the instance says that it leads no more');
     }
   }
