--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -10,6 +10,16 @@
 const BUNDLE = 'daemon.cjs';
 const CACHE = 'daemon.cache';
 
+/** Leaves out the texts of error messages in other languages, which no start needs. */
+const withoutLocales = {
+  name: 'without-locales',
+  setup({ onLoad }) {
+    onLoad({ filter: /zod[\\/]v4[\\/]locales[\\/]index\.c?js$/ }, () => ({
+      contents: "export { default as en } from './en.js';",
+    }));
+  },
+};
+
 mkdirSync(FOLDER, { recursive: true });
 await build({
   entryPoints: ['platform/main.ts'],
@@ -22,6 +32,7 @@
   minifyWhitespace: true,
   legalComments: 'none',
   logLevel: 'error',
+  plugins: [withoutLocales],
 });
 
 writeFileSync(
--- a/src/common/settings/settings.ts
+++ b/src/common/settings/settings.ts
@@ -36,6 +36,9 @@
   mesh: z
     .strictObject({
       listen: addressSchema.describe('Address for other daemons.'),
+      advertise: addressSchema
+        .optional()
+        .describe('Address that other daemons dial; that of listen when absent.'),
       plain: z.boolean().default(false).describe('Allow the mesh without TLS.'),
       tls: tlsSchema.optional().describe('TLS on the mesh; both sides show a certificate.'),
     })
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -204,6 +204,7 @@
         host: toHostId(settings.host),
         incarnation: this.incarnation,
         listen: settings.mesh.listen,
+        ...(settings.mesh.advertise === undefined ? {} : { advertise: settings.mesh.advertise }),
         maximumFrameBytes: Math.max(messageBytes, SNAPSHOT_BYTES) + FRAME_MARGIN_BYTES,
         ...(files.meshTls === undefined ? {} : { tls: files.meshTls }),
       },
--- a/src/daemon/lease/controlRoute.ts
+++ b/src/daemon/lease/controlRoute.ts
@@ -1,4 +1,5 @@
-const ANSWER_TIMEOUT_MS = 450;
+/** Several round trips within a region; shorter than half a lease, so that two hosts can be tried. */
+const ANSWER_TIMEOUT_MS = 250;
 
 /** Chooses the control host to speak to: the leader once known, else one after another. */
 export class ControlRoute {
--- a/src/daemon/lease/leaseTask.ts
+++ b/src/daemon/lease/leaseTask.ts
@@ -26,7 +26,7 @@
 import type { ControlRoute } from './controlRoute.js';
 import { RecentAnnouncements } from './recentAnnouncements.js';
 
-const RENEWAL_INTERVAL_MS = 300;
+const RENEWAL_INTERVAL_MS = 250;
 const CHECK_INTERVAL_MS = 50;
 /** Shortest time between two renewals. */
 const RENEWAL_SPACING_MS = 5;
--- a/src/daemon/mesh/mesh.ts
+++ b/src/daemon/mesh/mesh.ts
@@ -70,7 +70,7 @@
       this.web.listen(port, ip, resolve);
     });
     const bound = this.web.address() as AddressInfo;
-    this.hello = createHello(this.options, `${ip}:${bound.port}`);
+    this.hello = createHello(this.options, this.options.advertise ?? `${ip}:${bound.port}`);
   }
 
   /** The messages of one kind that other daemons send. */
--- a/src/daemon/mesh/meshOptions.ts
+++ b/src/daemon/mesh/meshOptions.ts
@@ -7,6 +7,8 @@
   readonly incarnation: Incarnation;
   /** Address to listen at, `ip:port`; port 0 takes any free one. */
   readonly listen: string;
+  /** Address that other daemons dial, when it is another one. */
+  readonly advertise?: string;
   readonly maximumFrameBytes: number;
   /** Absent: the mesh runs without TLS. */
   readonly tls?: MeshTls;
--- a/src/decisions/control/leader/renewalIntake.ts
+++ b/src/decisions/control/leader/renewalIntake.ts
@@ -16,6 +16,7 @@
 } from '../recordNames.js';
 import { ControlOutputKind } from './controlOutput.js';
 import { AnnouncementEffect, type ReceivedAnnouncement } from './groupWatch.js';
+import { getLeaseKey } from './commandKey.js';
 import type { HostRegister } from './hostRegister.js';
 import { getWatch, type LeaderContext } from './leaderContext.js';
 
@@ -37,12 +38,33 @@
     const sentFromMs = leases.getSentFromMs(renewal);
     this.answer(renewal, outcome);
     leases.noteAnswer(renewal, nowMs);
+    this.retirePredecessors(renewal, nowMs);
     if (leases.get(renewal.lease)?.isLive === true) {
       this.hosts.refresh(renewal.host, nowMs);
       this.noteReports(renewal, sentFromMs, nowMs);
     }
   }
 
+  /**
+   * A daemon that has applied an assignment to another lease of its own address is not the one that
+   * held under it: that process is gone, or has ended the lease. A delayed renewal of an earlier
+   * process can't have applied what was assigned to a later one.
+   */
+  private retirePredecessors(
+    { host, address, lease, revision }: LeaseRenewal,
+    nowMs: number,
+  ): void {
+    const { state, outbox } = this.context;
+    for (const holder of state.getHolders()) {
+      const isOther = holder.lease !== lease && holder.host === host && holder.address === address;
+      const isKnown = isOther && state.getHeld(holder.lease).some(({ since }) => since <= revision);
+      const command = { kind: CommandKind.RetireLease, lease: holder.lease } as const;
+      if (isKnown && outbox.propose(getLeaseKey(holder.lease), command, nowMs)) {
+        outbox.log(Diagnostics.LeaseRetired, { lease: holder.lease, host });
+      }
+    }
+  }
+
   private answer(renewal: LeaseRenewal, outcome: RenewalOutcome): void {
     const { state, settings, outbox } = this.context;
     const { host, lease, sequence } = renewal;
--- /dev/null
+++ b/standin/lines/index.ts
@@ -0,0 +1,3 @@
+export * from './lineGroup.js';
+export * from './lineInstance.js';
+export * from './linePlatform.js';
