--- a/eslint.config.js
+++ b/eslint.config.js
@@ -24,7 +24,7 @@
 
 export default tseslint.config(
   {
-    ignores: ['dist/**', 'node_modules/**', 'coverage/**', 'eslint.config.js', 'vitest.config.ts'],
+    ignores: ['target/**', 'scripts/**', 'dist/**', 'node_modules/**', 'coverage/**', 'eslint.config.js', 'vitest.config.ts'],
   },
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
--- a/src/common/timer/manualTimerService.ts
+++ b/src/common/timer/manualTimerService.ts
@@ -8,6 +8,7 @@
 
 /** Time that moves only when told to, for tests and experiments. */
 export class ManualTimerService extends TimerService {
+  override suspensions = 0;
   private nowMs = 0;
   private readonly appointments = new Set<Appointment>();
 
--- a/src/common/timer/timerService.ts
+++ b/src/common/timer/timerService.ts
@@ -9,9 +9,7 @@
    * How often this process may have stood still without `now` moving, as when its host was
    * suspended. What was promised for a time counts no more after such a moment.
    */
-  get suspensions(): number {
-    return 0;
-  }
+  abstract readonly suspensions: number;
   /** Calls the handler about every `intervalMs` until unsubscribed. */
   abstract subscribe(intervalMs: number, handler: (nowMs: number) => void): Unsubscribe;
   /** Calls the handler once after `delayMs` unless unsubscribed. */
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -139,11 +139,12 @@
       this.control.start();
     }
     this.lease.start();
-    const bound = await this.operators.start();
-    if (bound.isErr()) {
-      throw bound.error;
+    const { operatorsDelayMs } = this.options.interfaces;
+    if (operatorsDelayMs === 0) {
+      await this.startOperators();
+    } else {
+      timer.once(operatorsDelayMs, () => void this.startOperators().catch(onFatal));
     }
-    this.operatorAddress = `${bound.value.host}:${bound.value.port}`;
     await this.callers?.listen();
     for (const front of this.fronts) {
       await front.start();
@@ -196,6 +197,14 @@
     return { hasLease, hasCurrentConfiguration: hasLease, isInService };
   }
 
+  private async startOperators(): Promise<void> {
+    const bound = await this.operators.start();
+    if (bound.isErr()) {
+      throw bound.error;
+    }
+    this.operatorAddress = `${bound.value.host}:${bound.value.port}`;
+  }
+
   private createMesh(): Mesh {
     const { settings, files, timer, logger } = this.options;
     const messageBytes = settings.callers?.maximum_message_bytes ?? DEFAULT_MESSAGE_BYTES;
--- a/src/daemon/daemonInterfaces.ts
+++ b/src/daemon/daemonInterfaces.ts
@@ -43,6 +43,8 @@
   abstract readonly leavesWithDomain: boolean;
   /** Time for which new callers may still come after this host said that it is not ready. */
   abstract readonly stopNoticeMs: number;
+  /** Time after the start until the operators' interface is served; callers come first. */
+  abstract readonly operatorsDelayMs: number;
   abstract createBackend(settings: Settings, files: DaemonFiles): BackendProtocol;
   abstract createPlatform(settings: Settings, timer: TimerService): Platform;
   /** Creates the callers' interface; undefined where none is served. */
--- a/src/daemon/holder/instanceMonitor.ts
+++ b/src/daemon/holder/instanceMonitor.ts
@@ -10,12 +10,12 @@
 
 const PROBE_INTERVAL_MS = 100;
 const URGENT_PROBE_INTERVAL_MS = 1;
-const PROBE_TIMEOUT_MS = 250;
+const PROBE_TIMEOUT_MS = 150;
 /** Such a probe takes a slot of an instance that has few. */
 const SURVEY_INTERVAL_MS = 1000;
 const CONNECT_TIMEOUT_MS = 250;
 /** Two attempts overlap, so that a lost packet is told from a lost instance without waiting twice. */
-const ATTEMPT_SPACING_MS = 100;
+const ATTEMPT_SPACING_MS = 50;
 /** An instance that answers a new connection within this time is not merely slow. */
 const RESPONSIVE_MS = 100;
 
--- a/src/daemon/lease/leaseTask.ts
+++ b/src/daemon/lease/leaseTask.ts
@@ -149,7 +149,8 @@
     if (this.lease.isOver(nowMs)) {
       this.lease = this.createLease();
       this.renew();
-    } else if (nowMs - this.lastSentMs >= RENEWAL_INTERVAL_MS || !this.isTrusted) {
+    } else if (nowMs - this.lastSentMs >= RENEWAL_INTERVAL_MS || !this.isValid()) {
+      // Without a lease nothing is served here: a leader is asked as soon as there is one.
       this.renew();
     }
   }
--- a/src/decisions/promotion/firstSight.ts
+++ b/src/decisions/promotion/firstSight.ts
@@ -1,4 +1,4 @@
-import { toLogPosition, toTerm } from '../../common/ids/index.js';
+import { toTerm } from '../../common/ids/index.js';
 import type { GroupView } from './groupView.js';
 import type { InstanceView } from './instanceView.js';
 import {
--- a/src/decisions/tickets/configurationIndex.ts
+++ b/src/decisions/tickets/configurationIndex.ts
@@ -40,6 +40,8 @@
   }
 }
 
-function toAccountState({ keyDigests: _digests, ...account }: ConfiguredAccount): AccountState {
-  return { ...account, salt: '', iterations: 1, keys: [] };
+function toAccountState(configured: ConfiguredAccount): AccountState {
+  const { kind, account, rate, burst, maximumOpenTransactions } = configured;
+  const limits = { rate, burst, maximumOpenTransactions };
+  return { kind, account, ...limits, salt: '', iterations: 1, keys: [] };
 }
