Holders near the primary that announces itself; reads on a primary with a free slot

Cause: a new group's holder was placed before its primary was known, so that each statement of a transaction crossed failure domains once more; reads queued for replicas beside an idle primary.

--- a/src/decisions/control/leader/groupPlacement.ts
+++ b/src/decisions/control/leader/groupPlacement.ts
@@ -1,6 +1,6 @@
 import { Diagnostics } from '../../../common/diagnostics/index.js';
 import type { FailureDomain } from '../../../common/ids/index.js';
-import type { GroupView } from '../../promotion/index.js';
+import { isAnnouncedPrimary, type GroupView } from '../../promotion/index.js';
 import { CommandKind } from '../commandKind.js';
 import { PrimaryPhase } from '../groupPrimary.js';
 import type { Holder } from '../holder.js';
@@ -42,10 +42,11 @@
   private assign(view: GroupView, name: string): void {
     const { state, outbox, groupPlacement, leases } = this.context;
     const { group, nowMs } = view;
-    if (!isSettled(this.context, nowMs)) {
+    const near = this.findNear(view);
+    const isUnknown = near === undefined && this.mayBeTold(view);
+    if (!isSettled(this.context, nowMs) || isUnknown) {
       return;
     }
-    const near = this.findNear(view);
     const avoid = getWatch(this.context, group).avoidedHost;
     const request = {
       key: group,
@@ -94,11 +95,16 @@
     return lease.stopping || !state.isInService(lease.domain);
   }
 
+  /** Whether a new group's primary may still announce itself: its holder is to be near it. */
+  private mayBeTold({ primary, firstSeenMs, nowMs }: GroupView): boolean {
+    const { firstPromotionMs } = this.context.settings.promotion;
+    return primary === undefined && nowMs - (firstSeenMs ?? nowMs) < firstPromotionMs;
+  }
+
   private findNear(view: GroupView): FailureDomain | undefined {
-    const instance = view.primary?.instance;
-    const record = view.instances.find((each) => each.instance === instance);
-    const [first] = view.instances;
-    return (record ?? first)?.domain;
+    const { primary, instances } = view;
+    const known = instances.find((each) => each.instance === primary?.instance);
+    return (known ?? instances.find((each) => isAnnouncedPrimary(each)))?.domain;
   }
 }
 
--- a/src/decisions/routing/groupRouter.ts
+++ b/src/decisions/routing/groupRouter.ts
@@ -1,5 +1,5 @@
 import { createFault, Diagnostics } from '../../common/diagnostics/index.js';
-import type { FailureDomain } from '../../common/ids/index.js';
+import type { FailureDomain, InstanceId } from '../../common/ids/index.js';
 import type { RandomSource } from '../../common/random.js';
 import { getServedTimeline, PrimaryPhase, type GroupPrimary } from '../control/index.js';
 import { getPositionStatus, PositionStatus, type SessionPosition } from '../sessions/index.js';
@@ -53,6 +53,10 @@
       return this.toPrimary(group, primary);
     }
     const chosen = this.policy.choose(eligible, this.domain, this.random);
+    const own = this.toPrimary(group, primary);
+    if (own.kind === RouteKind.Instance && isFull(chosen) && hasRoom(group, own.instance)) {
+      return own;
+    }
     return { kind: RouteKind.Instance, instance: chosen.instance, isPrimary: false };
   }
 
@@ -86,6 +90,17 @@
   }
 }
 
+/** A read on it would wait for a slot. */
+function isFull({ load, slots }: InstanceView): boolean {
+  return load >= slots;
+}
+
+/** Whether a read on the primary would find a free slot and leave one to writes. */
+function hasRoom(group: GroupView, instance: InstanceId): boolean {
+  const view = group.instances.find((each) => each.instance === instance);
+  return view?.inService === true && view.load < view.slots - 1;
+}
+
 function isEligibleReplica(
   view: InstanceView,
   group: GroupView,
