--- a/bench/control/coreSlopes.ts
+++ b/bench/control/coreSlopes.ts
@@ -1,7 +1,7 @@
 import { performance } from 'node:perf_hooks';
 import { toLeaseId, toRevision } from '../../src/common/ids/index.js';
 import { ControlState, DaemonRecords } from '../../src/decisions/control/index.js';
-import { encodeFrame, MeshKind, tryDecodeFrame } from '../../src/daemon/mesh/index.js';
+import { FrameCodec, MeshKind } from '../../src/daemon/mesh/index.js';
 import { LeaderRun } from '../placement/leaderRun.js';
 import { createFleetRecords } from './fleetRecords.js';
 import { printTable, type Row } from './table.js';
@@ -53,10 +53,10 @@
     ...{ revision, records },
   };
   const message = { kind: MeshKind.LeaseGrant as const, grant };
-  const frame = encodeFrame(message);
+  const frame = new FrameCodec().encode(message);
   const heapBefore = readHeap();
   const copy = new DaemonRecords();
-  const decoded = tryDecodeFrame(frame, 'bench')._unsafeUnwrap();
+  const decoded = new FrameCodec().tryDecode(frame, 'bench')._unsafeUnwrap();
   if (decoded.kind === MeshKind.LeaseGrant) {
     copy.applyRecords(decoded.grant.records, revision);
   }
@@ -72,8 +72,8 @@
     daemon_heap_MB: daemonMegabytes,
     update_us: measureUpdate(copy, records),
     groups_walk_us: 1000 * time(() => copy.getGroups()),
-    encode_all_ms: time(() => encodeFrame(message)),
-    decode_all_ms: time(() => tryDecodeFrame(frame, 'bench')),
+    encode_all_ms: time(() => new FrameCodec().encode(message)),
+    decode_all_ms: time(() => new FrameCodec().tryDecode(frame, 'bench')),
     apply_all_ms: time(() => new DaemonRecords().applyRecords(records, revision)),
     snapshot_ms: time(() => state.createSnapshot()),
     restore_ms: restoreMs,
--- a/src/daemon/mesh/frameCodec.ts
+++ b/src/daemon/mesh/frameCodec.ts
@@ -5,27 +5,39 @@
 import { findWrongField } from './messageShape.js';
 import type { MeshMessage } from './meshMessage.js';
 
-const codec = new Packr({ useRecords: false, int64AsType: 'number' });
 const HIGHEST_KIND: number = MeshKind.ControlAnswer;
 
-/** Encodes a message as one frame. */
-export function encodeFrame(message: MeshMessage): Uint8Array {
-  return codec.pack(message);
-}
+/**
+ * Encodes and decodes the frames of one link. The names of a message's fields are sent once a link
+ * and direction: frames have to be decoded in the order in which they were encoded.
+ */
+export class FrameCodec {
+  private readonly encoder = createPackr();
+  private readonly decoder = createPackr();
 
-/** Decodes a frame; one that is no message of the mesh is refused. */
-export function tryDecodeFrame(frame: Uint8Array, peer: string): Result<MeshMessage, Fault> {
-  let content: unknown;
-  try {
-    content = codec.unpack(frame);
-  } catch (cause) {
-    return err(invalidFrame(cause instanceof Error ? cause.message : 'not decodable', peer));
+  /** Encodes a message as one frame. */
+  encode(message: MeshMessage): Uint8Array {
+    return this.encoder.pack(message);
   }
-  if (!isMessage(content)) {
-    return err(invalidFrame('no known kind', peer));
+
+  /** Decodes a frame; one that is no message of the mesh is refused. */
+  tryDecode(frame: Uint8Array, peer: string): Result<MeshMessage, Fault> {
+    let content: unknown;
+    try {
+      content = this.decoder.unpack(frame);
+    } catch (cause) {
+      return err(invalidFrame(cause instanceof Error ? cause.message : 'not decodable', peer));
+    }
+    if (!isMessage(content)) {
+      return err(invalidFrame('no known kind', peer));
+    }
+    const field = findWrongField(content.kind, content);
+    return field === undefined ? ok(content) : err(invalidFrame(`field ${field} is wrong`, peer));
   }
-  const field = findWrongField(content.kind, content);
-  return field === undefined ? ok(content) : err(invalidFrame(`field ${field} is wrong`, peer));
+}
+
+function createPackr(): Packr {
+  return new Packr({ sequential: true, mapsAsObjects: true, int64AsType: 'number' });
 }
 
 function isMessage(content: unknown): content is MeshMessage {
--- a/src/daemon/mesh/meshLink.ts
+++ b/src/daemon/mesh/meshLink.ts
@@ -2,7 +2,7 @@
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
 import { TrafficDirection, type MeshTraffic } from '../../common/metrics/index.js';
 import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
-import { encodeFrame, tryDecodeFrame } from './frameCodec.js';
+import { FrameCodec } from './frameCodec.js';
 import { MeshKind } from './meshKind.js';
 import type { Hello, MeshMessage } from './meshMessage.js';
 import type { MeshPeer } from './meshPeer.js';
@@ -27,7 +27,10 @@
 /** One WebSocket connection to another daemon, condemned on its own when it goes silent. */
 export class MeshLink {
   peer: MeshPeer | undefined;
-  private waiting: Uint8Array[] = [];
+  private waiting: MeshMessage[] = [];
+  private readonly codec = new FrameCodec();
+  /** This side opened the link and asks the other one for signs of life. */
+  private readonly isOpener: boolean;
   private closed = false;
   private lastHeardMs: number;
   private lastTickMs: number;
@@ -44,6 +47,7 @@
   ) {
     this.lastHeardMs = timer.now();
     this.lastTickMs = this.lastHeardMs;
+    this.isOpener = socket.readyState !== WebSocket.OPEN;
     socket.binaryType = 'nodebuffer';
     socket.on('open', () => this.greet());
     socket.on('message', (data) => this.receive(data));
@@ -69,12 +73,11 @@
     if (this.closed) {
       return;
     }
-    const frame = this.encode(message);
     if (this.peer !== undefined) {
-      this.socket.send(frame);
+      this.socket.send(this.encode(message));
       return;
     }
-    this.waiting.push(frame);
+    this.waiting.push(message);
     if (this.waiting.length > MAXIMUM_WAITING_FRAMES) {
       this.close('too many frames wait for the link to open');
     }
@@ -115,7 +118,7 @@
   }
 
   private encode(message: MeshMessage): Uint8Array {
-    const frame = encodeFrame(message);
+    const frame = this.codec.encode(message);
     this.count(TrafficDirection.Sent, message, frame.length);
     return frame;
   }
@@ -127,7 +130,7 @@
   private receive(data: RawData): void {
     this.lastHeardMs = this.timer.now();
     const frame = data as Buffer;
-    const decoded = tryDecodeFrame(frame, this.address);
+    const decoded = this.codec.tryDecode(frame, this.address);
     if (decoded.isErr()) {
       this.close(decoded.error.message);
       return;
@@ -142,8 +145,9 @@
         this.welcome(message);
         return;
       case MeshKind.Heartbeat:
+        this.send({ kind: MeshKind.HeartbeatAnswer, sequence: message.sequence });
+        return;
       case MeshKind.HeartbeatAnswer:
-        // Both sides send them: what was heard is noted already.
         return;
       default:
         if (this.peer === undefined) {
@@ -160,8 +164,8 @@
       return;
     }
     this.peer = { host: hello.host, incarnation: hello.incarnation, address: hello.address };
-    for (const frame of this.waiting) {
-      this.socket.send(frame);
+    for (const message of this.waiting) {
+      this.socket.send(this.encode(message));
     }
     this.waiting = [];
     this.owner.linkOpened(this);
@@ -180,7 +184,7 @@
       return;
     }
     this.sequence += 1;
-    if (this.socket.readyState === WebSocket.OPEN) {
+    if (this.isOpener && this.socket.readyState === WebSocket.OPEN) {
       this.send({ kind: MeshKind.Heartbeat, sequence: this.sequence });
     }
   }
--- a/tests/callers/meshFuzz.test.ts
+++ b/tests/callers/meshFuzz.test.ts
@@ -2,7 +2,7 @@
 import { Packr } from 'msgpackr';
 import { afterAll, beforeAll, expect, test } from 'vitest';
 import { WebSocket } from 'ws';
-import { encodeFrame, tryDecodeFrame } from '../../src/daemon/mesh/frameCodec.js';
+import { FrameCodec } from '../../src/daemon/mesh/frameCodec.js';
 import { MESH_VERSION } from '../../src/daemon/mesh/meshLink.js';
 import { MeshKind, type MeshMessage } from '../../src/daemon/mesh/index.js';
 import { CallerFleet } from './callerFleet.js';
@@ -10,6 +10,16 @@
 const SEED = 20_261_204;
 const RUNS = 200;
 const codec = new Packr({ useRecords: false, int64AsType: 'number' });
+
+/** Decodes a frame as the first one of a link. */
+function tryDecodeFrame(frame: Uint8Array, peer: string) {
+  return new FrameCodec().tryDecode(frame, peer);
+}
+
+/** Encodes a message as the first one of a link. */
+function encodeFrame(message: MeshMessage): Uint8Array {
+  return new FrameCodec().encode(message);
+}
 const callers = new CallerFleet(2);
 
 beforeAll(() => callers.start());
@@ -110,6 +120,23 @@
   expect(tryDecodeFrame(encodeFrame(right), 'peer').isOk()).toBe(true);
 });
 
+test('a link decodes its messages in order, whatever their shapes, far smaller than one by one', () => {
+  const sender = new FrameCodec();
+  const receiver = new FrameCodec();
+  let bytes = 0;
+  let alone = 0;
+  for (let count = 0; count < 200; count += 1) {
+    const cancel = { kind: MeshKind.Cancel, id: `request-${count}`, abandoned: count % 2 === 0 };
+    const beat = { kind: MeshKind.Heartbeat, sequence: count };
+    const message = (count % 3 === 0 ? beat : cancel) as MeshMessage;
+    const frame = sender.encode(message);
+    bytes += frame.length;
+    alone += encodeFrame(message).length;
+    expect(receiver.tryDecode(frame, 'peer')._unsafeUnwrap()).toEqual(message);
+  }
+  expect(bytes).toBeLessThan(alone);
+});
+
 test('junk and wrong messages end their link alone', async () => {
   const frames = fc.array(fc.oneof(wrongMessage, fc.uint8Array({ maxLength: 60 })), {
     minLength: 1,
@@ -118,7 +145,8 @@
   await fc.assert(
     fc.asyncProperty(fc.boolean(), frames, async (greets, sent) => {
       const isOpen = await send(greets ? [codec.pack(HELLO), ...sent] : sent);
-      const isAccepted = greets && sent.every((frame) => tryDecodeFrame(frame, 'peer').isOk());
+      const link = new FrameCodec();
+      const isAccepted = greets && sent.every((frame) => link.tryDecode(frame, 'peer').isOk());
       expect(isOpen && !isAccepted).toBe(false);
     }),
     { seed: SEED, numRuns: RUNS },
