--- a/src/daemon/mesh/meshLink.ts
+++ b/src/daemon/mesh/meshLink.ts
@@ -34,6 +34,7 @@
   private closed = false;
   private lastHeardMs: number;
   private lastTickMs: number;
+  private lastSentMs: number;
   private sequence = 0;
   private readonly stopHeartbeat: Unsubscribe;
 
@@ -47,6 +48,7 @@
   ) {
     this.lastHeardMs = timer.now();
     this.lastTickMs = this.lastHeardMs;
+    this.lastSentMs = this.lastHeardMs;
     this.isOpener = socket.readyState !== WebSocket.OPEN;
     socket.binaryType = 'nodebuffer';
     socket.on('open', () => this.greet());
@@ -118,6 +120,7 @@
   }
 
   private encode(message: MeshMessage): Uint8Array {
+    this.lastSentMs = this.timer.now();
     const frame = this.codec.encode(message);
     this.count(TrafficDirection.Sent, message, frame.length);
     return frame;
@@ -183,8 +186,11 @@
       this.close(`no sign for ${Math.round(silentMs)} ms`);
       return;
     }
-    this.sequence += 1;
-    if (this.isOpener && this.socket.readyState === WebSocket.OPEN) {
+    // Each side judges by what it hears: the opener speaks up when one of the two was quiet.
+    const quietMs = Math.max(silentMs, nowMs - this.lastSentMs);
+    const isDue = this.isOpener && quietMs >= HEARTBEAT_INTERVAL_MS / 2;
+    if (isDue && this.socket.readyState === WebSocket.OPEN) {
+      this.sequence += 1;
       this.send({ kind: MeshKind.Heartbeat, sequence: this.sequence });
     }
   }
