Logs of requests by their callers' ids, bounded; filbertpoint explain

Each request that was refused, lost or late leaves a line at its entry daemon and one at its holder, with what was decided on; of the rest one in 500; at most 20 lines a second and part, the rest counted. Standard output that stands still blocks nothing (test with a pipe that nobody reads).

--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -3,6 +3,7 @@
 import type { GlobalOptions } from '../globalOptions.js';
 import { addBackendCommands } from './backendCommands.js';
 import { addDomainCommands } from './domainCommands.js';
+import { addExplainCommand } from './explainCommand.js';
 import { addKeyCommands } from './keyCommands.js';
 import { addMemberCommands } from './memberCommands.js';
 import { addSettingsCommands } from './settingsCommands.js';
@@ -23,5 +24,6 @@
   addBackendCommands,
   addMemberCommands,
   addStatusCommand,
+  addExplainCommand,
   addSettingsCommands,
 ];
--- /dev/null
+++ b/src/common/logging/boundedWriter.test.ts
@@ -0,0 +1,56 @@
+import { spawn } from 'node:child_process';
+import { expect, test } from 'vitest';
+import { BoundedWriter, MAXIMUM_WAITING_CHARACTERS } from './boundedWriter.js';
+
+const LINE = 'x'.repeat(100);
+const createNote = (count: number): string => `left out ${count}`;
+
+test('lines are written in order, those that wait in one batch', () => {
+  const written: string[] = [];
+  const taken: (() => void)[] = [];
+  const writer = new BoundedWriter((text, onTaken) => {
+    written.push(text);
+    taken.push(onTaken);
+  }, createNote);
+  ['a', 'b', 'c'].forEach((line) => writer.write(line));
+  taken.shift()?.();
+  taken.shift()?.();
+  writer.write('d');
+  expect(written).toEqual(['a\n', 'b\nc\n', 'd\n']);
+});
+
+test('a reader that stands still costs no more than the bound, and learns what it missed', () => {
+  const written: string[] = [];
+  let onTaken: (() => void) | undefined;
+  const writer = new BoundedWriter((text, taken) => {
+    written.push(text);
+    onTaken = taken;
+  }, createNote);
+  const count = 10_000;
+  for (let index = 0; index < count; index += 1) {
+    writer.write(LINE);
+  }
+  onTaken?.();
+  const lines = written.join('').split('\n');
+  const kept = lines.filter((line) => line === LINE).length;
+  expect(kept * LINE.length).toBeLessThanOrEqual(MAXIMUM_WAITING_CHARACTERS);
+  expect(lines).toContain(`left out ${count - kept}`);
+});
+
+test('a pipe that nobody reads does not stop the process', async () => {
+  const program = `
+    const { BoundedWriter, createDescriptorSink } = await import(process.argv[1]);
+    const writer = new BoundedWriter(createDescriptorSink(1), (count) => 'left out ' + count);
+    for (let index = 0; index < 100000; index += 1) writer.write('${LINE}');
+    process.stderr.write('alive');
+    setTimeout(() => process.kill(process.pid, 'SIGKILL'), 20);
+  `;
+  const file = new URL('../../../dist/src/common/logging/boundedWriter.js', import.meta.url).href;
+  const child = spawn(process.execPath, ['--input-type=module', '-e', program, file]);
+  let heard = '';
+  child.stderr.on('data', (chunk: Buffer) => {
+    heard += chunk.toString();
+  });
+  await new Promise((resolve) => child.once('close', resolve).stdout.pause());
+  expect(heard).toBe('alive');
+});
--- a/src/common/logging/logger.ts
+++ b/src/common/logging/logger.ts
@@ -29,15 +29,15 @@
   constructor(
     private readonly level: LogLevel,
     private readonly base: LogFields,
-    private readonly write: (line: string) => void = (line) => process.stderr.write(`${line}\n`),
+    private readonly output: (line: string) => void = (line) => process.stderr.write(`${line}\n`),
     private readonly limiter = new RepeatLimiter(new SystemTimerService()),
-    private readonly sink = createSink(level, write),
+    private readonly sink = createSink(level, output),
   ) {}
 
   /** Creates a logger that adds fields to each line; both share the limit on repeated lines. */
   with(fields: LogFields): Logger {
     const base = { ...this.base, ...fields };
-    return new Logger(this.level, base, this.write, this.limiter, this.sink);
+    return new Logger(this.level, base, this.output, this.limiter, this.sink);
   }
 
   /** Writes a diagnostic at the level that its category asks for. */
@@ -60,6 +60,15 @@
     this.report(diagnostic, values, { step, peer, execution, ...fields });
   }
 
+  /** Writes a diagnostic whatever was written before; the caller bounds how often. */
+  write(diagnostic: Diagnostic, values: DiagnosticArguments, fields: LogFields): void {
+    const level = LEVEL_OF[diagnostic.category];
+    if (this.isWritten(level)) {
+      const message = formatDiagnostic(diagnostic, values);
+      this.emit(level, { code: formatCode(diagnostic), message, ...fields });
+    }
+  }
+
   /** Writes a detail for developers. */
   debug(message: string, fields: LogFields = {}): void {
     if (this.isWritten('debug')) {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import { Diagnostics, type Fault } from '../common/diagnostics/index.js';
 import { toFailureDomain, toHostId, toIncarnation, type Incarnation } from '../common/ids/index.js';
-import type { Logger } from '../common/logging/index.js';
+import { RequestLog, type Logger } from '../common/logging/index.js';
 import { ConnectionSide, Metrics } from '../common/metrics/index.js';
 import type { RandomSource } from '../common/random.js';
 import type { Settings } from '../common/settings/index.js';
@@ -51,6 +51,7 @@
 export class Daemon extends Readiness {
   private readonly metrics = new Metrics();
   private readonly records = new DaemonRecords();
+  private readonly requestLog: RequestLog;
   private readonly incarnation: Incarnation;
   private readonly ids: RequestIds;
   private readonly mesh: Mesh;
@@ -73,6 +74,7 @@
     const domain = toFailureDomain(settings.domain);
     this.incarnation = toIncarnation(randomBytes(INCARNATION_BYTES).toString('base64url'));
     this.ids = new RequestIds(this.incarnation);
+    this.requestLog = new RequestLog(logger, timer);
     this.mesh = this.createMesh();
     const route = new ControlRoute(() => this.getControlAddresses());
     const { incarnation, mesh, records, ids } = this;
@@ -92,6 +94,7 @@
       random,
       records,
       lease,
+      log: this.requestLog,
       protocol: options.interfaces.createBackend(settings, files),
       reportNow: () => lease.renewSoon(),
     });
@@ -226,11 +229,12 @@
   private createParts(): DaemonParts {
     const { settings, files, timer, logger } = this.options;
     const { ids, records, lease, rates, dispatcher, holder, mesh, metrics } = this;
-    const entry = { ids, timer, records, lease, rates, dispatcher, holder, mesh, metrics };
+    const log = this.requestLog;
+    const entry = { ids, timer, records, lease, rates, dispatcher, holder, mesh, metrics, log };
     const requests = new EntryRequests(entry);
     const route = new ControlRoute(() => this.getControlAddresses());
     const control = new MeshControlClient(mesh, route, ids, timer, lease);
-    const shared = { settings, files, timer, logger, metrics, records, lease };
+    const shared = { settings, files, timer, logger, log, metrics, records, lease };
     return { ...shared, readiness: this, requests, control };
   }
 
--- a/src/daemon/daemonInterfaces.ts
+++ b/src/daemon/daemonInterfaces.ts
@@ -1,4 +1,4 @@
-import type { Logger } from '../common/logging/index.js';
+import type { Logger, RequestLog } from '../common/logging/index.js';
 import type { Metrics } from '../common/metrics/index.js';
 import type { Settings } from '../common/settings/index.js';
 import type { TimerService } from '../common/timer/index.js';
@@ -17,6 +17,7 @@
   readonly files: DaemonFiles;
   readonly timer: TimerService;
   readonly logger: Logger;
+  readonly log: RequestLog;
   readonly metrics: Metrics;
   readonly records: DaemonRecords;
   readonly lease: HolderLease;
--- a/src/daemon/entry/entryRequests.ts
+++ b/src/daemon/entry/entryRequests.ts
@@ -1,3 +1,4 @@
+import type { RequestLog } from '../../common/logging/index.js';
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
 import { toAccountId, type GroupId, type RequestId } from '../../common/ids/index.js';
 import { ReadSource, RequestClass, type Metrics } from '../../common/metrics/index.js';
@@ -44,6 +45,7 @@
   readonly holder: GroupHolder;
   readonly mesh: Mesh;
   readonly metrics: Metrics;
+  readonly log: RequestLog;
 }
 
 /** Admits callers' requests under their accounts' rates and dispatches them. */
@@ -82,6 +84,7 @@
   readonly handle: RunningRequest;
   private readonly id: RequestId;
   private readonly arrivedMs: number;
+  private admittedMs: number | undefined;
   private running: RunningRequest | undefined;
   private ended = false;
 
@@ -150,6 +153,7 @@
   }
 
   private dispatch(): void {
+    this.admittedMs = this.context.timer.now();
     this.context.metrics.getAccount(this.draft.account).recordAdmitted();
     this.running = this.context.dispatcher.dispatch(this.draft, this.deadlineMs, this);
   }
@@ -161,7 +165,35 @@
     this.finish(transaction === undefined ? outcome : { ...outcome, transaction });
   }
 
-  private record({ fault, onReplica, waitMs, serviceMs }: RequestOutcome): void {
+  private log(outcome: RequestOutcome): void {
+    const { draft, context, arrivedMs, admittedMs, deadlineMs, id } = this;
+    const { records, lease, log, timer } = context;
+    const nowMs = timer.now();
+    const totalMs = nowMs - arrivedMs;
+    const isLate = totalMs > (draft.targetMs ?? Infinity);
+    const { fault, status, onReplica, waitMs, serviceMs } = outcome;
+    const result = fault === undefined ? (isLate ? 'late' : 'ok') : `FP${fault.code}`;
+    const isNotable = fault !== undefined || isLate;
+    log.note(Diagnostics.RequestEnded, { outcome: result }, isNotable, () => ({
+      request: draft.trace ?? id,
+      ...{ account: draft.account, group: draft.group, kind: draft.kind, status },
+      ...{ revision: records.revision, leaseLeftMs: round(lease.leftMs) },
+      tokensMs: round((admittedMs ?? nowMs) - arrivedMs),
+      holder: records.getGroupAssignment(draft.group)?.holder?.host,
+      ...{ onReplica, waitMs: round(waitMs), serviceMs: round(serviceMs) },
+      ...{ totalMs: round(totalMs), deadlineLeftMs: round(deadlineMs - nowMs) },
+      ...(fault === undefined
+        ? {}
+        : { cause: toFault(fault).message, step: fault.step, peer: fault.peer }),
+      ...(fault === undefined
+        ? {}
+        : { execution: fault.execution, retryAfterMs: fault.retryAfterMs }),
+    }));
+  }
+
+  private record(outcome: RequestOutcome): void {
+    const { fault, onReplica, waitMs, serviceMs } = outcome;
+    this.log(outcome);
     const metrics = this.context.metrics.getAccount(this.draft.account);
     if (fault !== undefined) {
       metrics.recordRefused(toFault(fault).diagnostic);
@@ -193,6 +225,10 @@
   }
 }
 
+function round(durationMs: number): number {
+  return Math.round(durationMs);
+}
+
 function createCancelled(): Fault {
   return createFault(Diagnostics.RequestCancelled, {}, { step: 'entry.admit' });
 }
--- a/src/daemon/holder/groupRequests.ts
+++ b/src/daemon/holder/groupRequests.ts
@@ -17,6 +17,7 @@
 import { createLostOutcome } from './createLostOutcome.js';
 import { createQueueItem } from './createQueueItem.js';
 import { endOverdue } from './endOverdue.js';
+import { logHeldRequest } from './logHeldRequest.js';
 import { HeldRequestHandle } from './heldRequestHandle.js';
 import type { HolderContext } from './holderContext.js';
 
@@ -73,6 +74,7 @@
       this.requests.delete(request.id);
       this.waiting.delete(held);
       this.places.requestEnded();
+      logHeldRequest(held, this.context);
     };
     this.requests.set(request.id, held);
     if (request.transaction === undefined) {
@@ -251,6 +253,7 @@
       return;
     }
     held.instance = instance;
+    held.routing = instance.getRouting(this.context.timer.now());
     instance.enqueue(createQueueItem(held, instance, this.context.records));
   }
 
--- a/src/daemon/holder/heldInstance.ts
+++ b/src/daemon/holder/heldInstance.ts
@@ -14,6 +14,7 @@
 } from '../../decisions/routing/index.js';
 import type { SessionPosition } from '../../decisions/sessions/index.js';
 import { ConnectionPool, type BackendTarget, type ProbeAnswer } from '../backend/index.js';
+import type { RequestRouting } from './heldRequest.js';
 import type { HolderContext } from './holderContext.js';
 import { InstanceMonitor, type MonitorListener } from './instanceMonitor.js';
 
@@ -56,6 +57,7 @@
   position: SessionPosition | undefined;
   private latencyMs = 1;
   private lastSurvey: InstanceSurvey | undefined;
+  private positionMs = 0;
   private lastSilenceMs: number | undefined;
   private lastDeadMs: number | undefined;
 
@@ -165,10 +167,18 @@
     this.listener.probeAnswered(this, answer, sentMs);
   }
 
+  /** What is known of it for a request that is routed here now. */
+  getRouting(nowMs: number): RequestRouting {
+    const { position, queue } = this;
+    const load = queue.runningCount + queue.waitingCount;
+    return { position, ageMs: nowMs - this.positionMs, load };
+  }
+
   /** Takes in where the instance stood at some time after it was asked. */
   noteStanding(answer: ProbeAnswer, sentMs: number): void {
     const { term, position, received, isPrimary } = answer;
     this.position = { term, position };
+    this.positionMs = sentMs;
     if (received !== undefined) {
       const known = { term, position: received, sentMs };
       this.lastSurvey = isPrimary === undefined ? known : { ...known, isPrimary };
--- a/src/daemon/holder/heldRequest.ts
+++ b/src/daemon/holder/heldRequest.ts
@@ -12,6 +12,7 @@
   toRequestFault,
   TransactionStatus,
   type ExecuteRequest,
+  type RequestFault,
   type RequestOutcome,
   type ResponseReceiver,
 } from '../requests/index.js';
@@ -20,6 +21,15 @@
 const WINDOW_BYTES = 262_144;
 const MAXIMUM_HELD_BACK_BYTES = 33_554_432;
 
+/** What was known of the instance that a request was routed to. */
+export interface RequestRouting {
+  readonly position: SessionPosition | undefined;
+  /** How old that position was, in milliseconds. */
+  readonly ageMs: number;
+  /** Requests that ran or waited there. */
+  readonly load: number;
+}
+
 /** What the owner of a request learns from its run. */
 export interface HeldRequestOwner {
   /** The answer is whole; `standing` says where the instance stands after it. */
@@ -50,6 +60,12 @@
   abandoned = false;
   /** The deadline has passed and the backend server was asked to cancel. */
   timedOut = false;
+  /** What decided its last routing, for logs. */
+  routing: RequestRouting | undefined;
+  /** Attempts that a backend server declined. */
+  declines = 0;
+  /** Why it has no whole answer. */
+  fault: RequestFault | undefined;
   startedMs: number | undefined;
   endedMs: number | undefined;
   private heldBack: Buffer[] = [];
@@ -122,6 +138,7 @@
 
   override declined(refusal: BackendRefusal, status: TransactionStatus): void {
     this.heard = true;
+    this.declines += 1;
     this.status = status;
     this.owner?.requestDeclined(this, refusal);
   }
@@ -150,6 +167,7 @@
       return;
     }
     this.finished = true;
+    this.fault = ending.fault;
     this.onFinished?.();
     const startedMs = this.startedMs ?? nowMs;
     const endedMs = this.endedMs ?? nowMs;
--- a/src/daemon/holder/holderContext.ts
+++ b/src/daemon/holder/holderContext.ts
@@ -1,5 +1,5 @@
 import type { FailureDomain } from '../../common/ids/index.js';
-import type { Logger } from '../../common/logging/index.js';
+import type { Logger, RequestLog } from '../../common/logging/index.js';
 import type { RandomSource } from '../../common/random.js';
 import type { TimerService } from '../../common/timer/index.js';
 import type { DaemonRecords } from '../../decisions/control/index.js';
@@ -11,6 +11,7 @@
   readonly domain: FailureDomain;
   readonly timer: TimerService;
   readonly logger: Logger;
+  readonly log: RequestLog;
   readonly random: RandomSource;
   readonly records: DaemonRecords;
   readonly lease: HolderLease;
--- a/src/daemon/requests/executeRequest.ts
+++ b/src/daemon/requests/executeRequest.ts
@@ -26,6 +26,8 @@
   readonly remainingMs: number;
   /** It reads only, also as the first of a transaction that only reads. */
   readonly readOnly?: boolean;
+  /** The caller's own id of it, under which logs name it. */
+  readonly trace?: string;
   /** Time within which the caller wants the answer, in milliseconds. */
   readonly targetMs?: number;
   /** It must see every write acknowledged before it. */
--- a/src/daemon/sessions/sessionAccess.ts
+++ b/src/daemon/sessions/sessionAccess.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from 'neverthrow';
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
-import type { AccountId } from '../../common/ids/index.js';
+import type { AccountId, Revision } from '../../common/ids/index.js';
 import type { DaemonRecords } from '../../decisions/control/index.js';
 import type { RouteState } from '../../decisions/tickets/index.js';
 import { OPEN_ACCOUNT } from '../entry/index.js';
@@ -31,6 +31,11 @@
     return this.lease.isValid() && this.records.getConfiguration() !== undefined;
   }
 
+  /** Revision of what is decided on. */
+  get revision(): Revision {
+    return this.records.revision;
+  }
+
   /** The right of a caller as of now; a fault that says why it has none. */
   tryGrant({ database, keyDigest }: CallerCredentials): Result<SessionGrant, Fault> {
     const configuration = this.records.getConfiguration();
--- a/src/daemon/sessions/statementSession.ts
+++ b/src/daemon/sessions/statementSession.ts
@@ -1,5 +1,6 @@
 import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
 import type { AccountId, GroupId } from '../../common/ids/index.js';
+import type { RequestLog } from '../../common/logging/index.js';
 import type { TimerService } from '../../common/timer/index.js';
 import { getFurthest, type SessionPosition } from '../../decisions/sessions/index.js';
 import { Consistency, type RouteState } from '../../decisions/tickets/index.js';
@@ -29,6 +30,7 @@
   readonly access: SessionAccess;
   readonly requests: CallerRequests;
   readonly form: StatementForm;
+  readonly log: RequestLog;
 }
 
 /** A transaction of the caller; it is opened on a backend server with its first statement. */
@@ -183,7 +185,10 @@
         this.dispatch(statement, statement.verb === StatementVerb.Write, undefined);
         return;
       case StatementVerb.Malformed:
-        this.refuse(createFault(Diagnostics.MessageMalformed, {}, { step: 'session.read' }));
+        this.refuse(
+          createFault(Diagnostics.MessageMalformed, {}, { step: 'session.read' }),
+          statement,
+        );
     }
   }
 
@@ -201,12 +206,14 @@
     this.answerReady();
   }
 
-  private begin({ readOnly = false }: CallerStatement): void {
+  private begin(statement: CallerStatement): void {
+    const { readOnly = false } = statement;
     const granted = this.context.access.tryGrant(this.credentials);
     if (granted.isErr() || this.transaction !== undefined) {
       const step = 'session.begin';
       this.refuse(
         granted.isErr() ? granted.error : createFault(Diagnostics.MessageMalformed, {}, { step }),
+        statement,
       );
       return;
     }
@@ -217,7 +224,10 @@
   private commit(statement: CallerStatement): void {
     const { transaction } = this;
     if (transaction === undefined) {
-      this.refuse(createFault(Diagnostics.MessageMalformed, {}, { step: 'session.commit' }));
+      this.refuse(
+        createFault(Diagnostics.MessageMalformed, {}, { step: 'session.commit' }),
+        statement,
+      );
       return;
     }
     this.send(statement, transaction.grant, {
@@ -240,7 +250,10 @@
     const { name = '' } = statement;
     const prepared = this.prepared.get(name);
     if (prepared === undefined) {
-      this.refuse(createFault(Diagnostics.StatementUnknown, { name }, { step: 'session.execute' }));
+      this.refuse(
+        createFault(Diagnostics.StatementUnknown, { name }, { step: 'session.execute' }),
+        statement,
+      );
       return;
     }
     this.dispatch(statement, prepared.isWrite, prepared);
@@ -254,7 +267,7 @@
     const { transaction } = this;
     const granted = this.context.access.tryGrant(this.credentials);
     if (granted.isErr()) {
-      this.refuse(granted.error);
+      this.refuse(granted.error, statement);
       return;
     }
     if (transaction === undefined) {
@@ -277,6 +290,7 @@
     const draft: RequestDraft = {
       ...this.createDraft(account, route, kind),
       mayCommit,
+      trace: statement.id,
       costClass: `${route.route}/${statement.verb}`,
       prepared:
         prepared === undefined ? [] : [{ name: prepared.sharedName, message: prepared.message }],
@@ -399,7 +413,14 @@
     this.answerReady();
   }
 
-  private refuse(fault: Fault): void {
+  private refuse(fault: Fault, statement?: CallerStatement): void {
+    const { database } = this.credentials;
+    const outcome = `FP${fault.diagnostic.code}`;
+    this.context.log.note(Diagnostics.RequestEnded, { outcome }, true, () => ({
+      ...{ request: statement?.id, database, status: this.status },
+      ...{ revision: this.context.access.revision, cause: fault.message },
+      ...{ step: fault.step, execution: fault.execution },
+    }));
     if (this.transaction !== undefined) {
       this.dropTransaction();
       this.failed = true;
