An instance whose connections are all taken is not lost; leaders and leases are found sooner

Ruled out: a dead primary (it answered). Now a refusal for want of room counts as a sign of life, a holder opens six tenths of an instance's connections at most, and failed attempts are spaced.

--- a/src/daemon/backend/backendProbe.ts
+++ b/src/daemon/backend/backendProbe.ts
@@ -10,8 +10,11 @@
 
 /** One connection over which an instance's position is read. */
 export abstract class BackendProbe {
-  /** Opens the connection; fails when there is no answer within the time. */
-  abstract open(timeoutMs: number): Promise<void>;
+  /**
+   * Opens the connection; fails when there is no answer within the time. False when the instance
+   * answered that it has no room: it lives, but can't be asked yet.
+   */
+  abstract open(timeoutMs: number): Promise<boolean>;
   /** Asks the instance, which is expected to be the primary or not; fails without an answer in time. */
   abstract ask(depth: ProbeDepth, isPrimary: boolean, timeoutMs: number): Promise<ProbeAnswer>;
   /** Closes the connection. */
--- a/src/daemon/backend/connectionPool.ts
+++ b/src/daemon/backend/connectionPool.ts
@@ -15,6 +15,9 @@
 /** Two of these without an answer condemn a connection; one alone may be a pause of this process. */
 const HEARTBEAT_WAIT_MS = 150;
 
+/** Time after a failed attempt until the next: an instance that is full or starting has to come round. */
+const REOPEN_DELAY_MS = 50;
+
 /** An idle connection and since when it is idle. */
 interface IdleConnection {
   readonly connection: BackendLink;
@@ -40,6 +43,7 @@
   private readonly opening = new Map<string, number>();
   private openingCount = 0;
   private closed = false;
+  private pausedUntilMs = 0;
   private readonly stopHeartbeats: Unsubscribe;
 
   constructor(
@@ -159,6 +163,9 @@
 
   /** Opens a connection for the first waiter whose account has too few under way. */
   private openMissing(): void {
+    if (this.timer.now() < this.pausedUntilMs) {
+      return;
+    }
     const unserved = new Map(this.opening);
     for (const { account } of [...this.waiters]) {
       const key = this.getKey(account);
@@ -207,8 +214,9 @@
       (waiter) => !this.protocol.isPerAccount || waiter.account === account,
     );
     const [waiter] = index < 0 ? [] : this.waiters.splice(index, 1);
+    this.pausedUntilMs = this.timer.now() + REOPEN_DELAY_MS;
+    this.timer.once(REOPEN_DELAY_MS, () => this.openMissing());
     waiter?.failed(cause);
-    this.openMissing();
   }
 
   private countOpening(account: AccountId, change: number): void {
--- a/src/daemon/holder/heldInstance.ts
+++ b/src/daemon/holder/heldInstance.ts
@@ -20,6 +20,11 @@
 
 const OPEN_TIMEOUT_MS = 1000;
 const MONITOR_CONNECTIONS = 1;
+/**
+ * Part of an instance's connections that one holder opens, where they are many and each serves one
+ * account. Those of a host that lost power block the rest for seconds.
+ */
+const HOLDER_SHARE = 0.6;
 const SLOW_START_MS = 3000;
 const LATENCY_WEIGHT = 0.1;
 const RETRY_SHARE = 0.2;
@@ -71,8 +76,8 @@
   ) {
     this.queue = new InstanceQueue({ slots: record.slots, limits: { transactionLimitMs } });
     const limits = {
-      maximumConnections: Math.max(1, record.connectionLimit - MONITOR_CONNECTIONS),
-      warmConnections: Math.min(record.slots, record.connectionLimit - MONITOR_CONNECTIONS),
+      maximumConnections: this.maximumConnections,
+      warmConnections: Math.min(record.slots, this.maximumConnections),
       openTimeoutMs: OPEN_TIMEOUT_MS,
     };
     const { protocol, timer } = context;
@@ -90,10 +95,16 @@
     return this.record.instance;
   }
 
+  /** Connections for requests: a part is left to the next holder, should this one be lost in the dark. */
+  private get maximumConnections(): number {
+    const { connectionLimit } = this.record;
+    const share = this.context.protocol.isPerAccount ? HOLDER_SHARE : 1;
+    return Math.max(1, Math.floor(connectionLimit * share) - MONITOR_CONNECTIONS);
+  }
+
   /** Connections that transactions may hold, so that a statement always finds one. */
   get maximumTransactions(): number {
-    const { connectionLimit, slots } = this.record;
-    return Math.max(1, connectionLimit - MONITOR_CONNECTIONS - slots);
+    return Math.max(1, this.maximumConnections - this.record.slots);
   }
 
   start(): void {
--- a/src/daemon/holder/instanceMonitor.ts
+++ b/src/daemon/holder/instanceMonitor.ts
@@ -108,7 +108,7 @@
     const attempt = this.protocol.createProbe(this.target, this.timer);
     this.attempts.add(attempt);
     attempt.open(CONNECT_TIMEOUT_MS).then(
-      () => this.opened(attempt),
+      (hasRoom) => (hasRoom ? this.opened(attempt) : this.hadNoRoom(attempt)),
       () => this.attemptFailed(attempt),
     );
     this.timer.once(ATTEMPT_SPACING_MS, () => this.attempt());
@@ -124,6 +124,12 @@
     void this.ask(attempt);
   }
 
+  /** An instance whose connections are all taken lives: those of a lost holder end by themselves. */
+  private hadNoRoom(attempt: BackendProbe): void {
+    this.attempts.delete(attempt);
+    this.health.connectRefused();
+  }
+
   private attemptFailed(attempt: BackendProbe): void {
     this.attempts.delete(attempt);
     if (this.stopped || this.connection !== undefined) {
--- a/src/daemon/lease/leaseTask.ts
+++ b/src/daemon/lease/leaseTask.ts
@@ -28,6 +28,8 @@
 
 const RENEWAL_INTERVAL_MS = 250;
 const CHECK_INTERVAL_MS = 50;
+/** A daemon without a lease asks the next control host after this time. */
+const SEARCH_PATIENCE_MS = 100;
 /** Shortest time between two renewals. */
 const RENEWAL_SPACING_MS = 5;
 /** How long a departure is repeated: longer than a change of the control leader takes. */
@@ -157,7 +159,9 @@
 
   private renew(): void {
     const nowMs = this.timer.now();
-    const address = this.route.choose(nowMs);
+    const address = this.isValid()
+      ? this.route.choose(nowMs)
+      : this.route.choose(nowMs, SEARCH_PATIENCE_MS);
     const start = this.lease.beginRenewal(nowMs);
     this.lastSentMs = nowMs;
     this.sentMs.set(start.sequence, nowMs);
--- a/src/daemon/postgres/postgresProbe.ts
+++ b/src/daemon/postgres/postgresProbe.ts
@@ -36,8 +36,9 @@
     this.client.once('end', () => this.close());
   }
 
-  override async open(timeoutMs: number): Promise<void> {
+  override async open(timeoutMs: number): Promise<boolean> {
     await this.within(timeoutMs, this.client.connect());
+    return true;
   }
 
   override async ask(
--- a/src/decisions/routing/instanceHealth.ts
+++ b/src/decisions/routing/instanceHealth.ts
@@ -29,6 +29,11 @@
     this.failures = 0;
   }
 
+  /** A new connection was refused for want of room: the instance lives. */
+  connectRefused(): void {
+    this.failures = 0;
+  }
+
   /** A new connection could not be opened. */
   connectFailed(): void {
     this.failures += 1;
