--- a/src/common/metrics/metrics.ts
+++ b/src/common/metrics/metrics.ts
@@ -7,6 +7,9 @@
 import { ReadSource } from './readSource.js';
 import { TimeHistogram } from './timeHistogram.js';
 
+/** How often the event loop's delay is sampled; each sample wakes an idle process. */
+const EVENT_LOOP_PRECISION_MS = 100;
+
 /** Accounts and groups with labels of their own; those beyond share the label `other`. */
 export const MAXIMUM_LABELS = 100;
 
@@ -52,7 +55,10 @@
 
   /** Adds the process's own metrics: processor time, memory, event loop delay. */
   collectProcessMetrics(): void {
-    collectDefaultMetrics({ register: this.registry });
+    collectDefaultMetrics({
+      register: this.registry,
+      eventLoopMonitoringPrecision: EVENT_LOOP_PRECISION_MS,
+    });
   }
 
   /** The metrics of one client account; callers may keep the object. */
--- a/src/daemon/entry/remoteRequests.ts
+++ b/src/daemon/entry/remoteRequests.ts
@@ -4,7 +4,7 @@
 import type { ExecuteRequest, ResponseReceiver, RunningRequest } from '../requests/index.js';
 import { RemoteRequest } from './remoteRequest.js';
 
-const BUSY_SWEEP_MS = 25;
+const BUSY_SWEEP_MS = 50;
 const IDLE_SWEEP_MS = 500;
 const RESEND_INTERVAL_MS = 50;
 /** Shorter than the time for which a holder remembers the ids of its requests. */
--- a/src/daemon/holder/groupHolder.ts
+++ b/src/daemon/holder/groupHolder.ts
@@ -17,7 +17,7 @@
 import type { HolderContext } from './holderContext.js';
 
 const BUSY_TICK_MS = 5;
-const IDLE_TICK_MS = 50;
+const IDLE_TICK_MS = 100;
 
 /** All database groups that this daemon holds under its lease. */
 export class GroupHolder {
--- a/src/daemon/holder/heldInstance.ts
+++ b/src/daemon/holder/heldInstance.ts
@@ -24,7 +24,7 @@
  * Part of an instance's connections that one holder opens, where they are many and each serves one
  * account. Those of a host that lost power block the rest for seconds.
  */
-const HOLDER_SHARE = 0.6;
+const HOLDER_SHARE = 0.8;
 const SLOW_START_MS = 3000;
 const LATENCY_WEIGHT = 0.1;
 const RETRY_SHARE = 0.2;
--- a/src/daemon/lease/leaseTask.ts
+++ b/src/daemon/lease/leaseTask.ts
@@ -11,7 +11,7 @@
 } from '../../common/ids/index.js';
 import type { Logger } from '../../common/logging/index.js';
 import { Mailbox } from '../../common/tasks/index.js';
-import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
+import { AdaptiveTick, type TimerService, type Unsubscribe } from '../../common/timer/index.js';
 import type {
   Announcement,
   ControlRecord,
@@ -28,6 +28,8 @@
 
 const RENEWAL_INTERVAL_MS = 250;
 const CHECK_INTERVAL_MS = 50;
+/** Half a renewal interval: a lease in force only has to be renewed. */
+const QUIET_CHECK_MS = RENEWAL_INTERVAL_MS / 2;
 /** A daemon without a lease asks the next control host after this time. */
 const SEARCH_PATIENCE_MS = 100;
 /** Shortest time between two renewals. */
@@ -109,7 +111,12 @@
 
   /** Begins to renew. */
   start(): void {
-    this.subscriptions.push(this.timer.subscribe(CHECK_INTERVAL_MS, (nowMs) => this.check(nowMs)));
+    const ticks = new AdaptiveTick(this.timer, CHECK_INTERVAL_MS, QUIET_CHECK_MS, (nowMs) => {
+      this.check(nowMs);
+      return !this.isValid();
+    });
+    this.subscriptions.push(() => ticks.stop());
+    ticks.wake();
     this.renew();
   }
 
--- a/src/daemon/rates/rateTask.ts
+++ b/src/daemon/rates/rateTask.ts
@@ -24,10 +24,11 @@
 import { HeldAccounts } from './heldAccounts.js';
 import { MeshKind, type Mesh, type MeshLink } from '../mesh/index.js';
 
-const BUSY_TICK_MS = 5;
+/** Waits and grants end with messages; ticks only catch what no message ends. */
+const BUSY_TICK_MS = 15;
 const IDLE_TICK_MS = 100;
 /** How long after its last message or request a daemon looks after its tokens often. */
-const BUSY_MS = 500;
+const BUSY_MS = 50;
 
 /** Takes the outcome of an admission: nothing when admitted, else why not. */
 export type AdmissionCallback = (refusal: Fault | undefined) => void;
--- a/src/decisions/control/placement/leastLoadedNear.ts
+++ b/src/decisions/control/placement/leastLoadedNear.ts
@@ -11,6 +11,8 @@
     if (near === undefined || least === undefined) {
       return least;
     }
-    return this.getLoad(near) - this.getLoad(least) > this.getSlack() ? least : near;
+    // While there are hosts without a resource, none is given a third one for being near.
+    const slack = this.getMean() < 1 ? 1 : this.getSlack();
+    return this.getLoad(near) - this.getLoad(least) > slack ? least : near;
   }
 }
