--- a/bench/faults/linkProxy.ts
+++ b/bench/faults/linkProxy.ts
@@ -26,6 +26,8 @@
 export class LinkProxy {
   private readonly server: Server;
   private readonly relays = new Set<Relay>();
+  /** Every socket, also those whose other side is gone while they are silent. */
+  private readonly sockets = new Set<Socket>();
   private readonly faults = new Map<string, LinkFault>();
 
   constructor(
@@ -43,8 +45,11 @@
   }
 
   async stop(): Promise<void> {
-    this.reset();
-    await new Promise<void>((resolve) => this.server.close(() => resolve()));
+    const closed = new Promise<void>((resolve) => this.server.close(() => resolve()));
+    for (const socket of this.sockets) {
+      socket.destroy();
+    }
+    await closed;
   }
 
   /** Begins or ends a fault for the connections of an IP address. */
@@ -113,7 +118,9 @@
         to.write(bytes);
       }
     });
+    this.sockets.add(from);
     from.on('error', () => from.destroy());
+    from.on('close', () => this.sockets.delete(from));
     from.on('close', forget);
   }
 
