--- a/standin/lines/lineInstance.ts
+++ b/standin/lines/lineInstance.ts
@@ -25,6 +25,8 @@
   readonly born = Date.now();
   private server: Server | undefined;
   private readonly connections = new Set<LineServerConnection>();
+  /** Every open socket, also of callers that were refused. */
+  private readonly sockets = new Set<Socket>();
 
   constructor(
     readonly group: LineGroup,
@@ -55,8 +57,8 @@
   /** Ends at once, as when its process is killed; the log stays. */
   async stop(): Promise<void> {
     this.isRunning = false;
-    for (const connection of [...this.connections]) {
-      connection.destroy();
+    for (const socket of this.sockets) {
+      socket.destroy();
     }
     const { server } = this;
     await new Promise<void>((resolve) => {
@@ -131,7 +133,9 @@
   }
 
   private accept(socket: Socket): void {
+    this.sockets.add(socket);
     socket.on('error', () => socket.destroy());
+    socket.on('close', () => this.sockets.delete(socket));
     if (this.connections.size >= this.group.options.connectionLimit) {
       socket.end(`${LineWord.Error} TOOMANY ${this.id}${LINE_END}`, LINE_ENCODING);
       return;
