--- a/src/daemon/sessions/statementSession.ts
+++ b/src/daemon/sessions/statementSession.ts
@@ -7,7 +7,6 @@
 import type { CallerRequests, RequestDraft } from '../entry/index.js';
 import {
   RequestKind,
-  ResponseReceiver,
   toFault,
   TransactionStatus,
   type RequestOutcome,
@@ -17,6 +16,7 @@
 import type { CallerCredentials, SessionAccess, SessionGrant } from './sessionAccess.js';
 import type { SessionReplies } from './sessionReplies.js';
 import type { StatementForm } from './statementForm.js';
+import { RollbackReceiver, StatementReceiver } from './statementReceivers.js';
 
 const MAXIMUM_WAITING_STATEMENTS = 64;
 /** Deadline of a statement whose route sets none, in milliseconds. */
@@ -434,43 +434,3 @@
     this.replies.ready(this.status, position);
   }
 }
-
-/** Passes the answer to one statement on to the caller. */
-class StatementReceiver extends ResponseReceiver {
-  isFinished = false;
-  running: RunningRequest | undefined;
-  private total = 0;
-
-  constructor(
-    private readonly replies: SessionReplies,
-    private readonly onFinished: (outcome: RequestOutcome) => void,
-  ) {
-    super();
-  }
-
-  override accept(bytes: Uint8Array): void {
-    this.total += bytes.length;
-    this.replies.passOn(bytes);
-    this.running?.consume(this.total);
-  }
-
-  override finish(outcome: RequestOutcome): void {
-    this.isFinished = true;
-    this.onFinished(outcome);
-  }
-}
-
-/** Takes the answer to a rollback that nobody waits for. */
-class RollbackReceiver extends ResponseReceiver {
-  constructor(private readonly onFinished: (outcome: RequestOutcome) => void) {
-    super();
-  }
-
-  override accept(): void {
-    // Nobody waits for the answer.
-  }
-
-  override finish(outcome: RequestOutcome): void {
-    this.onFinished(outcome);
-  }
-}
