--- a/bench/experiment/seededRandom.ts
+++ b/bench/experiment/seededRandom.ts
@@ -1,22 +1,7 @@
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
-import { RandomSource } from '../../src/common/random.js';
-
-const RANGE = 0x1_0000_0000;
-
-/** Random numbers that the seed alone decides. */
-export class SeededRandom extends RandomSource {
-  private readonly generator: RandomGenerator;
-
-  constructor(seed: number) {
-    super();
-    this.generator = xoroshiro128plus(seed);
-  }
-
-  override next(): number {
-    return (this.generator.next() >>> 0) / RANGE;
-  }
+import { SeededRandom as UniformRandom } from '../../src/daemon/seededRandom.js';
 
+/** Random numbers that the seed alone decides, with the distributions that a model asks for. */
+export class SeededRandom extends UniformRandom {
   /** A waiting time of a Poisson process with the given mean. */
   nextExponential(mean: number): number {
     return -Math.log(1 - this.next()) * mean;
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,5 +1,4 @@
 #!/usr/bin/env node
-import { randomInt } from 'node:crypto';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { Fault } from '../common/diagnostics/index.js';
@@ -9,10 +8,9 @@
 import { Daemon } from './daemon.js';
 import { PostgresInterfaces } from './postgresInterfaces.js';
 import { tryReadDaemonFiles, type DaemonFiles } from './daemonFiles.js';
-import { SeededRandom } from './seededRandom.js';
+import { createSystemRandom } from './seededRandom.js';
 
 const STOP_GRACE_MS = 10_000;
-const SEED_RANGE = 2 ** 31;
 const EXIT_FAILED = 1;
 const EXIT_USAGE = 2;
 
@@ -52,7 +50,7 @@
     files,
     timer: new SystemTimerService(),
     logger,
-    random: new SeededRandom(randomInt(SEED_RANGE)),
+    random: createSystemRandom(),
     isFounding,
     onFatal: (fault) => {
       logger.reportFault(fault);
