Reads queued on a full replica move to an instance with a free slot

A read is bound to the queue of the instance that was eligible when it came; when the other replica catches up a moment later, its slot stays empty while reads queue. Ruled out: load alone (six runs of cancel.test.ts beside six busy loops passed). Conclusion: a freed slot, or a replica that has caught up, takes what waits elsewhere and may run there, in the order of the fair queue.

--- a/src/daemon/holder/groupRequests.ts
+++ b/src/daemon/holder/groupRequests.ts
@@ -25,6 +25,7 @@
 export interface RequestPlaces {
   route(held: HeldRequest): RouteDecision;
   getInstance(id: InstanceId): HeldInstance | undefined;
+  getInstances(): Iterable<HeldInstance>;
   /** Whether a request may be sent to an instance at this very moment. */
   mayStart(held: HeldRequest, instance: HeldInstance): boolean;
   /** What an instance's log must hold before it runs a request. */
@@ -43,6 +44,7 @@
   private readonly requests = new Map<RequestId, HeldRequest>();
   private readonly waiting = new Set<HeldRequest>();
   private closingFault: Fault | undefined;
+  private isFilling = false;
 
   constructor(
     private readonly context: HolderContext,
@@ -75,6 +77,7 @@
       this.waiting.delete(held);
       this.places.requestEnded();
       logHeldRequest(held, this.context);
+      this.fillFreeSlots();
     };
     this.requests.set(request.id, held);
     if (request.transaction === undefined) {
@@ -103,11 +106,12 @@
     }
   }
 
-  /** Routes again what waits for an instance. */
+  /** Routes again what waits for an instance, or for a slot while another has one free. */
   retryWaiting(): void {
     for (const held of [...this.waiting]) {
       this.place(held);
     }
+    this.fillFreeSlots();
   }
 
   /** Routes again what is queued but not started on an instance. */
@@ -246,6 +250,38 @@
     }
   }
 
+  /** Moves reads that wait for a slot to instances that have one free and may serve them. */
+  private fillFreeSlots(): void {
+    if (this.isFilling) {
+      return; // What is refused while it moves ends a request, which leads here again.
+    }
+    this.isFilling = true;
+    const nowMs = this.context.timer.now();
+    for (const instance of this.places.getInstances()) {
+      while (instance.queue.waitingCount > 0) {
+        const id = instance.queue.takeMovable((each) => this.mayMove(each, instance), nowMs);
+        const held = id && this.requests.get(id);
+        if (held === undefined) {
+          break;
+        }
+        held.moves += 1;
+        this.place(held);
+      }
+    }
+    this.isFilling = false;
+  }
+
+  /** Whether a request that is queued on an instance would start at once on another. */
+  private mayMove(id: RequestId, from: HeldInstance): boolean {
+    const held = this.requests.get(id);
+    const decision = held && this.places.route(held);
+    return (
+      decision?.kind === RouteKind.Instance &&
+      decision.instance !== from.id &&
+      this.places.getInstance(decision.instance)?.hasFreeSlot === true
+    );
+  }
+
   private enqueue(held: HeldRequest, id: InstanceId): void {
     const instance = this.places.getInstance(id);
     if (instance === undefined) {
--- a/src/daemon/holder/heldGroup.ts
+++ b/src/daemon/holder/heldGroup.ts
@@ -181,6 +181,10 @@
     return this.instances.get(id);
   }
 
+  getInstances(): Iterable<HeldInstance> {
+    return this.instances.values();
+  }
+
   mayStart(held: HeldRequest, instance: HeldInstance): boolean {
     if (!this.context.lease.isValid()) {
       return false;
--- a/src/daemon/holder/heldInstance.ts
+++ b/src/daemon/holder/heldInstance.ts
@@ -144,6 +144,11 @@
     this.apply(this.queue.enqueue(item, this.context.timer.now()));
   }
 
+  /** Whether a request that is queued now starts at once. */
+  get hasFreeSlot(): boolean {
+    return this.queue.waitingCount === 0 && this.queue.runningCount < this.record.slots;
+  }
+
   /** Frees the slot of a finished request. */
   complete(id: RequestId): void {
     this.apply(this.queue.complete(id, this.context.timer.now()));
--- a/src/daemon/holder/heldRequest.ts
+++ b/src/daemon/holder/heldRequest.ts
@@ -62,6 +62,8 @@
   timedOut = false;
   /** What decided its last routing, for logs. */
   routing: RequestRouting | undefined;
+  /** How often it was moved from one instance's queue to another's. */
+  moves = 0;
   /** Attempts that a backend server declined. */
   declines = 0;
   /** Why it has no whole answer. */
--- a/src/daemon/holder/logHeldRequest.ts
+++ b/src/daemon/holder/logHeldRequest.ts
@@ -19,7 +19,7 @@
     attempt: request.id,
     ...{ account: request.account, group: request.group, kind: request.kind },
     instance: held.instance?.id,
-    ...{ onReplica: held.onReplica, declines, status: held.status },
+    ...{ onReplica: held.onReplica, declines, moves: held.moves, status: held.status },
     primary: records.getPrimary(request.group)?.instance,
     phase: records.getPrimary(request.group)?.phase,
     term: records.getPrimary(request.group)?.term,
--- a/src/decisions/queue/instanceQueue.test.ts
+++ b/src/decisions/queue/instanceQueue.test.ts
@@ -125,6 +125,29 @@
   expect(describeOutputs(outputs)).toEqual(['start a', 'start b', 'start c', 'start d']);
 });
 
+test('a request that may run elsewhere is taken out in the order of starts, the others keep theirs', () => {
+  const queue = new InstanceQueue({ slots: 1 });
+  for (const id of ['running', 'fixed', 'movable', 'last']) {
+    queue.enqueue(createItem(id), 0);
+  }
+  expect(queue.takeMovable((id) => id !== 'fixed', 5)).toBe('movable');
+  expect(queue.takeMovable(() => false, 5)).toBeUndefined();
+  expect(queue.waitingCount).toBe(2);
+  expect(describeOutputs(queue.complete(toRequestId('running'), 6))).toEqual(['start fixed']);
+  expect(describeOutputs(queue.complete(toRequestId('fixed'), 7))).toEqual(['start last']);
+  expect(queue.takeMovable(() => true, 8)).toBeUndefined();
+});
+
+test('the next statement of an open transaction is never taken out', () => {
+  const queue = new InstanceQueue({ slots: 1 });
+  queue.enqueue(createItem('t', { isTransaction: true }), 0);
+  queue.pause(toRequestId('t'), 1);
+  queue.enqueue(createItem('running'), 2);
+  queue.resume(toRequestId('t'), 1000, 3);
+  expect(queue.takeMovable(() => true, 4)).toBeUndefined();
+  expect(describeOutputs(queue.complete(toRequestId('running'), 5))).toEqual(['start t']);
+});
+
 test('more slots start what waits at once and fewer slots cut nothing', () => {
   const queue = new InstanceQueue({ slots: 0 });
   for (const id of ['a', 'b', 'c']) {
--- a/src/decisions/queue/instanceQueue.ts
+++ b/src/decisions/queue/instanceQueue.ts
@@ -19,6 +19,8 @@
 import { StartLimits } from './startLimits.js';
 import { StartTimeFairQueueing } from './startTimeFairQueueing.js';
 
+const MOVE_LOOK_AHEAD = 4; // Bounds the work for each freed slot; reads seldom differ in where they may run.
+
 /** What an instance queue is created with. */
 export interface InstanceQueueOptions {
   /** Requests that the instance runs at once. */
@@ -152,6 +154,37 @@
     return outputs;
   }
 
+  /**
+   * Takes out the first request, in the order of starts, that may be run elsewhere; looks at no
+   * more than `MOVE_LOOK_AHEAD`. Its account stays billed, as it is served all the same.
+   */
+  takeMovable(mayMove: (requestId: RequestId) => boolean, nowMs: number): RequestId | undefined {
+    const passed: QueuedItem[] = [];
+    let taken: QueuedItem | undefined;
+    while (taken === undefined && passed.length < MOVE_LOOK_AHEAD) {
+      const queued = this.policy.next(nowMs);
+      if (queued === undefined) {
+        break;
+      }
+      const isNew = queued.openedMs === undefined;
+      if (isNew && mayMove(queued.item.requestId)) {
+        taken = queued;
+      } else {
+        passed.push(queued);
+      }
+    }
+    for (const queued of passed.reverse()) {
+      this.policy.charge(queued, 0);
+      this.policy.addFirst(queued);
+    }
+    if (taken === undefined) {
+      return undefined;
+    }
+    this.leaveOrder(taken);
+    this.takeOut(taken, nowMs);
+    return taken.item.requestId;
+  }
+
   /** Takes out every request that was not started, in order of arrival. */
   drain(nowMs: number): QueueItem[] {
     const drained = [...this.items.values()]
@@ -227,8 +260,7 @@
       const record = this.accounts.get(queued.item.account);
       if (this.policy.isOverdue(queued, nowMs)) {
         this.policy.charge(queued, 0);
-        queued.state = QueuedState.HeldBack;
-        this.heldBack += 1;
+        this.leaveOrder(queued);
         this.refuseWaiting(queued, nowMs, outputs);
       } else if (this.mustHoldBack(queued, record)) {
         this.policy.charge(queued, 0);
@@ -240,6 +272,12 @@
     }
   }
 
+  /** Notes that the policy gave a request out that is not started here. */
+  private leaveOrder(queued: QueuedItem): void {
+    queued.state = QueuedState.HeldBack;
+    this.heldBack += 1;
+  }
+
   private mustHoldBack(queued: QueuedItem, record: AccountRecord): boolean {
     return opensTransaction(queued) && !record.canOpen(queued.item.maximumOpenTransactions);
   }
--- a/src/decisions/queue/queueProperties.test.ts
+++ b/src/decisions/queue/queueProperties.test.ts
@@ -26,6 +26,7 @@
   Tick,
   SetSlots,
   Drain,
+  TakeMovable,
 }
 
 interface Action {
@@ -50,6 +51,7 @@
           ActionKind.Tick,
           ActionKind.SetSlots,
           ActionKind.Drain,
+          ActionKind.TakeMovable,
         ),
       },
     ),
@@ -117,6 +119,8 @@
         return this.queue.setSlots(this.slots, this.nowMs);
       case ActionKind.Drain:
         return this.drain();
+      case ActionKind.TakeMovable:
+        return this.takeMovable(pick);
     }
   }
 
@@ -175,6 +179,18 @@
     return [];
   }
 
+  /** Takes out a request that waits and is no open transaction; what it passes over stays. */
+  private takeMovable(pick: number): QueueOutput[] {
+    const mayMove = (id: RequestId) => Number(id.slice(1)) % 3 !== pick % 3;
+    const taken = this.queue.takeMovable(mayMove, this.nowMs);
+    if (taken !== undefined) {
+      expect(mayMove(taken)).toBe(true);
+      expect(this.queue.isOpen(taken)).toBe(false);
+      expect(this.waiting.delete(taken)).toBe(true);
+    }
+    return [];
+  }
+
   private note(outputs: readonly QueueOutput[]): void {
     for (const { kind, requestId } of outputs) {
       if (kind === QueueOutputKind.Start) {
