A promotion requires what the holder certainly acknowledged

Cause: findRequired took the lower of what the holder reported and the furthest other instance; an instance that had the write and was retired from the records let a promotion go below an acknowledged write. Ruled out: requiring the reported position alone, as it may be only where the primary stood when its holder came, which nobody has to have acknowledged; the group would stand still for it. Before: timelines.test.ts was known red.

--- a/src/daemon/holder/createReport.ts
+++ b/src/daemon/holder/createReport.ts
@@ -18,7 +18,8 @@
     }
   }
   const acknowledged = writes.acknowledged?.position ?? toLogPosition(0);
-  return { group, fencedTerm: writes.fencedTerm, acknowledged, sightings };
+  const { fencedTerm, confirmed } = writes;
+  return { group, fencedTerm, acknowledged, confirmed, sightings };
 }
 
 function createSighting({ id, monitor, survey }: HeldInstance): InstanceSighting {
--- a/src/daemon/holder/groupRequests.ts
+++ b/src/daemon/holder/groupRequests.ts
@@ -143,6 +143,7 @@
   slotGranted(instance: HeldInstance, id: RequestId): void {
     const transaction = this.transactions.get(id);
     if (transaction?.current !== undefined) {
+      transaction.current.primaryBefore = this.writes.primaryPosition;
       transaction.current.run(transaction.connection, this, this.context.timer.now());
       return;
     }
@@ -301,6 +302,7 @@
       return;
     }
     held.minimum = this.places.getMinimum(held);
+    held.primaryBefore = this.writes.primaryPosition;
     held.run(connection, this, this.context.timer.now());
   }
 
--- a/src/daemon/holder/groupWrites.ts
+++ b/src/daemon/holder/groupWrites.ts
@@ -12,7 +12,11 @@
   PrimaryPhase,
   type GroupPrimary,
 } from '../../decisions/control/index.js';
-import { WriteConfirmations, type PendingWrite } from '../../decisions/routing/index.js';
+import {
+  getCertainPosition,
+  WriteConfirmations,
+  type PendingWrite,
+} from '../../decisions/routing/index.js';
 import {
   getFurthest,
   getPositionStatus,
@@ -40,6 +44,10 @@
   fencedMs = 0;
   /** The furthest position acknowledged to callers; absent until it is known. */
   acknowledged: SessionPosition | undefined;
+  /** A position of the timeline that was acknowledged for certain; 0 for none. */
+  confirmed: LogPosition = toLogPosition(0);
+  /** The furthest position at which the primary was seen; it may hold writes not acknowledged. */
+  private seen: SessionPosition | undefined;
   primary: GroupPrimary | undefined;
   private readonly confirmations = new WriteConfirmations();
   private readonly requests = new Map<PendingWrite['id'], HeldRequest>();
@@ -75,6 +83,8 @@
     this.primary = primary;
     if (changed) {
       this.acknowledged = getServedStartPosition(primary);
+      this.confirmed = toLogPosition(0);
+      this.seen = undefined;
     }
     if (primary.phase === PrimaryPhase.Serving) {
       this.settleEarlierTerms(primary);
@@ -129,10 +139,16 @@
     this.confirmations.forgetReplica(instance);
   }
 
+  /** The furthest position at which the primary was seen so far. */
+  get primaryPosition(): SessionPosition | undefined {
+    return this.seen;
+  }
+
   /** Takes in the primary's own position. */
   primaryReached(position: SessionPosition): void {
     if (position.term === this.timeline) {
       this.acknowledged ??= position;
+      this.seen = getFurthest(this.seen, position);
     }
   }
 
@@ -209,6 +225,10 @@
 
   private acknowledge(request: HeldRequest, position: SessionPosition): void {
     this.acknowledged = getFurthest(this.acknowledged, position);
+    const certain = getCertainPosition(request.primaryBefore, position);
+    if (certain !== undefined && position.term === this.timeline) {
+      this.confirmed = toLogPosition(Math.max(this.confirmed, certain));
+    }
     request.finish({ nowMs: this.context.timer.now(), position });
   }
 
--- a/src/daemon/holder/heldRequest.ts
+++ b/src/daemon/holder/heldRequest.ts
@@ -60,6 +60,8 @@
   abandoned = false;
   /** The deadline has passed and the backend server was asked to cancel. */
   timedOut = false;
+  /** The furthest position of the primary that was seen before it was sent. */
+  primaryBefore: SessionPosition | undefined;
   /** What decided its last routing, for logs. */
   routing: RequestRouting | undefined;
   /** How often it was moved from one instance's queue to another's. */
--- a/src/decisions/control/groupReport.ts
+++ b/src/decisions/control/groupReport.ts
@@ -21,6 +21,11 @@
    * says is leaving does not count for acknowledgement.
    */
   readonly acknowledged: LogPosition;
+  /**
+   * A position that this holder certainly acknowledged under the current term, and at most the
+   * last one; 0 when it acknowledged none or can't tell its position.
+   */
+  readonly confirmed: LogPosition;
   /** Once a term is fenced, only what was measured after fencing it. */
   readonly sightings: readonly InstanceSighting[];
 }
--- a/src/decisions/control/leader/createGroupView.ts
+++ b/src/decisions/control/leader/createGroupView.ts
@@ -51,6 +51,7 @@
     fencedTerm: watch.fencedTerm,
     fencedAtMs: isFenced ? watch.fencedAtMs : undefined,
     acknowledged: watch.acknowledged,
+    confirmed: watch.confirmed,
   };
 }
 
--- a/src/decisions/control/leader/groupWatch.ts
+++ b/src/decisions/control/leader/groupWatch.ts
@@ -35,6 +35,7 @@
   fencedTerm = toTerm(0);
   fencedAtMs: number | undefined;
   acknowledged = toLogPosition(0);
+  confirmed = toLogPosition(0);
   firstSeenMs: number | undefined;
   unheldSinceMs: number | undefined;
   servingSinceMs: number | undefined;
@@ -82,6 +83,7 @@
       this.sightings.clear();
     }
     this.acknowledged = report.acknowledged;
+    this.confirmed = report.confirmed;
     for (const { instance, ...sighting } of report.sightings) {
       this.sightings.set(instance, { ...sighting, receivedAtMs: nowMs });
     }
@@ -93,6 +95,7 @@
     this.fencedTerm = toTerm(0);
     this.fencedAtMs = undefined;
     this.acknowledged = toLogPosition(0);
+    this.confirmed = toLogPosition(0);
     this.sightings.clear();
   }
 }
--- a/src/decisions/promotion/groupView.ts
+++ b/src/decisions/promotion/groupView.ts
@@ -19,7 +19,10 @@
   readonly fencedTerm: Term;
   /** When control received that it had fenced the serving term. */
   readonly fencedAtMs: number | undefined;
+  /** No write beyond it was acknowledged by this holder: 0 while it can't tell. */
   readonly acknowledged: LogPosition;
+  /** A write at this position was acknowledged by this holder; 0 for none. */
+  readonly confirmed: LogPosition;
 }
 
 /** An order to the platform that has not been answered with success. */
--- a/src/decisions/promotion/promotionRules.test.ts
+++ b/src/decisions/promotion/promotionRules.test.ts
@@ -91,6 +91,7 @@
     lease: toLeaseId('l'),
     ...{ sinceTermBegan, fencedTerm: toTerm(5), fencedAtMs: FENCE_MS },
     acknowledged: toLogPosition(acknowledged),
+    confirmed: toLogPosition(sinceTermBegan ? acknowledged : 0),
   };
 }
 
--- a/src/decisions/promotion/promotionRules.ts
+++ b/src/decisions/promotion/promotionRules.ts
@@ -44,7 +44,8 @@
 
   /**
    * The position that holds every write acknowledged under the safe setting, or undefined while
-   * it can't be told. Each such write is on the primary and on at least one other instance.
+   * it can't be told. Each such write is on the primary and was on at least one other instance,
+   * which may be gone for good: what was acknowledged for certain is required all the same.
    */
   protected findRequired(
     view: GroupView,
@@ -53,10 +54,11 @@
   ): LogPosition | undefined {
     const reported = getReported(view, primary);
     const found = this.findFurthestOther(view, primary, fence);
-    if (reported === undefined || found === undefined) {
-      return reported ?? found;
+    if (reported === undefined && found === undefined) {
+      return undefined;
     }
-    return toLogPosition(Math.min(reported, found));
+    const highest = Math.min(reported ?? Infinity, found ?? Infinity);
+    return toLogPosition(Math.max(view.holder?.confirmed ?? 0, highest));
   }
 
   /** The furthest position of the other instances, once all of them are known after the fence. */
--- a/src/decisions/promotion/timelines.test.ts
+++ b/src/decisions/promotion/timelines.test.ts
@@ -89,6 +89,7 @@
       fencedTerm: term,
       fencedAtMs: FENCE_MS,
       acknowledged: toLogPosition(80),
+      confirmed: toLogPosition(80),
     },
     ...{ unheldSinceMs: undefined, firstSeenMs: 0, servingSinceMs: 0, movingSinceMs: undefined },
     ...{ moveEndedMs: undefined, order: undefined, failedInstances: [] },
@@ -115,15 +116,17 @@
   expect(rules.decide(unknown).step).toBe(PromotionStep.Wait);
 });
 
-// Listed in KNOWN-RED.txt: the lower of both positions is required, although the holder speaks for
-// the whole term. Whoever mends findRequired turns this back into a plain test.
-test.fails(
-  'an instance below what the holder acknowledged waits, though it is the only other',
-  () => {
-    const behind = createView(createPrimary(), [createInstance('a'), createInstance('b', 79)]);
-    expect(rules.decide(behind).step).toBe(PromotionStep.Wait);
-  },
-);
+test('an instance below what the holder acknowledged waits, though it is the only other', () => {
+  const behind = createView(createPrimary(), [createInstance('a'), createInstance('b', 79)]);
+  expect(rules.decide(behind).step).toBe(PromotionStep.Wait);
+});
+
+test('what the primary had beyond the last acknowledged write is not required', () => {
+  const view = createView(createPrimary(), [createInstance('a'), createInstance('b', 79)]);
+  const holder = view.holder && { ...view.holder, confirmed: toLogPosition(79) };
+  const decision = rules.decide({ ...view, holder });
+  expect(decision).toMatchObject({ step: PromotionStep.Promote, instance: 'b', required: 79 });
+});
 
 test('an order is given, and the promotion is complete once the instance was seen to lead', () => {
   const promoting = createPromoting(LEADER);
--- a/src/decisions/routing/index.ts
+++ b/src/decisions/routing/index.ts
@@ -1,3 +1,4 @@
+export * from './certainPosition.js';
 export * from './statementKind.js';
 export * from './statement.js';
 export * from './classifyStatement.js';
--- a/tests/support/fleet/fakeDaemon.ts
+++ b/tests/support/fleet/fakeDaemon.ts
@@ -214,14 +214,14 @@
   }
 
   private createReport(held: HeldGroup): GroupReport {
-    const { group, fencedTerm, acknowledged } = held;
+    const { group, fencedTerm, acknowledged, confirmed } = held;
     const sightings = this.records.getInstances(group).map((record): InstanceSighting => {
       const instance = this.fleet.getInstance(record.instance);
       const reachable = this.canReach(instance);
       const { term, position } = reachable ? instance : { term: toTerm(0), position: ZERO };
       return { instance: record.instance, reachable, term, position };
     });
-    return { group, fencedTerm, acknowledged, sightings };
+    return { group, fencedTerm, acknowledged, confirmed, sightings };
   }
 
   private updateHeld(): void {
--- a/tests/support/fleet/heldGroup.ts
+++ b/tests/support/fleet/heldGroup.ts
@@ -28,6 +28,8 @@
 export class HeldGroup {
   fencedTerm = toTerm(0);
   acknowledged: LogPosition = toLogPosition(0);
+  /** Highest position acknowledged under the term that `acknowledged` counts in. */
+  confirmed: LogPosition = toLogPosition(0);
   isReleased = false;
   private baseline: Term | undefined;
   private failures = 0;
@@ -84,6 +86,7 @@
     if (this.baseline !== instance.term) {
       this.baseline = instance.term;
       this.acknowledged = instance.position;
+      this.confirmed = toLogPosition(0);
     }
     const entry = this.daemon.nextEntry();
     instance.entries.push(entry);
@@ -138,6 +141,7 @@
 
   private finish(term: Term, { id, position }: PendingWrite): void {
     this.acknowledged = toLogPosition(Math.max(this.acknowledged, position.position));
+    this.confirmed = toLogPosition(Math.max(this.confirmed, position.position));
     this.fleet.noteAcknowledged(this.daemon, this.group, term, id, position);
   }
 
