Reads move only where a slot and a connection of their account are free

Ruled out: the put-back order of the queue (its random test holds). Tests: movedReads.test.ts and cancel.test.ts pass as before.

--- a/src/daemon/backend/connectionPool.ts
+++ b/src/daemon/backend/connectionPool.ts
@@ -71,6 +71,13 @@
     this.openMissing();
   }
 
+  /** Whether a request of the account finds a connection that is open and idle. */
+  hasIdle(account: AccountId): boolean {
+    return this.idle.some(
+      ({ connection }) => isFor(connection, account) && !connection.isWorn && !connection.isClosed,
+    );
+  }
+
   /** Takes a connection back; one that is worn or unclean is closed. */
   release(connection: BackendLink, reusable: boolean): void {
     if (this.closed || !reusable || connection.isWorn) {
--- a/src/daemon/holder/groupRequests.ts
+++ b/src/daemon/holder/groupRequests.ts
@@ -26,6 +26,8 @@
   route(held: HeldRequest): RouteDecision;
   getInstance(id: InstanceId): HeldInstance | undefined;
   getInstances(): Iterable<HeldInstance>;
+  /** Whether an instance has a free slot for a read; the last one of a primary is kept for writes. */
+  hasRoomForRead(instance: HeldInstance): boolean;
   /** Whether a request may be sent to an instance at this very moment. */
   mayStart(held: HeldRequest, instance: HeldInstance): boolean;
   /** What an instance's log must hold before it runs a request. */
@@ -258,28 +260,41 @@
     }
     this.isFilling = true;
     const nowMs = this.context.timer.now();
-    for (const instance of this.places.getInstances()) {
-      while (instance.queue.waitingCount > 0) {
-        const id = instance.queue.takeMovable((each) => this.mayMove(each, instance), nowMs);
+    const instances = [...this.places.getInstances()];
+    const queued = instances.filter(({ queue }) => queue.waitingCount > 0);
+    let free = queued.length === 0 ? [] : this.findFree(instances);
+    for (const { queue } of queued) {
+      while (free.length > 0) {
+        const id = queue.takeMovable((each) => this.mayMove(each, free), nowMs);
         const held = id && this.requests.get(id);
         if (held === undefined) {
           break;
         }
         held.moves += 1;
         this.place(held);
+        free = this.findFree(instances);
       }
     }
     this.isFilling = false;
   }
 
-  /** Whether a request that is queued on an instance would start at once on another. */
-  private mayMove(id: RequestId, from: HeldInstance): boolean {
+  private findFree(instances: readonly HeldInstance[]): readonly HeldInstance[] {
+    return instances.filter((each) => this.places.hasRoomForRead(each));
+  }
+
+  /**
+   * Whether a queued request would start at once on one of the free instances. Where connections
+   * serve one account each, a new one takes a slot for about as long as a read.
+   */
+  private mayMove(id: RequestId, free: readonly HeldInstance[]): boolean {
     const held = this.requests.get(id);
-    const decision = held && this.places.route(held);
+    if (held === undefined || !free.some(({ pool }) => pool.hasIdle(held.request.account))) {
+      return false;
+    }
+    const decision = this.places.route(held);
     return (
-      decision?.kind === RouteKind.Instance &&
-      decision.instance !== from.id &&
-      this.places.getInstance(decision.instance)?.hasFreeSlot === true
+      decision.kind === RouteKind.Instance &&
+      free.some((each) => each.id === decision.instance && each.pool.hasIdle(held.request.account))
     );
   }
 
--- a/src/daemon/holder/heldGroup.ts
+++ b/src/daemon/holder/heldGroup.ts
@@ -185,6 +185,11 @@
     return this.instances.values();
   }
 
+  hasRoomForRead(instance: HeldInstance): boolean {
+    const kept = instance.id === this.writes.primary?.instance ? 1 : 0;
+    return instance.freeSlots > kept && instance.monitor.health.isReachable;
+  }
+
   mayStart(held: HeldRequest, instance: HeldInstance): boolean {
     if (!this.context.lease.isValid()) {
       return false;
--- a/src/daemon/holder/heldInstance.ts
+++ b/src/daemon/holder/heldInstance.ts
@@ -144,9 +144,10 @@
     this.apply(this.queue.enqueue(item, this.context.timer.now()));
   }
 
-  /** Whether a request that is queued now starts at once. */
-  get hasFreeSlot(): boolean {
-    return this.queue.waitingCount === 0 && this.queue.runningCount < this.record.slots;
+  /** Slots that are free while nothing waits for one. */
+  get freeSlots(): number {
+    const { runningCount, waitingCount } = this.queue;
+    return waitingCount > 0 ? 0 : Math.max(0, this.record.slots - runningCount);
   }
 
   /** Frees the slot of a finished request. */
