--- /dev/null
+++ b/src/daemon/holder/groupRequests.test.ts
@@ -0,0 +1,202 @@
+import { expect, test } from 'vitest';
+import { assertInvariant } from '../../common/diagnostics/index.js';
+import {
+  toAccountId,
+  toFailureDomain,
+  toGroupId,
+  toInstanceId,
+  toLeaseId,
+  toLogPosition,
+  toRequestId,
+  toTerm,
+  type RequestId,
+} from '../../common/ids/index.js';
+import { Logger, RequestLog } from '../../common/logging/index.js';
+import { ManualTimerService } from '../../common/timer/index.js';
+import { DaemonRecords, RecordKind, type InstanceRecord } from '../../decisions/control/index.js';
+import { PositionClock, RouteKind } from '../../decisions/routing/index.js';
+import {
+  BackendLink,
+  BackendProbe,
+  BackendProtocol,
+  type ProbeAnswer,
+  type BackendExchange,
+} from '../backend/index.js';
+import { RequestKind, ResponseReceiver, type ExecuteRequest } from '../requests/index.js';
+import { GroupRequests, type RequestPlaces } from './groupRequests.js';
+import { GroupWrites } from './groupWrites.js';
+import { HeldInstance } from './heldInstance.js';
+import type { HolderContext } from './holderContext.js';
+import { HolderLease } from './holderLease.js';
+import { SeededRandom } from '../seededRandom.js';
+
+const GROUP = toGroupId('ledger');
+const ACCOUNT = toAccountId('mill');
+
+/** A connection whose answers come when the test says so. */
+class ScriptedLink extends BackendLink {
+  override readonly account = undefined;
+  override readonly openedMs = 0;
+  override readonly isClosed = false;
+  override readonly isWorn = false;
+  running: BackendExchange | undefined;
+
+  override run(exchange: BackendExchange): void {
+    this.running = exchange;
+  }
+
+  override heartbeat(): void {
+    // Never answered: no time passes in these tests.
+  }
+
+  override setPaused(): void {
+    // Nothing is read.
+  }
+
+  override cancel(): void {
+    this.close();
+  }
+
+  override close(): void {
+    this.onClosed?.();
+  }
+}
+
+class ScriptedProtocol extends BackendProtocol {
+  override readonly isPerAccount = false;
+  override readonly checksMinimum = true;
+
+  override open(): Promise<BackendLink> {
+    return Promise.resolve(new ScriptedLink());
+  }
+
+  override createProbe(): BackendProbe {
+    return new SilentProbe();
+  }
+}
+
+class SilentProbe extends BackendProbe {
+  override open(): Promise<boolean> {
+    return Promise.resolve(true);
+  }
+
+  override ask(): Promise<ProbeAnswer> {
+    return Promise.resolve({
+      term: toTerm(1),
+      position: toLogPosition(1),
+      received: undefined,
+      isPrimary: undefined,
+    });
+  }
+
+  override close(): void {
+    // Nothing is held.
+  }
+}
+
+class IgnoringReceiver extends ResponseReceiver {
+  override accept(): void {
+    // The answers aren't looked at.
+  }
+
+  override finish(): void {
+    // The answers aren't looked at.
+  }
+}
+
+class EndlessLease extends HolderLease {
+  override readonly id = toLeaseId('l');
+  override readonly leftMs = 1000;
+
+  override isValid(): boolean {
+    return true;
+  }
+}
+
+function createContext(): HolderContext {
+  const timer = new ManualTimerService();
+  const logger = new Logger('error', {}, () => undefined);
+  return {
+    ...{ timer, logger, log: new RequestLog(logger, timer) },
+    domain: toFailureDomain('a'),
+    random: new SeededRandom(1),
+    records: new DaemonRecords(),
+    lease: new EndlessLease(),
+    protocol: new ScriptedProtocol(),
+    reportNow: () => undefined,
+  };
+}
+
+function createRequest(id: string): ExecuteRequest {
+  return {
+    ...{ id: toRequestId(id), group: GROUP, lease: toLeaseId('l'), account: ACCOUNT },
+    ...{ kind: RequestKind.Read, idempotent: true, mayCommit: false, remainingMs: 1000 },
+    ...{ closesConnection: false, costClass: 'read', prepared: [], payload: new Uint8Array() },
+  };
+}
+
+/** Two replicas with one slot each; reads go to the first while fewer than two wait or run there. */
+async function createReplicas() {
+  const context = createContext();
+  const silent = () => undefined;
+  const listener = {
+    slotGranted: (instance: HeldInstance, id: RequestId) => requests.slotGranted(instance, id),
+    ...{ slotRefused: silent, transactionOverdue: silent, probeAnswered: silent },
+    ...{ connectionCondemned: silent, instanceLost: silent },
+  };
+  const [first, second] = ['first', 'second'].map((name) => {
+    const record: InstanceRecord = {
+      ...{ kind: RecordKind.Instance, group: GROUP, instance: toInstanceId(name) },
+      ...{ domain: toFailureDomain('a'), address: name, platform: name },
+      ...{ slots: 1, connectionLimit: 8 },
+    };
+    return new HeldInstance(record, 1000, context, listener, new PositionClock(), false);
+  });
+  assertInvariant(first !== undefined && second !== undefined, 'both were created');
+  let isSecondBehind = true;
+  const places: RequestPlaces = {
+    route: () => {
+      const isFirst = isSecondBehind || first.queue.runningCount + first.queue.waitingCount < 2;
+      const { id: instance } = isFirst ? first : second;
+      return { kind: RouteKind.Instance, instance, isPrimary: false };
+    },
+    getInstance: (id) => [first, second].find((each) => each.id === id),
+    getInstances: () => [first, second],
+    isPrimary: () => false,
+    hasRoomForRead: ({ freeSlots }) => freeSlots > 0,
+    mayStart: () => true,
+    getMinimum: silent,
+    ...{ standingSeen: silent, leadLost: silent, requestEnded: silent },
+  };
+  const owner = { getReplicaCount: () => 2, setUrgent: silent };
+  const requests = new GroupRequests(context, places, new GroupWrites(GROUP, context, owner));
+  for (const { pool } of [first, second]) {
+    pool.warm(ACCOUNT);
+  }
+  await Promise.resolve();
+  const catchUp = (): void => {
+    isSecondBehind = false;
+    requests.retryWaiting();
+  };
+  return { first, second, requests, catchUp };
+}
+
+test('a queued read goes to a free slot once, though it would be routed back from there', async () => {
+  const { first, second, requests, catchUp } = await createReplicas();
+  for (const id of ['r1', 'r2']) {
+    requests.execute(createRequest(id), new IgnoringReceiver());
+  }
+  expect([first.queue.waitingCount, second.queue.runningCount]).toEqual([1, 0]);
+  catchUp();
+  expect([first.queue.waitingCount, second.queue.runningCount]).toEqual([0, 1]);
+});
+
+test('a queued read stays where it is while the free instance has no connection for it', async () => {
+  const { first, second, requests, catchUp } = await createReplicas();
+  second.pool.closeIdle();
+  for (const id of ['r1', 'r2']) {
+    requests.execute(createRequest(id), new IgnoringReceiver());
+  }
+  catchUp();
+  expect([first.queue.waitingCount, second.queue.runningCount]).toEqual([1, 0]);
+});
--- a/src/daemon/holder/groupRequests.ts
+++ b/src/daemon/holder/groupRequests.ts
@@ -1,5 +1,6 @@
 import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
 import type { InstanceId, RequestId } from '../../common/ids/index.js';
+import type { InstanceQueue } from '../../decisions/queue/index.js';
 import { mayRetry, RouteKind, type RouteDecision } from '../../decisions/routing/index.js';
 import type { SessionPosition } from '../../decisions/sessions/index.js';
 import { BackendRefusal, type BackendLink, type ProbeAnswer } from '../backend/index.js';
@@ -26,6 +27,7 @@
   route(held: HeldRequest): RouteDecision;
   getInstance(id: InstanceId): HeldInstance | undefined;
   getInstances(): Iterable<HeldInstance>;
+  isPrimary(instance: HeldInstance): boolean;
   /** Whether an instance has a free slot for a read; the last one of a primary is kept for writes. */
   hasRoomForRead(instance: HeldInstance): boolean;
   /** Whether a request may be sent to an instance at this very moment. */
@@ -259,43 +261,50 @@
       return; // What is refused while it moves ends a request, which leads here again.
     }
     this.isFilling = true;
-    const nowMs = this.context.timer.now();
     const instances = [...this.places.getInstances()];
-    const queued = instances.filter(({ queue }) => queue.waitingCount > 0);
-    let free = queued.length === 0 ? [] : this.findFree(instances);
-    for (const { queue } of queued) {
-      while (free.length > 0) {
-        const id = queue.takeMovable((each) => this.mayMove(each, free), nowMs);
-        const held = id && this.requests.get(id);
-        if (held === undefined) {
-          break;
-        }
-        held.moves += 1;
-        this.place(held);
-        free = this.findFree(instances);
+    for (const { queue } of instances.filter((each) => each.queue.waitingCount > 0)) {
+      while (this.moveOne(queue, instances)) {
+        // Each move takes one request out of the queue and fills a free slot.
       }
     }
     this.isFilling = false;
   }
 
-  private findFree(instances: readonly HeldInstance[]): readonly HeldInstance[] {
-    return instances.filter((each) => this.places.hasRoomForRead(each));
+  private moveOne(queue: InstanceQueue, instances: readonly HeldInstance[]): boolean {
+    const free = instances.filter((each) => this.places.hasRoomForRead(each));
+    if (free.length === 0) {
+      return false;
+    }
+    let target: HeldInstance | undefined;
+    const id = queue.takeMovable((each) => {
+      target = this.findTarget(each, free);
+      return target !== undefined;
+    }, this.context.timer.now());
+    const held = id && this.requests.get(id);
+    if (held === undefined || target === undefined) {
+      return false;
+    }
+    held.moves += 1;
+    held.onReplica = !this.places.isPrimary(target);
+    // Not routed again: without it the queue is shorter, and it might be sent back there forever.
+    this.enqueue(held, target.id);
+    return true;
   }
 
   /**
-   * Whether a queued request would start at once on one of the free instances. Where connections
-   * serve one account each, a new one takes a slot for about as long as a read.
+   * The free instance on which a queued request would start at once. Where connections serve one
+   * account each, a new one takes a slot for about as long as a read.
    */
-  private mayMove(id: RequestId, free: readonly HeldInstance[]): boolean {
+  private findTarget(id: RequestId, free: readonly HeldInstance[]): HeldInstance | undefined {
     const held = this.requests.get(id);
-    if (held === undefined || !free.some(({ pool }) => pool.hasIdle(held.request.account))) {
-      return false;
+    const ready = held && free.filter(({ pool }) => pool.hasIdle(held.request.account));
+    if (held === undefined || ready === undefined || ready.length === 0) {
+      return undefined;
     }
     const decision = this.places.route(held);
-    return (
-      decision.kind === RouteKind.Instance &&
-      free.some((each) => each.id === decision.instance && each.pool.hasIdle(held.request.account))
-    );
+    return decision.kind === RouteKind.Instance
+      ? ready.find((each) => each.id === decision.instance)
+      : undefined;
   }
 
   private enqueue(held: HeldRequest, id: InstanceId): void {
--- a/src/daemon/holder/heldGroup.ts
+++ b/src/daemon/holder/heldGroup.ts
@@ -185,8 +185,12 @@
     return this.instances.values();
   }
 
+  isPrimary({ id }: HeldInstance): boolean {
+    return id === this.writes.primary?.instance;
+  }
+
   hasRoomForRead(instance: HeldInstance): boolean {
-    const kept = instance.id === this.writes.primary?.instance ? 1 : 0;
+    const kept = this.isPrimary(instance) ? 1 : 0;
     return instance.freeSlots > kept && instance.monitor.health.isReachable;
   }
 
