Daemons search for a leader at their own pace; control hosts tell them when there is one

Ruled out: slower retries alone, which would lengthen the gap: hosts that were asked in vain now name the leader unasked as soon as they know one that serves.

--- a/bench/soak/quorumControl.ts
+++ b/bench/soak/quorumControl.ts
@@ -231,7 +231,7 @@
         (host) => host.identity === seat.host.member?.leader,
       );
       network.send(seat.name, daemon.host, this.fleet.nowMs, () =>
-        route.redirected(seat.name, known === undefined ? undefined : `c${known.number}`),
+        route.redirected(known === undefined ? undefined : `c${known.number}`),
       );
       return;
     }
--- a/src/daemon/control/controlHost.ts
+++ b/src/daemon/control/controlHost.ts
@@ -78,6 +78,10 @@
   /** Suspensions suspected when a quorum last confirmed that this host leads. */
   private trusted = 0;
   private confirming = false;
+  /** This host leads and has applied all that its predecessors decided. */
+  private isServing = false;
+  /** Daemons that asked for a lease while no leader was known here. */
+  private readonly searchers = new Set<MeshLink>();
 
   constructor(private readonly options: ControlHostOptions) {
     const { opened, storage, state, ids, timer, random, mesh, logger } = options;
@@ -146,13 +150,17 @@
     logger.report(Diagnostics.ControlRoleChanged, { role }, { step: 'control.role', term });
     this.leaderSinceMs = this.options.timer.now();
     this.heard.clear();
+    this.isServing = false;
     if (role !== Role.Leader) {
       this.tell({ kind: ControlInputKind.LostLeadership });
+      this.tellSearchers();
       return;
     }
     void this.member.passBarrier().then((passed) => {
       if (passed.isOk() && this.member.isLeader && this.member.term === term) {
         this.tell({ kind: ControlInputKind.BecameLeader, host, controlTerm: term });
+        this.isServing = true;
+        this.tellSearchers();
       }
     });
   }
@@ -223,8 +231,12 @@
     link: MeshLink,
     message: Extract<MeshMessage, { kind: MeshKind.LeaseRenewal }>,
   ): void {
-    if (!this.member.isLeader) {
-      link.send({ kind: MeshKind.LeaseRedirect, ...this.getLeaderHint() });
+    if (!this.isServing) {
+      const hint = this.member.isLeader ? {} : this.getLeaderHint();
+      if (hint.leader === undefined) {
+        this.searchers.add(link);
+      }
+      link.send({ kind: MeshKind.LeaseRedirect, ...hint });
       return;
     }
     const { renewal } = message;
@@ -324,8 +336,25 @@
       : readings;
   }
 
+  /** Names the leader, once one is known, to the daemons that asked in vain. */
+  private tellSearchers(): void {
+    const hint = this.getLeaderHint();
+    if (hint.leader === undefined) {
+      return;
+    }
+    for (const link of this.searchers) {
+      if (!link.isClosed) {
+        link.send({ kind: MeshKind.LeaseRedirect, ...hint });
+      }
+    }
+    this.searchers.clear();
+  }
+
   private getLeaderHint(): { readonly leader?: string } {
     const { leader } = this.member;
+    if (this.isServing) {
+      return { leader: this.options.mesh.address };
+    }
     const address = leader === undefined ? undefined : this.options.addresses.find(leader);
     return address === undefined ? {} : { leader: address };
   }
--- a/src/daemon/control/meshControlClient.ts
+++ b/src/daemon/control/meshControlClient.ts
@@ -93,7 +93,7 @@
       } else if (answer.fault === undefined) {
         return ok(answer.content);
       } else if (RETRIED.has(answer.fault.code)) {
-        this.route.redirected(address, answer.leader);
+        this.route.redirected(answer.leader);
       } else {
         return err(createRefusal(answer.fault.message, address));
       }
--- a/src/daemon/lease/controlRoute.ts
+++ b/src/daemon/lease/controlRoute.ts
@@ -25,14 +25,15 @@
     this.leader = address;
   }
 
-  /** A control host is not the leader and named the one it knows. */
-  redirected(from: string, leader: string | undefined): void {
-    this.waitingSinceMs = undefined;
-    if (leader !== undefined && leader !== from) {
-      this.leader = leader;
-    } else {
+  /** A control host named the leader that it knows; false when it knows none. */
+  redirected(leader: string | undefined): boolean {
+    if (leader === undefined) {
       this.failed();
+      return false;
     }
+    this.waitingSinceMs = undefined;
+    this.leader = leader;
+    return true;
   }
 
   /** The chosen control host gave no answer. */
--- a/src/daemon/lease/leaseTask.ts
+++ b/src/daemon/lease/leaseTask.ts
@@ -88,9 +88,12 @@
       this.route.answered(link.address);
       this.takeGrant(message.grant);
     });
-    mesh.receive(MeshKind.LeaseRedirect, ({ link, message }) => {
-      this.route.redirected(link.address, message.leader);
-      this.renewSoon();
+    mesh.receive(MeshKind.LeaseRedirect, ({ message }) => {
+      // Where no leader is known the next check asks again: each control host that was asked tells
+      // when it knows one, and answers at the speed of the network would take its time from electing.
+      if (this.route.redirected(message.leader)) {
+        this.renewSoon();
+      }
     });
     mesh.receive(MeshKind.RecordUpdate, ({ message }) => {
       this.publish(this.records.applyUpdate(message.update));
