--- a/src/daemon/control/controlHost.ts
+++ b/src/daemon/control/controlHost.ts
@@ -1,13 +1,10 @@
 import { err, ok, type Result } from 'neverthrow';
 import { Diagnostics, type Fault } from '../../common/diagnostics/index.js';
 import { toFailureDomain, type HostId, type Revision } from '../../common/ids/index.js';
-import type { Logger } from '../../common/logging/index.js';
 import type { RandomSource } from '../../common/random.js';
 import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
 import {
-  getNextMembershipChange,
   Role,
-  toMemberId,
   type ConsensusMessage,
   type ConsensusSettings,
   type MemberId,
@@ -17,15 +14,11 @@
   ControlInputKind,
   ControlLeader,
   ControlOutputKind,
-  getSubjectRecordName,
-  planMembers,
   type Command,
   type CommandAnswer,
   type ControlInput,
   type ControlOutput,
   type ControlSettings,
-  type ControlState,
-  type HeardMember,
   type Promote,
   type SubjectReading,
 } from '../../decisions/control/index.js';
@@ -35,6 +28,7 @@
 import type { LogStorage, OpenedLog } from '../storage/index.js';
 import { ControlCallKind, type ControlCallContent } from './controlCalls.js';
 import type { MemberAddresses } from './memberAddresses.js';
+import { MemberKeeper, type MemberKeeperOptions } from './memberKeeper.js';
 import type { Platform } from './platform.js';
 import { QuorumMember, type QuorumListener } from './quorumMember.js';
 
@@ -45,24 +39,18 @@
 const CONTROL_MEMBERS: string = SubjectKind.ControlMembers;
 
 /** What a control host is made from. */
-export interface ControlHostOptions {
+export interface ControlHostOptions extends MemberKeeperOptions {
   readonly host: HostId;
   readonly mesh: Mesh;
   readonly timer: TimerService;
-  readonly logger: Logger;
   readonly random: RandomSource;
   readonly ids: RequestIds;
   readonly storage: LogStorage<Command>;
   readonly opened: OpenedLog<Command>;
-  readonly state: ControlState;
   readonly addresses: MemberAddresses;
   readonly platform: Platform;
   readonly control: ControlSettings;
   readonly consensus: ConsensusSettings;
-  /** Hosts that ask become members without a ticket, and lost ones are replaced. */
-  readonly admitsMembers: boolean;
-  /** The members that the quorum was founded with, in force until a ticket names others. */
-  readonly foundedMembers: SubjectReading;
   /** The daemon can't go on, as after its disk failed. */
   readonly onFatal: (fault: Fault) => void;
 }
@@ -73,8 +61,7 @@
   private readonly leader: ControlLeader;
   private readonly links = new Map<HostId, MeshLink>();
   private readonly subscriptions: Unsubscribe[] = [];
-  private readonly heard = new Map<string, HeardMember>();
-  private leaderSinceMs = 0;
+  private readonly keeper: MemberKeeper;
   /** Suspensions suspected when a quorum last confirmed that this host leads. */
   private trusted = 0;
   private confirming = false;
@@ -88,6 +75,7 @@
     const { consensus } = options;
     this.member = new QuorumMember(opened, storage, state, ids, timer, random, consensus, this);
     this.leader = new ControlLeader(state, { settings: options.control });
+    this.keeper = new MemberKeeper(this.member, options);
     mesh.receive(MeshKind.Consensus, ({ link, message }) => {
       if (link.peer !== undefined) {
         options.addresses.learn(message.from, link.peer.address);
@@ -114,10 +102,7 @@
     this.member.start();
     this.subscriptions.push(
       timer.subscribe(TICK_INTERVAL_MS, () => this.tell({ kind: ControlInputKind.Tick })),
-      timer.subscribe(MEMBERSHIP_INTERVAL_MS, (nowMs) => {
-        this.planMembers(nowMs);
-        this.adjustMembership();
-      }),
+      timer.subscribe(MEMBERSHIP_INTERVAL_MS, (nowMs) => this.keeper.check(nowMs)),
     );
   }
 
@@ -148,8 +133,7 @@
   leadershipChanged(role: Role, term: number): void {
     const { logger, host } = this.options;
     logger.report(Diagnostics.ControlRoleChanged, { role }, { step: 'control.role', term });
-    this.leaderSinceMs = this.options.timer.now();
-    this.heard.clear();
+    this.keeper.leadershipChanged(this.options.timer.now());
     this.isServing = false;
     if (role !== Role.Leader) {
       this.tell({ kind: ControlInputKind.LostLeadership });
@@ -242,10 +226,7 @@
     const { renewal } = message;
     this.links.set(renewal.host, link);
     if (renewal.member !== undefined) {
-      this.heard.set(renewal.member.member, {
-        member: renewal.member,
-        heardMs: this.options.timer.now(),
-      });
+      this.keeper.heard(renewal.member, this.options.timer.now());
     }
     const mayGrant = this.isTrusted() && this.member.isLeaseValid();
     this.tell({ kind: ControlInputKind.Renewal, renewal, mayGrant });
@@ -358,47 +339,4 @@
     const address = leader === undefined ? undefined : this.options.addresses.find(leader);
     return address === undefined ? {} : { leader: address };
   }
-
-  /** Admits hosts that ask and lets lost ones go, where no ticket does. */
-  private planMembers(nowMs: number): void {
-    const { state, admitsMembers, foundedMembers } = this.options;
-    if (!admitsMembers || !this.member.isLeader || !this.member.isMembershipCommitted) {
-      return;
-    }
-    const inForce = state.getControlMembers()?.members;
-    const { voters, learners } = this.member.membership;
-    const founded =
-      foundedMembers.state.kind === SubjectKind.ControlMembers
-        ? foundedMembers.state.members.filter(({ member }) => voters.includes(toMemberId(member)))
-        : [];
-    const present = inForce ?? founded;
-    const isSettled = present.length === voters.length + learners.length;
-    const sinceMs = this.leaderSinceMs;
-    const members = isSettled
-      ? planMembers({ present, heard: [...this.heard.values()], sinceMs, nowMs })
-      : undefined;
-    if (members === undefined) {
-      return;
-    }
-    const expected = state.getRecordRevision(getSubjectRecordName(CONTROL_MEMBERS));
-    this.options.logger.report(
-      Diagnostics.ControlMembersPlanned,
-      { members: members.map(({ member }) => member).join(' ') },
-      { step: 'control.members' },
-    );
-    void this.member.propose({ kind: CommandKind.SetControlMembers, members, expected });
-  }
-
-  /** Brings the quorum's members nearer to those that the ticket in force names. */
-  private adjustMembership(): void {
-    const wanted = this.options.state.getControlMembers()?.members;
-    if (wanted === undefined || !this.member.isLeader || !this.member.isMembershipCommitted) {
-      return;
-    }
-    const ids = wanted.map(({ member }) => toMemberId(member));
-    const change = getNextMembershipChange(this.member.membership, ids);
-    if (change !== undefined) {
-      this.member.changeMembership(change);
-    }
-  }
 }
--- /dev/null
+++ b/src/daemon/control/memberKeeper.ts
@@ -0,0 +1,98 @@
+import { Diagnostics } from '../../common/diagnostics/index.js';
+import type { Logger } from '../../common/logging/index.js';
+import { getNextMembershipChange, toMemberId } from '../../decisions/consensus/index.js';
+import {
+  CommandKind,
+  getSubjectRecordName,
+  planMembers,
+  type ControlState,
+  type HeardMember,
+  type SubjectReading,
+} from '../../decisions/control/index.js';
+import { SubjectKind, type ControlMember } from '../../decisions/tickets/index.js';
+import type { QuorumMember } from './quorumMember.js';
+
+/** Name of the subject with the quorum's members. */
+const CONTROL_MEMBERS: string = SubjectKind.ControlMembers;
+
+/** What the keeper of the quorum's members knows of its host. */
+export interface MemberKeeperOptions {
+  readonly state: ControlState;
+  readonly logger: Logger;
+  /** Hosts that ask become members without a ticket, and lost ones are replaced. */
+  readonly admitsMembers: boolean;
+  /** The members that the quorum was founded with, in force until a ticket names others. */
+  readonly foundedMembers: SubjectReading;
+}
+
+/** Keeps the quorum's members as a ticket names them, or as hosts come and are lost. */
+export class MemberKeeper {
+  private readonly heardMembers = new Map<string, HeardMember>();
+  private leaderSinceMs = 0;
+
+  constructor(
+    private readonly member: QuorumMember,
+    private readonly options: MemberKeeperOptions,
+  ) {}
+
+  /** Takes note of a host that asks to be a member, or is one. */
+  heard(member: ControlMember, nowMs: number): void {
+    this.heardMembers.set(member.member, { member, heardMs: nowMs });
+  }
+
+  /** The quorum's leader changed: what was heard before counts no more. */
+  leadershipChanged(nowMs: number): void {
+    this.leaderSinceMs = nowMs;
+    this.heardMembers.clear();
+  }
+
+  /** Does what is due, where this host leads. */
+  check(nowMs: number): void {
+    if (this.member.isLeader && this.member.isMembershipCommitted) {
+      this.planMembers(nowMs);
+      this.adjustMembership();
+    }
+  }
+
+  /** Admits hosts that ask and lets lost ones go, where no ticket does. */
+  private planMembers(nowMs: number): void {
+    const { state, admitsMembers, foundedMembers, logger } = this.options;
+    if (!admitsMembers) {
+      return;
+    }
+    const inForce = state.getControlMembers()?.members;
+    const { voters, learners } = this.member.membership;
+    const founded =
+      foundedMembers.state.kind === SubjectKind.ControlMembers
+        ? foundedMembers.state.members.filter(({ member }) => voters.includes(toMemberId(member)))
+        : [];
+    const present = inForce ?? founded;
+    const isSettled = present.length === voters.length + learners.length;
+    const sinceMs = this.leaderSinceMs;
+    const heard = [...this.heardMembers.values()];
+    const members = isSettled ? planMembers({ present, heard, sinceMs, nowMs }) : undefined;
+    if (members === undefined) {
+      return;
+    }
+    const expected = state.getRecordRevision(getSubjectRecordName(CONTROL_MEMBERS));
+    logger.report(
+      Diagnostics.ControlMembersPlanned,
+      { members: members.map(({ member }) => member).join(' ') },
+      { step: 'control.members' },
+    );
+    void this.member.propose({ kind: CommandKind.SetControlMembers, members, expected });
+  }
+
+  /** Brings the quorum's members nearer to those that the ticket in force names. */
+  private adjustMembership(): void {
+    const wanted = this.options.state.getControlMembers()?.members;
+    if (wanted === undefined) {
+      return;
+    }
+    const ids = wanted.map(({ member }) => toMemberId(member));
+    const change = getNextMembershipChange(this.member.membership, ids);
+    if (change !== undefined) {
+      this.member.changeMembership(change);
+    }
+  }
+}
--- a/src/daemon/holder/groupRequests.ts
+++ b/src/daemon/holder/groupRequests.ts
@@ -1,7 +1,6 @@
 import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
 import type { InstanceId, RequestId } from '../../common/ids/index.js';
-import type { InstanceQueue } from '../../decisions/queue/index.js';
-import { mayRetry, RouteKind, type RouteDecision } from '../../decisions/routing/index.js';
+import { mayRetry, RouteKind } from '../../decisions/routing/index.js';
 import type { SessionPosition } from '../../decisions/sessions/index.js';
 import { BackendRefusal, type BackendLink, type ProbeAnswer } from '../backend/index.js';
 import {
@@ -21,15 +20,11 @@
 import { logHeldRequest } from './logHeldRequest.js';
 import { HeldRequestHandle } from './heldRequestHandle.js';
 import type { HolderContext } from './holderContext.js';
+import { ReadMoves, type MovedReads, type ReadPlaces } from './readMoves.js';
 
 /** What the requests of a group need of it. */
-export interface RequestPlaces {
-  route(held: HeldRequest): RouteDecision;
+export interface RequestPlaces extends ReadPlaces {
   getInstance(id: InstanceId): HeldInstance | undefined;
-  getInstances(): Iterable<HeldInstance>;
-  isPrimary(instance: HeldInstance): boolean;
-  /** Whether an instance has a free slot for a read; the last one of a primary is kept for writes. */
-  hasRoomForRead(instance: HeldInstance): boolean;
   /** Whether a request may be sent to an instance at this very moment. */
   mayStart(held: HeldRequest, instance: HeldInstance): boolean;
   /** What an instance's log must hold before it runs a request. */
@@ -43,12 +38,12 @@
 }
 
 /** The requests of a held group, from arrival to answer. */
-export class GroupRequests implements HeldRequestOwner {
+export class GroupRequests implements HeldRequestOwner, MovedReads {
   readonly transactions: GroupTransactions;
   private readonly requests = new Map<RequestId, HeldRequest>();
   private readonly waiting = new Set<HeldRequest>();
   private closingFault: Fault | undefined;
-  private isFilling = false;
+  private readonly moves: ReadMoves;
 
   constructor(
     private readonly context: HolderContext,
@@ -56,6 +51,7 @@
     private readonly writes: GroupWrites,
   ) {
     this.transactions = new GroupTransactions(context.timer);
+    this.moves = new ReadMoves(context.timer, places, this);
   }
 
   /** No request runs or waits and no transaction is open. */
@@ -81,7 +77,7 @@
       this.waiting.delete(held);
       this.places.requestEnded();
       logHeldRequest(held, this.context);
-      this.fillFreeSlots();
+      this.moves.fillFreeSlots();
     };
     this.requests.set(request.id, held);
     if (request.transaction === undefined) {
@@ -115,7 +111,7 @@
     for (const held of [...this.waiting]) {
       this.place(held);
     }
-    this.fillFreeSlots();
+    this.moves.fillFreeSlots();
   }
 
   /** Routes again what is queued but not started on an instance. */
@@ -242,11 +238,17 @@
     }
     const decision = this.places.route(held);
     switch (decision.kind) {
-      case RouteKind.Instance:
+      case RouteKind.Instance: {
+        const instance = this.places.getInstance(decision.instance);
+        if (instance === undefined) {
+          this.waiting.add(held);
+          return;
+        }
         this.waiting.delete(held);
         held.onReplica = !decision.isPrimary;
-        this.enqueue(held, decision.instance);
+        this.enqueue(held, instance);
         return;
+      }
       case RouteKind.Wait:
         this.waiting.add(held);
         return;
@@ -255,64 +257,13 @@
     }
   }
 
-  /** Moves reads that wait for a slot to instances that have one free and may serve them. */
-  private fillFreeSlots(): void {
-    if (this.isFilling) {
-      return; // What is refused while it moves ends a request, which leads here again.
-    }
-    this.isFilling = true;
-    const instances = [...this.places.getInstances()];
-    for (const { queue } of instances.filter((each) => each.queue.waitingCount > 0)) {
-      while (this.moveOne(queue, instances)) {
-        // Each move takes one request out of the queue and fills a free slot.
-      }
-    }
-    this.isFilling = false;
-  }
-
-  private moveOne(queue: InstanceQueue, instances: readonly HeldInstance[]): boolean {
-    const free = instances.filter((each) => this.places.hasRoomForRead(each));
-    if (free.length === 0) {
-      return false;
-    }
-    let target: HeldInstance | undefined;
-    const id = queue.takeMovable((each) => {
-      target = this.findTarget(each, free);
-      return target !== undefined;
-    }, this.context.timer.now());
-    const held = id && this.requests.get(id);
-    if (held === undefined || target === undefined) {
-      return false;
-    }
-    held.moves += 1;
-    held.onReplica = !this.places.isPrimary(target);
-    // Not routed again: without it the queue is shorter, and it might be sent back there forever.
-    this.enqueue(held, target.id);
-    return true;
-  }
-
-  /**
-   * The free instance on which a queued request would start at once. Where connections serve one
-   * account each, a new one takes a slot for about as long as a read.
-   */
-  private findTarget(id: RequestId, free: readonly HeldInstance[]): HeldInstance | undefined {
-    const held = this.requests.get(id);
-    const ready = held && free.filter(({ pool }) => pool.hasIdle(held.request.account));
-    if (held === undefined || ready === undefined || ready.length === 0) {
-      return undefined;
-    }
-    const decision = this.places.route(held);
-    return decision.kind === RouteKind.Instance
-      ? ready.find((each) => each.id === decision.instance)
-      : undefined;
+  /** A request that was accepted and has not ended. */
+  get(id: RequestId): HeldRequest | undefined {
+    return this.requests.get(id);
   }
 
-  private enqueue(held: HeldRequest, id: InstanceId): void {
-    const instance = this.places.getInstance(id);
-    if (instance === undefined) {
-      this.waiting.add(held);
-      return;
-    }
+  /** Queues a request on an instance. */
+  enqueue(held: HeldRequest, instance: HeldInstance): void {
     held.instance = instance;
     held.routing = instance.getRouting(this.context.timer.now());
     instance.enqueue(createQueueItem(held, instance, this.context.records));
