--- a/bench/faults/faultFleet.ts
+++ b/bench/faults/faultFleet.ts
@@ -54,9 +54,9 @@
 
   /** Starts proxies, instances and daemons. */
   async start(): Promise<void> {
-    for (const { id, zone, address } of this.plan.instances) {
+    for (const { id, domain, address } of this.plan.instances) {
       await this.addProxy(id, this.getProxyAddress(address), address);
-      await this.group.add(id, zone, address).start();
+      await this.group.add(id, domain, address).start();
     }
     for (const { node, ip, meshPort, meshAddress } of this.plan.daemons) {
       await this.addProxy(node, meshAddress, `${ip}:${meshPort}`);
--- a/bench/lines/linePlan.ts
+++ b/bench/lines/linePlan.ts
@@ -3,7 +3,7 @@
 /** One daemon of a fleet on the platform's protocols. */
 export interface PlannedLineDaemon {
   readonly node: string;
-  readonly zone: string;
+  readonly domain: string;
   readonly ip: string;
   /** Address that other daemons dial; another one than the listener's where a proxy stands between. */
   readonly meshAddress: string;
@@ -20,13 +20,13 @@
   readonly instances: readonly {
     readonly service: string;
     readonly id: string;
-    readonly zone: string;
+    readonly domain: string;
     readonly address: string;
   }[];
   readonly platform: string;
 }
 
-const ZONES = ['north-a', 'north-b', 'north-c'];
+const DOMAINS = ['north-a', 'north-b', 'north-c'];
 const INSTANCES_PER_GROUP = 3;
 
 /** Where a planned fleet listens: each host has a loopback address of its own. */
@@ -51,7 +51,7 @@
     const isControl = index < controls;
     daemons.push({
       node: isControl ? `core-${index + 1}` : `edge-${index - controls + 1}`,
-      zone: ZONES[index % ZONES.length] ?? '',
+      domain: DOMAINS[index % DOMAINS.length] ?? '',
       ip,
       meshPort,
       meshAddress: isProxied ? `127.${network}.1.${index + 1}:${meshPort}` : `${ip}:${meshPort}`,
@@ -69,7 +69,7 @@
     instances.push({
       service: `ledger${group}`,
       id: `i-${index + 1}`,
-      zone: ZONES[index % ZONES.length] ?? '',
+      domain: DOMAINS[index % DOMAINS.length] ?? '',
       address: `${ip}:${port}`,
     });
   }
@@ -94,7 +94,7 @@
   return [
     `node = "${daemon.node}"`,
     `ip = "${daemon.ip}"`,
-    `zone = "${daemon.zone}"`,
+    `zone = "${daemon.domain}"`,
     `internalPorts = [${daemon.meshPort}, ${daemon.operatorPort}]`,
     `seeds = [${seeds.map(({ control }) => `"${control ?? ''}"`).join(', ')}]`,
     `bootstrap = ${isFirstStart}`,
--- a/bench/lines/localLineFleet.ts
+++ b/bench/lines/localLineFleet.ts
@@ -135,7 +135,7 @@
       const times = { workMs: this.workMs, lagMs: this.lagMs };
       const group = new LineGroup({ service, ...options, ...times }, this.timer);
       for (const each of this.plan.instances.filter((planned) => planned.service === service)) {
-        await group.add(each.id, each.zone, each.address).start();
+        await group.add(each.id, each.domain, each.address).start();
       }
       this.groups.push(group);
     }
--- a/bench/relay/main.ts
+++ b/bench/relay/main.ts
@@ -132,8 +132,8 @@
 
 const plan = await createLinePlan({ controls: 1, entries: 2, groups: 1, network: NETWORK });
 const group = new LineGroup({ ...GROUP, ...TIMES }, timer);
-for (const { id, zone, address } of plan.instances) {
-  await group.add(id, zone, address).start();
+for (const { id, domain, address } of plan.instances) {
+  await group.add(id, domain, address).start();
 }
 const controls = plan.daemons.map(({ control }) => control).filter((each) => each !== undefined);
 const platform = new LinePlatform(
--- a/standin/lines/lineGroup.ts
+++ b/standin/lines/lineGroup.ts
@@ -45,8 +45,8 @@
   }
 
   /** Adds an instance; the first one is the primary. */
-  add(id: string, zone: string, address: string): LineInstance {
-    const instance = new LineInstance(this, id, zone, address);
+  add(id: string, domain: string, address: string): LineInstance {
+    const instance = new LineInstance(this, id, domain, address);
     instance.role = this.instances.length === 0 ? 'primary' : 'replica';
     this.instances.push(instance);
     return instance;
--- a/standin/lines/lineInstance.ts
+++ b/standin/lines/lineInstance.ts
@@ -31,7 +31,7 @@
   constructor(
     readonly group: LineGroup,
     readonly id: string,
-    readonly zone: string,
+    readonly domain: string,
     readonly address: string,
   ) {}
 
--- a/standin/lines/linePlatform.ts
+++ b/standin/lines/linePlatform.ts
@@ -87,12 +87,12 @@
 
   /** Has an instance send a heartbeat at once, as after a change of its role. */
   async announce(instance: LineInstance): Promise<void> {
-    const { group, id, zone, role, born } = instance;
+    const { group, id, domain, role, born } = instance;
     instance.sequence += 1;
     const body = JSON.stringify({
       service: group.options.service,
       addr: this.getAddress(instance),
-      zone,
+      zone: domain,
       version: 'v1',
       slots: group.options.slots,
       state: 'ready',
--- a/standin/lines/lineServerConnection.ts
+++ b/standin/lines/lineServerConnection.ts
@@ -169,7 +169,7 @@
     const own = this.transaction?.changes.findLast(([name]) => name === item)?.[1];
     const data = own ?? this.instance.read(item);
     const row = data === undefined ? '' : `${LineWord.Row} ${data}${LINE_END}`;
-    this.done('proof', row);
+    this.done('signature', row);
   }
 
   private put(id: string, item: string, data: string): void {
@@ -180,11 +180,11 @@
     if (this.transaction !== undefined) {
       this.transaction.changes.push([item, data]);
       this.transaction.statements.push(id);
-      this.done('proof');
+      this.done('signature');
       return;
     }
     this.isBusy = true;
-    this.instance.commit([[item, data]], [id], () => this.finish('proof'));
+    this.instance.commit([[item, data]], [id], () => this.finish('signature'));
   }
 
   private commit(id: string): void {
@@ -195,17 +195,17 @@
     }
     this.endTransaction();
     if (transaction.changes.length === 0) {
-      this.done('proof');
+      this.done('signature');
       return;
     }
     this.isBusy = true;
     const { changes, statements } = transaction;
-    this.instance.commit(changes, [...statements, id], () => this.finish('proof'));
+    this.instance.commit(changes, [...statements, id], () => this.finish('signature'));
   }
 
-  private finish(proof: string): void {
+  private finish(signature: string): void {
     this.isBusy = false;
-    this.done(proof);
+    this.done(signature);
   }
 
   private endTransaction(): void {
@@ -247,8 +247,8 @@
     this.ready();
   }
 
-  private done(proof: string, rows = ''): void {
-    this.write(`${rows}${LineWord.Done} ${proof}${LINE_END}`);
+  private done(signature: string, rows = ''): void {
+    this.write(`${rows}${LineWord.Done} ${signature}${LINE_END}`);
     this.ready();
   }
 
--- a/tests/platform/lines.test.ts
+++ b/tests/platform/lines.test.ts
@@ -164,11 +164,11 @@
 
 test('a failure domain that is out holds no primary, and is used again when it is back', async () => {
   const [control = ''] = fleet.controls;
-  const zone = fleet.getGroup().primary?.zone ?? '';
+  const domain = fleet.getGroup().primary?.domain ?? '';
   const order = (name: string) =>
-    callControl(control, 'POST', `/filbertpoint/Drain.${name}/${zone}`);
+    callControl(control, 'POST', `/filbertpoint/Drain.${name}/${domain}`);
   expect((await order('Begin')).status).toBe(200);
-  await fleet.waitFor(() => fleet.getGroup().primary?.zone !== zone);
+  await fleet.waitFor(() => fleet.getGroup().primary?.domain !== domain);
   expect((await order('Finish')).status).toBe(200);
   expect((await order('Finish')).status).toBe(200);
   const client = await fleet.connect(LATEST, 'key-mill');
