--- a/src/daemon/control/controlHost.ts
+++ b/src/daemon/control/controlHost.ts
@@ -22,22 +22,19 @@
   type Promote,
   type SubjectReading,
 } from '../../decisions/control/index.js';
-import { SubjectKind, tryParseTicket } from '../../decisions/tickets/index.js';
+import { tryParseTicket } from '../../decisions/tickets/index.js';
 import { MeshKind, type Mesh, type MeshLink, type MeshMessage } from '../mesh/index.js';
 import type { RequestIds } from '../requests/index.js';
 import type { LogStorage, OpenedLog } from '../storage/index.js';
 import { ControlCallKind, type ControlCallContent } from './controlCalls.js';
 import type { MemberAddresses } from './memberAddresses.js';
-import { MemberKeeper, type MemberKeeperOptions } from './memberKeeper.js';
+import { CONTROL_MEMBERS, MemberKeeper, type MemberKeeperOptions } from './memberKeeper.js';
 import type { Platform } from './platform.js';
 import { QuorumMember, type QuorumListener } from './quorumMember.js';
 
 const TICK_INTERVAL_MS = 40;
 const MEMBERSHIP_INTERVAL_MS = 200;
 const HANDOVER_LIMIT_MS = 500;
-/** Name of the subject with the quorum's members. */
-const CONTROL_MEMBERS: string = SubjectKind.ControlMembers;
-
 /** What a control host is made from. */
 export interface ControlHostOptions extends MemberKeeperOptions {
   readonly host: HostId;
@@ -102,7 +99,10 @@
     this.member.start();
     this.subscriptions.push(
       timer.subscribe(TICK_INTERVAL_MS, () => this.tell({ kind: ControlInputKind.Tick })),
-      timer.subscribe(MEMBERSHIP_INTERVAL_MS, (nowMs) => this.keeper.check(nowMs)),
+      timer.subscribe(MEMBERSHIP_INTERVAL_MS, (nowMs) => {
+        this.keeper.check(nowMs);
+        this.forgetClosedSearchers();
+      }),
     );
   }
 
@@ -323,14 +323,22 @@
     if (hint.leader === undefined) {
       return;
     }
+    this.forgetClosedSearchers();
     for (const link of this.searchers) {
-      if (!link.isClosed) {
-        link.send({ kind: MeshKind.LeaseRedirect, ...hint });
-      }
+      link.send({ kind: MeshKind.LeaseRedirect, ...hint });
     }
     this.searchers.clear();
   }
 
+  /** Cut off from the quorum for long, a host is asked over many links, one after another. */
+  private forgetClosedSearchers(): void {
+    for (const link of this.searchers) {
+      if (link.isClosed) {
+        this.searchers.delete(link);
+      }
+    }
+  }
+
   private getLeaderHint(): { readonly leader?: string } {
     const { leader } = this.member;
     if (this.isServing) {
--- a/src/daemon/control/memberKeeper.ts
+++ b/src/daemon/control/memberKeeper.ts
@@ -13,7 +13,7 @@
 import type { QuorumMember } from './quorumMember.js';
 
 /** Name of the subject with the quorum's members. */
-const CONTROL_MEMBERS: string = SubjectKind.ControlMembers;
+export const CONTROL_MEMBERS: string = SubjectKind.ControlMembers;
 
 /** What the keeper of the quorum's members knows of its host. */
 export interface MemberKeeperOptions {
--- a/src/daemon/holder/groupWrites.ts
+++ b/src/daemon/holder/groupWrites.ts
@@ -47,7 +47,7 @@
   /** A position of the timeline that was acknowledged for certain; 0 for none. */
   confirmed: LogPosition = toLogPosition(0);
   /** The furthest position at which the primary was seen; it may hold writes not acknowledged. */
-  private seen: SessionPosition | undefined;
+  primaryPosition: SessionPosition | undefined;
   primary: GroupPrimary | undefined;
   private readonly confirmations = new WriteConfirmations();
   private readonly requests = new Map<PendingWrite['id'], HeldRequest>();
@@ -84,7 +84,7 @@
     if (changed) {
       this.acknowledged = getServedStartPosition(primary);
       this.confirmed = toLogPosition(0);
-      this.seen = undefined;
+      this.primaryPosition = undefined;
     }
     if (primary.phase === PrimaryPhase.Serving) {
       this.settleEarlierTerms(primary);
@@ -139,16 +139,11 @@
     this.confirmations.forgetReplica(instance);
   }
 
-  /** The furthest position at which the primary was seen so far. */
-  get primaryPosition(): SessionPosition | undefined {
-    return this.seen;
-  }
-
   /** Takes in the primary's own position. */
   primaryReached(position: SessionPosition): void {
     if (position.term === this.timeline) {
       this.acknowledged ??= position;
-      this.seen = getFurthest(this.seen, position);
+      this.primaryPosition = getFurthest(this.primaryPosition, position);
     }
   }
 
