Control host that took long to start campaigns at once

Ruled out: refused code cache (accepted on all hosts), pre-votes of a member that heard a leader. Change: the time since the process began counts as silence, and the first campaign comes within one heartbeat interval. Only where the process can't have run the same host before. Test: scripted.test.ts, red before (the member refused the pre-vote and stayed follower).

--- a/src/common/timer/systemTimerService.ts
+++ b/src/common/timer/systemTimerService.ts
@@ -2,6 +2,9 @@
 import { SuspensionDetector } from './suspensionDetector.js';
 import { TimerService, type Unsubscribe } from './timerService.js';
 
+/** When this process began, by `SystemTimerService.now`, which counts from there. */
+export const PROCESS_START_MS = 0;
+
 /** Time from the operating system's monotonic clock. */
 export class SystemTimerService extends TimerService {
   private readonly detector = new SuspensionDetector(
--- a/src/daemon/control/controlHost.ts
+++ b/src/daemon/control/controlHost.ts
@@ -48,6 +48,8 @@
   readonly platform: Platform;
   readonly control: ControlSettings;
   readonly consensus: ConsensusSettings;
+  /** When this process began, by the timer; absent where it may have run this host before. */
+  readonly processStartMs?: number | undefined;
   /** The daemon can't go on, as after its disk failed. */
   readonly onFatal: (fault: Fault) => void;
 }
@@ -95,8 +97,8 @@
 
   /** Begins to take part in the quorum. */
   start(): void {
-    const { timer } = this.options;
-    this.member.start();
+    const { timer, processStartMs } = this.options;
+    this.member.start(processStartMs);
     this.subscriptions.push(
       timer.subscribe(TICK_INTERVAL_MS, () => this.tell({ kind: ControlInputKind.Tick })),
       timer.subscribe(MEMBERSHIP_INTERVAL_MS, (nowMs) => {
--- a/src/daemon/control/quorumMember.ts
+++ b/src/daemon/control/quorumMember.ts
@@ -128,9 +128,9 @@
     return this.member.isLeaseValid(this.timer.now());
   }
 
-  /** Begins to take part; call once. */
-  start(): void {
-    this.perform(this.member.start(this.timer.now()));
+  /** Begins to take part; call once. `silentSinceMs`: see `ConsensusMember.start`. */
+  start(silentSinceMs: number | undefined): void {
+    this.perform(this.member.start(this.timer.now(), silentSinceMs));
   }
 
   /** Takes a message of another member in; one of another form is left out. */
--- a/src/daemon/createControlHost.ts
+++ b/src/daemon/createControlHost.ts
@@ -41,6 +41,7 @@
   readonly platform: Platform;
   readonly control: ControlSettings;
   readonly consensus: ConsensusSettings;
+  readonly processStartMs?: number | undefined;
   readonly onFatal: (fault: Fault) => void;
 }
 
@@ -77,6 +78,7 @@
         consensus: context.consensus,
         admitsMembers: settings.control.admits_members,
         foundedMembers: createFoundedMembers(settings),
+        processStartMs: context.processStartMs,
         onFatal,
       });
     });
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -43,6 +43,8 @@
   readonly random: RandomSource;
   /** Founds a new control quorum when nothing is stored. */
   readonly isFounding: boolean;
+  /** When this process began, by the timer; absent where it may have run this host before. */
+  readonly processStartMs?: number;
   /** The daemon can't go on. */
   readonly onFatal: (fault: Fault) => void;
 }
@@ -125,7 +127,7 @@
 
   /** Starts every role; fails with a Fault or system error when an address can't be had. */
   async start(): Promise<void> {
-    const { settings, logger, timer, random, isFounding, onFatal } = this.options;
+    const { settings, logger, timer, random, isFounding, processStartMs, onFatal } = this.options;
     await this.mesh.listen();
     if (settings.roles.includes('control')) {
       const { mesh, ids } = this;
@@ -133,7 +135,7 @@
       const platform = interfaces.createPlatform(settings, timer);
       const { control, consensus } = interfaces;
       const shared = { settings, mesh, timer, logger, random, ids, platform, control, consensus };
-      const context = { ...shared, isFounding, onFatal };
+      const context = { ...shared, isFounding, processStartMs, onFatal };
       const created = await createControlHost(context);
       if (created.isErr()) {
         throw created.error;
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -4,7 +4,7 @@
 import { Fault } from '../common/diagnostics/index.js';
 import { Logger } from '../common/logging/index.js';
 import { tryReadSettings, type Settings } from '../common/settings/index.js';
-import { SystemTimerService } from '../common/timer/index.js';
+import { PROCESS_START_MS, SystemTimerService } from '../common/timer/index.js';
 import { Daemon } from './daemon.js';
 import { PostgresInterfaces } from './postgresInterfaces.js';
 import { tryReadDaemonFiles, type DaemonFiles } from './daemonFiles.js';
@@ -52,6 +52,7 @@
     logger,
     random: createSystemRandom(),
     isFounding,
+    processStartMs: PROCESS_START_MS,
     onFatal: (fault) => {
       logger.reportFault(fault);
       process.exit(EXIT_FAILED);
--- a/src/decisions/consensus/consensusMember.ts
+++ b/src/decisions/consensus/consensusMember.ts
@@ -64,12 +64,16 @@
     return this.core.role === Role.Leader && this.leadership?.isLeaseValid(nowMs) === true;
   }
 
-  /** Begins with what was stored; call once before any input. */
-  start(nowMs: number): ConsensusOutput<Command>[] {
+  /**
+   * Begins with what was stored; call once before any input. `silentSinceMs`: an earlier life of the
+   * member answered no leader after it. A member that took long to start campaigns soon: a pre-vote
+   * disturbs no leader.
+   */
+  start(nowMs: number, silentSinceMs = nowMs): ConsensusOutput<Command>[] {
     const { core } = this;
     core.nowMs = nowMs;
-    core.leaderContactMs = nowMs;
-    core.resetElectionDeadline();
+    core.leaderContactMs = silentSinceMs;
+    core.beginElectionDeadline();
     const { snapshot } = core.log;
     if (snapshot !== undefined && snapshot.index > 0) {
       core.emit({ kind: OutputKind.RestoreSnapshot, snapshot });
--- a/src/decisions/consensus/memberCore.ts
+++ b/src/decisions/consensus/memberCore.ts
@@ -131,6 +131,16 @@
     this.resetElectionDeadline();
   }
 
+  /** Draws the first election timeout: a short one where no leader can rely on this member's answers. */
+  beginElectionDeadline(): void {
+    const { random } = this.options;
+    if (this.rules.isLeaderRecent(this.leaderContactMs, this.nowMs, this.settings)) {
+      this.resetElectionDeadline();
+    } else {
+      this.electionDeadlineMs = this.nowMs + random.next() * this.settings.heartbeatMs;
+    }
+  }
+
   /** Draws the next election timeout. */
   resetElectionDeadline(): void {
     const { minimumElectionTimeoutMs, maximumElectionTimeoutMs } = this.settings;
--- a/src/decisions/consensus/scripted.test.ts
+++ b/src/decisions/consensus/scripted.test.ts
@@ -6,6 +6,7 @@
   scriptedVoters,
 } from '../../../tests/support/consensus/scriptedMember.js';
 import {
+  defaultConsensusSettings,
   EntryKind,
   InputKind,
   MembershipChangeKind,
@@ -147,3 +148,18 @@
     ]
   `);
 });
+
+test('a member that took long to start campaigns soon and votes; one that started at once waits', () => {
+  const restarted = new ScriptedMember(a, scriptedVoters, { nowMs: 500, silentSinceMs: 0 });
+  const request = { from: b, to: a, term: 0, campaign: 1, lastIndex: 0, lastTerm: 0 };
+  const [answer] = restarted.receive({ ...request, kind: MessageKind.PreVoteRequest });
+  expect(answer).toMatchObject({ message: { granted: true } });
+  restarted.tickAt(500 + defaultConsensusSettings.heartbeatMs);
+  expect(restarted.member.role).toBe(Role.PreCandidate);
+
+  const loyal = new ScriptedMember(a, scriptedVoters, { nowMs: 100, silentSinceMs: 0 });
+  const [refusal] = loyal.receive({ ...request, kind: MessageKind.PreVoteRequest });
+  expect(refusal).toMatchObject({ message: { granted: false } });
+  loyal.tickAt(100 + defaultConsensusSettings.heartbeatMs);
+  expect(loyal.member.role).toBe(Role.Follower);
+});
--- a/tests/support/consensus/scriptedMember.ts
+++ b/tests/support/consensus/scriptedMember.ts
@@ -25,13 +25,15 @@
 /** One member that a test drives message by message. */
 export class ScriptedMember {
   readonly member: ConsensusMember<string>;
-  nowMs = 0;
+  nowMs: number;
   private lastSequence = 0;
 
   constructor(
     readonly identity: MemberId,
     voters: readonly MemberId[],
+    { nowMs = 0, silentSinceMs = 0 } = {},
   ) {
+    this.nowMs = nowMs;
     this.member = new ConsensusMember<string>({
       identity,
       settings: defaultConsensusSettings,
@@ -40,7 +42,7 @@
       measureCommand: (command) => command.length,
       rules: new ConsensusRules(),
     });
-    this.member.start(0);
+    this.member.start(nowMs, silentSinceMs);
   }
 
   /** Gives an input. */
