Scarce accounts refuse at once what finds no token; unused tokens are given back at once

Requests were let in that then waited 78 to 500 ms for tokens (wanted latency 200 ms) and were late; 65 of 159 in ten seconds. Change: with few tokens left at the last grant nothing is credited, so a request finds a token in stock or is refused at once. Tests: entryLimiter.test.ts, two, each red before its change.

--- a/src/decisions/limits/entryAccount.ts
+++ b/src/decisions/limits/entryAccount.ts
@@ -12,6 +12,8 @@
   PREFETCH_HORIZON_MS,
   PREFETCH_MARGIN_MS,
   RESERVE_DEMAND,
+  SCARCITY_HORIZON_MS,
+  SCARCITY_MEMORY_MS,
   WARM_MS,
 } from './limitTiming.js';
 import type { TokenGrant } from './tokenGrant.js';
@@ -37,6 +39,8 @@
   private available: number;
   private grantedMs = Number.NEGATIVE_INFINITY;
   private lastRequestMs = Number.NEGATIVE_INFINITY;
+  /** Tokens expired unused, which the holder has not been told. */
+  private hasReturns = false;
 
   constructor(
     readonly account: AccountId,
@@ -147,7 +151,8 @@
     this.closeExpired(nowMs);
     this.serve(nowMs, outputs);
     this.ask(nowMs, outputs);
-    if (this.link.hasNews && !this.link.isWaitingForAnswer) {
+    // Used tokens are reported with the next request; unused ones count as used if that comes late.
+    if (this.link.hasNews && (this.hasReturns || !this.link.isWaitingForAnswer)) {
       this.report(nowMs, outputs);
     }
   }
@@ -159,7 +164,12 @@
 
   /** Estimated wait of a request that is queued now, in milliseconds. */
   private getWaitMs(cost: number, nowMs: number): number {
-    const refilled = this.available + ((nowMs - this.grantedMs) / 1000) * this.share;
+    const elapsedMs = nowMs - this.grantedMs;
+    // What a scarce account's rate gave since then has gone to whoever waited for it elsewhere.
+    const isScarce =
+      elapsedMs < SCARCITY_MEMORY_MS &&
+      this.available < (this.limit.rate * SCARCITY_HORIZON_MS) / 1000;
+    const refilled = isScarce ? 0 : this.available + (elapsedMs / 1000) * this.share;
     const reachable = this.stock.getRemaining() + Math.min(this.limit.burst, refilled);
     return (Math.max(0, this.waitingCost + cost - reachable) / this.share) * 1000;
   }
@@ -241,6 +251,7 @@
     this.link.close(closed, nowMs);
     for (const portion of closed) {
       this.counts.returned += portion.unused;
+      this.hasReturns ||= portion.unused > 0;
     }
   }
 
@@ -273,6 +284,7 @@
   }
 
   private report(nowMs: number, outputs: EntryOutput[]): void {
+    this.hasReturns = false;
     this.send(this.link.createReturn(nowMs), outputs);
   }
 
--- a/src/decisions/limits/entryLimiter.test.ts
+++ b/src/decisions/limits/entryLimiter.test.ts
@@ -123,6 +123,29 @@
   expect(refused.map((output) => output.retryAfterMs)).toEqual(Array(6).fill(100));
 });
 
+test('a scarce account refuses at once what finds no token, however long ago the last grant was', () => {
+  const limiter = createLimiter();
+  limiter.receive(answer(getRequest(send(limiter, 'a', 0)), 1, { share: 4 }), 2);
+  const request = { requestId: toRequestId('b'), account: mill, cost: 1 };
+  const outputs = limiter.request({ ...request, deadlineMs: 1252, maximumWaitMs: 50 }, 452);
+  expect(describeOutputs(outputs)).toEqual(['refuse b FP4000', 'token-request']);
+  const prefetch = getRequest(outputs);
+  expect(prefetch.urgent).toBe(0);
+  limiter.receive(answer(prefetch, 1, { share: 4 }), 460);
+  expect(describeOutputs(send(limiter, 'c', 470))[0]).toBe('admit c after 0');
+});
+
+test('tokens that expire unused are given back although a request is unanswered', () => {
+  const limiter = createLimiter();
+  const first = getRequest(send(limiter, 'a', 0));
+  limiter.receive(answer(first, 2, { available: 9 }), 2);
+  getRequest(send(limiter, 'b', GRANT_VALIDITY_MS - 50, 1000, 2));
+  const settled = limiter
+    .tick(GRANT_VALIDITY_MS + 1)
+    .flatMap((output) => (output.kind === LimiterOutputKind.Send ? output.message.settled : []));
+  expect(settled).toContainEqual(expect.objectContaining({ sequence: first.sequence, used: 1 }));
+});
+
 test('without a holder a request waits until its deadline and is then refused', () => {
   const limiter = createLimiter();
   limiter.setHolder(mill, undefined, 0);
--- a/src/decisions/limits/limitTiming.ts
+++ b/src/decisions/limits/limitTiming.ts
@@ -31,6 +31,12 @@
 /** Demand, in tokens a second, from which a token is kept in stock. */
 export const RESERVE_DEMAND = 1;
 
+/** An account that had fewer tokens left than its rate gives in this time is scarce. */
+export const SCARCITY_HORIZON_MS = 100;
+
+/** How long a grant that left few tokens tells that the account is scarce. */
+export const SCARCITY_MEMORY_MS = 1000;
+
 /** How long after its last request an account prefetches. */
 export const WARM_MS = 2000;
 
