Hosts speak over links that the other side opened

Change: the link to an address is the one that either side opened; a later life of a host replaces an earlier one. Test: mesh.test.ts, red before (two links).

--- a/src/daemon/entry/remoteRequests.ts
+++ b/src/daemon/entry/remoteRequests.ts
@@ -55,7 +55,7 @@
   private linkLost(link: MeshLink): void {
     const nowMs = this.timer.now();
     for (const remote of this.requests.values()) {
-      if (remote.address === link.address) {
+      if (remote.address === link.target) {
         remote.lostMs ??= nowMs;
       }
     }
--- a/src/daemon/lease/leaseTask.ts
+++ b/src/daemon/lease/leaseTask.ts
@@ -85,7 +85,7 @@
     super();
     this.lease = this.createLease();
     mesh.receive(MeshKind.LeaseGrant, ({ link, message }) => {
-      this.route.answered(link.address);
+      this.route.answered(link.target);
       this.takeGrant(message.grant);
     });
     mesh.receive(MeshKind.LeaseRedirect, ({ message }) => {
--- a/src/daemon/mesh/mesh.test.ts
+++ b/src/daemon/mesh/mesh.test.ts
@@ -50,3 +50,25 @@
   expect(link.peer).toBeUndefined();
   await peer.close();
 });
+
+test('a daemon speaks over the link that the other side opened', async () => {
+  const mesh = createMesh('a');
+  const peer = createMesh('b');
+  await mesh.listen();
+  await peer.listen();
+  const opened = peer.getLink(mesh.address);
+  await waitFor(() => opened.peer !== undefined && mesh.hasLinkTo(toIncarnation('b-1')));
+  const reused = mesh.getLink(peer.address);
+  expect([reused.target, reused.peer?.host, mesh.count]).toEqual([peer.address, 'b', 1]);
+  opened.close('lost');
+  await waitFor(() => reused.isClosed);
+  expect(mesh.getLink(peer.address)).not.toBe(reused);
+  await Promise.all([mesh.close(), peer.close()]);
+});
+
+async function waitFor(isDone: () => boolean): Promise<void> {
+  for (let tries = 0; tries < 200 && !isDone(); tries += 1) {
+    await new Promise<void>((resolve) => timer.once(5, () => resolve()));
+  }
+  expect(isDone()).toBe(true);
+}
--- a/src/daemon/mesh/mesh.ts
+++ b/src/daemon/mesh/mesh.ts
@@ -25,7 +25,8 @@
   /** Links that were lost, with the reason. */
   readonly lost = new Mailbox<MeshLink>();
   private readonly mailboxes = new Map<MeshKind, Mailbox<MeshDelivery>>();
-  private readonly outgoing = new Map<string, MeshLink>();
+  /** The link over which each address is spoken to, whichever side opened it. */
+  private readonly routes = new Map<string, MeshLink>();
   private readonly links = new Set<MeshLink>();
   private readonly web: Server;
   private readonly server: WebSocketServer;
@@ -93,14 +94,14 @@
     );
   }
 
-  /** Gets the link to an address, opening one when there is none. */
+  /** Gets the link to an address, opening one when neither side has. */
   getLink(address: string): MeshLink {
-    const known = this.outgoing.get(address);
+    const known = this.routes.get(address);
     if (known !== undefined && !known.isClosed) {
       return known;
     }
     const link = this.addLink(address, this.dial(address));
-    this.outgoing.set(address, link);
+    this.routes.set(address, link);
     return link;
   }
 
@@ -136,6 +137,7 @@
   }
 
   linkOpened(link: MeshLink): void {
+    this.takeRoute(link);
     const fields = { step: 'mesh.link', peer: link.peer?.host };
     this.logger.report(Diagnostics.MeshLinkOpened, {}, fields);
   }
@@ -153,8 +155,8 @@
 
   linkClosed(link: MeshLink, fault: Fault): void {
     this.links.delete(link);
-    if (this.outgoing.get(link.address) === link) {
-      this.outgoing.delete(link.address);
+    if (this.routes.get(link.target) === link) {
+      this.routes.delete(link.target);
     }
     const { diagnostic, values, step, peer } = fault;
     if (link.peer === undefined) {
@@ -166,6 +168,15 @@
     this.lost.post(link);
   }
 
+  /** Speaks over a link that the other side opened, unless one to that very life of it is open. */
+  private takeRoute(link: MeshLink): void {
+    const known = this.routes.get(link.target);
+    const isOpen = known?.isClosed === false;
+    if (!isOpen || known.peer?.incarnation !== link.peer?.incarnation) {
+      this.routes.set(link.target, link);
+    }
+  }
+
   private addLink(address: string, socket: WebSocket): MeshLink {
     const link = new MeshLink(address, socket, this.hello, this.timer, this);
     this.links.add(link);
--- a/src/daemon/mesh/meshLink.ts
+++ b/src/daemon/mesh/meshLink.ts
@@ -65,6 +65,11 @@
     return this.closed;
   }
 
+  /** Mesh address of the other side: dialled, or told with its greeting. */
+  get target(): string {
+    return this.isOpener ? this.address : (this.peer?.address ?? this.address);
+  }
+
   /** Bytes that were sent but not yet taken by the network. */
   get unsentBytes(): number {
     return this.socket.bufferedAmount;
