Callers wait for the tokens of a new holder instead of being refused at once

Change: grants say that their bucket began a short while ago (burst / rate, at most 2 s); until then requests wait as they do without a holder. A start of the bucket above empty would need to know what was spent before: not built. Kept for the callers inside their rate, who were refused wrongly. Test: entryLimiter.test.ts, red before.

--- a/src/decisions/limits/entryAccount.ts
+++ b/src/decisions/limits/entryAccount.ts
@@ -39,6 +39,8 @@
   private available: number;
   private grantedMs = Number.NEGATIVE_INFINITY;
   private lastRequestMs = Number.NEGATIVE_INFINITY;
+  /** The holder's bucket began empty a short while ago, by its last grant. */
+  private isStarting = false;
   /** Tokens expired unused, which the holder has not been told. */
   private hasReturns = false;
 
@@ -71,6 +73,7 @@
   }
 
   setHolder(holder: AccountHolder | undefined, nowMs: number, outputs: EntryOutput[]): void {
+    this.isStarting ||= holder?.lease !== this.link.getHolder()?.lease;
     this.link.setHolder(holder);
     this.ask(nowMs, outputs);
   }
@@ -129,6 +132,7 @@
     }
     this.share = Math.max(MINIMUM_SHARE, grant.share);
     this.available = grant.available;
+    this.isStarting = grant.starting;
     this.grantedMs = nowMs;
     if (grant.amount > 0) {
       this.counts.granted += grant.amount;
@@ -167,6 +171,7 @@
     const elapsedMs = nowMs - this.grantedMs;
     // What a scarce account's rate gave since then has gone to whoever waited for it elsewhere.
     const isScarce =
+      !this.isStarting &&
       elapsedMs < SCARCITY_MEMORY_MS &&
       this.available < (this.limit.rate * SCARCITY_HORIZON_MS) / 1000;
     const refilled = isScarce ? 0 : this.available + (elapsedMs / 1000) * this.share;
@@ -181,8 +186,9 @@
     }
     const waitMs = this.getWaitMs(cost, nowMs);
     const { maximumWaitMs = Infinity } = waiting.request;
-    const isHeld = this.link.getHolder() !== undefined;
-    const latestMs = Math.min(waiting.latestMs, isHeld ? nowMs + maximumWaitMs : Infinity);
+    // Without a holder, and while a new one's bucket fills, callers inside their rate may be waiting.
+    const isUsual = this.link.getHolder() !== undefined && !this.isStarting;
+    const latestMs = Math.min(waiting.latestMs, isUsual ? nowMs + maximumWaitMs : Infinity);
     const excessMs = nowMs + waitMs - latestMs;
     if (excessMs > 0) {
       return this.refuse(waiting, Diagnostics.RateExceeded, excessMs, outputs);
--- a/src/decisions/limits/entryLimiter.test.ts
+++ b/src/decisions/limits/entryLimiter.test.ts
@@ -71,6 +71,7 @@
     heldMs: 0,
     available: 0,
     share: 10,
+    starting: false,
     ...values,
   };
   return grant;
@@ -135,6 +136,17 @@
   expect(describeOutputs(send(limiter, 'c', 470))[0]).toBe('admit c after 0');
 });
 
+test('while a new holder fills its bucket, requests wait for tokens that come before their deadline', () => {
+  const limiter = createLimiter();
+  const values = { share: 4, starting: true };
+  limiter.receive(answer(getRequest(send(limiter, 'a', 0)), 1, values), 2);
+  const request = { requestId: toRequestId('b'), account: mill, cost: 1 };
+  const waiting = limiter.request({ ...request, deadlineMs: 1000, maximumWaitMs: 50 }, 10);
+  expect(describeOutputs(waiting)).toEqual(['token-request']);
+  const [admitted] = limiter.receive(answer(getRequest(waiting), 1, { share: 4 }), 300);
+  expect(describeOutputs(admitted === undefined ? [] : [admitted])).toEqual(['admit b after 290']);
+});
+
 test('tokens that expire unused are given back although a request is unanswered', () => {
   const limiter = createLimiter();
   const first = getRequest(send(limiter, 'a', 0));
--- a/src/decisions/limits/limitTiming.ts
+++ b/src/decisions/limits/limitTiming.ts
@@ -31,6 +31,9 @@
 /** Demand, in tokens a second, from which a token is kept in stock. */
 export const RESERVE_DEMAND = 1;
 
+/** Longest time for which a bucket that began empty counts as starting: callers lost no more than that. */
+export const MAXIMUM_STARTING_MS = 2000;
+
 /** An account that had fewer tokens left than its rate gives in this time is scarce. */
 export const SCARCITY_HORIZON_MS = 100;
 
--- a/src/decisions/limits/rateBucket.ts
+++ b/src/decisions/limits/rateBucket.ts
@@ -7,6 +7,7 @@
   GRANT_SETTLED_MS,
   getValidityMs,
   LEDGER_RETENTION_MS,
+  MAXIMUM_STARTING_MS,
   RECALL_INTERVAL_MS,
 } from './limitTiming.js';
 import { type ParkedRequest, ParkedRequests } from './parkedRequests.js';
@@ -42,6 +43,7 @@
   private openCount = 0;
   private returnedTokens = 0;
   private sweptMs: number;
+  private readonly startedMs: number;
   private recalledMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: RateBucketOptions) {
@@ -51,6 +53,7 @@
     this.leaseEndMs = options.leaseEndMs;
     this.pool = this.createPool(options.limit, options.assignedMs);
     this.sweptMs = options.assignedMs;
+    this.startedMs = options.assignedMs;
   }
 
   /** Sets the time, by this daemon's clock, that no grant outlives. */
@@ -266,10 +269,17 @@
       validityMs: this.getGrantValidityMs(receivedMs),
       heldMs: nowMs - receivedMs,
       available: this.pool.getWhole(),
+      starting: this.isStarting(nowMs),
       share: this.getShare(ledger),
     });
   }
 
+  /** Few tokens in a bucket that began empty say nothing of how much of the rate is in use. */
+  private isStarting(nowMs: number): boolean {
+    const { rate, burst } = this.limit;
+    return nowMs - this.startedMs < Math.min(MAXIMUM_STARTING_MS, (burst / rate) * 1000);
+  }
+
   private getShare(ledger: EntryLedger): number {
     const equal = this.limit.rate / (1 + this.parked.urgentCount);
     return Math.max(equal, this.limit.rate - (this.totalDemand - ledger.demand));
--- a/src/decisions/limits/tokenGrant.ts
+++ b/src/decisions/limits/tokenGrant.ts
@@ -17,4 +17,6 @@
   readonly available: number;
   /** Tokens a second that the entry daemon can count on at the least. */
   readonly share: number;
+  /** The bucket began empty a short while ago: few tokens left say little of the demand. */
+  readonly starting: boolean;
 }
