Metrics by instance: queue, slots, connections, reachability, lag, waits and outcomes by class

The holder of a group counts what leaves it and shows once a second how its instances stand; labels are bounded. filbertpoint_control_term is set on control hosts.

--- a/src/common/metrics/index.ts
+++ b/src/common/metrics/index.ts
@@ -5,5 +5,6 @@
 export * from './timeSeries.js';
 export * from './timeHistogram.js';
 export * from './accountMetrics.js';
+export * from './instanceMetrics.js';
 export * from './meshTraffic.js';
 export * from './metrics.js';
--- /dev/null
+++ b/src/common/metrics/instanceMetrics.ts
@@ -0,0 +1,107 @@
+import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
+import type { GroupId, InstanceId } from '../ids/index.js';
+import type { RequestClass } from './requestClass.js';
+import { TIME_BUCKETS_SECONDS } from './timeHistogram.js';
+
+const SECONDS_PER_MS = 0.001;
+const OTHER_LABEL = 'other';
+const OUTCOME_OK = 'ok';
+
+/** How one instance of a held group stands. */
+export interface InstanceReading {
+  readonly group: GroupId;
+  readonly instance: InstanceId;
+  readonly running: number;
+  readonly waiting: number;
+  readonly connections: number;
+  readonly reachable: boolean;
+  /** Time by which its data is behind what was acknowledged, in milliseconds; absent while unknown. */
+  readonly lagMs: number | undefined;
+}
+
+type InstanceGauge = Gauge<'group' | 'instance'>;
+
+/** Queues, lag, waits and outcomes by instance, at the holder of its group. */
+export class InstanceMetrics {
+  private readonly running: InstanceGauge;
+  private readonly waiting: InstanceGauge;
+  private readonly connections: InstanceGauge;
+  private readonly reachable: InstanceGauge;
+  private readonly lag: InstanceGauge;
+  private readonly requests: Counter<'instance' | 'class' | 'outcome'>;
+  private readonly waits: Histogram<'instance' | 'class'>;
+  /** Instances with labels of their own in counters. */
+  private readonly labels = new Set<string>();
+
+  constructor(
+    private readonly registry: Registry,
+    private readonly maximumLabels: number,
+  ) {
+    this.running = this.createGauge('running_requests', 'Requests that hold a slot.');
+    this.waiting = this.createGauge('waiting_requests', 'Requests that wait for a slot.');
+    this.connections = this.createGauge('connections', 'Connections of the holder.');
+    this.reachable = this.createGauge('reachable', '1 while the instance answers.');
+    this.lag = this.createGauge('lag_seconds', 'Age of the data against what was acknowledged.');
+    this.requests = new Counter({
+      name: 'filbertpoint_instance_requests_total',
+      help: 'Requests that left their holder, by outcome: ok or the diagnostic number.',
+      labelNames: ['instance', 'class', 'outcome'],
+      registers: [registry],
+    });
+    this.waits = new Histogram({
+      name: 'filbertpoint_instance_wait_seconds',
+      help: 'Time at the holder until a request was sent to the instance.',
+      labelNames: ['instance', 'class'],
+      buckets: TIME_BUCKETS_SECONDS,
+      registers: [registry],
+    });
+  }
+
+  /** Sets how the held instances stand; those left out are forgotten. Beyond the bound none is added. */
+  setReadings(readings: readonly InstanceReading[]): void {
+    const gauges = [this.running, this.waiting, this.connections, this.reachable, this.lag];
+    gauges.forEach((gauge) => gauge.reset());
+    for (const reading of readings.slice(0, this.maximumLabels)) {
+      const labels = { group: reading.group, instance: reading.instance };
+      this.running.set(labels, reading.running);
+      this.waiting.set(labels, reading.waiting);
+      this.connections.set(labels, reading.connections);
+      this.reachable.set(labels, reading.reachable ? 1 : 0);
+      if (reading.lagMs !== undefined) {
+        this.lag.set(labels, reading.lagMs * SECONDS_PER_MS);
+      }
+    }
+  }
+
+  /** Records a request that left its holder; `code`: of its fault. It waited `waitMs` milliseconds. */
+  recordRequest(
+    instance: InstanceId | undefined,
+    requestClass: RequestClass,
+    code: number | undefined,
+    waitMs: number,
+  ): void {
+    const labels = { instance: this.getLabel(instance), class: requestClass };
+    const outcome = code === undefined ? OUTCOME_OK : `FP${code}`;
+    this.requests.inc({ ...labels, outcome });
+    this.waits.observe(labels, waitMs * SECONDS_PER_MS);
+  }
+
+  private getLabel(instance: InstanceId | undefined): string {
+    if (instance === undefined) {
+      return '';
+    }
+    if (this.labels.size < this.maximumLabels) {
+      this.labels.add(instance);
+    }
+    return this.labels.has(instance) ? instance : OTHER_LABEL;
+  }
+
+  private createGauge(name: string, help: string): InstanceGauge {
+    return new Gauge({
+      name: `filbertpoint_instance_${name}`,
+      help,
+      labelNames: ['group', 'instance'],
+      registers: [this.registry],
+    });
+  }
+}
--- a/src/common/metrics/metrics.ts
+++ b/src/common/metrics/metrics.ts
@@ -3,6 +3,7 @@
 import type { AccountId, GroupId, Revision, Term } from '../ids/index.js';
 import { AccountMetrics, type AccountCollectors } from './accountMetrics.js';
 import { ConnectionSide } from './connectionSide.js';
+import { InstanceMetrics } from './instanceMetrics.js';
 import { MeshTraffic } from './meshTraffic.js';
 import { ReadSource } from './readSource.js';
 import { TimeHistogram } from './timeHistogram.js';
@@ -18,6 +19,7 @@
 export class Metrics {
   readonly registry = new Registry();
   readonly meshTraffic = new MeshTraffic(this.registry);
+  readonly instances: InstanceMetrics;
   private readonly collectors: AccountCollectors;
   private readonly accounts = new Map<string, AccountMetrics>();
   private readonly groups = new Set<GroupId>();
@@ -32,6 +34,7 @@
 
   constructor(private readonly maximumLabels = MAXIMUM_LABELS) {
     this.collectors = this.createAccountCollectors();
+    this.instances = new InstanceMetrics(this.registry, maximumLabels);
     const reads = this.createCounter('reads_total', 'Reads by where they were served.', 'source');
     this.reads = {
       [ReadSource.Replica]: reads.labels(ReadSource.Replica),
--- a/src/daemon/control/controlHost.ts
+++ b/src/daemon/control/controlHost.ts
@@ -95,6 +95,11 @@
     return this.member.identity;
   }
 
+  /** Newest term of the quorum that is known here. */
+  get term(): number {
+    return this.member.term;
+  }
+
   /** Begins to take part in the quorum. */
   start(): void {
     const { timer, processStartMs } = this.options;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -98,6 +98,7 @@
       lease,
       log: this.requestLog,
       protocol: options.interfaces.createBackend(settings, files),
+      metrics: this.metrics.instances,
       reportNow: () => lease.renewSoon(),
     });
     const { metrics } = this;
@@ -297,6 +298,8 @@
     this.metrics.setDaemonLease(this.lease.isValid());
     this.metrics.setResourceLeases(this.holder.count, this.rates.count);
     this.metrics.setRevision(this.records.revision);
+    this.metrics.setControlTerm(this.control?.term ?? 0);
+    this.metrics.instances.setReadings(this.holder.getReadings());
     this.metrics.setConnections(ConnectionSide.Callers, this.callers?.count ?? 0);
     this.metrics.setConnections(ConnectionSide.Backend, this.holder.connectionCount);
     this.metrics.setConnections(ConnectionSide.Mesh, this.mesh.count);
--- a/src/daemon/holder/groupHolder.ts
+++ b/src/daemon/holder/groupHolder.ts
@@ -1,3 +1,4 @@
+import type { InstanceReading } from '../../common/metrics/index.js';
 import { AdaptiveTick } from '../../common/timer/index.js';
 import {
   createFault,
@@ -39,6 +40,12 @@
     return this.groups.size;
   }
 
+  /** What operators are to know of the instances of held groups. */
+  getReadings(): readonly InstanceReading[] {
+    const nowMs = this.context.timer.now();
+    return [...this.groups.values()].flatMap((group) => group.getReadings(nowMs));
+  }
+
   /** Connections to backend servers. */
   get connectionCount(): number {
     let count = 0;
--- a/src/daemon/holder/groupRequests.test.ts
+++ b/src/daemon/holder/groupRequests.test.ts
@@ -12,6 +12,7 @@
   type RequestId,
 } from '../../common/ids/index.js';
 import { Logger, RequestLog } from '../../common/logging/index.js';
+import { Metrics } from '../../common/metrics/index.js';
 import { ManualTimerService } from '../../common/timer/index.js';
 import { DaemonRecords, RecordKind, type InstanceRecord } from '../../decisions/control/index.js';
 import { PositionClock, RouteKind } from '../../decisions/routing/index.js';
@@ -123,6 +124,7 @@
     records: new DaemonRecords(),
     lease: new EndlessLease(),
     protocol: new ScriptedProtocol(),
+    metrics: new Metrics().instances,
     reportNow: () => undefined,
   };
 }
--- a/src/daemon/holder/groupRequests.ts
+++ b/src/daemon/holder/groupRequests.ts
@@ -18,6 +18,7 @@
 import { createQueueItem } from './createQueueItem.js';
 import { endOverdue } from './endOverdue.js';
 import { logHeldRequest } from './logHeldRequest.js';
+import { recordHeldRequest } from './recordHeldRequest.js';
 import { HeldRequestHandle } from './heldRequestHandle.js';
 import type { HolderContext } from './holderContext.js';
 import { ReadMoves, type MovedReads, type ReadPlaces } from './readMoves.js';
@@ -77,6 +78,7 @@
       this.waiting.delete(held);
       this.places.requestEnded();
       logHeldRequest(held, this.context);
+      recordHeldRequest(held, this.context);
       this.moves.fillFreeSlots();
     };
     this.requests.set(request.id, held);
--- a/src/daemon/holder/heldGroup.ts
+++ b/src/daemon/holder/heldGroup.ts
@@ -1,3 +1,4 @@
+import type { InstanceReading } from '../../common/metrics/index.js';
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
 import {
   toTerm,
@@ -74,6 +75,11 @@
     return this.draining || !this.requests.isIdle || this.isSurveying;
   }
 
+  /** What operators are to know of the group's instances. */
+  getReadings(nowMs: number): readonly InstanceReading[] {
+    return [...this.instances.values()].map((instance) => instance.getReading(nowMs));
+  }
+
   /** Connections to the group's instances. */
   get connectionCount(): number {
     let count = 0;
--- a/src/daemon/holder/heldInstance.ts
+++ b/src/daemon/holder/heldInstance.ts
@@ -1,5 +1,6 @@
 import { toAccountId, type InstanceId, type RequestId } from '../../common/ids/index.js';
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import type { InstanceReading } from '../../common/metrics/index.js';
 import type { InstanceRecord } from '../../decisions/control/index.js';
 import {
   InstanceQueue,
@@ -139,6 +140,18 @@
     };
   }
 
+  /** What operators are to know of the instance. */
+  getReading(nowMs: number): InstanceReading {
+    const { record, queue, pool, monitor } = this;
+    const { ageMs, reachable } = this.getView(nowMs);
+    return {
+      ...{ group: record.group, instance: record.instance },
+      ...{ running: queue.runningCount, waiting: queue.waitingCount, connections: pool.size },
+      reachable,
+      lagMs: Number.isFinite(ageMs) && monitor.health.isReachable ? ageMs : undefined,
+    };
+  }
+
   enqueue(item: QueueItem): void {
     this.retries.recordAttempt();
     this.apply(this.queue.enqueue(item, this.context.timer.now()));
--- a/src/daemon/holder/holderContext.ts
+++ b/src/daemon/holder/holderContext.ts
@@ -1,5 +1,6 @@
 import type { FailureDomain } from '../../common/ids/index.js';
 import type { Logger, RequestLog } from '../../common/logging/index.js';
+import type { InstanceMetrics } from '../../common/metrics/index.js';
 import type { RandomSource } from '../../common/random.js';
 import type { TimerService } from '../../common/timer/index.js';
 import type { DaemonRecords } from '../../decisions/control/index.js';
@@ -16,6 +17,7 @@
   readonly records: DaemonRecords;
   readonly lease: HolderLease;
   readonly protocol: BackendProtocol;
+  readonly metrics: InstanceMetrics;
   /** Asks for a lease renewal at once, as when there is something to report. */
   readonly reportNow: () => void;
 }
--- /dev/null
+++ b/src/daemon/holder/recordHeldRequest.ts
@@ -0,0 +1,24 @@
+import { RequestClass } from '../../common/metrics/index.js';
+import { RequestKind } from '../requests/index.js';
+import type { HeldRequest } from './heldRequest.js';
+import type { HolderContext } from './holderContext.js';
+
+/** Counts how a request left its holder. */
+export function recordHeldRequest(held: HeldRequest, { metrics, timer }: HolderContext): void {
+  const { request, fault, startedMs, arrivedMs, instance } = held;
+  const waitMs = (startedMs ?? timer.now()) - arrivedMs;
+  metrics.recordRequest(instance?.id, getRequestClass(request.kind), fault?.code, waitMs);
+}
+
+function getRequestClass(kind: RequestKind): RequestClass {
+  switch (kind) {
+    case RequestKind.Read:
+      return RequestClass.Read;
+    case RequestKind.Write:
+      return RequestClass.Write;
+    case RequestKind.Begin:
+    case RequestKind.Inside:
+    case RequestKind.End:
+      return RequestClass.Transaction;
+  }
+}
