Replicated records are packed once for all daemons

Change: records travel as bytes that are packed once a revision; mesh version 2, as older daemons can't read them.

--- a/bench/control/coreSlopes.ts
+++ b/bench/control/coreSlopes.ts
@@ -1,7 +1,12 @@
 import { performance } from 'node:perf_hooks';
 import { toLeaseId, toRevision } from '../../src/common/ids/index.js';
 import { ControlState, DaemonRecords } from '../../src/decisions/control/index.js';
-import { FrameCodec, MeshKind } from '../../src/daemon/mesh/index.js';
+import {
+  FrameCodec,
+  MeshKind,
+  RecordPacker,
+  tryUnpackRecords,
+} from '../../src/daemon/mesh/index.js';
 import { LeaderRun } from '../placement/leaderRun.js';
 import { createFleetRecords } from './fleetRecords.js';
 import { printTable, type Row } from './table.js';
@@ -50,7 +55,7 @@
   const revision = toRevision(records.length);
   const grant = {
     ...{ lease: toLeaseId('l'), sequence: 1, lengthMs: 1500, retired: false },
-    ...{ revision, records },
+    ...{ revision, records: new RecordPacker().pack(records, revision) },
   };
   const message = { kind: MeshKind.LeaseGrant as const, grant };
   const frame = new FrameCodec().encode(message);
@@ -58,7 +63,8 @@
   const copy = new DaemonRecords();
   const decoded = new FrameCodec().tryDecode(frame, 'bench')._unsafeUnwrap();
   if (decoded.kind === MeshKind.LeaseGrant) {
-    copy.applyRecords(decoded.grant.records, revision);
+    const unpacked = tryUnpackRecords(decoded.grant.records, 'bench')._unsafeUnwrap();
+    copy.applyRecords(unpacked, revision);
   }
   const daemonMegabytes = readHeap() - heapBefore;
   const tickets = { inForce: [], replaced: [] };
--- a/src/daemon/control/controlHost.ts
+++ b/src/daemon/control/controlHost.ts
@@ -19,11 +19,20 @@
   type ControlInput,
   type ControlOutput,
   type ControlSettings,
+  type LeaseGrant,
   type Promote,
+  type RecordUpdate,
   type SubjectReading,
 } from '../../decisions/control/index.js';
 import { tryParseTicket } from '../../decisions/tickets/index.js';
-import { MeshKind, type Mesh, type MeshLink, type MeshMessage } from '../mesh/index.js';
+import {
+  MeshKind,
+  RecordPacker,
+  type Mesh,
+  type MeshLink,
+  type MeshMessage,
+  type PackedRecords,
+} from '../mesh/index.js';
 import type { RequestIds } from '../requests/index.js';
 import type { LogStorage, OpenedLog } from '../storage/index.js';
 import { ControlCallKind, type ControlCallContent } from './controlCalls.js';
@@ -61,6 +70,7 @@
   private readonly links = new Map<HostId, MeshLink>();
   private readonly subscriptions: Unsubscribe[] = [];
   private readonly keeper: MemberKeeper;
+  private readonly packer = new RecordPacker();
   /** Suspensions suspected when a quorum last confirmed that this host leads. */
   private trusted = 0;
   private confirming = false;
@@ -188,11 +198,11 @@
           void this.member.propose(output.command);
           break;
         case ControlOutputKind.Grant:
-          this.sendTo(output.host, { kind: MeshKind.LeaseGrant, grant: output.grant });
+          this.sendTo(output.host, { kind: MeshKind.LeaseGrant, grant: this.pack(output.grant) });
           break;
         case ControlOutputKind.Update:
           for (const host of output.hosts) {
-            this.sendTo(host, { kind: MeshKind.RecordUpdate, update: output.update });
+            this.sendTo(host, { kind: MeshKind.RecordUpdate, update: this.pack(output.update) });
           }
           break;
         case ControlOutputKind.Promote:
@@ -205,6 +215,12 @@
     }
   }
 
+  private pack<Content extends LeaseGrant | RecordUpdate>(
+    content: Content,
+  ): Omit<Content, 'records'> & PackedRecords {
+    return { ...content, records: this.packer.pack(content.records, content.revision) };
+  }
+
   private promote(order: Promote): void {
     const { group, instance, term } = order;
     const result = { kind: ControlInputKind.PromotionResult, group, instance, term } as const;
--- a/src/daemon/lease/leaseTask.ts
+++ b/src/daemon/lease/leaseTask.ts
@@ -22,7 +22,13 @@
 import { GrantEffect, HeldLease } from '../../decisions/leases/index.js';
 import type { ControlMember } from '../../decisions/tickets/index.js';
 import { HolderLease } from '../holder/index.js';
-import { MeshKind, type Mesh } from '../mesh/index.js';
+import {
+  MeshKind,
+  tryUnpackRecords,
+  type Mesh,
+  type MeshLink,
+  type PackedRecords,
+} from '../mesh/index.js';
 import type { ControlRoute } from './controlRoute.js';
 import { RecentAnnouncements } from './recentAnnouncements.js';
 
@@ -86,7 +92,7 @@
     this.lease = this.createLease();
     mesh.receive(MeshKind.LeaseGrant, ({ link, message }) => {
       this.route.answered(link.target);
-      this.takeGrant(message.grant);
+      this.unpack(link, message.grant, (records) => this.takeGrant({ ...message.grant, records }));
     });
     mesh.receive(MeshKind.LeaseRedirect, ({ message }) => {
       // Where no leader is known the next check asks again: each control host that was asked tells
@@ -95,8 +101,10 @@
         this.renewSoon();
       }
     });
-    mesh.receive(MeshKind.RecordUpdate, ({ message }) => {
-      this.publish(this.records.applyUpdate(message.update));
+    mesh.receive(MeshKind.RecordUpdate, ({ link, message }) => {
+      this.unpack(link, message.update, (records) =>
+        this.publish(this.records.applyUpdate({ ...message.update, records })),
+      );
     });
   }
 
@@ -191,6 +199,18 @@
     });
   }
 
+  /** Closes a link over which no records came: what it carries can't be trusted. */
+  private unpack(
+    link: MeshLink,
+    { records }: PackedRecords,
+    use: (records: readonly ControlRecord[]) => void,
+  ): void {
+    tryUnpackRecords(records, link.target).match(use, (fault) => {
+      this.logger.reportFault(fault);
+      link.close(fault.message);
+    });
+  }
+
   private takeGrant(grant: LeaseGrant): void {
     const nowMs = this.timer.now();
     const changed = this.records.applyRecords(grant.records, grant.revision);
--- a/src/daemon/mesh/index.ts
+++ b/src/daemon/mesh/index.ts
@@ -1,5 +1,6 @@
 export * from './meshKind.js';
 export * from './meshMessage.js';
+export * from './packedRecords.js';
 export * from './meshPeer.js';
 export * from './meshLink.js';
 export * from './meshTls.js';
--- a/src/daemon/mesh/meshLink.ts
+++ b/src/daemon/mesh/meshLink.ts
@@ -13,7 +13,7 @@
 const MAXIMUM_WAITING_FRAMES = 10_000;
 
 /** The version of the mesh protocol; daemons of other versions are refused. */
-export const MESH_VERSION = 1;
+export const MESH_VERSION = 2;
 
 /** What a link tells its owner. */
 export interface MeshLinkOwner {
--- a/src/daemon/mesh/meshMessage.ts
+++ b/src/daemon/mesh/meshMessage.ts
@@ -79,10 +79,15 @@
   readonly renewal: LeaseRenewal;
 }
 
+/** Records of the control state as `RecordPacker` packs them. */
+export interface PackedRecords {
+  readonly records: Uint8Array;
+}
+
 /** The answer to a lease renewal. */
 export interface GrantEnvelope {
   readonly kind: MeshKind.LeaseGrant;
-  readonly grant: LeaseGrant;
+  readonly grant: Omit<LeaseGrant, 'records'> & PackedRecords;
 }
 
 /** Names the control host that is leader, as far as the sender knows. */
@@ -94,7 +99,7 @@
 /** Committed records pushed to a daemon. */
 export interface UpdateEnvelope {
   readonly kind: MeshKind.RecordUpdate;
-  readonly update: RecordUpdate;
+  readonly update: Omit<RecordUpdate, 'records'> & PackedRecords;
 }
 
 /** A message between members of the control quorum. */
--- a/src/daemon/mesh/messageShape.ts
+++ b/src/daemon/mesh/messageShape.ts
@@ -64,10 +64,10 @@
   [MeshKind.TokenMessage]: { content: { kind: Text, account: Text } },
   [MeshKind.LeaseRenewal]: { renewal: RENEWAL },
   [MeshKind.LeaseGrant]: {
-    grant: { lease: Text, sequence: Count, lengthMs: Count, retired: Flag, records: List },
+    grant: { lease: Text, sequence: Count, lengthMs: Count, retired: Flag, records: Bytes },
   },
   [MeshKind.LeaseRedirect]: {},
-  [MeshKind.RecordUpdate]: { update: { since: Count, revision: Count, records: List } },
+  [MeshKind.RecordUpdate]: { update: { since: Count, revision: Count, records: Bytes } },
   [MeshKind.Consensus]: {
     from: Text,
     to: Text,
--- /dev/null
+++ b/src/daemon/mesh/packedRecords.ts
@@ -0,0 +1,66 @@
+import { Packr } from 'msgpackr';
+import { err, ok, type Result } from 'neverthrow';
+import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import type { Revision } from '../../common/ids/index.js';
+import type { ControlRecord } from '../../decisions/control/index.js';
+
+/**
+ * Packs replicated records once for all daemons that are to have them: a change of the configuration
+ * goes to every daemon of the fleet.
+ */
+export class RecordPacker {
+  private readonly codec = createCodec();
+  private revision: Revision | undefined;
+  /** By number of records: those that changed last, up to the revision. */
+  private readonly packed = new Map<number, Uint8Array>();
+
+  /** Packs the last records that changed up to a revision. */
+  pack(records: readonly ControlRecord[], revision: Revision): Uint8Array {
+    if (revision !== this.revision) {
+      this.revision = revision;
+      this.packed.clear();
+    }
+    let bytes = this.packed.get(records.length);
+    if (bytes === undefined) {
+      bytes = Uint8Array.from(this.codec.pack(records));
+      this.packed.set(records.length, bytes);
+    }
+    return bytes;
+  }
+}
+
+const decoder = createCodec();
+
+/** Reads packed records; fails with a Fault when the bytes are not records of another daemon. */
+export function tryUnpackRecords(
+  bytes: Uint8Array,
+  peer: string,
+): Result<readonly ControlRecord[], Fault> {
+  let content: unknown;
+  try {
+    content = decoder.unpack(bytes);
+  } catch (cause) {
+    return err(createInvalid(cause instanceof Error ? cause.message : 'not decodable', peer));
+  }
+  return Array.isArray(content) && content.every(isRecord)
+    ? ok(content)
+    : err(createInvalid('no list of records', peer));
+}
+
+function createCodec(): Packr {
+  return new Packr({ mapsAsObjects: true, int64AsType: 'number' });
+}
+
+function isRecord(content: unknown): content is ControlRecord {
+  return (
+    typeof content === 'object' &&
+    content !== null &&
+    'name' in content &&
+    'revision' in content &&
+    'value' in content
+  );
+}
+
+function createInvalid(reason: string, peer: string): Fault {
+  return createFault(Diagnostics.MeshFrameInvalid, { reason }, { step: 'mesh.records', peer });
+}
