Only contended accounts refuse at once; one that asks for no more than its rate counts on its refill

Change: a grant says whether all entry daemons together ask for more than the rate; only then nothing is credited. Test: entryLimiter.test.ts, red without the condition.

--- a/src/decisions/limits/entryAccount.ts
+++ b/src/decisions/limits/entryAccount.ts
@@ -39,6 +39,8 @@
   private available: number;
   private grantedMs = Number.NEGATIVE_INFINITY;
   private lastRequestMs = Number.NEGATIVE_INFINITY;
+  /** Entry daemons together asked for more than the rate, by the last grant. */
+  private isContended = false;
   /** The holder's bucket began empty a short while ago, by its last grant. */
   private isStarting = false;
   /** Tokens expired unused, which the holder has not been told. */
@@ -133,6 +135,7 @@
     this.share = Math.max(MINIMUM_SHARE, grant.share);
     this.available = grant.available;
     this.isStarting = grant.starting;
+    this.isContended = grant.contended;
     this.grantedMs = nowMs;
     if (grant.amount > 0) {
       this.counts.granted += grant.amount;
@@ -171,6 +174,7 @@
     const elapsedMs = nowMs - this.grantedMs;
     // What a scarce account's rate gave since then has gone to whoever waited for it elsewhere.
     const isScarce =
+      this.isContended &&
       !this.isStarting &&
       elapsedMs < SCARCITY_MEMORY_MS &&
       this.available < (this.limit.rate * SCARCITY_HORIZON_MS) / 1000;
--- a/src/decisions/limits/entryLimiter.test.ts
+++ b/src/decisions/limits/entryLimiter.test.ts
@@ -71,6 +71,7 @@
     heldMs: 0,
     available: 0,
     share: 10,
+    contended: false,
     starting: false,
     ...values,
   };
@@ -126,16 +127,24 @@
 
 test('a scarce account refuses at once what finds no token, however long ago the last grant was', () => {
   const limiter = createLimiter();
-  limiter.receive(answer(getRequest(send(limiter, 'a', 0)), 1, { share: 4 }), 2);
+  limiter.receive(answer(getRequest(send(limiter, 'a', 0)), 1, { share: 4, contended: true }), 2);
   const request = { requestId: toRequestId('b'), account: mill, cost: 1 };
   const outputs = limiter.request({ ...request, deadlineMs: 1252, maximumWaitMs: 50 }, 452);
   expect(describeOutputs(outputs)).toEqual(['refuse b FP4000', 'token-request']);
   const prefetch = getRequest(outputs);
   expect(prefetch.urgent).toBe(0);
-  limiter.receive(answer(prefetch, 1, { share: 4 }), 460);
+  limiter.receive(answer(prefetch, 1, { share: 4, contended: true }), 460);
   expect(describeOutputs(send(limiter, 'c', 470))[0]).toBe('admit c after 0');
 });
 
+test('an account that is asked for no more than its rate counts on what the rate gave since', () => {
+  const limiter = createLimiter();
+  limiter.receive(answer(getRequest(send(limiter, 'a', 0)), 1, { share: 4 }), 2);
+  const request = { requestId: toRequestId('b'), account: mill, cost: 1 };
+  const outputs = limiter.request({ ...request, deadlineMs: 1252, maximumWaitMs: 50 }, 452);
+  expect(describeOutputs(outputs)).toEqual(['token-request']);
+});
+
 test('while a new holder fills its bucket, requests wait for tokens that come before their deadline', () => {
   const limiter = createLimiter();
   const values = { share: 4, starting: true };
--- a/src/decisions/limits/rateBucket.ts
+++ b/src/decisions/limits/rateBucket.ts
@@ -269,6 +269,7 @@
       validityMs: this.getGrantValidityMs(receivedMs),
       heldMs: nowMs - receivedMs,
       available: this.pool.getWhole(),
+      contended: this.totalDemand > this.limit.rate,
       starting: this.isStarting(nowMs),
       share: this.getShare(ledger),
     });
--- a/src/decisions/limits/tokenGrant.ts
+++ b/src/decisions/limits/tokenGrant.ts
@@ -17,6 +17,8 @@
   readonly available: number;
   /** Tokens a second that the entry daemon can count on at the least. */
   readonly share: number;
+  /** All entry daemons together ask for more than the rate. */
+  readonly contended: boolean;
   /** The bucket began empty a short while ago: few tokens left say little of the demand. */
   readonly starting: boolean;
 }
