--- a/src/decisions/limits/entryAccount.ts
+++ b/src/decisions/limits/entryAccount.ts
@@ -173,16 +173,20 @@
   private getWaitMs(cost: number, nowMs: number): number {
     const elapsedMs = nowMs - this.grantedMs;
     // What a scarce account's rate gave since then has gone to whoever waited for it elsewhere.
-    const isScarce =
-      this.isContended &&
-      !this.isStarting &&
-      elapsedMs < SCARCITY_MEMORY_MS &&
-      this.available < (this.limit.rate * SCARCITY_HORIZON_MS) / 1000;
-    const refilled = isScarce ? 0 : this.available + (elapsedMs / 1000) * this.share;
+    const refilled = this.isScarce(elapsedMs)
+      ? 0
+      : this.available + (elapsedMs / 1000) * this.share;
     const reachable = this.stock.getRemaining() + Math.min(this.limit.burst, refilled);
     return (Math.max(0, this.waitingCost + cost - reachable) / this.share) * 1000;
   }
 
+  /** Few tokens were left by the last grant, and all entry daemons together ask for more than the rate. */
+  private isScarce(elapsedMs: number): boolean {
+    const isRecent = elapsedMs < SCARCITY_MEMORY_MS;
+    const hasFew = this.available < (this.limit.rate * SCARCITY_HORIZON_MS) / 1000;
+    return this.isContended && !this.isStarting && isRecent && hasFew;
+  }
+
   private refuseEarly(waiting: WaitingRequest, nowMs: number, outputs: EntryOutput[]): boolean {
     const { cost } = waiting.request;
     if (cost > this.limit.burst) {
@@ -191,8 +195,8 @@
     const waitMs = this.getWaitMs(cost, nowMs);
     const { maximumWaitMs = Infinity } = waiting.request;
     // Without a holder, and while a new one's bucket fills, callers inside their rate may be waiting.
-    const isUsual = this.link.getHolder() !== undefined && !this.isStarting;
-    const latestMs = Math.min(waiting.latestMs, isUsual ? nowMs + maximumWaitMs : Infinity);
+    const mayWaitLong = this.link.getHolder() === undefined || this.isStarting;
+    const latestMs = Math.min(waiting.latestMs, mayWaitLong ? Infinity : nowMs + maximumWaitMs);
     const excessMs = nowMs + waitMs - latestMs;
     if (excessMs > 0) {
       return this.refuse(waiting, Diagnostics.RateExceeded, excessMs, outputs);
