--- a/src/daemon/lease/controlRoute.ts
+++ b/src/daemon/lease/controlRoute.ts
@@ -9,20 +9,9 @@
 
   constructor(private readonly getAddresses: () => readonly string[]) {}
 
-  /** Whether the control host that was chosen last has given no answer in time. */
-  isOverdue(nowMs: number, patienceMs = ANSWER_TIMEOUT_MS): boolean {
-    return this.waitingSinceMs !== undefined && nowMs - this.waitingSinceMs > patienceMs;
-  }
-
-  /** Every control host that may be chosen. */
-  getCandidates(): readonly string[] {
-    const addresses = this.getAddresses();
-    return this.leader === undefined ? addresses : [this.leader, ...addresses];
-  }
-
   /** The address for the next message; another one when the last gave no answer in time. */
   choose(nowMs: number, patienceMs = ANSWER_TIMEOUT_MS): string {
-    if (this.isOverdue(nowMs, patienceMs)) {
+    if (this.waitingSinceMs !== undefined && nowMs - this.waitingSinceMs > patienceMs) {
       this.failed();
     }
     this.waitingSinceMs ??= nowMs;
--- a/src/daemon/lease/leaseTask.test.ts
+++ b/src/daemon/lease/leaseTask.test.ts
@@ -1,10 +1,10 @@
 import { afterAll, beforeAll, expect, test } from 'vitest';
-import { toFailureDomain, toHostId, toIncarnation, toRevision } from '../../common/ids/index.js';
+import { toFailureDomain, toHostId, toIncarnation } from '../../common/ids/index.js';
 import { Logger } from '../../common/logging/index.js';
 import { SystemTimerService } from '../../common/timer/index.js';
 import { DaemonRecords } from '../../decisions/control/index.js';
 import { Metrics } from '../../common/metrics/index.js';
-import { Mesh, MeshKind, RecordPacker, type MeshLink } from '../mesh/index.js';
+import { Mesh, MeshKind } from '../mesh/index.js';
 import { ControlRoute } from './controlRoute.js';
 import { LeaseTask } from './leaseTask.js';
 
@@ -12,9 +12,6 @@
 /** A renewal each 50 ms, and as many again for first attempts and links that open. */
 const MAXIMUM_RENEWALS = (2 * SEARCH_MS) / 50;
 
-/** Long enough that it does not end before a busy machine has let the daemon renew. */
-const LEASE_MS = 60_000;
-
 const timer = new SystemTimerService();
 const logger = new Logger('error', {}, () => undefined);
 const control = createMesh('control');
@@ -28,12 +25,12 @@
   return new Mesh(options, timer, logger, new Metrics().meshTraffic);
 }
 
-function createTask(leader = control): LeaseTask {
+function createTask(): LeaseTask {
   const identity = {
     ...{ host: toHostId('daemon'), incarnation: toIncarnation('daemon') },
     domain: toFailureDomain('a'),
   };
-  const route = new ControlRoute(() => [leader.address]);
+  const route = new ControlRoute(() => [control.address]);
   return new LeaseTask(identity, daemon, route, new DaemonRecords(), timer, logger, () => ({
     ...{ reports: [], releasedGroups: [], releasedAccounts: [], stopping: false },
   }));
@@ -61,32 +58,3 @@
   expect(renewals).toBeGreaterThan(0);
   expect(renewals).toBeLessThanOrEqual(MAXIMUM_RENEWALS);
 });
-
-test('a renewal that is not answered goes over a new link while the lease lasts', async () => {
-  const leader = createMesh('leader');
-  await leader.listen();
-  const links: MeshLink[] = [];
-  const revision = toRevision(0);
-  const records = new RecordPacker().pack([], revision);
-  const renewedAgain = new Promise<void>((resolve) => {
-    leader.receive(MeshKind.LeaseRenewal, ({ link, message }) => {
-      if (!links.includes(link)) {
-        links.push(link);
-      }
-      const { lease, sequence } = message.renewal;
-      const grant = { lease, sequence, lengthMs: LEASE_MS, retired: false, revision, records };
-      if (links.length > 1) {
-        resolve();
-      } else if (sequence === 1) {
-        // What comes later over this link is lost on the way, though the link stays open.
-        link.send({ kind: MeshKind.LeaseGrant, grant });
-      }
-    });
-  });
-  const task = createTask(leader);
-  task.start();
-  await renewedAgain;
-  expect(links.map((link) => link.isClosed)).toEqual([false, false]);
-  task.stop();
-  await leader.close();
-});
--- a/src/daemon/lease/leaseTask.ts
+++ b/src/daemon/lease/leaseTask.ts
@@ -177,7 +177,9 @@
 
   private renew(): void {
     const nowMs = this.timer.now();
-    const address = this.chooseControl(nowMs);
+    const address = this.isValid()
+      ? this.route.choose(nowMs)
+      : this.route.choose(nowMs, SEARCH_PATIENCE_MS);
     const start = this.lease.beginRenewal(nowMs);
     this.lastSentMs = nowMs;
     this.sentMs.set(start.sequence, nowMs);
@@ -209,17 +211,6 @@
     });
   }
 
-  /** While the lease lasts, silence speaks against the links: all may have gone silent at once. */
-  private chooseControl(nowMs: number): string {
-    if (!this.isValid()) {
-      return this.route.choose(nowMs, SEARCH_PATIENCE_MS);
-    }
-    if (this.route.isOverdue(nowMs)) {
-      this.route.getCandidates().forEach((address) => this.mesh.distrust(address));
-    }
-    return this.route.choose(nowMs);
-  }
-
   private takeGrant(grant: LeaseGrant): void {
     const nowMs = this.timer.now();
     const changed = this.records.applyRecords(grant.records, grant.revision);
--- a/src/daemon/mesh/mesh.ts
+++ b/src/daemon/mesh/mesh.ts
@@ -105,17 +105,6 @@
     return link;
   }
 
-  /**
-   * Lets the next message to an address go over a new link, as after one was not answered: something
-   * between the two ends may have lost track of the old one, which stays until it is condemned.
-   */
-  distrust(address: string): void {
-    const link = this.routes.get(address);
-    if (link?.peer !== undefined) {
-      this.routes.delete(address);
-    }
-  }
-
   /** Sends a message to the daemon at an address. */
   send(address: string, message: MeshMessage): void {
     this.getLink(address).send(message);
