The control quorum is as large as the losses that it has to bear

Cause: nothing in the product knew how many losses it has to bear. The deploy file started one control host a failure domain: four on such a deployment, of which three voted. Two lost disks of three take the whole majority that acknowledged, and the voter that is left can never elect a leader. A silent member was removed after 8 s as long as three were heard, whatever had to be borne.

Change: `control.losses` (settings) says how many disks may be lost at once; the plan keeps twice as many members and one; the leader tells operators when there are fewer (FP8519).

Ruled out: a defect of the log itself under two losses of five (storedMember and soak tests pass).

--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -226,6 +226,10 @@
   LeadershipLost: refusal(8510, 'The control leader changed: the outcome is not known here.'),
   ControlRoleChanged: message(8511, 'This control host is now {role}.'),
   ControlMembersPlanned: message(8518, 'The control quorum is to have the members {members}.'),
+  ControlQuorumSmall: warning(
+    8519,
+    'The control quorum has {count} members; {needed} are needed to bear the loss of {losses} disks.',
+  ),
   PlatformFailed: error(8512, 'The platform did not promote: {reason}.'),
   ControlUnreachable: refusal(8513, 'The control quorum could not be reached in time.'),
   ControlRefused: refusal(8514, '{reason}'),
--- a/src/common/settings/settings.test.ts
+++ b/src/common/settings/settings.test.ts
@@ -95,7 +95,7 @@
     '[control]\nbootstrap = true\n[[control.members]]',
   );
   expect(getProblems(text)).toEqual([
-    'a1.toml:12: control.bootstrap: unknown key; expected one of members, member, admits_members',
+    'a1.toml:12: control.bootstrap: unknown key; expected one of members, member, admits_members, losses',
   ]);
 });
 
--- a/src/common/settings/settings.ts
+++ b/src/common/settings/settings.ts
@@ -53,6 +53,13 @@
         .boolean()
         .default(false)
         .describe('Control hosts join and lost ones are replaced without a ticket.'),
+      losses: z
+        .int()
+        .min(0)
+        .default(1)
+        .describe(
+          'Control hosts whose disks may be lost at once; twice as many and one must vote.',
+        ),
     })
     .describe('The control quorum.'),
   callers: z
--- a/src/daemon/control/memberKeeper.ts
+++ b/src/daemon/control/memberKeeper.ts
@@ -3,6 +3,8 @@
 import { getNextMembershipChange, toMemberId } from '../../decisions/consensus/index.js';
 import {
   CommandKind,
+  createMemberPlanSettings,
+  getNeededMembers,
   getSubjectRecordName,
   planMembers,
   type ControlState,
@@ -15,12 +17,17 @@
 /** Name of the subject with the quorum's members. */
 export const CONTROL_MEMBERS: string = SubjectKind.ControlMembers;
 
+/** Time in which a new leader hears of the hosts and admits them. */
+const SETTLE_MS = 3000;
+
 /** What the keeper of the quorum's members knows of its host. */
 export interface MemberKeeperOptions {
   readonly state: ControlState;
   readonly logger: Logger;
   /** Hosts that ask become members without a ticket, and lost ones are replaced. */
   readonly admitsMembers: boolean;
+  /** Control hosts whose disks may be lost at once. */
+  readonly losses: number;
   /** The members that the quorum was founded with, in force until a ticket names others. */
   readonly foundedMembers: SubjectReading;
 }
@@ -29,6 +36,8 @@
 export class MemberKeeper {
   private readonly heardMembers = new Map<string, HeardMember>();
   private leaderSinceMs = 0;
+  /** Voters when their number was last reported as too few; undefined while they are enough. */
+  private reportedCount: number | undefined;
 
   constructor(
     private readonly member: QuorumMember,
@@ -51,12 +60,28 @@
     if (this.member.isLeader && this.member.isMembershipCommitted) {
       this.planMembers(nowMs);
       this.adjustMembership();
+      this.reportSize(nowMs);
+    }
+  }
+
+  /** Tells operators when the quorum can't bear the losses that it should. */
+  private reportSize(nowMs: number): void {
+    const { losses, logger } = this.options;
+    const count = this.member.membership.voters.length;
+    const needed = getNeededMembers(losses);
+    const isSettling = nowMs - this.leaderSinceMs < SETTLE_MS;
+    if (count >= needed || isSettling || count === this.reportedCount) {
+      this.reportedCount = count >= needed ? undefined : this.reportedCount;
+      return;
     }
+    this.reportedCount = count;
+    const values = { count, needed, losses };
+    logger.report(Diagnostics.ControlQuorumSmall, values, { step: 'control.members' });
   }
 
   /** Admits hosts that ask and lets lost ones go, where no ticket does. */
   private planMembers(nowMs: number): void {
-    const { state, admitsMembers, foundedMembers, logger } = this.options;
+    const { state, admitsMembers, foundedMembers, losses, logger } = this.options;
     if (!admitsMembers) {
       return;
     }
@@ -70,7 +95,8 @@
     const isSettled = present.length === voters.length + learners.length;
     const sinceMs = this.leaderSinceMs;
     const heard = [...this.heardMembers.values()];
-    const members = isSettled ? planMembers({ present, heard, sinceMs, nowMs }) : undefined;
+    const input = { present, heard, sinceMs, nowMs };
+    const members = isSettled ? planMembers(input, createMemberPlanSettings(losses)) : undefined;
     if (members === undefined) {
       return;
     }
--- a/src/daemon/createControlHost.ts
+++ b/src/daemon/createControlHost.ts
@@ -77,6 +77,7 @@
         control,
         consensus: context.consensus,
         admitsMembers: settings.control.admits_members,
+        losses: settings.control.losses,
         foundedMembers: createFoundedMembers(settings),
         processStartMs: context.processStartMs,
         onFatal,
--- a/src/decisions/control/members/memberPlan.test.ts
+++ b/src/decisions/control/members/memberPlan.test.ts
@@ -2,7 +2,12 @@
 import { expect, test } from 'vitest';
 import { toFailureDomain, toHostId } from '../../../common/ids/index.js';
 import type { ControlMember } from '../../tickets/index.js';
-import { DEFAULT_MEMBER_PLAN_SETTINGS, planMembers, type HeardMember } from './memberPlan.js';
+import {
+  createMemberPlanSettings,
+  DEFAULT_MEMBER_PLAN_SETTINGS,
+  planMembers,
+  type HeardMember,
+} from './memberPlan.js';
 
 const NOW_MS = 100_000;
 const { replaceMs, removeMs, minimumMembers } = DEFAULT_MEMBER_PLAN_SETTINGS;
@@ -65,6 +70,14 @@
   expect(plan(founders, [hear(one), hear(two), hear(three, removeMs)])).toBeUndefined();
 });
 
+test('a quorum that must bear two lost disks keeps five members while one of them is silent', () => {
+  const members = [...founders, four, createMember(5)];
+  const heard = members.map((member, index) => hear(member, index === 4 ? removeMs : 0));
+  const input = { present: members, heard, sinceMs: 0, nowMs: NOW_MS };
+  expect(planMembers(input, createMemberPlanSettings(2))).toBeUndefined();
+  expect(planMembers(input, createMemberPlanSettings(1))).toHaveLength(4);
+});
+
 test('plans settle, change one member at a time and never leave fewer heard than are needed', () => {
   const silences = fc.array(fc.nat({ max: 2 * removeMs }), { minLength: 5, maxLength: 9 });
   fc.assert(
--- a/src/decisions/control/members/memberPlan.ts
+++ b/src/decisions/control/members/memberPlan.ts
@@ -8,7 +8,7 @@
   readonly replaceMs: number;
   /** A member silent for this long is removed although nobody takes its place. */
   readonly removeMs: number;
-  /** Fewest members that are heard; below that nobody is removed. */
+  /** Members that are needed for the losses to be borne; below that nobody is removed. */
   readonly minimumMembers: number;
 }
 
@@ -20,6 +20,22 @@
   minimumMembers: 3,
 };
 
+/** Members needed so that what a majority acknowledged outlasts the loss of this many disks at once. */
+export function getNeededMembers(losses: number): number {
+  return 2 * losses + 1;
+}
+
+/** The bounds for a quorum that bears the loss of this many disks at once. */
+export function createMemberPlanSettings(losses: number): MemberPlanSettings {
+  const { minimumMembers, maximumMembers } = DEFAULT_MEMBER_PLAN_SETTINGS;
+  const needed = getNeededMembers(losses);
+  return {
+    ...DEFAULT_MEMBER_PLAN_SETTINGS,
+    minimumMembers: Math.max(minimumMembers, needed),
+    maximumMembers: Math.max(maximumMembers, needed),
+  };
+}
+
 /** A host that asks to be a member, and when the leader last heard of it. */
 export interface HeardMember {
   readonly member: ControlMember;
