An instance that started again during a term doesn't vouch for what was acknowledged

What callers could see: an acknowledged write is gone after a promotion (LOST).

Cause: the position of an instance was taken to cover its whole past, also of an earlier life. Class: state of an earlier incarnation credited to a later one, as with a control host whose disk is lost (that one gets a new identity).

Change: control records the revision at which an instance came back with another start time. While that lies in the term that served, and no holder says what was acknowledged, its position is unknown: nothing is promoted on it. A holder that held the whole term still decides alone.

Price: such a group waits for its primary until that is back.

--- a/src/decisions/control/controlState.ts
+++ b/src/decisions/control/controlState.ts
@@ -191,7 +191,11 @@
     if (this.getRecordRevision(name) !== expected) {
       return toAnswer(false);
     }
-    this.set(instance, revision);
+    const present = this.getInstance(instance.group, instance.instance);
+    const hasRestarted =
+      present?.startedMs !== undefined && present.startedMs !== instance.startedMs;
+    const restarted = hasRestarted ? revision : present?.restarted;
+    this.set(restarted === undefined ? instance : { ...instance, restarted }, revision);
     return toAnswer(true);
   }
 
--- a/src/decisions/control/instanceRecord.ts
+++ b/src/decisions/control/instanceRecord.ts
@@ -1,4 +1,4 @@
-import type { FailureDomain, GroupId, InstanceId } from '../../common/ids/index.js';
+import type { FailureDomain, GroupId, InstanceId, Revision } from '../../common/ids/index.js';
 import type { RecordKind } from './recordKind.js';
 
 /** What a backend server announced of itself that seldom changes. */
@@ -21,4 +21,6 @@
   readonly gone?: boolean;
   /** When this life of it started, in Unix milliseconds, where it says so. */
   readonly startedMs?: number;
+  /** Revision at which control learnt that it had started again; its log of before may be gone. */
+  readonly restarted?: Revision;
 }
--- a/src/decisions/control/leader/createGroupView.ts
+++ b/src/decisions/control/leader/createGroupView.ts
@@ -1,4 +1,4 @@
-import type { GroupId } from '../../../common/ids/index.js';
+import { toRevision, type GroupId } from '../../../common/ids/index.js';
 import type { AnnouncedPlace, GroupView, HolderView, InstanceView } from '../../promotion/index.js';
 import { getServedTerm } from '../../promotion/index.js';
 import type { GroupAssignment } from '../groupAssignment.js';
@@ -67,6 +67,7 @@
     inService: context.state.isInService(record.domain),
     leaving: context.state.isLeaving(record.group, record.instance),
     leavingRevision: context.state.getLeavingRevision(record.group, record.instance),
+    restartedRevision: record.restarted ?? toRevision(0),
     announced: received && createAnnouncedPlace(received),
     sighted: watch.sightings.get(record.instance),
   };
--- a/src/decisions/promotion/instanceView.ts
+++ b/src/decisions/promotion/instanceView.ts
@@ -39,6 +39,8 @@
   readonly leaving: boolean;
   /** Revision of that ticket; 0 when no ticket says anything. */
   readonly leavingRevision: Revision;
+  /** Revision at which it was last known to have started again; 0 when it never did. */
+  readonly restartedRevision: Revision;
   readonly announced: AnnouncedPlace | undefined;
   readonly sighted: SightedPlace | undefined;
 }
--- a/src/decisions/promotion/promotionRules.test.ts
+++ b/src/decisions/promotion/promotionRules.test.ts
@@ -34,6 +34,7 @@
     instance: toInstanceId(name),
     domain: toFailureDomain('d'),
     ...{ inService: true, leaving: false, leavingRevision: toRevision(0) },
+    restartedRevision: toRevision(0),
     announced: {
       ...place,
       ...{ receivedAtMs, measuredFromMs: receivedAtMs - 5 },
@@ -109,6 +110,19 @@
   });
 });
 
+test('an instance that started again empty during the term does not vouch for acknowledged writes', () => {
+  const other = createInstance('a', 5, 100);
+  const restarted = createInstance('b', 5, 3, { restartedRevision: toRevision(60) });
+  expect(rules.decide(createView([LOST, other, restarted]))).toMatchObject({
+    step: 'wait',
+    reason: 'not every position is known',
+  });
+  const earlier = { ...restarted, restartedRevision: toRevision(40) };
+  expect(rules.decide(createView([LOST, other, earlier]))).toMatchObject({ instance: 'a' });
+  const held = { holder: createHolder(100, true) };
+  expect(rules.decide(createView([LOST, other, restarted], held))).toMatchObject({ instance: 'a' });
+});
+
 test('an announcement measured before the fence does not count, however late it came', () => {
   const late = createInstance('a', 5, 100);
   const { announced } = late;
--- a/src/decisions/promotion/promotionRules.ts
+++ b/src/decisions/promotion/promotionRules.ts
@@ -73,7 +73,8 @@
       if (instance.instance === primary.instance) {
         continue;
       }
-      if (place === undefined && !this.isWithoutVote(primary, instance)) {
+      const isUnknown = place === undefined || this.hasLostLog(primary, instance);
+      if (isUnknown && !this.isWithoutVote(primary, instance)) {
         return undefined;
       }
       if (place !== undefined && place.term === getServedTimeline(primary)) {
@@ -252,6 +253,14 @@
     return instance.leaving && instance.leavingRevision < primary.since;
   }
 
+  /**
+   * Whether the instance started again during the term: what it had received before, perhaps as the
+   * only one besides the primary, may be gone, so that its position says nothing of it.
+   */
+  protected hasLostLog(primary: GroupPrimary, instance: InstanceView): boolean {
+    return instance.restartedRevision > primary.since;
+  }
+
   private createPromotion(
     view: GroupView,
     instance: InstanceView,
--- a/src/decisions/promotion/timelines.test.ts
+++ b/src/decisions/promotion/timelines.test.ts
@@ -36,7 +36,12 @@
   return {
     instance: toInstanceId(name),
     domain: toFailureDomain('d'),
-    ...{ inService: true, leaving: false, leavingRevision: toRevision(0) },
+    ...{
+      inService: true,
+      leaving: false,
+      leavingRevision: toRevision(0),
+      restartedRevision: toRevision(0),
+    },
     announced: {
       ...unknown,
       ...{ receivedAtMs, measuredFromMs: receivedAtMs - 5, leaving: false },
