Links at rest exchange a heartbeat a second, over one timer for all links

Each of 96 hosts keeps links to most others; each link woke the process four times a second and exchanged up to eight messages, whether or not anybody waited for something on it.

Change: a link that carried nothing but heartbeats for 2 s is at rest and beats once a second; the first message after that starts the count of silence anew, so that a link found silent is condemned as soon after its use as before. All links beat on one timer.

Tests: "links at rest cost a heartbeat a second" failed before (16 in 4 s); "silence of a link that was at rest is found as soon after its use" holds before and after.

--- a/src/daemon/mesh/mesh.ts
+++ b/src/daemon/mesh/mesh.ts
@@ -7,10 +7,10 @@
 import type { MeshTraffic } from '../../common/metrics/index.js';
 import type { Logger } from '../../common/logging/index.js';
 import { Mailbox } from '../../common/tasks/index.js';
-import type { TimerService } from '../../common/timer/index.js';
+import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
 import { splitAddress } from '../../common/settings/index.js';
 import { MeshKind } from './meshKind.js';
-import { MESH_VERSION, MeshLink, type MeshLinkOwner } from './meshLink.js';
+import { HEARTBEAT_INTERVAL_MS, MESH_VERSION, MeshLink, type MeshLinkOwner } from './meshLink.js';
 import type { Hello, MeshMessage } from './meshMessage.js';
 import type { MeshOptions } from './meshOptions.js';
 
@@ -32,6 +32,8 @@
   private readonly server: WebSocketServer;
   private hello: Hello;
   private isClosing = false;
+  /** One timer for all links: each would wake the process by itself. Absent without links. */
+  private stopBeating: Unsubscribe | undefined;
 
   constructor(
     private readonly options: MeshOptions,
@@ -155,6 +157,10 @@
 
   linkClosed(link: MeshLink, fault: Fault): void {
     this.links.delete(link);
+    if (this.links.size === 0) {
+      this.stopBeating?.();
+      this.stopBeating = undefined;
+    }
     if (this.routes.get(link.target) === link) {
       this.routes.delete(link.target);
     }
@@ -180,9 +186,16 @@
   private addLink(address: string, socket: WebSocket): MeshLink {
     const link = new MeshLink(address, socket, this.hello, this.timer, this);
     this.links.add(link);
+    this.stopBeating ??= this.timer.subscribe(HEARTBEAT_INTERVAL_MS, (nowMs) => this.beat(nowMs));
     return link;
   }
 
+  private beat(nowMs: number): void {
+    for (const link of this.links) {
+      link.beat(nowMs);
+    }
+  }
+
   private dial(address: string): WebSocket {
     const { tls, maximumFrameBytes, listen } = this.options;
     const options: ClientOptions = {
--- a/src/daemon/mesh/meshLink.ts
+++ b/src/daemon/mesh/meshLink.ts
@@ -1,14 +1,19 @@
 import { WebSocket, type RawData } from 'ws';
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
 import { TrafficDirection, type MeshTraffic } from '../../common/metrics/index.js';
-import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
+import type { TimerService } from '../../common/timer/index.js';
 import { FrameCodec } from './frameCodec.js';
 import { MeshKind } from './meshKind.js';
 import type { Hello, MeshMessage } from './meshMessage.js';
 import type { MeshPeer } from './meshPeer.js';
 
-const HEARTBEAT_INTERVAL_MS = 250;
+/** How often the owner has to call `beat`. */
+export const HEARTBEAT_INTERVAL_MS = 250;
 const SILENCE_LIMIT_MS = 800;
+/** A link is at rest when it carried nothing but heartbeats for this long. */
+const REST_AFTER_MS = 2000;
+/** Time between heartbeats of a link at rest. */
+const REST_INTERVAL_MS = 1000;
 const FINISH_LIMIT_MS = 200;
 const MAXIMUM_WAITING_FRAMES = 10_000;
 
@@ -35,8 +40,9 @@
   private lastHeardMs: number;
   private lastTickMs: number;
   private lastSentMs: number;
+  /** When something other than heartbeats was last sent or received. */
+  private lastUsedMs: number;
   private sequence = 0;
-  private readonly stopHeartbeat: Unsubscribe;
 
   constructor(
     /** Address of the other side: dialled, or of the incoming socket. */
@@ -49,13 +55,13 @@
     this.lastHeardMs = timer.now();
     this.lastTickMs = this.lastHeardMs;
     this.lastSentMs = this.lastHeardMs;
+    this.lastUsedMs = this.lastHeardMs;
     this.isOpener = socket.readyState !== WebSocket.OPEN;
     socket.binaryType = 'nodebuffer';
     socket.on('open', () => this.greet());
     socket.on('message', (data) => this.receive(data));
     socket.on('close', () => this.close('closed by the other side'));
     socket.on('error', (error) => this.close(error.message));
-    this.stopHeartbeat = timer.subscribe(HEARTBEAT_INTERVAL_MS, (nowMs) => this.beat(nowMs));
     if (socket.readyState === WebSocket.OPEN) {
       this.greet();
     }
@@ -80,6 +86,7 @@
     if (this.closed) {
       return;
     }
+    this.use();
     if (this.peer !== undefined) {
       this.socket.send(this.encode(message));
       return;
@@ -109,7 +116,6 @@
       return;
     }
     this.closed = true;
-    this.stopHeartbeat();
     this.waiting = [];
     this.socket.terminate();
     const fault = createFault(
@@ -120,6 +126,30 @@
     this.owner.linkClosed(this, fault);
   }
 
+  /** Speaks up or closes when the link was quiet for too long; to be called at the heartbeat interval. */
+  beat(nowMs: number): void {
+    const paused = nowMs - this.lastTickMs > 2 * HEARTBEAT_INTERVAL_MS;
+    this.lastTickMs = nowMs;
+    if (paused) {
+      // This process stood still: silence says nothing about the other side.
+      this.lastHeardMs = nowMs;
+    }
+    const isAtRest = this.isAtRest(nowMs);
+    const silentMs = nowMs - this.lastHeardMs;
+    if (silentMs > SILENCE_LIMIT_MS + (isAtRest ? REST_INTERVAL_MS : 0)) {
+      this.close(`no sign for ${Math.round(silentMs)} ms`);
+      return;
+    }
+    // Each side judges by what it hears: the opener speaks up when one of the two was quiet.
+    const quietMs = Math.max(silentMs, nowMs - this.lastSentMs);
+    const intervalMs = isAtRest ? REST_INTERVAL_MS : HEARTBEAT_INTERVAL_MS;
+    const isDue = this.isOpener && quietMs >= intervalMs - HEARTBEAT_INTERVAL_MS / 2;
+    if (isDue && this.socket.readyState === WebSocket.OPEN) {
+      this.sequence += 1;
+      this.sendNow({ kind: MeshKind.Heartbeat, sequence: this.sequence });
+    }
+  }
+
   private greet(): void {
     this.socket.send(this.encode(this.hello));
   }
@@ -153,7 +183,7 @@
         this.welcome(message);
         return;
       case MeshKind.Heartbeat:
-        this.send({ kind: MeshKind.HeartbeatAnswer, sequence: message.sequence });
+        this.sendNow({ kind: MeshKind.HeartbeatAnswer, sequence: message.sequence });
         return;
       case MeshKind.HeartbeatAnswer:
         return;
@@ -162,6 +192,7 @@
           this.close('a message came before the greeting');
           return;
         }
+        this.lastUsedMs = this.lastHeardMs;
         this.owner.messageReceived(this, message);
     }
   }
@@ -179,24 +210,22 @@
     this.owner.linkOpened(this);
   }
 
-  private beat(nowMs: number): void {
-    const paused = nowMs - this.lastTickMs > 2 * HEARTBEAT_INTERVAL_MS;
-    this.lastTickMs = nowMs;
-    if (paused) {
-      // This process stood still: silence says nothing about the other side.
-      this.lastHeardMs = nowMs;
-    }
-    const silentMs = nowMs - this.lastHeardMs;
-    if (silentMs > SILENCE_LIMIT_MS) {
-      this.close(`no sign for ${Math.round(silentMs)} ms`);
-      return;
+  private sendNow(message: MeshMessage): void {
+    if (!this.closed) {
+      this.socket.send(this.encode(message));
     }
-    // Each side judges by what it hears: the opener speaks up when one of the two was quiet.
-    const quietMs = Math.max(silentMs, nowMs - this.lastSentMs);
-    const isDue = this.isOpener && quietMs >= HEARTBEAT_INTERVAL_MS / 2;
-    if (isDue && this.socket.readyState === WebSocket.OPEN) {
-      this.sequence += 1;
-      this.send({ kind: MeshKind.Heartbeat, sequence: this.sequence });
+  }
+
+  /** Notes that a message is to be sent; after a rest, silence counts from now on. */
+  private use(): void {
+    const nowMs = this.timer.now();
+    if (this.isAtRest(nowMs)) {
+      this.lastHeardMs = nowMs;
     }
+    this.lastUsedMs = nowMs;
+  }
+
+  private isAtRest(nowMs: number): boolean {
+    return nowMs - this.lastUsedMs >= REST_AFTER_MS;
   }
 }
