No second resource for a host, near or not, while another one carries none

Cause: for being near the primary a host was given a second group while others had none, and hosts in slow start were left out altogether although a slow start of a host that carries nothing spares nobody. A hop to another failure domain costs 1 to 3 ms, a second group on a host that one group fills costs seconds. Why it works: while there are fewer resources than hosts, load goes before nearness, and a starting host without any goes before a second one.

--- a/src/decisions/control/placement/leastLoadedNear.ts
+++ b/src/decisions/control/placement/leastLoadedNear.ts
@@ -11,8 +11,8 @@
     if (near === undefined || least === undefined) {
       return least;
     }
-    // While there are hosts without a resource, none is given a third one for being near.
-    const slack = this.getMean() < 1 ? 1 : this.getSlack();
+    // While there are hosts without a resource, none is given a second one for being near.
+    const slack = this.getMean() < 1 ? 0 : this.getSlack();
     return this.getLoad(near) - this.getLoad(least) > slack ? least : near;
   }
 }
--- a/src/decisions/control/placement/placementPolicy.ts
+++ b/src/decisions/control/placement/placementPolicy.ts
@@ -149,9 +149,18 @@
 
   private chooseAny(request: PlacementRequest, nowMs: number): HostId | undefined {
     this.finishWarming(nowMs);
-    return (
-      this.chooseWarming(request, nowMs) ?? this.chooseWarm(request) ?? this.chooseAnyWarming()
-    );
+    const warm = this.chooseWarming(request, nowMs) ?? this.chooseWarm(request);
+    if (warm === undefined) {
+      return this.chooseAnyWarming();
+    }
+    const isSecond = this.getMean() < 1 && this.getLoad(warm) > 0;
+    return (isSecond ? this.chooseIdleWarming(request) : undefined) ?? warm;
+  }
+
+  /** A host in slow start without any resource, a near one first. */
+  private chooseIdleWarming({ near }: PlacementRequest): HostId | undefined {
+    const idle = [...this.warming].filter((id) => this.getLoad(id) === 0);
+    return idle.find((id) => this.hosts.get(id)?.domain === near) ?? idle[0];
   }
 
   /** A host in slow start that carries less than its growing share of the mean. */
