Groups that a host lost with its lease go to another host

Cause: a host that was held up notices the end of its lease before the leader does and asks under the next id, so that it never stopped being eligible; with its groups gone it was the least loaded, and was chosen. Ruled out: its slow start, which begins only when it had no lease for a moment. Why it works: the leader notes a lease that it had granted and that ran out or was replaced, and avoids the host for those groups, as it does for a holder that reaches no instance. The only host is still chosen. Leases that the leader never saw renewed (after its own start) say nothing. Accounts are not covered: they have no watch, and a saturated host's accounts were not what was seen.

--- a/src/decisions/control/leader/controlLeader.ts
+++ b/src/decisions/control/leader/controlLeader.ts
@@ -27,7 +27,7 @@
 import { GroupDecisions } from './groupDecisions.js';
 import { GroupPlacement } from './groupPlacement.js';
 import { HostRegister } from './hostRegister.js';
-import { getWatch, type LeaderContext } from './leaderContext.js';
+import { avoidLoser, getWatch, type LeaderContext } from './leaderContext.js';
 import { Outbox } from './outbox.js';
 import { Rebalancer } from './rebalancer.js';
 import { RenewalIntake } from './renewalIntake.js';
@@ -154,8 +154,10 @@
   /** Has the log retire the leases that ran out; their resources move after that. */
   private expire(nowMs: number): void {
     const { leases, outbox } = this.context;
-    for (const { lease, host } of leases.takeExpired(nowMs)) {
+    for (const expired of leases.takeExpired(nowMs)) {
+      const { lease, host } = expired;
       outbox.log(Diagnostics.LeaseRetired, { lease, host });
+      avoidLoser(this.context, expired);
       this.hosts.refresh(host, nowMs);
     }
     for (const lease of leases.getExpired()) {
--- a/src/decisions/control/leader/groupWatch.ts
+++ b/src/decisions/control/leader/groupWatch.ts
@@ -48,7 +48,7 @@
   orderedInstance: InstanceId | undefined;
   failedInstances: InstanceId[] = [];
   blockedReason: string | undefined;
-  /** A host that held the group but could not reach its instances. */
+  /** A host that held the group but could not reach its instances, or keep its lease. */
   avoidedHost: HostId | undefined;
 
   /** Takes in an announcement; one that goes back counts only once the earlier one is old. */
--- a/src/decisions/control/leader/leaderContext.ts
+++ b/src/decisions/control/leader/leaderContext.ts
@@ -1,7 +1,9 @@
 import type { AccountId, GroupId, HostId } from '../../../common/ids/index.js';
+import type { DaemonLease } from '../../leases/daemonLease.js';
 import type { DaemonLeases } from '../../leases/daemonLeases.js';
 import type { ControlState } from '../controlState.js';
 import type { Placement } from '../placement/index.js';
+import { RecordKind } from '../recordKind.js';
 import type { Agenda } from './agenda.js';
 import type { ControlSettings } from './controlSettings.js';
 import { GroupWatch } from './groupWatch.js';
@@ -38,3 +40,18 @@
   context.watches.set(group, watch);
   return watch;
 }
+
+/**
+ * Notes that a host lost a lease that it renewed here, before that one is retired: it may have the next
+ * one already, but can carry no more than before, so that its groups are to go elsewhere.
+ */
+export function avoidLoser(context: LeaderContext, lost: DaemonLease | undefined): void {
+  if (lost?.isLive !== true) {
+    return;
+  }
+  for (const held of context.state.getHeld(lost.lease)) {
+    if (held.kind === RecordKind.GroupHolder) {
+      getWatch(context, held.group).avoidedHost = lost.host;
+    }
+  }
+}
--- a/src/decisions/control/leader/renewalIntake.ts
+++ b/src/decisions/control/leader/renewalIntake.ts
@@ -18,7 +18,7 @@
 import { AnnouncementEffect, type ReceivedAnnouncement } from './groupWatch.js';
 import { getLeaseKey } from './commandKey.js';
 import type { HostRegister } from './hostRegister.js';
-import { getWatch, type LeaderContext } from './leaderContext.js';
+import { avoidLoser, getWatch, type LeaderContext } from './leaderContext.js';
 
 /** Takes in renewals: answers them and notes what they report. */
 export class RenewalIntake {
@@ -61,6 +61,7 @@
       const command = { kind: CommandKind.RetireLease, lease: holder.lease } as const;
       if (isKnown && outbox.propose(getLeaseKey(holder.lease), command, nowMs)) {
         outbox.log(Diagnostics.LeaseRetired, { lease: holder.lease, host });
+        avoidLoser(this.context, this.context.leases.get(holder.lease));
       }
     }
   }
