--- a/src/decisions/control/placement/placementPolicy.ts
+++ b/src/decisions/control/placement/placementPolicy.ts
@@ -4,6 +4,11 @@
 
 const MINIMUM_MOVE_DIFFERENCE = 2;
 const MOVE_SHARE_OF_MEAN = 0.25;
+/**
+ * Part of the hosts from which on those in slow start count like the others: slow start spares a host
+ * that comes to a fleet which carries, and must not leave everything to a few that came first.
+ */
+const STARTING_FLEET_SHARE = 0.5;
 
 /** Chooses a host for each resource, over an index of hosts by load. */
 export abstract class PlacementPolicy {
@@ -144,9 +149,18 @@
 
   private chooseAny(request: PlacementRequest, nowMs: number): HostId | undefined {
     this.finishWarming(nowMs);
-    return (
-      this.chooseWarming(request, nowMs) ?? this.chooseWarm(request) ?? this.chooseAnyWarming()
-    );
+    const warm = this.chooseWarming(request, nowMs) ?? this.chooseWarm(request);
+    if (warm === undefined) {
+      return this.chooseAnyWarming();
+    }
+    const isSecond = this.getMean() < 1 && this.getLoad(warm) > 0;
+    return (isSecond ? this.chooseIdleWarming(request) : undefined) ?? warm;
+  }
+
+  /** A host in slow start without any resource, a near one first. */
+  private chooseIdleWarming({ near }: PlacementRequest): HostId | undefined {
+    const idle = [...this.warming].filter((id) => this.getLoad(id) === 0);
+    return idle.find((id) => this.hosts.get(id)?.domain === near) ?? idle[0];
   }
 
   /** A host in slow start that carries less than its growing share of the mean. */
@@ -175,10 +189,12 @@
     return least;
   }
 
+  /** Ends slow starts that are over, and all of them while it is the fleet that starts. */
   private finishWarming(nowMs: number): void {
+    const isFleetStarting = this.warming.size >= this.hosts.size * STARTING_FLEET_SHARE;
     for (const id of this.warming) {
       const host = this.hosts.get(id);
-      if (host !== undefined && host.warmAtMs <= nowMs) {
+      if (host !== undefined && (isFleetStarting || host.warmAtMs <= nowMs)) {
         this.warming.delete(id);
         this.index(host, this.getLoad(id));
       }
