Changes of the records that are committed in one turn are pushed together

Cause: each committed command was pushed to each daemon by itself. After the loss of all hosts what they held is retired and assigned anew, so that messages grow with hosts times resources; each daemon looks at all its callers and waiting requests for each of them. Why it works: pushes wait for the end of the turn; the busier the leader, the more go into one. A record that changed twice goes once. Nothing waits when there is one change, but for one turn of the event loop.

--- a/src/daemon/control/controlHost.ts
+++ b/src/daemon/control/controlHost.ts
@@ -23,6 +23,7 @@
   type Promote,
   type RecordUpdate,
   type SubjectReading,
+  type Update,
 } from '../../decisions/control/index.js';
 import { tryParseTicket } from '../../decisions/tickets/index.js';
 import {
@@ -40,6 +41,7 @@
 import { CONTROL_MEMBERS, MemberKeeper, type MemberKeeperOptions } from './memberKeeper.js';
 import type { Platform } from './platform.js';
 import { QuorumMember, type QuorumListener } from './quorumMember.js';
+import { RecordPusher } from './recordPusher.js';
 
 const TICK_INTERVAL_MS = 40;
 const MEMBERSHIP_INTERVAL_MS = 200;
@@ -71,6 +73,7 @@
   private readonly subscriptions: Unsubscribe[] = [];
   private readonly keeper: MemberKeeper;
   private readonly packer = new RecordPacker();
+  private readonly pusher: RecordPusher;
   /** Suspensions suspected when a quorum last confirmed that this host leads. */
   private trusted = 0;
   private confirming = false;
@@ -85,6 +88,7 @@
     this.member = new QuorumMember(opened, storage, state, ids, timer, random, consensus, this);
     this.leader = new ControlLeader(state, { settings: options.control });
     this.keeper = new MemberKeeper(this.member, options);
+    this.pusher = new RecordPusher(timer, (update) => this.tellDaemons(update));
     mesh.receive(MeshKind.Consensus, ({ link, message }) => {
       if (link.peer !== undefined) {
         options.addresses.learn(message.from, link.peer.address);
@@ -132,6 +136,7 @@
     for (const unsubscribe of this.subscriptions.splice(0)) {
       unsubscribe();
     }
+    this.pusher.stop();
     await this.member.stop();
   }
 
@@ -201,9 +206,7 @@
           this.sendTo(output.host, { kind: MeshKind.LeaseGrant, grant: this.pack(output.grant) });
           break;
         case ControlOutputKind.Update:
-          for (const host of output.hosts) {
-            this.sendTo(host, { kind: MeshKind.RecordUpdate, update: this.pack(output.update) });
-          }
+          this.pusher.push(output);
           break;
         case ControlOutputKind.Promote:
           this.promote(output);
@@ -215,6 +218,13 @@
     }
   }
 
+  private tellDaemons({ hosts, update }: Update): void {
+    const packed = this.pack(update);
+    for (const host of hosts) {
+      this.sendTo(host, { kind: MeshKind.RecordUpdate, update: packed });
+    }
+  }
+
   private pack<Content extends LeaseGrant | RecordUpdate>(
     content: Content,
   ): Omit<Content, 'records'> & PackedRecords {
