--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -33,6 +33,7 @@
   DaemonStarted: message(1001, 'Daemon started.'),
   DaemonStopping: message(1002, 'Graceful shutdown began.'),
   SettingsReloaded: message(1005, 'The settings were read again.'),
+  SettingsUnreadable: warning(1006, "The settings can't be read, the old ones stay: {reason}"),
   DaemonStopped: message(1003, 'Daemon stopped.'),
   EventLoopPaused: warning(1004, 'The process was paused for {pause} ms.'),
 
--- /dev/null
+++ b/tests/platform/signals.test.ts
@@ -0,0 +1,60 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { afterEach, beforeEach, expect, test } from 'vitest';
+import { createLinePlan, formatLineSettings } from '../../bench/lines/linePlan.js';
+import { Diagnostics } from '../../src/common/diagnostics/index.js';
+
+const PROGRAM = new URL('../../dist/platform/start.js', import.meta.url).pathname;
+
+let folder: string;
+let file: string;
+let text: string;
+let child: ChildProcess;
+let ended: Promise<number | string | null>;
+let output: string;
+
+beforeEach(async () => {
+  folder = mkdtempSync(join(tmpdir(), 'filbertpoint-signals-'));
+  file = join(folder, 'node.toml');
+  const plan = await createLinePlan({ controls: 1, entries: 0, groups: 1, network: 82 });
+  const [daemon] = plan.daemons;
+  text = daemon === undefined ? '' : formatLineSettings(plan, daemon, join(folder, 'data'), true);
+});
+
+afterEach(async () => {
+  child.kill('SIGKILL');
+  await ended;
+  rmSync(folder, { recursive: true, force: true });
+});
+
+function start(): void {
+  output = '';
+  child = spawn(process.execPath, [PROGRAM], { env: { FILBERTPOINT_SETTINGS: file } });
+  child.stdout?.on('data', (bytes: Buffer) => (output += bytes.toString()));
+  child.stderr?.on('data', (bytes: Buffer) => (output += bytes.toString()));
+  ended = new Promise((resolve) => {
+    child.once('exit', (code, signal) => resolve(signal ?? code));
+  });
+}
+
+/** Waits for a line of the log; fails when the process ends before it. */
+async function waitFor(code: number): Promise<void> {
+  while (!output.includes(`code=FP${code} `)) {
+    const end = await Promise.race([ended, new Promise((resolve) => setTimeout(resolve, 20))]);
+    expect(end, output).toBeUndefined();
+  }
+}
+
+test('settings that are half written when they are read again change nothing', async () => {
+  writeFileSync(file, text);
+  start();
+  await waitFor(Diagnostics.DaemonStarted.code);
+  writeFileSync(file, text.slice(0, text.length / 2));
+  child.kill('SIGHUP');
+  await waitFor(Diagnostics.SettingsUnreadable.code);
+  writeFileSync(file, text);
+  child.kill('SIGHUP');
+  await waitFor(Diagnostics.SettingsReloaded.code);
+});
