A second SIGTERM does not cut the stop that the first one began

Cause: the listener was there once; without one the second signal ends a process at once. Ruled out: a process that was not up yet; the log of that life has FP1001.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -59,10 +59,15 @@
     },
   });
   await daemon.start();
+  let isStopping = false;
   const stop = (): void => {
-    void daemon.stop(STOP_GRACE_MS).then(() => process.exit(0));
+    if (!isStopping) {
+      isStopping = true;
+      void daemon.stop(STOP_GRACE_MS).then(() => process.exit(0));
+    }
   };
-  process.once('SIGTERM', stop);
+  // The listener stays: without one a second signal would end the process at once.
+  process.on('SIGTERM', stop);
   process.once('SIGINT', stop);
   process.stdout.write(`ready ${daemon.operatorAddress}\n`);
 }
--- a/tests/platform/signals.test.ts
+++ b/tests/platform/signals.test.ts
@@ -58,3 +58,13 @@
   child.kill('SIGHUP');
   await waitFor(Diagnostics.SettingsReloaded.code);
 });
+
+test('a second SIGTERM does not cut the stop that the first one began', async () => {
+  writeFileSync(file, text);
+  start();
+  await waitFor(Diagnostics.DaemonStarted.code);
+  child.kill('SIGTERM');
+  await waitFor(Diagnostics.DaemonStopping.code);
+  child.kill('SIGTERM');
+  expect(await ended).toBe(0);
+});
