A daemon that is told to read its settings while it starts goes on

Cause: the listener came after the modules were loaded and the settings read; a process without one ends. Ruled out: the handling of the settings themselves (fixed before, and the end is by signal). Now the first module, and the first line of the bundle, listen. What is left is the runtime's own start. Evidence: tests/platform/signals.test.ts "a process that is told to read its settings again while it starts goes on" (the settings are a pipe that is written after the signal) failed before and passes.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -75,6 +75,8 @@
 writeFileSync(
   join(FOLDER, 'filbertpoint.cjs'),
   `'use strict';
+// As platform/earlySignals.ts: told to read its settings again while it starts, it goes on.
+process.on('SIGHUP', () => undefined);
 const { readFileSync } = require('node:fs');
 const { join } = require('node:path');
 const { Script } = require('node:vm');
--- a/tests/platform/signals.test.ts
+++ b/tests/platform/signals.test.ts
@@ -1,5 +1,6 @@
-import { spawn, type ChildProcess } from 'node:child_process';
+import { spawn, spawnSync, type ChildProcess } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { open } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { afterEach, beforeEach, expect, test } from 'vitest';
@@ -68,3 +69,16 @@
   child.kill('SIGTERM');
   expect(await ended).toBe(0);
 });
+
+test('a process that is told to read its settings again while it starts goes on', async () => {
+  expect(spawnSync('mkfifo', [file]).status).toBe(0);
+  start();
+  // Opens once the process reads its settings, which it can't end before they are written.
+  const settings = await open(file, 'w');
+  child.kill('SIGHUP');
+  await settings.writeFile(text);
+  await settings.close();
+  rmSync(file);
+  writeFileSync(file, text);
+  await waitFor(Diagnostics.DaemonStarted.code);
+});
