Hosts in slow start relieve one that would carry more than twice the mean

What callers saw: after a herd kill and a split, 4 of 16 entry hosts reached control, three of them just started.

Cause: a host in its slow start (30 s) may carry at first nothing of the mean, and a host past it was taken whatever it carried. Nothing moved to the joining hosts either.

Change: a host past its slow start carries up to twice the mean; beyond it the least loaded host in slow start is taken, a near one among equals, and the rebalancer moves there, one group and one account a second as before. Where half of the fleet stayed, slow start is as it was.

Ruled out: load alone.

Evidence: the new tests of placement.test.ts ("the one host that stayed is not given what all others left", "hosts in slow start relieve one that got everything") failed before with 16 of 16 on one host, for the policy in use.

--- a/src/decisions/control/placement/placement.test.ts
+++ b/src/decisions/control/placement/placement.test.ts
@@ -109,3 +109,63 @@
   });
   expect(chosen).toEqual(['h0', 'h0', 'h0', 'h1', 'h0']);
 });
+
+/** One host that stayed, with everything, beside others that join just then. */
+function createAfterHerdKill(
+  create: () => PlacementPolicy,
+  joining: number,
+  keys: readonly string[],
+): Placement {
+  const placement = new Placement(create());
+  addHost(placement, 0, 0, 0);
+  for (const key of keys) {
+    placement.place(key, placement.choose({ key }, 0));
+  }
+  for (let index = 1; index <= joining; index++) {
+    addHost(placement, index, 0, SLOW_START_MS);
+  }
+  return placement;
+}
+
+function getLoads(placement: Placement, hosts: number): number[] {
+  return Array.from({ length: hosts }, (_, index) => placement.getLoad(toHostId(`h${index}`)));
+}
+
+test.each(policies)(
+  '%s: the one host that stayed is not given what all others left',
+  (_, create) => {
+    const placement = createAfterHerdKill(create, 7, []);
+    const keys = Array.from({ length: 16 }, (__, index) => `k${index}`);
+    for (const key of keys) {
+      placement.place(key, placement.choose({ key, near: toFailureDomain('d0') }, 100));
+    }
+    expect(Math.max(...getLoads(placement, 8))).toBeLessThanOrEqual(4);
+    expect(getLoads(placement, 8).reduce((sum, load) => sum + load, 0)).toBe(16);
+  },
+);
+
+test.each(policies)('%s: hosts in slow start relieve one that got everything', (_, create) => {
+  const keys = Array.from({ length: 16 }, (__, index) => `k${index}`);
+  const placement = createAfterHerdKill(create, 7, keys);
+  const places = new Map(keys.map((key) => [key, toHostId('h0')]));
+  expect(getLoads(placement, 1)).toEqual([16]);
+  let moves = 0;
+  for (let move = placement.findMove(100); move !== undefined; move = placement.findMove(100)) {
+    const [key = ''] = [...places].find(([, host]) => host === move.from) ?? [];
+    placement.place(key, undefined);
+    place(placement, places, key, 100);
+    moves += 1;
+    expect(moves).toBeLessThanOrEqual(16);
+  }
+  expect(Math.max(...getLoads(placement, 8))).toBeLessThanOrEqual(4);
+});
+
+test('where half of the hosts stayed, the others start slowly', () => {
+  const placement = new Placement(new LeastLoadedNear());
+  const warmAtMs = [0, 0, 0, 0, SLOW_START_MS, SLOW_START_MS, SLOW_START_MS];
+  warmAtMs.forEach((warmMs, index) => addHost(placement, index, 0, warmMs));
+  for (let index = 0; index < 14; index++) {
+    placement.place(`k${index}`, placement.choose({ key: `k${index}` }, 100));
+  }
+  expect(getLoads(placement, 7).slice(4)).toEqual([0, 0, 0]);
+});
--- a/src/decisions/control/placement/placementPolicy.ts
+++ b/src/decisions/control/placement/placementPolicy.ts
@@ -4,6 +4,13 @@
 
 const MINIMUM_MOVE_DIFFERENCE = 2;
 const MOVE_SHARE_OF_MEAN = 0.25;
+/** Less than one resource: nearness decides between equal loads only. */
+const NEARNESS = 0.5;
+/**
+ * Times the mean that a host may carry so that others can start slowly. Where few hosts stayed, all
+ * that the others left would be more than they can serve.
+ */
+const SLOW_START_BURDEN = 2;
 
 /** Chooses a host for each resource, over an index of hosts by load. */
 export abstract class PlacementPolicy {
@@ -74,7 +81,11 @@
   findMove(nowMs: number): PlacementMove | undefined {
     this.finishWarming(nowMs);
     const least = this.warm.getLeast();
-    return this.findNearMove(this.chooseWarming({ key: '' }, nowMs) ?? least) ?? this.findFarMove();
+    return (
+      this.findNearMove(this.chooseWarming({ key: '' }, nowMs) ?? least) ??
+      this.findFarMove() ??
+      this.findRelief()
+    );
   }
 
   /** Whether a resource taken from a host would be placed on another one. */
@@ -106,6 +117,22 @@
       : undefined;
   }
 
+  /** A move to a host in slow start from one that carries too much for the others' slow start. */
+  private findRelief(): PlacementMove | undefined {
+    const from = this.warm.getMost();
+    const to = this.chooseAnyWarming();
+    if (from === undefined || to === undefined) {
+      return undefined;
+    }
+    const isRelieved = this.isRelievedBy(to, this.getLoad(from) - 1);
+    return isRelieved ? { from, to } : undefined;
+  }
+
+  /** Whether a host with that load has its share, and more than one in slow start. */
+  private isRelievedBy(to: HostId, load: number): boolean {
+    return load >= Math.ceil(this.getMean() * SLOW_START_BURDEN) && load > this.getLoad(to);
+  }
+
   /** Otherwise the resource would only change places with another of the same failure domain. */
   private isWorthMoving(from: HostId, nearest: HostId, to: HostId): boolean {
     return (
@@ -144,9 +171,21 @@
 
   private chooseAny(request: PlacementRequest, nowMs: number): HostId | undefined {
     this.finishWarming(nowMs);
-    return (
-      this.chooseWarming(request, nowMs) ?? this.chooseWarm(request) ?? this.chooseAnyWarming()
-    );
+    return this.chooseWarming(request, nowMs) ?? this.chooseBearable(request);
+  }
+
+  /** A host past its slow start, unless all of them carry too much for the slow start of others. */
+  private chooseBearable(request: PlacementRequest): HostId | undefined {
+    const warm = this.chooseWarm(request);
+    const least = this.warm.getLeast();
+    const warming = this.chooseAnyWarming(request.near);
+    if (warm === undefined || least === undefined || warming === undefined) {
+      return warm ?? warming;
+    }
+    if (!this.isRelievedBy(warming, this.getLoad(warm))) {
+      return warm;
+    }
+    return this.isRelievedBy(warming, this.getLoad(least)) ? warming : least;
   }
 
   /** A host in slow start that carries less than its growing share of the mean. */
@@ -165,14 +204,19 @@
     return undefined;
   }
 
-  private chooseAnyWarming(): HostId | undefined {
-    let least: HostId | undefined;
+  /** The host in slow start that carries least, a near one among equals. */
+  private chooseAnyWarming(near?: FailureDomain): HostId | undefined {
+    let best: HostId | undefined;
+    let bestLoad = Number.POSITIVE_INFINITY;
     for (const id of this.warming) {
-      if (least === undefined || this.getLoad(id) < this.getLoad(least)) {
-        least = id;
+      const isNear = near !== undefined && this.hosts.get(id)?.domain === near;
+      const load = this.getLoad(id) - (isNear ? NEARNESS : 0);
+      if (load < bestLoad) {
+        best = id;
+        bestLoad = load;
       }
     }
-    return least;
+    return best;
   }
 
   private finishWarming(nowMs: number): void {
