A host without a lease refuses at once and says why

What callers saw: in a split, 12 of 16 entry hosts had no lease for 6 s. They held requests of open sessions to the callers' deadline (237 logged lines FP3013 at entry.admit on hosts without a lease), or told them that the account is above its rate (FP4000, 283 lines), which wasn't the reason.

Cause: only new sessions were refused without a lease. What came over open ones waited for tokens and holders that a host without a lease can't reach.

Change: such a request waits a quarter of the latency that its caller wants, counted from the loss of the lease, and is then refused as not run with FP3005 and a time to come back; also what waited when the lease ended. What was sent to a holder still gets its answer. Callers that state no wanted latency wait as before (tests/failures/restart.test.ts, unchanged, not run here).

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -61,6 +61,7 @@
   private readonly holder: GroupHolder;
   private readonly rates: RateTask;
   private readonly dispatcher: Dispatcher;
+  private readonly requests: EntryRequests;
   private readonly operators: OperatorServer;
   private readonly callers: CallerFront | undefined;
   private readonly fronts: readonly DaemonFront[];
@@ -110,6 +111,7 @@
       records.isGroupHolder(group, wanted),
     );
     this.dispatcher = new Dispatcher(ids, timer, records, lease, this.holder, remote);
+    this.requests = this.createRequests();
     const parts = this.createParts();
     this.callers = options.interfaces.createCallers(parts);
     this.fronts = options.interfaces.createFronts(parts);
@@ -234,12 +236,18 @@
     );
   }
 
-  private createParts(): DaemonParts {
-    const { settings, files, timer, logger } = this.options;
+  private createRequests(): EntryRequests {
     const { ids, records, lease, rates, dispatcher, holder, mesh, metrics } = this;
+    const { timer } = this.options;
     const log = this.requestLog;
     const entry = { ids, timer, records, lease, rates, dispatcher, holder, mesh, metrics, log };
-    const requests = new EntryRequests(entry);
+    return new EntryRequests(entry);
+  }
+
+  private createParts(): DaemonParts {
+    const { settings, files, timer, logger } = this.options;
+    const { ids, records, lease, mesh, metrics, requests } = this;
+    const log = this.requestLog;
     const route = new ControlRoute(() => this.getControlAddresses());
     const control = new MeshControlClient(mesh, route, ids, timer, lease);
     const shared = { settings, files, timer, logger, log, metrics, records, lease };
@@ -292,6 +300,7 @@
     this.rates.leaseChanged();
     this.callers?.recordsChanged();
     this.dispatcher.recordsChanged();
+    this.requests.leaseChanged();
   }
 
   private updateMetrics(): void {
--- a/src/daemon/entry/dispatchedRequest.ts
+++ b/src/daemon/entry/dispatchedRequest.ts
@@ -28,6 +28,8 @@
   waitForHolder(dispatched: DispatchedRequest): void;
   /** Takes a request out that waits to be placed; false when it does not wait. */
   stopWaiting(dispatched: DispatchedRequest): boolean;
+  /** Why a request that waits to be placed can't be. */
+  createWaitFault(dispatched: DispatchedRequest): Fault;
 }
 
 /** One caller's request over all its attempts. */
@@ -90,6 +92,15 @@
     }
   }
 
+  /** Ends the wait for a holder without an answer; the fault that kept it waiting, if it waited. */
+  withdraw(): Fault | undefined {
+    if (!this.places.stopWaiting(this)) {
+      return undefined;
+    }
+    this.isEnded = true;
+    return this.places.createWaitFault(this);
+  }
+
   /** A cancelled request that waits for a holder is never placed. */
   private endWaiting(): boolean {
     if (!this.places.stopWaiting(this)) {
@@ -137,4 +148,9 @@
   override abandon(): void {
     this.dispatched.abandon();
   }
+
+  /** Takes a request back that waits for a holder, with why it waited; undefined when it does not. */
+  withdraw(): Fault | undefined {
+    return this.dispatched.withdraw();
+  }
 }
--- a/src/daemon/entry/dispatcher.ts
+++ b/src/daemon/entry/dispatcher.ts
@@ -38,7 +38,7 @@
   }
 
   /** Runs a request; its answer, or a fault that says whether it was run, goes to the receiver. */
-  dispatch(draft: RequestDraft, deadlineMs: number, receiver: ResponseReceiver): RunningRequest {
+  dispatch(draft: RequestDraft, deadlineMs: number, receiver: ResponseReceiver): DispatchHandle {
     const dispatched = new DispatchedRequest(draft, deadlineMs, receiver, this);
     this.place(dispatched);
     return new DispatchHandle(dispatched);
@@ -64,6 +64,16 @@
     return this.waiting.delete(dispatched);
   }
 
+  createWaitFault({ draft, lastFault }: DispatchedRequest): Fault {
+    const context = { step: 'entry.dispatch', execution: Execution.NotRun };
+    if (lastFault !== undefined) {
+      return lastFault;
+    }
+    return this.lease.isValid()
+      ? createFault(Diagnostics.NoHolder, { group: draft.group }, context)
+      : createFault(Diagnostics.LeaseExpired, {}, context);
+  }
+
   private place(dispatched: DispatchedRequest): void {
     this.waiting.delete(dispatched);
     const nowMs = this.timer.now();
@@ -112,14 +122,4 @@
       }
     }
   }
-
-  private createWaitFault({ draft, lastFault }: DispatchedRequest): Fault {
-    const context = { step: 'entry.dispatch', execution: Execution.NotRun };
-    if (lastFault !== undefined) {
-      return lastFault;
-    }
-    return this.lease.isValid()
-      ? createFault(Diagnostics.NoHolder, { group: draft.group }, context)
-      : createFault(Diagnostics.LeaseExpired, {}, context);
-  }
 }
--- /dev/null
+++ b/src/daemon/entry/entryRequests.test.ts
@@ -0,0 +1,182 @@
+import { expect, test } from 'vitest';
+import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
+import {
+  toAccountId,
+  toGroupId,
+  toIncarnation,
+  toLeaseId,
+  type RequestId,
+} from '../../common/ids/index.js';
+import { Logger, RequestLog } from '../../common/logging/index.js';
+import { Metrics } from '../../common/metrics/index.js';
+import { ManualTimerService } from '../../common/timer/index.js';
+import { DaemonRecords } from '../../decisions/control/index.js';
+import { HolderLease, type GroupHolder } from '../holder/index.js';
+import type { Mesh } from '../mesh/index.js';
+import type { RateTask } from '../rates/index.js';
+import {
+  RequestIds,
+  RequestKind,
+  ResponseReceiver,
+  type RequestOutcome,
+} from '../requests/index.js';
+import { Dispatcher, type RequestDraft } from './dispatcher.js';
+import { EntryRequests, OPEN_ACCOUNT } from './entryRequests.js';
+import type { RemoteRequests } from './remoteRequests.js';
+
+const TARGET_MS = 200;
+const DEADLINE_MS = 800;
+const LEASE_POLL_MS = 50;
+
+class SetLease extends HolderLease {
+  override readonly id = toLeaseId('life.1');
+  override leftMs = 1000;
+
+  override isValid(): boolean {
+    return this.leftMs > 0;
+  }
+}
+
+class KeepingReceiver extends ResponseReceiver {
+  outcome: RequestOutcome | undefined;
+
+  override accept(): void {
+    // No bytes come in these tests.
+  }
+
+  override finish(outcome: RequestOutcome): void {
+    this.outcome = outcome;
+  }
+}
+
+/** Account holders that answer when the test says so. */
+class SilentRates {
+  refusal: Fault | undefined;
+  readonly waiting = new Map<RequestId, (refusal: Fault | undefined) => void>();
+
+  admit(
+    { requestId }: { readonly requestId: RequestId },
+    callback: (refusal: Fault | undefined) => void,
+  ): void {
+    if (this.refusal === undefined) {
+      this.waiting.set(requestId, callback);
+    } else {
+      callback(this.refusal);
+    }
+  }
+
+  cancel(id: RequestId): void {
+    this.waiting.delete(id);
+  }
+}
+
+/** An entry host whose account holders don't answer and whose groups have no holder. */
+class EntryHost {
+  readonly timer = new ManualTimerService();
+  readonly lease = new SetLease();
+  readonly rates = new SilentRates();
+  readonly requests: EntryRequests;
+
+  constructor() {
+    const { timer, lease } = this;
+    const ids = new RequestIds(toIncarnation('life'));
+    const records = new DaemonRecords();
+    const holder = {} as unknown as GroupHolder;
+    const remote = {} as unknown as RemoteRequests;
+    this.requests = new EntryRequests({
+      ...{ ids, timer, records, lease, holder },
+      rates: this.rates as unknown as RateTask,
+      dispatcher: new Dispatcher(ids, timer, records, lease, holder, remote),
+      mesh: {} as unknown as Mesh,
+      metrics: new Metrics(),
+      log: new RequestLog(new Logger('error', {}, () => undefined), timer),
+    });
+  }
+
+  run(draft: Partial<RequestDraft> = {}): KeepingReceiver {
+    const receiver = new KeepingReceiver();
+    const deadlineMs = this.timer.now() + DEADLINE_MS;
+    this.requests.run({ ...PATIENT_DRAFT, targetMs: TARGET_MS, ...draft }, 1, deadlineMs, receiver);
+    return receiver;
+  }
+
+  /** The daemon notices after a while that its lease has ended or begun. */
+  setLease(leftMs: number): void {
+    this.lease.leftMs = leftMs;
+    this.timer.advance(LEASE_POLL_MS);
+    this.requests.leaseChanged();
+  }
+}
+
+/** Of a caller that wants no latency. */
+const PATIENT_DRAFT: RequestDraft = {
+  ...{ group: toGroupId('ledger'), account: toAccountId('mill'), kind: RequestKind.Write },
+  ...{ idempotent: false, mayCommit: true, closesConnection: false },
+  ...{ costClass: 'write', prepared: [], payload: new Uint8Array() },
+};
+
+function expectNoLease({ outcome }: KeepingReceiver): void {
+  const { code, execution } = outcome?.fault ?? {};
+  expect({ code, execution }).toEqual({
+    code: Diagnostics.LeaseExpired.code,
+    execution: Execution.NotRun,
+  });
+}
+
+test('a host that lost its lease does not hold what waits for tokens until the deadline', () => {
+  const host = new EntryHost();
+  const receiver = host.run();
+  host.setLease(0);
+  host.timer.advance(TARGET_MS / 4);
+  expectNoLease(receiver);
+  expect(host.rates.waiting.size).toBe(0);
+});
+
+test('a host that lost its lease does not hold what waits for a holder until the deadline', () => {
+  const host = new EntryHost();
+  const receiver = host.run({ account: OPEN_ACCOUNT });
+  host.setLease(0);
+  host.timer.advance(TARGET_MS / 4);
+  expectNoLease(receiver);
+  host.setLease(1000);
+  expect(host.timer.now()).toBeLessThan(DEADLINE_MS);
+});
+
+test('what comes to a host without a lease is refused at once, with its transaction', () => {
+  const host = new EntryHost();
+  host.setLease(0);
+  host.timer.advance(TARGET_MS);
+  expectNoLease(host.run());
+  const ended = host.run({ kind: RequestKind.End, transaction: 'open' });
+  expectNoLease(ended);
+  expect(ended.outcome?.transaction).toBe('open');
+});
+
+test('a short loss of the lease is waited out', () => {
+  const host = new EntryHost();
+  host.setLease(0);
+  const receiver = host.run();
+  host.timer.advance(TARGET_MS / 4 - 1);
+  host.setLease(1000);
+  host.timer.advance(TARGET_MS);
+  expect(receiver.outcome).toBeUndefined();
+  expect(host.rates.waiting.size).toBe(1);
+});
+
+test('a caller that wants no latency waits for the lease', () => {
+  const host = new EntryHost();
+  host.setLease(0);
+  const receiver = new KeepingReceiver();
+  host.requests.run(PATIENT_DRAFT, 1, DEADLINE_MS, receiver);
+  host.timer.advance(TARGET_MS);
+  expect(receiver.outcome).toBeUndefined();
+});
+
+test('a caller of a host without a lease is not told that its account is above its rate', () => {
+  const host = new EntryHost();
+  const values = { account: 'mill', rate: 5 };
+  host.rates.refusal = createFault(Diagnostics.RateExceeded, values, { step: 'rate.admit' });
+  expect(host.run().outcome?.fault?.code).toBe(Diagnostics.RateExceeded.code);
+  host.setLease(0);
+  expectNoLease(host.run());
+});
--- a/src/daemon/entry/entryRequests.ts
+++ b/src/daemon/entry/entryRequests.ts
@@ -2,7 +2,7 @@
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
 import { toAccountId, type GroupId, type RequestId } from '../../common/ids/index.js';
 import { ReadSource, RequestClass, type Metrics } from '../../common/metrics/index.js';
-import type { TimerService } from '../../common/timer/index.js';
+import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
 import type { DaemonRecords } from '../../decisions/control/index.js';
 import type { GroupHolder, HolderLease } from '../holder/index.js';
 import { MeshKind, type Mesh } from '../mesh/index.js';
@@ -18,10 +18,14 @@
   type RequestOutcome,
 } from '../requests/index.js';
 import { CallerRequests } from './callerRequests.js';
+import type { DispatchHandle } from './dispatchedRequest.js';
 import type { Dispatcher, RequestDraft } from './dispatcher.js';
+import { LeaseWait } from './leaseWait.js';
 
 /** Part of the wanted latency that a request may wait for tokens; beyond it, a refusal serves better. */
 const TOKEN_WAIT_SHARE = 0.25;
+/** When callers may ask again at a host without a lease: it renews about as often. */
+const LEASE_RETRY_MS = 250;
 
 const CLASSES: Readonly<Record<RequestKind, RequestClass>> = {
   [RequestKind.Read]: RequestClass.Read,
@@ -50,8 +54,20 @@
 
 /** Admits callers' requests under their accounts' rates and dispatches them. */
 export class EntryRequests extends CallerRequests {
+  private readonly leaseWait: LeaseWait;
+  private readonly admitted = new Set<AdmittedRequest>();
+
   constructor(private readonly context: EntryContext) {
     super();
+    this.leaseWait = new LeaseWait(context.timer, context.lease);
+  }
+
+  /** The lease began or ended: without one, what waits here is soon refused as not run. */
+  leaseChanged(): void {
+    this.leaseWait.observe();
+    for (const admitted of [...this.admitted]) {
+      admitted.checkLease();
+    }
   }
 
   override run(
@@ -60,7 +76,11 @@
     deadlineMs: number,
     receiver: ResponseReceiver,
   ): RunningRequest {
-    const admitted = new AdmittedRequest(draft, deadlineMs, receiver, this.context);
+    const { context, leaseWait } = this;
+    const admitted = new AdmittedRequest(draft, deadlineMs, receiver, context, leaseWait, () =>
+      this.admitted.delete(admitted),
+    );
+    this.admitted.add(admitted);
     admitted.start(statements);
     return admitted.handle;
   }
@@ -85,14 +105,17 @@
   private readonly id: RequestId;
   private readonly arrivedMs: number;
   private admittedMs: number | undefined;
-  private running: RunningRequest | undefined;
+  private running: DispatchHandle | undefined;
   private ended = false;
+  private stopWaitingForLease: Unsubscribe | undefined;
 
   constructor(
     private readonly draft: RequestDraft,
     private readonly deadlineMs: number,
     private readonly receiver: ResponseReceiver,
     private readonly context: EntryContext,
+    private readonly leaseWait: LeaseWait,
+    private readonly onEnded: () => void,
   ) {
     super();
     this.id = context.ids.next();
@@ -102,6 +125,10 @@
 
   /** Asks for tokens; what was paid for, or only frees what is held, needs none. */
   start(statements: number): void {
+    this.checkLease();
+    if (this.ended) {
+      return;
+    }
     const { draft, id, deadlineMs, context } = this;
     const account = context.records.getAccount(draft.account);
     const cost = Math.min(Math.max(1, statements), Math.floor(account?.burst ?? 1));
@@ -119,11 +146,26 @@
       if (refusal === undefined) {
         this.dispatch();
       } else {
-        this.refuse(refusal);
+        // Without a lease no holder is asked, so that the account's rate is not what it lacks.
+        this.refuse(context.lease.isValid() ? refusal : createNoLease());
       }
     });
   }
 
+  /** Refuses what waits for a lease longer than serves its caller, who may reach another host. */
+  checkLease(): void {
+    this.stopWaitingForLease?.();
+    const leftMs = this.leaseWait.getLeftMs(this.draft.targetMs);
+    if (this.ended || leftMs === undefined) {
+      return;
+    }
+    if (leftMs > 0) {
+      this.stopWaitingForLease = this.context.timer.once(leftMs, () => this.checkLease());
+    } else {
+      this.withdraw();
+    }
+  }
+
   override accept(bytes: Uint8Array): void {
     this.receiver.accept(bytes);
   }
@@ -133,6 +175,8 @@
       return;
     }
     this.ended = true;
+    this.stopWaitingForLease?.();
+    this.onEnded();
     this.record(outcome);
     this.receiver.finish(outcome);
   }
@@ -152,6 +196,19 @@
     }
   }
 
+  /** Ends a request that waits for tokens or a holder; one that was sent may still be answered. */
+  private withdraw(): void {
+    if (this.running !== undefined) {
+      const fault = this.running.withdraw();
+      if (fault !== undefined) {
+        this.refuse(fault);
+      }
+    } else {
+      this.context.rates.cancel(this.id);
+      this.refuse(createNoLease());
+    }
+  }
+
   private dispatch(): void {
     this.admittedMs = this.context.timer.now();
     this.context.metrics.getAccount(this.draft.account).recordAdmitted();
@@ -229,6 +286,11 @@
   return Math.round(durationMs);
 }
 
+function createNoLease(): Fault {
+  const context = { step: 'entry.lease', retryAfterMs: LEASE_RETRY_MS };
+  return createFault(Diagnostics.LeaseExpired, {}, context);
+}
+
 function createCancelled(): Fault {
   return createFault(Diagnostics.RequestCancelled, {}, { step: 'entry.admit' });
 }
