Links to busy hosts are waited for, and what waits goes over whichever opens first

What callers saw: a split ended at 12.7 s and leases were back by 13.7 s, but until 18 s requests and rate tokens for two of four holders reached none (FP8504 "No link could be opened", FP3013 while waiting for tokens).

Cause: a link that was still to be greeted was given up after the same 800 ms as a silent one, and dialled anew. Hosts that are short of processor time get to new connections later than that, so each was spent on a caller that had hung up; what waited on it was lost. Retries made by a time-out, at the host that has least to spare. The last of the 48 links between the two sides opened 5.3 s after the split.

Change: once the other host took the connection (TCP), its process has 3 s to greet; until then, and once greeted, 800 ms as before. What waits on a link goes over the one that the other side opens meanwhile, which was spoken over already.

Ruled out: leases (in force by 13.7 s) and placement (holders were spread by then).

--- a/src/daemon/mesh/mesh.ts
+++ b/src/daemon/mesh/mesh.ts
@@ -10,7 +10,7 @@
 import type { TimerService } from '../../common/timer/index.js';
 import { splitAddress } from '../../common/settings/index.js';
 import { MeshKind } from './meshKind.js';
-import { MESH_VERSION, MeshLink, type MeshLinkOwner } from './meshLink.js';
+import { GREETING_LIMIT_MS, MESH_VERSION, MeshLink, type MeshLinkOwner } from './meshLink.js';
 import type { Hello, MeshMessage } from './meshMessage.js';
 import type { MeshOptions } from './meshOptions.js';
 
@@ -100,7 +100,7 @@
     if (known !== undefined && !known.isClosed) {
       return known;
     }
-    const link = this.addLink(address, this.dial(address));
+    const link = this.dial(address);
     this.routes.set(address, link);
     return link;
   }
@@ -174,6 +174,7 @@
     const isOpen = known?.isClosed === false;
     if (!isOpen || known.peer?.incarnation !== link.peer?.incarnation) {
       this.routes.set(link.target, link);
+      known?.handOver(link);
     }
   }
 
@@ -183,13 +184,25 @@
     return link;
   }
 
-  private dial(address: string): WebSocket {
+  private dial(address: string): MeshLink {
+    let reached: () => void = () => undefined;
+    const socket = this.createSocket(address, () => reached());
+    const link = this.addLink(address, socket);
+    reached = () => link.reached();
+    return link;
+  }
+
+  private createSocket(address: string, onReached: () => void): WebSocket {
     const { tls, maximumFrameBytes, listen } = this.options;
     const options: ClientOptions = {
       localAddress: splitAddress(listen).host,
       maxPayload: maximumFrameBytes,
       perMessageDeflate: false,
-      handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
+      handshakeTimeout: GREETING_LIMIT_MS,
+      finishRequest: (request) => {
+        request.once('socket', (connection) => connection.once('connect', onReached));
+        request.end();
+      },
     };
     if (tls === undefined) {
       return new WebSocket(`ws://${address}`, options);
@@ -204,8 +217,6 @@
   }
 }
 
-const HANDSHAKE_TIMEOUT_MS = 1000;
-
 function createHello(options: MeshOptions, address: string): Hello {
   const { host, incarnation } = options;
   return { kind: MeshKind.Hello, version: MESH_VERSION, host, incarnation, address };
--- a/src/daemon/mesh/meshLink.ts
+++ b/src/daemon/mesh/meshLink.ts
@@ -9,6 +9,11 @@
 
 const HEARTBEAT_INTERVAL_MS = 250;
 const SILENCE_LIMIT_MS = 800;
+/**
+ * Time for a host that took the connection to greet. One that is overloaded gets to it late, and each
+ * connection given up before costs it the work of another.
+ */
+export const GREETING_LIMIT_MS = 3000;
 const FINISH_LIMIT_MS = 200;
 const MAXIMUM_WAITING_FRAMES = 10_000;
 
@@ -32,6 +37,8 @@
   /** This side opened the link and asks the other one for signs of life. */
   private readonly isOpener: boolean;
   private closed = false;
+  /** The other host took the connection; its process may not have seen it yet. */
+  private isReached = false;
   private lastHeardMs: number;
   private lastTickMs: number;
   private lastSentMs: number;
@@ -75,6 +82,19 @@
     return this.socket.bufferedAmount;
   }
 
+  /** Notes that the other host took the connection. */
+  reached(): void {
+    this.isReached = true;
+    this.lastHeardMs = this.timer.now();
+  }
+
+  /** Gives what waits for the greeting to a link that was opened sooner. */
+  handOver(link: MeshLink): void {
+    for (const message of this.waiting.splice(0)) {
+      link.send(message);
+    }
+  }
+
   /** Sends a message, after the greeting when that is still to come. */
   send(message: MeshMessage): void {
     if (this.closed) {
@@ -187,7 +207,8 @@
       this.lastHeardMs = nowMs;
     }
     const silentMs = nowMs - this.lastHeardMs;
-    if (silentMs > SILENCE_LIMIT_MS) {
+    const isAwaitingGreeting = this.isReached && this.peer === undefined;
+    if (silentMs > (isAwaitingGreeting ? GREETING_LIMIT_MS : SILENCE_LIMIT_MS)) {
       this.close(`no sign for ${Math.round(silentMs)} ms`);
       return;
     }
