--- a/src/daemon/mesh/meshLink.ts
+++ b/src/daemon/mesh/meshLink.ts
@@ -14,6 +14,11 @@
 const REST_AFTER_MS = 2000;
 /** Time between heartbeats of a link at rest. */
 const REST_INTERVAL_MS = 1000;
+/**
+ * Time for a host that took the connection to greet. One that is overloaded gets to it late, and each
+ * connection given up before costs it the work of another.
+ */
+export const GREETING_LIMIT_MS = 3000;
 const FINISH_LIMIT_MS = 200;
 const MAXIMUM_WAITING_FRAMES = 10_000;
 
@@ -37,6 +42,8 @@
   /** This side opened the link and asks the other one for signs of life. */
   private readonly isOpener: boolean;
   private closed = false;
+  /** The other host took the connection; its process may not have seen it yet. */
+  private isReached = false;
   private lastHeardMs: number;
   private lastTickMs: number;
   private lastSentMs: number;
@@ -81,6 +88,19 @@
     return this.socket.bufferedAmount;
   }
 
+  /** Notes that the other host took the connection. */
+  reached(): void {
+    this.isReached = true;
+    this.lastHeardMs = this.timer.now();
+  }
+
+  /** Gives what waits for the greeting to a link that was opened sooner. */
+  handOver(link: MeshLink): void {
+    for (const message of this.waiting.splice(0)) {
+      link.send(message);
+    }
+  }
+
   /** Sends a message, after the greeting when that is still to come. */
   send(message: MeshMessage): void {
     if (this.closed) {
@@ -136,7 +156,7 @@
     }
     const isAtRest = this.isAtRest(nowMs);
     const silentMs = nowMs - this.lastHeardMs;
-    if (silentMs > SILENCE_LIMIT_MS + (isAtRest ? REST_INTERVAL_MS : 0)) {
+    if (silentMs > this.getSilenceLimitMs(isAtRest)) {
       this.close(`no sign for ${Math.round(silentMs)} ms`);
       return;
     }
@@ -225,6 +245,13 @@
     this.lastUsedMs = nowMs;
   }
 
+  private getSilenceLimitMs(isAtRest: boolean): number {
+    if (this.isReached && this.peer === undefined) {
+      return GREETING_LIMIT_MS;
+    }
+    return isAtRest ? SILENCE_LIMIT_MS + REST_INTERVAL_MS : SILENCE_LIMIT_MS;
+  }
+
   private isAtRest(nowMs: number): boolean {
     return nowMs - this.lastUsedMs >= REST_AFTER_MS;
   }
