Writes that a full disk refuses wait for room; the control host stays up

What callers and operators saw: a control host whose disk was full ended with exit code 1 and was started into the same full disk every 1.2 s; a leader's end cost an election. Reported from systems like ours: disks of counted hosts full in turn, changes refused long after. The lasting refusal did not show here; the ends and delays did.

Cause: FileLogStorage took each refused operation, also a write for want of room, for a disk that can't be trusted.

Change: ENOSPC and EDQUOT outside of a sync become DiskFull. The segment is cut back to its last whole record, the cut is synced, and the write tried again every 100 ms with all that follows it in order; the log in memory applies a change once. A new segment is tried again from its first file, and what is unused is removed only after it stands. Opening needs no room; founding waits under one name; close ends the wait. A failed sync stays final. A member whose disk has not taken a change for 200 ms starts no campaign, grants no pre-vote and repeats no request; held messages are bounded (256). After 10 s full a host stops asking to be a member and hands leadership over where the others hold everything. FP5103, FP5104, filbertpoint_control_log_refused_seconds.

Ruled out: retrying a failed sync (what was promised may be gone), handing leadership over at once (an election for what passes in seconds while the others commit), ending the process (the next one finds the same disk).

--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -159,6 +159,8 @@
   RecordCorrupt: error(5100, 'Stored file {file} is corrupt at offset {offset}: {reason}.'),
   StorageFailed: error(5101, 'Storage failed on {file}: {reason}.'),
   LogTailRepaired: warning(5102, 'Dropped {size} bytes of an unfinished record from {file}.'),
+  DiskRefusesWrites: warning(5103, 'The disk refuses writes; they wait for room: {reason}.'),
+  DiskTakesWrites: message(5104, 'The disk takes writes again after {ms} ms.'),
 
   // 6000: tickets, leases, promotion
   TicketInvalid: refusal(6000, 'The ticket is not valid at {path}: {expected}'),
--- a/src/common/metrics/metrics.test.ts
+++ b/src/common/metrics/metrics.test.ts
@@ -123,6 +123,7 @@
   metrics.setResourceLeases(3, 4);
   metrics.setRevision(toRevision(17));
   metrics.setControlTerm(5);
+  metrics.setRefusedWrites(2500);
   metrics.setGroupTerm(toGroupId('jiwe-1'), toTerm(9));
   metrics.setGroupTerm(toGroupId('jiwe-2'), toTerm(9));
   metrics.removeGroup(toGroupId('jiwe-2'));
@@ -137,6 +138,7 @@
       "filbertpoint_resource_leases{kind="account"} 4",
       "filbertpoint_configuration_revision 17",
       "filbertpoint_control_term 5",
+      "filbertpoint_control_log_refused_seconds 2.5",
       "filbertpoint_group_term{group="jiwe-1"} 9",
     ]
   `);
--- a/src/common/metrics/metrics.ts
+++ b/src/common/metrics/metrics.ts
@@ -14,6 +14,7 @@
 /** Accounts and groups with labels of their own; those beyond share the label `other`. */
 export const MAXIMUM_LABELS = 100;
 
+const MS_PER_SECOND = 1000;
 const OTHER_LABEL = 'other';
 /** The metrics of one daemon, on a registry of its own. */
 export class Metrics {
@@ -30,6 +31,7 @@
   private readonly accountLeases: Gauge.Internal<'kind'>;
   private readonly revision: Gauge;
   private readonly controlTerm: Gauge;
+  private readonly refusedWrites: Gauge;
   private readonly groupTerm: Gauge<'group'>;
 
   constructor(private readonly maximumLabels = MAXIMUM_LABELS) {
@@ -53,6 +55,9 @@
     this.accountLeases = leases.labels('account');
     this.revision = this.createGauge('configuration_revision', 'Revision that was applied.');
     this.controlTerm = this.createGauge('control_term', 'Newest term of the control quorum.');
+    const help =
+      'Time for which the disk of the control log has refused writes; 0 while it takes them.';
+    this.refusedWrites = this.createGauge('control_log_refused_seconds', help);
     this.groupTerm = this.createGauge('group_term', 'Term of each group held here.', 'group');
   }
 
@@ -100,6 +105,11 @@
     this.controlTerm.set(term);
   }
 
+  /** Sets for how long the disk of the control log has refused writes, in milliseconds. */
+  setRefusedWrites(refusedMs: number): void {
+    this.refusedWrites.set(refusedMs / MS_PER_SECOND);
+  }
+
   /** Sets the term of a database group that this daemon holds; groups beyond the bound are left out. */
   setGroupTerm(group: GroupId, term: Term): void {
     if (this.groups.has(group) || this.groups.size < this.maximumLabels) {
--- a/src/daemon/control/controlHost.ts
+++ b/src/daemon/control/controlHost.ts
@@ -10,6 +10,7 @@
   type MemberId,
 } from '../../decisions/consensus/index.js';
 import {
+  canKeepLog,
   CommandKind,
   ControlInputKind,
   ControlLeader,
@@ -110,6 +111,16 @@
     return this.member.term;
   }
 
+  /** For how long the disk has refused writes, in milliseconds; undefined while it takes them. */
+  get refusedMs(): number | undefined {
+    return this.member.refusedMs;
+  }
+
+  /** Whether this host can be a member: its disk takes writes, or has refused them for a short time only. */
+  get canBeMember(): boolean {
+    return canKeepLog(this.refusedMs);
+  }
+
   /** Begins to take part in the quorum. */
   start(): void {
     const { timer, processStartMs } = this.options;
@@ -118,6 +129,9 @@
       timer.subscribe(TICK_INTERVAL_MS, () => this.tell({ kind: ControlInputKind.Tick })),
       timer.subscribe(MEMBERSHIP_INTERVAL_MS, (nowMs) => {
         this.keeper.check(nowMs);
+        if (!this.canBeMember) {
+          this.member.yieldLeadership();
+        }
         this.forgetClosedSearchers();
       }),
     );
--- a/src/daemon/control/quorumMember.ts
+++ b/src/daemon/control/quorumMember.ts
@@ -75,6 +75,7 @@
   private readonly stopTicks: Unsubscribe;
   private readonly inputs: ConsensusInput<Command>[] = [];
   private handling = false;
+  private isStopped = false;
   private appliedIndex = 0;
 
   constructor(
@@ -123,6 +124,11 @@
     return this.member.isMembershipCommitted;
   }
 
+  /** For how long changes have waited for room on the disk, in milliseconds; undefined if none does. */
+  get refusedMs(): number | undefined {
+    return this.storage.refusedMs;
+  }
+
   /** Whether this member leads and no other can, at this very moment. */
   isLeaseValid(): boolean {
     return this.member.isLeaseValid(this.timer.now());
@@ -169,7 +175,16 @@
     this.input({ kind: InputKind.TransferLeadership });
   }
 
+  /** Hands leadership over where the others hold all that was proposed, and so can lead without this disk. */
+  yieldLeadership(): void {
+    const { commitIndex, lastIndex } = this.member;
+    if (this.isLeader && commitIndex === lastIndex) {
+      this.transferLeadership();
+    }
+  }
+
   async stop(): Promise<void> {
+    this.isStopped = true;
     this.stopTicks();
     this.failPending();
     await this.storage.close();
@@ -240,10 +255,17 @@
   private persist(change: PersistOutput<Command>): void {
     void this.storage.persist(change).match(
       (sequence) => this.input({ kind: InputKind.Persisted, sequence }),
-      (fault) => this.listener.storageFailed(fault),
+      (fault) => this.failStorage(fault),
     );
   }
 
+  /** What waits for room on a full disk when the host stops was never promised. */
+  private failStorage(fault: Fault): void {
+    if (!this.isStopped) {
+      this.listener.storageFailed(fault);
+    }
+  }
+
   private apply(entries: readonly LogEntry<Command>[]): void {
     for (const entry of entries) {
       this.appliedIndex = entry.index;
--- a/src/daemon/createControlHost.ts
+++ b/src/daemon/createControlHost.ts
@@ -49,7 +49,7 @@
 export function createControlHost(context: ControlHostContext): Outcome<ControlHost> {
   const { settings, mesh, timer, logger, random, ids, platform, control, onFatal } = context;
   const folder = join(settings.data_folder ?? '.', LOG_FOLDER);
-  const storage = new FileLogStorage<Command>(new FolderDisk(folder));
+  const storage = new FileLogStorage<Command>(new FolderDisk(folder), timer, logger);
   const state = new ControlState();
   return storage
     .open(() => createFounding(context))
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -247,9 +247,11 @@
   }
 
   /** This host as a member of the quorum, where it is admitted without a ticket. */
-  private getMembership({ identity }: ControlHost): { readonly member?: ControlMember } {
+  private getMembership({ identity, canBeMember }: ControlHost): {
+    readonly member?: ControlMember;
+  } {
     const { settings } = this.options;
-    if (!settings.control.admits_members) {
+    if (!settings.control.admits_members || !canBeMember) {
       return {};
     }
     const host = toHostId(settings.host);
@@ -299,6 +301,7 @@
     this.metrics.setResourceLeases(this.holder.count, this.rates.count);
     this.metrics.setRevision(this.records.revision);
     this.metrics.setControlTerm(this.control?.term ?? 0);
+    this.metrics.setRefusedWrites(this.control?.refusedMs ?? 0);
     this.metrics.instances.setReadings(this.holder.getReadings());
     this.metrics.setConnections(ConnectionSide.Callers, this.callers?.count ?? 0);
     this.metrics.setConnections(ConnectionSide.Backend, this.holder.connectionCount);
--- a/src/daemon/storage/disk.ts
+++ b/src/daemon/storage/disk.ts
@@ -1,4 +1,7 @@
-/** Files of one folder. Every promise is rejected with the system's error when it fails. */
+/**
+ * Files of one folder. Every promise is rejected with the system's error when it fails; what is refused
+ * for want of room with `DiskFull`, but never a sync: after a failed one nobody knows what is stored.
+ */
 export abstract class Disk {
   /** Names of all files. */
   abstract list(): Promise<readonly string[]>;
--- a/src/daemon/storage/fileLogStorage.test.ts
+++ b/src/daemon/storage/fileLogStorage.test.ts
@@ -3,99 +3,22 @@
 import { join } from 'node:path';
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
+import { ChangeMaker } from '../../../tests/support/storage/changeMaker.js';
 import { FakeDisk } from '../../../tests/support/storage/fakeDisk.js';
-import { SeededRandom } from '../../../tests/support/seededRandom.js';
 import {
-  createEmptyState,
-  EntryKind,
-  OutputKind,
-  StoredLog,
-  toMemberId,
-  type LogEntry,
-  type PersistOutput,
-  type StoredState,
-} from '../../decisions/consensus/index.js';
-import { FileLogStorage, FolderDisk, type Disk, type LogFounding } from './index.js';
+  createFounding,
+  createStorage,
+  openState,
+} from '../../../tests/support/storage/openState.js';
+import { SeededRandom } from '../../../tests/support/seededRandom.js';
+import { createEmptyState, OutputKind, StoredLog } from '../../decisions/consensus/index.js';
+import { FolderDisk } from './index.js';
 
 const SEED = 20261204;
-const identity = toMemberId('member-1');
-
-function createFounding(): LogFounding<string> {
-  return { identity, state: createEmptyState() };
-}
-
-/** Makes valid changes: votes, appended entries, truncations and snapshots. */
-class ChangeMaker {
-  private sequence = 0;
-  private term = 0;
-  private lastIndex = 0;
-  private snapshotIndex = 0;
-
-  constructor(private readonly random: SeededRandom) {}
-
-  next(): PersistOutput<string> {
-    this.sequence++;
-    const base = {
-      kind: OutputKind.Persist as const,
-      sequence: this.sequence,
-      hardState: undefined,
-      snapshot: undefined,
-      truncateFrom: undefined,
-      entries: [],
-    };
-    const choice = this.random.next();
-    if (choice < 0.2) {
-      this.term++;
-      return { ...base, hardState: { term: this.term, votedFor: identity } };
-    }
-    if (choice < 0.35 && this.lastIndex > this.snapshotIndex) {
-      this.snapshotIndex += 1 + this.random.nextBelow(this.lastIndex - this.snapshotIndex);
-      const state = new TextEncoder().encode(`state ${this.snapshotIndex}`);
-      const membership = { voters: [identity], learners: [] };
-      const snapshot = { index: this.snapshotIndex, term: this.term, membership, state };
-      return { ...base, snapshot };
-    }
-    return { ...base, ...this.append() };
-  }
-
-  private append(): Pick<PersistOutput<string>, 'truncateFrom' | 'entries'> {
-    const kept =
-      this.snapshotIndex + this.random.nextBelow(this.lastIndex - this.snapshotIndex + 1);
-    const truncates = this.random.chance(0.3) && kept < this.lastIndex;
-    this.lastIndex = truncates ? kept : this.lastIndex;
-    const truncateFrom = truncates ? this.lastIndex + 1 : undefined;
-    const entries: LogEntry<string>[] = [];
-    const count = this.random.nextBelow(4);
-    for (let added = 0; added < count; added++) {
-      this.lastIndex++;
-      const command = `command ${this.lastIndex} ${'x'.repeat(this.random.nextBelow(40))}`;
-      entries.push({
-        kind: EntryKind.Command,
-        index: this.lastIndex,
-        term: this.term,
-        command,
-        sizeBytes: command.length,
-      });
-    }
-    return { truncateFrom, entries };
-  }
-}
-
-async function openState(disk: Disk): Promise<StoredState<string>> {
-  const opened = await new FileLogStorage<string>(disk).open(createFounding);
-  return toComparable(opened._unsafeUnwrap().state);
-}
-
-function toComparable(state: StoredState<string>): StoredState<string> {
-  const { snapshot } = state;
-  return snapshot === undefined
-    ? state
-    : { ...state, snapshot: { ...snapshot, state: Uint8Array.from(snapshot.state) } };
-}
 
 /** Writes changes until the power is cut; returns the state after each prefix of the changes. */
 async function writeUntilCut(disk: FakeDisk, random: SeededRandom) {
-  const storage = new FileLogStorage<string>(disk);
+  const storage = createStorage(disk);
   (await storage.open(createFounding))._unsafeUnwrap();
   const maker = new ChangeMaker(random);
   const log = new StoredLog<string>(createEmptyState());
@@ -138,7 +61,7 @@
   const property = fc.asyncProperty(fc.integer(), async (seed) => {
     const random = new SeededRandom(seed);
     const disk = new FakeDisk();
-    const storage = new FileLogStorage<string>(disk);
+    const storage = createStorage(disk);
     (await storage.open(createFounding))._unsafeUnwrap();
     const maker = new ChangeMaker(random);
     for (let count = 0; count < 10; count++) {
@@ -146,7 +69,7 @@
     }
     const file = random.pick(disk.getNames()) ?? '';
     disk.flipBit(file, random.nextBelow(disk.getSize(file) * 8));
-    const opened = await new FileLogStorage<string>(disk).open(createFounding);
+    const opened = await createStorage(disk).open(createFounding);
     const fault = opened._unsafeUnwrapErr();
     expect(fault.message).toContain(`Stored file ${file} is corrupt at offset`);
     expect(fault.peer).toBe(file);
@@ -156,7 +79,7 @@
 
 test('changes of one turn share one sync, and a failed disk fails every later change', async () => {
   const disk = new FakeDisk();
-  const storage = new FileLogStorage<string>(disk);
+  const storage = createStorage(disk);
   (await storage.open(createFounding))._unsafeUnwrap();
   const before = disk.syncCount;
   const votes = [1, 2, 3].map((sequence) =>
@@ -181,11 +104,11 @@
 
 test('a folder without its identity but with changes is refused', async () => {
   const disk = new FakeDisk();
-  const storage = new FileLogStorage<string>(disk);
+  const storage = createStorage(disk);
   (await storage.open(createFounding))._unsafeUnwrap();
   (await storage.persist(new ChangeMaker(new SeededRandom(3)).next()))._unsafeUnwrap();
   await disk.remove('identity');
-  const fault = (await new FileLogStorage<string>(disk).open(createFounding))._unsafeUnwrapErr();
+  const fault = (await createStorage(disk).open(createFounding))._unsafeUnwrapErr();
   expect(fault.message).toMatchInlineSnapshot(
     `"Stored file identity is corrupt at offset 0: missing although segment-000000000001 is there."`,
   );
@@ -195,7 +118,7 @@
   const folder = await mkdtemp(join(tmpdir(), 'filbertpoint-log-'));
   try {
     const disk = new FolderDisk(folder);
-    const storage = new FileLogStorage<string>(disk);
+    const storage = createStorage(disk);
     (await storage.open(createFounding))._unsafeUnwrap();
     const maker = new ChangeMaker(new SeededRandom(7));
     const log = new StoredLog<string>(createEmptyState());
--- a/src/daemon/storage/fileLogStorage.ts
+++ b/src/daemon/storage/fileLogStorage.ts
@@ -5,7 +5,9 @@
   Diagnostics,
   Fault,
 } from '../../common/diagnostics/index.js';
+import type { Logger } from '../../common/logging/index.js';
 import type { Outcome } from '../../common/result.js';
+import type { TimerService } from '../../common/timer/index.js';
 import {
   StoredLog,
   type PersistOutput,
@@ -13,11 +15,13 @@
   type StoredChange,
 } from '../../decisions/consensus/index.js';
 import type { Disk } from './disk.js';
-import { openLogFolder, type LogFolder } from './logFolder.js';
+import { openLogFolder, tryRemoveUnused, type LogFolder } from './logFolder.js';
 import { LogStorage, type LogFounding, type OpenedLog } from './logStorage.js';
 import { encodeRecord } from './recordCodec.js';
 import { replaceFile } from './replaceFile.js';
+import { RoomWait } from './roomWait.js';
 import { getSegmentName, getSnapshotName, type SegmentHeader } from './segmentFile.js';
+import { SegmentTail } from './segmentTail.js';
 
 interface QueuedChange<Command> {
   readonly change: PersistOutput<Command>;
@@ -27,7 +31,8 @@
 /**
  * Keeps the log in files: one segment, which begins with the state at its start and grows by one
  * record for each group of changes, and the snapshot that it refers to. A new snapshot starts a
- * new segment, and the former files are removed.
+ * new segment, and the former files are removed. What a full disk refuses waits, with all that follows
+ * it, until there is room.
  */
 export class FileLogStorage<Command> extends LogStorage<Command> {
   private folder: LogFolder<Command> | undefined;
@@ -36,13 +41,26 @@
   private writing: Promise<void> | undefined;
   private failure: Fault | undefined;
   private lastSequence = 0;
+  private readonly room: RoomWait;
 
-  constructor(private readonly disk: Disk) {
+  constructor(
+    private readonly disk: Disk,
+    timer: TimerService,
+    logger: Logger,
+  ) {
     super();
+    this.room = new RoomWait(timer, logger);
+  }
+
+  override get refusedMs(): number | undefined {
+    return this.room.refusedMs;
   }
 
   override open(createFounding: () => LogFounding<Command>): Outcome<OpenedLog<Command>> {
-    return ResultAsync.fromPromise(this.read(createFounding), toStorageFault);
+    let founding: LogFounding<Command> | undefined;
+    const read = (): Promise<OpenedLog<Command>> =>
+      this.read(() => (founding ??= createFounding()));
+    return ResultAsync.fromPromise(this.room.run(read), toStorageFault);
   }
 
   override persist(change: PersistOutput<Command>): Outcome<number> {
@@ -56,6 +74,7 @@
   }
 
   override close(): Outcome<void> {
+    this.room.end();
     const closed = Promise.resolve(this.writing).then(() => this.disk.close());
     return ResultAsync.fromPromise(closed, toStorageFault);
   }
@@ -90,7 +109,9 @@
   private async tryWrite(changes: readonly PersistOutput<Command>[]): Promise<Fault | undefined> {
     try {
       if (this.failure === undefined) {
-        await this.write(changes);
+        const { folder, log } = this.getOpened();
+        changes.forEach((change) => log.apply(change));
+        await this.room.run(() => this.write(folder, log, changes));
       }
     } catch (cause) {
       this.failure = toStorageFault(cause);
@@ -98,22 +119,29 @@
     return this.failure;
   }
 
-  private async write(changes: readonly PersistOutput<Command>[]): Promise<void> {
+  private getOpened() {
     const { folder, log } = this;
     if (folder === undefined || log === undefined) {
       throw new Error('the log is not open');
     }
-    for (const change of changes) {
-      log.apply(change);
-    }
+    return { folder, log };
+  }
+
+  /** Writes changes that the log has applied; may be called again after DiskFull. */
+  private async write(
+    folder: LogFolder<Command>,
+    log: StoredLog<Command>,
+    changes: readonly PersistOutput<Command>[],
+  ): Promise<void> {
     const snapshot = changes[0]?.snapshot;
     if (snapshot !== undefined) {
       this.folder = await this.startSegment(folder, log, snapshot);
       return;
     }
-    const file = getSegmentName(folder.segment);
-    await this.disk.append(file, encodeRecord(changes.map(toStoredChange)));
-    await this.disk.sync(file);
+    await folder.tail.append(encodeRecord(changes.map(toStoredChange)));
+    if (!folder.isClean) {
+      this.folder = { ...folder, isClean: await tryRemoveUnused(this.disk, folder) };
+    }
   }
 
   private async startSegment(
@@ -127,13 +155,13 @@
     const { hardState, entries } = log.getState();
     const { identity } = folder;
     const header: SegmentHeader<Command> = { identity, snapshotFile, hardState, entries };
+    const record = encodeRecord(header);
     const segment = folder.segment + 1;
-    await replaceFile(disk, getSegmentName(segment), encodeRecord(header));
-    await disk.remove(getSegmentName(folder.segment));
-    if (folder.snapshotFile !== undefined && folder.snapshotFile !== snapshotFile) {
-      await disk.remove(folder.snapshotFile);
-    }
-    return { ...folder, segment, snapshotFile };
+    const file = getSegmentName(segment);
+    await replaceFile(disk, file, record);
+    const tail = new SegmentTail(disk, file, record.byteLength, true);
+    const started = { ...folder, segment, tail, snapshotFile };
+    return { ...started, isClean: await tryRemoveUnused(disk, started) };
   }
 }
 
--- a/src/daemon/storage/folderDisk.ts
+++ b/src/daemon/storage/folderDisk.ts
@@ -1,8 +1,12 @@
 import { mkdir, open, readdir, readFile, rename, rm, type FileHandle } from 'node:fs/promises';
 import { join } from 'node:path';
 import { Disk } from './disk.js';
+import { DiskFull } from './diskFull.js';
 
 const FILE_MODE = 0o600;
+/** No room on the file system; no room within the quota of the user. */
+const FULL_CODES: readonly unknown[] = ['ENOSPC', 'EDQUOT'];
+const MISSING_CODE = 'ENOENT';
 
 /** A folder of the file system. */
 export class FolderDisk extends Disk {
@@ -13,8 +17,15 @@
   }
 
   override async list(): Promise<readonly string[]> {
-    await mkdir(this.folder, { recursive: true });
-    return readdir(this.folder);
+    try {
+      return await readdir(this.folder);
+    } catch (cause) {
+      if (getCode(cause) !== MISSING_CODE) {
+        throw cause;
+      }
+    }
+    await refuseFull(mkdir(this.folder, { recursive: true }));
+    return [];
   }
 
   override read(file: string): Promise<Uint8Array> {
@@ -22,13 +33,13 @@
   }
 
   override async append(file: string, bytes: Uint8Array): Promise<void> {
-    const handle = await this.open(file);
-    await handle.appendFile(bytes);
+    const handle = await refuseFull(this.open(file));
+    await refuseFull(handle.appendFile(bytes));
   }
 
   override async truncate(file: string, size: number): Promise<void> {
-    const handle = await this.open(file);
-    await handle.truncate(size);
+    const handle = await refuseFull(this.open(file));
+    await refuseFull(handle.truncate(size));
   }
 
   override async sync(file: string): Promise<void> {
@@ -48,12 +59,12 @@
   override async rename(from: string, to: string): Promise<void> {
     await this.release(from);
     await this.release(to);
-    await rename(join(this.folder, from), join(this.folder, to));
+    await refuseFull(rename(join(this.folder, from), join(this.folder, to)));
   }
 
   override async remove(file: string): Promise<void> {
     await this.release(file);
-    await rm(join(this.folder, file), { force: true });
+    await refuseFull(rm(join(this.folder, file), { force: true }));
   }
 
   override async close(): Promise<void> {
@@ -78,3 +89,19 @@
     await handle?.close();
   }
 }
+
+/** Gives a refusal for want of room its name. */
+async function refuseFull<Value>(work: Promise<Value>): Promise<Value> {
+  try {
+    return await work;
+  } catch (cause) {
+    if (cause instanceof Error && FULL_CODES.includes(getCode(cause))) {
+      throw new DiskFull(cause.message, { cause });
+    }
+    throw cause;
+  }
+}
+
+function getCode(cause: unknown): unknown {
+  return cause instanceof Error && 'code' in cause ? cause.code : undefined;
+}
--- a/src/daemon/storage/logFolder.ts
+++ b/src/daemon/storage/logFolder.ts
@@ -6,6 +6,7 @@
   type StoredState,
 } from '../../decisions/consensus/index.js';
 import type { Disk } from './disk.js';
+import { DiskFull } from './diskFull.js';
 import { IDENTITY_FILE, readIdentity, writeIdentity } from './identityFile.js';
 import type { LogFounding, TailRepair } from './logStorage.js';
 import {
@@ -23,6 +24,7 @@
   TEMPORARY_SUFFIX,
   type SegmentHeader,
 } from './segmentFile.js';
+import { SegmentTail } from './segmentTail.js';
 
 /** The files of an opened log and what they hold. */
 export interface LogFolder<Command> {
@@ -32,10 +34,16 @@
   readonly repair: TailRepair | undefined;
   /** Number of the segment that grows. */
   readonly segment: number;
+  readonly tail: SegmentTail;
   readonly snapshotFile: string | undefined;
+  /** No file is left that belongs to no state. */
+  readonly isClean: boolean;
 }
 
-/** Opens the log of a folder, or founds one when the folder holds no identity. */
+/**
+ * Opens the log of a folder, or founds one when the folder holds no identity. Rejects with DiskFull
+ * when there is no room to found one, and may then be called again; an existing log needs no room.
+ */
 export async function openLogFolder<Command>(
   disk: Disk,
   createFounding: () => LogFounding<Command>,
@@ -44,8 +52,23 @@
   const folder = files.includes(IDENTITY_FILE)
     ? await readLogFolder<Command>(disk, files)
     : await foundLogFolder(disk, files, createFounding());
-  await removeUnused(disk, folder);
-  return folder;
+  return { ...folder, isClean: await tryRemoveUnused(disk, folder) };
+}
+
+/** Removes the files that belong to no state; false when a full disk refuses that. */
+export async function tryRemoveUnused<Command>(
+  disk: Disk,
+  folder: LogFolder<Command>,
+): Promise<boolean> {
+  try {
+    await removeUnused(disk, folder);
+    return true;
+  } catch (cause) {
+    if (cause instanceof DiskFull) {
+      return false;
+    }
+    throw cause;
+  }
 }
 
 async function foundLogFolder<Command>(
@@ -61,9 +84,13 @@
     await replaceFile(disk, snapshotFile, encodeRecord(snapshot));
   }
   const header: SegmentHeader<Command> = { identity, snapshotFile, hardState, entries };
-  await replaceFile(disk, getSegmentName(1), encodeRecord(header));
+  const file = getSegmentName(1);
+  const record = encodeRecord(header);
+  await replaceFile(disk, file, record);
   await writeIdentity(disk, identity);
-  return { identity, isNew: true, state, repair: undefined, segment: 1, snapshotFile };
+  const tail = new SegmentTail(disk, file, record.byteLength, true);
+  const found = { identity, isNew: true, state, repair: undefined };
+  return { ...found, segment: 1, tail, snapshotFile, isClean: false };
 }
 
 /** An identity is written last, so that a segment with changes can't be without one. */
@@ -102,11 +129,15 @@
   for (const group of records.slice(1) as StoredChange<Command>[][]) {
     group.forEach((change) => log.apply(change));
   }
-  const repair = await repairTail(disk, file, bytes.byteLength, end);
+  const droppedBytes = bytes.byteLength - end;
+  const isSound = droppedBytes === 0 || (await tryCut(disk, file, end));
+  const repair = droppedBytes === 0 ? undefined : { file, droppedBytes };
   // A process that was killed may have left content and names that are not durable yet.
   await disk.sync(file);
   await disk.syncFolder();
-  return { identity, isNew: false, state: log.getState(), repair, segment, snapshotFile };
+  const tail = new SegmentTail(disk, file, end, isSound);
+  const found = { identity, isNew: false, state: log.getState(), repair };
+  return { ...found, segment, tail, snapshotFile, isClean: false };
 }
 
 async function readSnapshot(disk: Disk, file: string | undefined): Promise<Snapshot | undefined> {
@@ -115,17 +146,17 @@
     : (decodeSingleRecord(file, await disk.read(file)) as Snapshot);
 }
 
-async function repairTail(
-  disk: Disk,
-  file: string,
-  size: number,
-  end: number,
-): Promise<TailRepair | undefined> {
-  if (end === size) {
-    return undefined;
+/** Cuts a file; false when a full disk refuses that. */
+async function tryCut(disk: Disk, file: string, size: number): Promise<boolean> {
+  try {
+    await disk.truncate(file, size);
+    return true;
+  } catch (cause) {
+    if (cause instanceof DiskFull) {
+      return false;
+    }
+    throw cause;
   }
-  await disk.truncate(file, end);
-  return { file, droppedBytes: size - end };
 }
 
 async function removeUnused<Command>(disk: Disk, folder: LogFolder<Command>): Promise<void> {
--- a/src/daemon/storage/logStorage.ts
+++ b/src/daemon/storage/logStorage.ts
@@ -24,18 +24,21 @@
 
 /** Keeps a member's log so that it survives a crash. */
 export abstract class LogStorage<Command> {
+  /** For how long changes have waited for room on the disk, in milliseconds; undefined if none does. */
+  abstract readonly refusedMs: number | undefined;
+
   /**
-   * Reads what is stored; `createFounding` is called only when nothing is. Fails with
-   * RecordCorrupt or StorageFailed.
+   * Reads what is stored; `createFounding` is called only when nothing is, and
+   * waits for room on the disk then. Fails with RecordCorrupt or StorageFailed.
    */
   abstract open(createFounding: () => LogFounding<Command>): Outcome<OpenedLog<Command>>;
 
   /**
-   * Makes a change durable after all earlier ones; succeeds with its sequence. Fails with
-   * StorageFailed, after which every later change fails too.
+   * Makes a change durable after all earlier ones; succeeds with its sequence, on a full disk once it has
+   * room. Fails with StorageFailed, after which every later change fails too.
    */
   abstract persist(change: PersistOutput<Command>): Outcome<number>;
 
-  /** Waits for the changes under way and closes the files. */
+  /** Waits for the changes under way and closes the files; those that wait for room fail. */
   abstract close(): Outcome<void>;
 }
--- a/src/daemon/storage/storedMember.test.ts
+++ b/src/daemon/storage/storedMember.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
 import { FakeDisk } from '../../../tests/support/storage/fakeDisk.js';
+import { createStorage } from '../../../tests/support/storage/openState.js';
 import { SeededRandom } from '../../../tests/support/seededRandom.js';
 import { toRequestId } from '../../common/ids/index.js';
 import {
@@ -15,7 +16,7 @@
   toMemberId,
   type ConsensusInput,
 } from '../../decisions/consensus/index.js';
-import { FileLogStorage } from './index.js';
+import type { FileLogStorage } from './index.js';
 
 const SEED = 20261204;
 const LIVES = 4;
@@ -35,7 +36,7 @@
   ) {}
 
   static async open(disk: FakeDisk, random: SeededRandom): Promise<StoredMember> {
-    const storage = new FileLogStorage<string>(disk);
+    const storage = createStorage(disk);
     const founding = { identity, state: createFoundingState<string>([identity]) };
     const opened = (await storage.open(() => founding))._unsafeUnwrap();
     const member = new ConsensusMember<string>({
--- a/src/decisions/consensus/consensusMember.ts
+++ b/src/decisions/consensus/consensusMember.ts
@@ -186,7 +186,8 @@
 
   private receiveTransfer(from: MemberId, term: number): void {
     const { core } = this;
-    if (term === core.term && core.leader === from && core.isVoter) {
+    const isLed = term === core.term && core.leader === from;
+    if (isLed && core.isVoter && !core.isDiskBehind) {
       this.election.startVote(true);
     }
   }
--- a/src/decisions/consensus/consensusRules.ts
+++ b/src/decisions/consensus/consensusRules.ts
@@ -28,6 +28,11 @@
     return nowMs - contactMs < settings.minimumElectionTimeoutMs;
   }
 
+  /** Whether the disk has not taken a change for so long that this member can't win an election. */
+  isDiskBehind(waitMs: number, settings: ConsensusSettings): boolean {
+    return waitMs >= settings.minimumElectionTimeoutMs;
+  }
+
   /** Whether counting replicas may commit an entry of that term. */
   canCommitByCounting(entryTerm: number, currentTerm: number): boolean {
     return entryTerm === currentTerm;
--- a/src/decisions/consensus/durability.ts
+++ b/src/decisions/consensus/durability.ts
@@ -5,8 +5,12 @@
 import { OutputKind, type PersistOutput } from './output.js';
 import type { Snapshot } from './snapshot.js';
 
+/** Messages held back at most; the oldest are dropped, as a network may do. */
+export const MAXIMUM_HELD_MESSAGES = 256;
+
 interface PendingPersist {
   readonly sequence: number;
+  readonly beganMs: number;
   readonly hardState: HardState | undefined;
   /** Last index that this and the earlier changes make durable. */
   lastIndex: number;
@@ -46,17 +50,24 @@
     return this.durableIndex;
   }
 
+  /** For how long the oldest change has not become durable, in milliseconds; 0 without one. */
+  getWaitMs(nowMs: number): number {
+    const oldest = this.pending[0];
+    return oldest === undefined ? 0 : nowMs - oldest.beganMs;
+  }
+
   /** Starts a change; `lastIndex` is the end of the log with it. */
-  begin(change: DurableChange<Command>, lastIndex: number): PersistOutput<Command> {
+  begin(change: DurableChange<Command>, lastIndex: number, nowMs: number): PersistOutput<Command> {
     if (change.truncateFrom !== undefined) {
       this.forgetFrom(change.truncateFrom);
     }
     this.sequence++;
-    this.pending.push({ sequence: this.sequence, hardState: change.hardState, lastIndex });
+    const { hardState } = change;
+    this.pending.push({ sequence: this.sequence, beganMs: nowMs, hardState, lastIndex });
     return {
       kind: OutputKind.Persist,
       sequence: this.sequence,
-      hardState: change.hardState,
+      hardState,
       snapshot: change.snapshot,
       truncateFrom: change.truncateFrom,
       entries: change.entries ?? [],
@@ -69,6 +80,9 @@
       return false;
     }
     this.held.push({ sequence: this.sequence, message });
+    if (this.held.length > MAXIMUM_HELD_MESSAGES) {
+      this.held.shift();
+    }
     return true;
   }
 
--- a/src/decisions/consensus/election.ts
+++ b/src/decisions/consensus/election.ts
@@ -29,7 +29,7 @@
     if (core.nowMs >= core.electionDeadlineMs) {
       this.endWait();
     } else if (core.role !== Role.Follower && core.nowMs >= this.nextRequestMs) {
-      this.requestVotes();
+      this.repeatRequests();
     }
   }
 
@@ -71,7 +71,8 @@
   answerPreVote(message: PreVoteRequest, isLoyal: boolean): void {
     const { core } = this;
     const isUpToDate = this.isUpToDate(message.lastTerm, message.lastIndex);
-    const granted = !isLoyal && message.term >= core.term && isUpToDate && this.yieldsTo(message);
+    const mayVote = !isLoyal && !core.isDiskBehind && message.term >= core.term;
+    const granted = mayVote && isUpToDate && this.yieldsTo(message);
     core.send({
       kind: MessageKind.PreVoteResponse,
       from: core.identity,
@@ -133,9 +134,19 @@
     return core.role !== Role.PreCandidate || !isEqual || message.from > core.identity;
   }
 
+  /** Requests that wait for the disk are sent once it has taken the vote. */
+  private repeatRequests(): void {
+    if (!this.core.isDiskBehind) {
+      this.requestVotes();
+    }
+  }
+
+  /** A member whose disk takes no vote would raise the term of the others without ever being elected. */
   private endWait(): void {
     const { core } = this;
-    if (!core.isVoter) {
+    if (core.isDiskBehind && core.role === Role.Candidate) {
+      core.resetElectionDeadline();
+    } else if (!core.isVoter || core.isDiskBehind) {
       core.becomeFollower(core.term, undefined);
     } else if (core.rules.usesPreVote()) {
       this.startPreVote();
--- a/src/decisions/consensus/memberCore.ts
+++ b/src/decisions/consensus/memberCore.ts
@@ -70,6 +70,12 @@
     return this.options.measureCommand;
   }
 
+  /** Whether the disk has not taken a change for so long that a vote here would come too late. */
+  get isDiskBehind(): boolean {
+    const waitMs = this.durability.getWaitMs(this.nowMs);
+    return this.rules.isDiskBehind(waitMs, this.settings);
+  }
+
   /** Adds an output. */
   emit(output: ConsensusOutput<Command>): void {
     this.outputs.push(output);
@@ -97,7 +103,7 @@
 
   /** Starts making a change durable. */
   persist(change: DurableChange<Command>): void {
-    this.emit(this.durability.begin(change, this.log.lastIndex));
+    this.emit(this.durability.begin(change, this.log.lastIndex, this.nowMs));
   }
 
   /** Sends what waited for the changes up to the sequence. */
--- a/src/decisions/consensus/scripted.test.ts
+++ b/src/decisions/consensus/scripted.test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest';
 import { toRequestId } from '../../common/ids/index.js';
+import { MAXIMUM_HELD_MESSAGES } from './durability.js';
 import {
   createAppendResponse,
   ScriptedMember,
@@ -163,3 +164,52 @@
   loyal.tickAt(100 + defaultConsensusSettings.heartbeatMs);
   expect(loyal.member.role).toBe(Role.Follower);
 });
+
+function createAppend(round: number, entries: readonly LogEntry<string>[]) {
+  const request = { from: a, to: b, term: 1, round, sentMs: 5, previousIndex: 0, previousTerm: 0 };
+  return { kind: MessageKind.AppendRequest as const, ...request, entries, commitIndex: 0 };
+}
+
+test('a member whose disk takes nothing raises no term and grants no pre-vote', () => {
+  const full = new ScriptedMember(b, scriptedVoters);
+  full.receive(createAppend(1, []));
+  full.persist();
+  full.receive(createAppend(2, [createEntry(1)]));
+  for (let nowMs = 10; nowMs < 10_000; nowMs += 10) {
+    full.tickAt(nowMs);
+  }
+  expect([full.member.role, full.member.term, full.member.leader]).toEqual([
+    'follower',
+    1,
+    undefined,
+  ]);
+  const request = { from: c, to: b, term: 1, campaign: 1, lastIndex: 9, lastTerm: 1 };
+  const candidacy = { ...request, kind: MessageKind.PreVoteRequest } as const;
+  expect(full.receive(candidacy)).toMatchObject([{ message: { granted: false } }]);
+  full.persist();
+  expect(full.receive(candidacy)).toMatchObject([{ message: { granted: true } }]);
+});
+
+test('a member whose disk does not take its vote campaigns once, and has votes when it does', () => {
+  const full = new ScriptedMember(a, scriptedVoters);
+  full.tickAt(300);
+  const ballot = { from: b, to: a, term: 0, campaign: 1, granted: true };
+  full.receive({ ...ballot, kind: MessageKind.PreVoteResponse });
+  for (let nowMs = 310; nowMs < 10_000; nowMs += 10) {
+    expect(full.tickAt(nowMs)).toEqual([]);
+  }
+  expect([full.member.role, full.member.term]).toEqual(['candidate', 1]);
+  const released = full.persist();
+  expect(released.length).toBeLessThan(20);
+  expect(released).toMatchObject(released.map(() => ({ message: { kind: 'vote-request' } })));
+  full.receive({ ...ballot, kind: MessageKind.VoteResponse, term: 1, campaign: 2 });
+  expect(full.member.role).toBe(Role.Leader);
+});
+
+test('answers that wait for a full disk are bounded', () => {
+  const full = new ScriptedMember(b, scriptedVoters);
+  for (let round = 1; round < 10 * MAXIMUM_HELD_MESSAGES; round++) {
+    full.receive(createAppend(round, []));
+  }
+  expect(full.persist().length).toBe(MAXIMUM_HELD_MESSAGES);
+});
--- a/src/decisions/control/members/index.ts
+++ b/src/decisions/control/members/index.ts
@@ -1,1 +1,2 @@
+export * from './memberFitness.js';
 export * from './memberPlan.js';
--- a/tests/support/storage/fakeDisk.ts
+++ b/tests/support/storage/fakeDisk.ts
@@ -1,34 +1,65 @@
-import { Disk } from '../../../src/daemon/storage/index.js';
+import { Disk, DiskFull } from '../../../src/daemon/storage/index.js';
 import type { SeededRandom } from '../seededRandom.js';
 
+interface Cut {
+  readonly former: Buffer;
+  readonly size: number;
+}
+
 interface FakeFile {
   content: Buffer;
   durable: Buffer;
+  /** What was cut since the last sync. */
+  cuts: Cut[];
+}
+
+/** What a full disk does with writes: all are refused, but not all without a trace. */
+export interface Fullness {
+  /** A refused write may leave a part of its bytes. */
+  readonly keepsParts: boolean;
+  /** Cutting a file is refused too. */
+  readonly refusesCuts: boolean;
+  /** New names, renaming and removing are refused too. */
+  readonly refusesNames: boolean;
 }
 
 /** What a fake disk rejects with after its power was cut. */
 export class PowerCut extends Error {}
 
-/** A disk in memory that loses what was not synced, tears tails and flips bits. */
+/** A disk in memory that loses what was not synced, tears tails, flips bits and may be full. */
 export class FakeDisk extends Disk {
   syncCount = 0;
   private names = new Map<string, FakeFile>();
   /** The names after each change since the folder was synced, oldest first. */
   private nameHistory = [new Map<string, FakeFile>()];
   private operationsLeft = Number.POSITIVE_INFINITY;
+  private fullness: Fullness | undefined;
+  private random: SeededRandom | undefined;
+
+  /** Refuses writes until there is room. */
+  fill(fullness: Fullness, random: SeededRandom): void {
+    this.fullness = fullness;
+    this.random = random;
+  }
+
+  /** Takes writes again. */
+  makeRoom(): void {
+    this.fullness = undefined;
+  }
 
   /** Cuts the power after that many further operations. */
   cutPowerAfter(operations: number): void {
     this.operationsLeft = operations;
   }
 
-  /** Loses a part of what was not synced, and gives power back. */
+  /** Loses a part of what was not synced, and gives power back; a full disk stays full. */
   crash(random: SeededRandom): void {
     this.names = new Map(random.pick(this.nameHistory));
     this.nameHistory = [new Map(this.names)];
     for (const file of this.names.values()) {
       file.content = getRemains(file, random);
       file.durable = file.content;
+      file.cuts = [];
     }
     this.operationsLeft = Number.POSITIVE_INFINITY;
   }
@@ -65,17 +96,21 @@
   override async append(name: string, bytes: Uint8Array): Promise<void> {
     let file = this.names.get(name);
     if (file === undefined) {
-      file = { content: Buffer.alloc(0), durable: Buffer.alloc(0) };
+      this.refuseIf(this.fullness?.refusesNames);
+      file = { content: Buffer.alloc(0), durable: Buffer.alloc(0), cuts: [] };
       this.names.set(name, file);
       this.noteNames();
     }
-    file.content = Buffer.concat([file.content, bytes]);
+    file.content = Buffer.concat([file.content, this.getTakenPart(bytes)]);
     await this.operate();
+    this.refuseIf(this.fullness !== undefined);
   }
 
   override async truncate(name: string, size: number): Promise<void> {
     await this.operate();
+    this.refuseIf(this.fullness?.refusesCuts);
     const file = this.getFile(name);
+    file.cuts.push({ former: file.content, size });
     file.content = file.content.subarray(0, size);
   }
 
@@ -84,6 +119,7 @@
     this.syncCount++;
     const file = this.getFile(name);
     file.durable = file.content;
+    file.cuts = [];
   }
 
   override async syncFolder(): Promise<void> {
@@ -93,6 +129,7 @@
 
   override async rename(from: string, to: string): Promise<void> {
     await this.operate();
+    this.refuseIf(this.fullness?.refusesNames);
     const file = this.getFile(from);
     this.names.delete(from);
     this.names.set(to, file);
@@ -101,6 +138,7 @@
 
   override async remove(name: string): Promise<void> {
     await this.operate();
+    this.refuseIf(this.fullness?.refusesNames);
     this.names.delete(name);
     this.noteNames();
   }
@@ -109,6 +147,20 @@
     return Promise.resolve();
   }
 
+  private getTakenPart(bytes: Uint8Array): Uint8Array {
+    const { fullness, random } = this;
+    if (fullness === undefined || random === undefined) {
+      return bytes;
+    }
+    return bytes.subarray(0, fullness.keepsParts ? random.nextBelow(bytes.byteLength) : 0);
+  }
+
+  private refuseIf(isRefused = false): void {
+    if (isRefused) {
+      throw new DiskFull('no room');
+    }
+  }
+
   private noteNames(): void {
     this.nameHistory.push(new Map(this.names));
   }
@@ -130,9 +182,15 @@
   }
 }
 
-/** The durable bytes and a part of those after them, sometimes followed by zeros. */
+/** The durable bytes and a part of those after them, sometimes followed by zeros or by what was cut off. */
 function getRemains(file: FakeFile, random: SeededRandom): Buffer {
-  const { content, durable } = file;
+  const { content, durable, cuts } = file;
+  const cut = random.chance(0.5) ? random.pick(cuts) : undefined;
+  if (cut !== undefined) {
+    const added = Math.max(0, content.byteLength - cut.size);
+    const kept = content.subarray(0, cut.size + random.nextBelow(added + 1));
+    return Buffer.concat([kept, cut.former.subarray(kept.byteLength)]);
+  }
   if (content.byteLength <= durable.byteLength) {
     return random.chance(0.5) ? content : durable;
   }
