A silent member votes until the one in its place does

Fault found in review, by a pure test: while a member that was only silent (killed, frozen, cut off; its disk comes back) was replaced, the quorum had 2 * losses voters for one membership interval or longer. The loss of so many disks as are to be borne left fewer than a majority for good: nothing acknowledged could be read any more.

Change: a learner is promoted before a silent voter is removed; one whose host has a newer log goes first, as before. A plan is settled once its members are known to the quorum, also while the replaced one still votes.

Evidence: replacement.test.ts failed before for one and two losses ('expected 1 to be greater than or equal to 2') and passes now. Run: members, scripted and quorumSize tests (30 passed).

--- a/src/daemon/control/memberAddresses.ts
+++ b/src/daemon/control/memberAddresses.ts
@@ -14,6 +14,11 @@
   return `${host}${LIFE_SEPARATOR}${life}`;
 }
 
+/** The name of the host that keeps, or kept, a member's log. */
+export function getMemberHostName(member: string): string {
+  return member.split(LIFE_SEPARATOR)[0] ?? member;
+}
+
 /** Finds the mesh addresses of quorum members: from the ticket in force, else from the settings. */
 export class MemberAddresses {
   private readonly learnt = new Map<string, string>();
@@ -35,7 +40,7 @@
   }
 
   private findConfigured(member: MemberId): string | undefined {
-    const host = member.split(LIFE_SEPARATOR)[0];
+    const host = getMemberHostName(member);
     return this.configured.find((candidate) => candidate.host === host)?.address;
   }
 }
--- a/src/daemon/control/memberKeeper.ts
+++ b/src/daemon/control/memberKeeper.ts
@@ -1,6 +1,10 @@
 import { Diagnostics } from '../../common/diagnostics/index.js';
 import type { Logger } from '../../common/logging/index.js';
-import { getNextMembershipChange, toMemberId } from '../../decisions/consensus/index.js';
+import {
+  getNextMembershipChange,
+  toMemberId,
+  type MemberId,
+} from '../../decisions/consensus/index.js';
 import {
   CommandKind,
   createMemberPlanSettings,
@@ -12,6 +16,7 @@
   type SubjectReading,
 } from '../../decisions/control/index.js';
 import { SubjectKind, type ControlMember } from '../../decisions/tickets/index.js';
+import { getMemberHostName } from './memberAddresses.js';
 import type { QuorumMember } from './quorumMember.js';
 
 /** Name of the subject with the quorum's members. */
@@ -92,7 +97,9 @@
         ? foundedMembers.state.members.filter(({ member }) => voters.includes(toMemberId(member)))
         : [];
     const present = inForce ?? founded;
-    const isSettled = present.length === voters.length + learners.length;
+    const isSettled = present.every(({ member }) =>
+      [...voters, ...learners].includes(toMemberId(member)),
+    );
     const sinceMs = this.leaderSinceMs;
     const heard = [...this.heardMembers.values()];
     const input = { present, heard, sinceMs, nowMs };
@@ -116,7 +123,10 @@
       return;
     }
     const ids = wanted.map(({ member }) => toMemberId(member));
-    const change = getNextMembershipChange(this.member.membership, ids);
+    // A host keeps one log: a member of the same host has an earlier one, which is gone.
+    const isLogLost = (member: MemberId): boolean =>
+      ids.some((id) => id !== member && getMemberHostName(id) === getMemberHostName(member));
+    const change = getNextMembershipChange(this.member.membership, ids, isLogLost);
     if (change !== undefined) {
       this.member.changeMembership(change);
     }
--- a/src/decisions/consensus/membershipChange.ts
+++ b/src/decisions/consensus/membershipChange.ts
@@ -33,12 +33,14 @@
 
 /**
  * The next change on the way to the desired voters, or undefined when they have been reached.
- * New members learn first; then a member to be removed goes, then a learner is promoted, so
- * that a replacement never enlarges the quorum while the replaced member is down.
+ * New members learn first. A member whose log is lost goes before a learner is promoted, so that its
+ * replacement never enlarges the quorum meanwhile. One that is only silent votes until the learner
+ * does: its disk may come back, and counts among those that outlast the loss of another.
  */
 export function getNextMembershipChange(
   membership: Membership,
   desired: readonly MemberId[],
+  isLogLost: (member: MemberId) => boolean = () => true,
 ): MembershipChange | undefined {
   const added = desired.find((member) => !isMember(membership, member));
   if (added !== undefined) {
@@ -48,8 +50,15 @@
     (member) => !desired.includes(member),
   );
   const promoted = desired.find((member) => !isVoter(membership, member));
-  const removesLastVoter = removed !== undefined && membership.voters.length === 1;
-  if (removed !== undefined && !(removesLastVoter && isVoter(membership, removed))) {
+  const isLastVoter =
+    removed !== undefined && isVoter(membership, removed) && membership.voters.length === 1;
+  const isNeeded =
+    removed !== undefined &&
+    promoted !== undefined &&
+    membership.voters.length <= desired.length &&
+    isVoter(membership, removed) &&
+    !isLogLost(removed);
+  if (removed !== undefined && !isLastVoter && !isNeeded) {
     return { kind: MembershipChangeKind.RemoveMember, member: removed };
   }
   return promoted === undefined
--- /dev/null
+++ b/src/decisions/control/members/replacement.test.ts
@@ -0,0 +1,62 @@
+import { expect, test } from 'vitest';
+import { toFailureDomain, toHostId } from '../../../common/ids/index.js';
+import {
+  applyMembershipChange,
+  getNextMembershipChange,
+  getQuorumSize,
+  toMemberId,
+  type Membership,
+} from '../../consensus/index.js';
+import type { ControlMember } from '../../tickets/index.js';
+import { createMemberPlanSettings, getNeededMembers, planMembers } from './memberPlan.js';
+
+const NOW_MS = 100_000;
+const SILENT_MS = 2000;
+const ROUNDS = 20;
+
+function createMember(index: number): ControlMember {
+  return {
+    member: `10.0.0.${index}`,
+    host: toHostId(`control-${index}`),
+    domain: toFailureDomain('a'),
+    address: `10.0.0.${index}:7560`,
+  };
+}
+
+/** All memberships on the way when the last member falls silent for a while and a host stands by. */
+function replaceSilent(losses: number): Membership[] {
+  const count = getNeededMembers(losses);
+  const all = Array.from({ length: count + 1 }, (_, index) => createMember(index));
+  let present: readonly ControlMember[] = all.slice(0, count);
+  const heard = all.map((member, index) => ({
+    member,
+    heardMs: NOW_MS - (index === count - 1 ? SILENT_MS : 0),
+  }));
+  const settings = createMemberPlanSettings(losses);
+  const way: Membership[] = [
+    { voters: present.map(({ member }) => toMemberId(member)), learners: [] },
+  ];
+  for (let round = 0; round < ROUNDS; round += 1) {
+    const membership = way.at(-1) as Membership;
+    present = planMembers({ present, heard, sinceMs: 0, nowMs: NOW_MS }, settings) ?? present;
+    const wanted = present.map(({ member }) => toMemberId(member));
+    const change = getNextMembershipChange(membership, wanted, () => false);
+    if (change !== undefined) {
+      way.push(applyMembershipChange(membership, change));
+    }
+  }
+  return way;
+}
+
+/** The silent one's process was killed, frozen or cut off: its disk is there, and comes back with it. */
+test.each([1, 2])(
+  'while a silent member is replaced, the loss of %i disks at once leaves a quorum once all are back',
+  (losses) => {
+    const way = replaceSilent(losses);
+    expect(way.length).toBeGreaterThan(2);
+    for (const membership of way) {
+      const left = membership.voters.length - losses;
+      expect(left, membership.voters.join(' ')).toBeGreaterThanOrEqual(getQuorumSize(membership));
+    }
+  },
+);
