The last lines of a process are written before it ends

Cause: lines go to the reader asynchronously, and the process ended in the same turn that wrote the last one. Class: an end that overtakes what it has just said.

Test: "a process that is to end learns when its last line was taken".

--- a/bench/lines/localLineFleet.ts
+++ b/bench/lines/localLineFleet.ts
@@ -80,7 +80,8 @@
     mkdirSync(data, { recursive: true });
     writeFileSync(file, formatLineSettings(this.plan, daemon, data, isFirst));
     const logger = new Logger('info', { host: daemon.node }, (line) => this.lines.push(line));
-    const created = createPlatformDaemon(readPlatformSettings(file), logger, this.timer);
+    const end = (status: number): never => process.exit(status);
+    const created = createPlatformDaemon(readPlatformSettings(file), logger, this.timer, end);
     this.daemons.set(daemon.node, created);
     await created.start();
   }
--- a/src/common/logging/boundedWriter.test.ts
+++ b/src/common/logging/boundedWriter.test.ts
@@ -19,6 +19,21 @@
   expect(written).toEqual(['a\n', 'b\nc\n', 'd\n']);
 });
 
+test('a process that is to end learns when its last line was taken', () => {
+  const taken: (() => void)[] = [];
+  const writer = new BoundedWriter((_, onTaken) => taken.push(onTaken), createNote);
+  const ended: string[] = [];
+  writer.write('a');
+  writer.write('b');
+  writer.whenDrained(() => ended.push('drained'));
+  taken.shift()?.();
+  expect(ended).toEqual([]);
+  taken.shift()?.();
+  expect(ended).toEqual(['drained']);
+  writer.whenDrained(() => ended.push('nothing waits'));
+  expect(ended).toEqual(['drained', 'nothing waits']);
+});
+
 test('a reader that stands still costs no more than the bound, and learns what it missed', () => {
   const written: string[] = [];
   let onTaken: (() => void) | undefined;
--- a/src/common/logging/boundedWriter.ts
+++ b/src/common/logging/boundedWriter.ts
@@ -27,6 +27,7 @@
   private characters = 0;
   private leftOut = 0;
   private isWriting = false;
+  private readonly drained: (() => void)[] = [];
 
   constructor(
     private readonly sink: TextSink,
@@ -45,8 +46,18 @@
     this.flush();
   }
 
+  /** Calls back once the reader has taken every line, at once when none waits. */
+  whenDrained(onDrained: () => void): void {
+    this.drained.push(onDrained);
+    this.flush();
+  }
+
   private flush(): void {
-    if (this.isWriting || this.waiting.length === 0) {
+    if (this.isWriting) {
+      return;
+    }
+    if (this.waiting.length === 0) {
+      this.drained.splice(0).forEach((onDrained) => onDrained());
       return;
     }
     const lines = this.waiting.splice(0);
