A restart counts from when the instance announces it, not from its record

Fault found in review: the announcement that tells of a restart makes the position known in the same turn, but the record with the restart is committed only after it. Where everything waited for that instance, the leader promoted at once on its low position: the case that is about, whenever the restarted instance is the last to come back.

Left: a holder's sighting of the restarted instance may arrive before its announcement; sightings carry no start time.

--- a/src/decisions/control/leader/createGroupView.ts
+++ b/src/decisions/control/leader/createGroupView.ts
@@ -1,4 +1,4 @@
-import { toRevision, type GroupId } from '../../../common/ids/index.js';
+import { toRevision, type GroupId, type Revision } from '../../../common/ids/index.js';
 import type { AnnouncedPlace, GroupView, HolderView, InstanceView } from '../../promotion/index.js';
 import { getServedTerm } from '../../promotion/index.js';
 import type { GroupAssignment } from '../groupAssignment.js';
@@ -67,12 +67,25 @@
     inService: context.state.isInService(record.domain),
     leaving: context.state.isLeaving(record.group, record.instance),
     leavingRevision: context.state.getLeavingRevision(record.group, record.instance),
-    restartedRevision: record.restarted ?? toRevision(0),
+    restartedRevision: getRestartedRevision(context, record, received),
     announced: received && createAnnouncedPlace(received),
     sighted: watch.sightings.get(record.instance),
   };
 }
 
+/** A restart counts from when it is announced: its record is committed only after that. */
+function getRestartedRevision(
+  { state }: LeaderContext,
+  { startedMs, restarted }: InstanceRecord,
+  received: ReceivedAnnouncement | undefined,
+): Revision {
+  const isNews =
+    received !== undefined &&
+    startedMs !== undefined &&
+    received.announcement.startedMs !== startedMs;
+  return isNews ? toRevision(state.revision + 1) : (restarted ?? toRevision(0));
+}
+
 function createAnnouncedPlace(received: ReceivedAnnouncement): AnnouncedPlace {
   const { term, position, role, leaving } = received.announcement;
   const { receivedAtMs, measuredFromMs } = received;
--- a/src/decisions/control/members/replacement.test.ts
+++ b/src/decisions/control/members/replacement.test.ts
@@ -33,16 +33,18 @@
     heardMs: NOW_MS - (index === count - 1 ? SILENT_MS : 0),
   }));
   const settings = createMemberPlanSettings(losses);
-  const way: Membership[] = [
-    { voters: present.map(({ member }) => toMemberId(member)), learners: [] },
-  ];
+  let membership: Membership = {
+    voters: present.map(({ member }) => toMemberId(member)),
+    learners: [],
+  };
+  const way = [membership];
   for (let round = 0; round < ROUNDS; round += 1) {
-    const membership = way.at(-1) as Membership;
     present = planMembers({ present, heard, sinceMs: 0, nowMs: NOW_MS }, settings) ?? present;
     const wanted = present.map(({ member }) => toMemberId(member));
     const change = getNextMembershipChange(membership, wanted, () => false);
     if (change !== undefined) {
-      way.push(applyMembershipChange(membership, change));
+      membership = applyMembershipChange(membership, change);
+      way.push(membership);
     }
   }
   return way;
