The fault soak plays overlapping series of faults and judges from both sides

Now: a schedule drawn from the mixed seed, planned work first, then everything, overlapping; signals in series; callers that hold their connection until the daemon ends it, with pauses inside transactions; operators whose configurations race, are sent again or are invalid, keys that come and go, domains out and back; disks that are full, failing, stalled or slow and clocks that step (a module loaded before the daemon, bench/faults/ harmedHost.ts); statements, accounts, session values, keys, rate and domains judged at the backend servers; ends of processes judged by their status; the kernel's count of time without a processor told with each run. Weakened nowhere: one disk a run is lost, at any moment beside other faults; before, several in a run, each alone.

--- /dev/null
+++ b/bench/faults/callerLedger.ts
@@ -0,0 +1,101 @@
+import type { LineReply } from '../../platform/lines/lineReply.js';
+import type { TimerService } from '../../src/common/timer/index.js';
+import { TransactionStatus } from '../../src/daemon/requests/index.js';
+import type { HarmLog } from './harmLog.js';
+
+/** A request that reached a daemon while its connection ended may go without an answer for this long. */
+const LOSS_SLACK_MS = 250;
+/** Time that open transactions have after a SIGTERM. */
+const TRANSACTION_GRACE_MS = 3000;
+
+/** A process is gone this long after its SIGTERM. */
+const STOP_LIMIT_MS = 7000;
+
+/** A statement that a caller sent. */
+export interface SoakRequest {
+  readonly id: string;
+  readonly text: string;
+  readonly node: string;
+  readonly account: string;
+  /** The item of the caller. */
+  readonly item: string;
+  readonly sentMs: number;
+}
+
+/** A connection that ended while a request or a transaction was open. */
+export interface CutSession {
+  readonly request: SoakRequest | undefined;
+  readonly node: string;
+  readonly name: string;
+  readonly status: TransactionStatus;
+  readonly endMs: number;
+  /** The caller got no answer in time and broke off itself. */
+  readonly isOwn: boolean;
+}
+
+/** What all callers sent and got, judged from their side. */
+export class CallerLedger {
+  readonly requests = new Map<string, SoakRequest>();
+  /** Outcomes by error code, `ok` and `cut`. */
+  readonly outcomes = new Map<string, number>();
+  readonly violations: string[] = [];
+  private readonly cuts: CutSession[] = [];
+
+  constructor(
+    private readonly harms: HarmLog,
+    private readonly timer: TimerService,
+  ) {}
+
+  asked(request: SoakRequest): void {
+    this.requests.set(request.id, request);
+  }
+
+  answered(_: SoakRequest, { error = 'ok' }: LineReply): void {
+    this.outcomes.set(error, (this.outcomes.get(error) ?? 0) + 1);
+  }
+
+  cut(session: CutSession): void {
+    this.outcomes.set('cut', (this.outcomes.get('cut') ?? 0) + 1);
+    this.cuts.push(session);
+  }
+
+  fail(violation: string): void {
+    this.violations.push(`${(this.timer.now() / 1000).toFixed(3)} s: ${violation}`);
+  }
+
+  /**
+   * Says which cut requests and transactions a planned stop or change may not cut; `wasPassedOn`: whether an
+   * instance got a statement.
+   */
+  judgeCuts(wasPassedOn: (id: string) => boolean): readonly string[] {
+    return this.cuts.flatMap((cut) => {
+      const { request, node, name, status, endMs } = cut;
+      const stopMs = this.harms.getStop(node, endMs);
+      const sinceMs = endMs - (stopMs ?? -Infinity);
+      const stop =
+        stopMs === undefined ? 'never stopped' : `${sinceMs.toFixed(0)} ms after SIGTERM`;
+      if (request === undefined) {
+        const isLost = sinceMs < TRANSACTION_GRACE_MS || sinceMs > STOP_LIMIT_MS;
+        return isLost && this.harms.isUnharmed(endMs, endMs)
+          ? [`${name} on ${node}: transaction (${status}) cut, ${stop}`]
+          : [];
+      }
+      const text = `${request.id} "${request.text}" on ${node}: cut after`;
+      const waitedMs = endMs - request.sentMs;
+      return this.isLost(cut, request, wasPassedOn(request.id))
+        ? [`${text} ${waitedMs.toFixed(0)} ms, ${stop}`]
+        : [];
+    });
+  }
+
+  private isLost(
+    { endMs, isOwn }: CutSession,
+    { sentMs }: SoakRequest,
+    wasPassedOn: boolean,
+  ): boolean {
+    if (wasPassedOn && !isOwn) {
+      return this.harms.isUnharmed(sentMs, endMs);
+    }
+    return endMs - sentMs > LOSS_SLACK_MS && this.harms.isCalm(sentMs, endMs);
+  }
+}
--- a/bench/faults/faultFleet.ts
+++ b/bench/faults/faultFleet.ts
@@ -1,46 +1,60 @@
-import { spawn, type ChildProcess } from 'node:child_process';
 import {
   appendFileSync,
   mkdirSync,
   mkdtempSync,
-  openSync,
   readdirSync,
+  renameSync,
   rmSync,
   writeFileSync,
 } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { SystemTimerService } from '../../src/common/timer/index.js';
+import type { TimerService } from '../../src/common/timer/index.js';
 import {
-  callControl,
   LineGroup,
   LinePlatform,
   type LineInstance,
+  type StatementWatch,
 } from '../../standin/lines/index.js';
 import { formatLineSettings, type LinePlan, type PlannedLineDaemon } from '../lines/linePlan.js';
+import type { CallerLedger } from './callerLedger.js';
+import { DaemonProcess, type ProcessStart } from './daemonProcess.js';
+import type { HarmLog } from './harmLog.js';
+import type { HostHarm } from './harmedHost.js';
 import { LinkProxy } from './linkProxy.js';
 
 const HEARTBEAT_MS = 300;
 const GROUP = { slots: 4, connectionLimit: 16, workMs: 2, lagMs: 8, promoteMs: 200 };
 /** Instances stand behind proxies at addresses of this network number. */
 const INSTANCE_PROXY_NETWORK = 4;
+/** Time from SIGTERM until the process is killed, as the settings say. */
+const GRACE_MS = 6000;
+/** A process that ended by itself starts again after this time. */
+const RESTART_MS = 300;
+/** A process may see an error of its disk this long after the disk is well again. */
+const DISK_SETTLE_MS = 3000;
 
 /** Daemons as processes, behind proxies and before stand-in instances in this process. */
 export class FaultFleet {
-  readonly timer = new SystemTimerService();
   readonly folder = mkdtempSync(join(tmpdir(), 'filbertpoint-faults-'));
   readonly group: LineGroup;
   /** Proxies by the node or instance that they stand before. */
   readonly proxies = new Map<string, LinkProxy>();
-  private readonly children = new Map<string, ChildProcess>();
+  private readonly processes = new Map<string, DaemonProcess>();
+  private readonly harmedDisks = new Set<string>();
   private platform: LinePlatform | undefined;
+  private isOver = false;
 
   constructor(
     readonly plan: LinePlan,
-    private readonly program: string,
+    private readonly programs: Pick<ProcessStart, 'program' | 'harm'>,
+    readonly timer: TimerService,
+    private readonly harms: HarmLog,
+    private readonly ledger: CallerLedger,
+    watch: StatementWatch,
   ) {
     const [first] = plan.instances;
-    this.group = new LineGroup({ ...GROUP, service: first?.service ?? '' }, this.timer);
+    this.group = new LineGroup({ ...GROUP, service: first?.service ?? '' }, this.timer, watch);
     mkdirSync(join(this.folder, 'logs'));
   }
 
@@ -52,6 +66,13 @@
     return this.plan.daemons.filter(({ frontend }) => frontend !== undefined);
   }
 
+  /** Ids of the processes that run and are not paused. */
+  get processIds(): readonly number[] {
+    return [...this.processes.values()]
+      .filter(({ isRunning, isPaused }) => isRunning && !isPaused)
+      .map(({ id }) => id);
+  }
+
   /** Starts proxies, instances and daemons. */
   async start(): Promise<void> {
     for (const { id, domain, address } of this.plan.instances) {
@@ -73,9 +94,12 @@
 
   /** Ends everything; the folder with settings and logs is kept when `keeps`. */
   async stop(keeps: boolean): Promise<void> {
-    for (const child of this.children.values()) {
-      child.kill('SIGKILL');
+    this.isOver = true;
+    for (const daemon of this.processes.values()) {
+      daemon.isExpected = true;
+      daemon.signal('SIGKILL');
     }
+    await Promise.all([...this.processes.values()].map(({ ended }) => ended));
     await this.platform?.stop();
     await Promise.all(this.group.instances.map((instance) => instance.stop()));
     await Promise.all([...this.proxies.values()].map((proxy) => proxy.stop()));
@@ -84,34 +108,91 @@
     }
   }
 
-  /** Starts a daemon's process. */
+  /** Starts a daemon's process, unless it runs. */
   run(daemon: PlannedLineDaemon, isFirst = false): void {
     const { node } = daemon;
-    const data = this.getDataFolder(node);
-    mkdirSync(data, { recursive: true });
-    const file = join(this.folder, `${node}.toml`);
-    writeFileSync(file, formatLineSettings(this.plan, daemon, data, isFirst));
-    const log = openSync(join(this.folder, 'logs', `${node}.log`), 'a');
-    const child = spawn(process.execPath, ['--enable-source-maps', this.program], {
-      stdio: ['ignore', log, log],
-      env: { PATH: process.env.PATH, FILBERTPOINT_SETTINGS: file },
+    if (this.isOver || this.processes.get(node)?.isRunning === true) {
+      return;
+    }
+    mkdirSync(this.getDataFolder(node), { recursive: true });
+    this.writeSettings(daemon, false, isFirst);
+    const started = new DaemonProcess({
+      ...this.programs,
+      settingsFile: this.getFile(node, 'toml'),
+      faultsFile: this.getFile(node, 'harm'),
+      logFile: join(this.folder, 'logs', `${node}.log`),
     });
-    this.children.set(node, child);
+    this.processes.set(node, started);
+    void started.ended.then((how) => this.ended(daemon, started, how));
+  }
+
+  /** Writes a daemon's settings; `isTorn`: only the first half, as while they are being written. */
+  writeSettings(daemon: PlannedLineDaemon, isTorn: boolean, isFirst = false): void {
+    const data = this.getDataFolder(daemon.node);
+    const text = formatLineSettings(this.plan, daemon, data, isFirst);
+    const file = this.getFile(daemon.node, 'toml');
+    writeFileSync(file, isTorn ? text.slice(0, text.length / 2) : text);
   }
 
   /** Sends a signal to a daemon's process. */
   signal(node: string, signal: NodeJS.Signals): void {
-    this.children.get(node)?.kill(signal);
+    this.processes.get(node)?.signal(signal);
+  }
+
+  /** Kills a daemon's process and waits until it has ended. */
+  async kill(node: string): Promise<void> {
+    const daemon = this.processes.get(node);
+    if (daemon !== undefined) {
+      daemon.isExpected = true;
+      daemon.signal('SIGKILL');
+      await daemon.ended;
+    }
   }
 
-  /** Waits until a daemon's process has ended. */
-  async waitForEnd(node: string): Promise<void> {
-    const child = this.children.get(node);
-    if (child?.exitCode === null && child.signalCode === null) {
-      await new Promise((resolve) => child.once('exit', resolve));
+  /** Stops a process as the platform does, with another signal meanwhile; checks that it ends in time and well. */
+  async stopDaemon(
+    { node }: PlannedLineDaemon,
+    also?: { readonly signal: NodeJS.Signals; readonly afterMs: number },
+  ): Promise<void> {
+    const daemon = this.processes.get(node);
+    if (daemon === undefined) {
+      return;
+    }
+    const startMs = this.timer.now();
+    daemon.isExpected = true;
+    this.harms.noteStop(node);
+    daemon.signal('SIGTERM');
+    const cancel = this.timer.once(GRACE_MS, () => daemon.signal('SIGKILL'));
+    if (also !== undefined) {
+      this.timer.once(also.afterMs, () => daemon.signal(also.signal));
+    }
+    const how = await daemon.ended;
+    cancel();
+    const isCalm = this.harms.isCalm(startMs, this.timer.now());
+    // A process that is not up yet has nothing to hand over.
+    const isEarly = how === 'SIGTERM' && !daemon.wasUp();
+    const isWrong =
+      how === 'SIGKILL' ? isCalm : how !== 'code 0' && !isEarly && !this.harmedDisks.has(node);
+    if (isWrong && also?.signal !== 'SIGKILL') {
+      const tookMs = (this.timer.now() - startMs).toFixed(0);
+      this.ledger.fail(`${node} ended with ${how}, ${tookMs} ms after SIGTERM`);
     }
   }
 
+  /** Makes a host misbehave; call what is returned to end it. */
+  misbehave(node: string, harm: HostHarm): () => void {
+    const file = this.getFile(node, 'harm');
+    writeFileSync(`${file}.new`, JSON.stringify(harm));
+    renameSync(`${file}.new`, file);
+    if (harm.disk !== undefined) {
+      this.harmedDisks.add(node);
+    }
+    return () => {
+      rmSync(file, { force: true });
+      this.timer.once(DISK_SETTLE_MS, () => this.harmedDisks.delete(node));
+    };
+  }
+
   /** Removes what a stopped control host had stored. */
   wipe(node: string): void {
     rmSync(this.getDataFolder(node), { recursive: true, force: true });
@@ -125,27 +206,35 @@
     }
   }
 
-  /** Sends a call to any control host that answers. */
-  async call(method: string, path: string, body?: string) {
-    for (const { control = '' } of this.controls) {
-      const reply = await callControl(control, method, path, body);
-      if (reply.status === 200) {
-        return reply;
-      }
-    }
-    return undefined;
-  }
-
   sleep(durationMs: number): Promise<void> {
     return new Promise((resolve) => {
       this.timer.once(durationMs, () => resolve());
     });
   }
 
+  /** A process that nobody told to end has broken a promise, unless its disk refuses what it needs. */
+  private ended(daemon: PlannedLineDaemon, ended: DaemonProcess, how: string): void {
+    if (ended.isExpected || this.isOver) {
+      return;
+    }
+    if (!this.harmedDisks.has(daemon.node)) {
+      this.ledger.fail(`${daemon.node} ended by itself with ${how}`);
+    }
+    const over = this.harms.begin();
+    this.timer.once(RESTART_MS, () => {
+      this.run(daemon);
+      over();
+    });
+  }
+
   private getDataFolder(node: string): string {
     return join(this.folder, node);
   }
 
+  private getFile(node: string, kind: string): string {
+    return join(this.folder, `${node}.${kind}`);
+  }
+
   private getProxyAddress(address: string): string {
     const [network = '', second = '', , rest = ''] = address.split('.');
     return `${network}.${second}.${INSTANCE_PROXY_NETWORK}.${rest}`;
--- a/bench/faults/faultSoak.ts
+++ b/bench/faults/faultSoak.ts
@@ -1,19 +1,51 @@
+import { join } from 'node:path';
 import type { RandomSource } from '../../src/common/random.js';
-import { SeededRandom } from '../../src/daemon/seededRandom.js';
-import { createLineConfiguration } from '../lines/lineConfiguration.js';
-import { createLinePlan, type PlannedLineDaemon } from '../lines/linePlan.js';
+import { SystemTimerService } from '../../src/common/timer/index.js';
+import { callControl } from '../../standin/lines/index.js';
+import { createLinePlan } from '../lines/linePlan.js';
+import { BackendWatch } from './backendWatch.js';
+import { CallerLedger } from './callerLedger.js';
 import { FaultFleet } from './faultFleet.js';
-import { LinkFault } from './linkProxy.js';
-import { SoakClient, WriteFate, type SoakDatabase } from './soakClient.js';
-
-const ACCOUNTS = { mill: ['key-mill'], press: ['key-press'] };
-const CLIENTS: readonly SoakDatabase[] = ['latest', 'session', 'bounded', 'latest', 'session'];
+import { FaultPlayer } from './faultPlayer.js';
+import { drawSchedule } from './faultSchedule.js';
+import { HarmLog } from './harmLog.js';
+import { KeyCaller } from './keyCaller.js';
+import { findRequestsInDomains, findWrongWrites, type DomainAbsence } from './soakChecks.js';
+import { SoakClient, WriteFate, type CallerPlan, type SoakDatabase } from './soakClient.js';
+import { DRIP_RATE, SoakOperator } from './soakOperator.js';
+import { createSoakRandom } from './soakRandom.js';
+import { StarvationWatch } from './starvationWatch.js';
+
+const KINDS: readonly SoakDatabase[] = ['latest', 'session', 'bounded', 'latest', 'session'];
+const ACCOUNTS = ['mill', 'press'] as const;
+const BUSY_PAUSE_MS = 25;
+const IDLE_PAUSE_MS = 900;
+const DRIP_PAUSE_MS = 12;
+const DRIP_CALLERS = 2;
+/** What instances may see of drip beyond its bound: one request of each caller that was held up. */
+const DRIP_SLACK = DRIP_CALLERS;
 const START_LIMIT_MS = 20_000;
 /** Everything has to be served again within this time once all faults are over. */
 const RECOVERY_LIMIT_MS = 12_000;
 const QUIET_MS = 1500;
-const CONFIGURATION_INTERVAL_MS = 700;
-const STORED_PROGRAM = new URL('../../platform/start.js', import.meta.url).pathname;
+/** Nothing is sent to a failure domain any more this long after its withdrawal was acknowledged. */
+const DOMAIN_LIMIT_MS = 5000;
+/** Where the built programs are when this is one of them. */
+const BUILD = new URL('../..', import.meta.url).pathname;
+
+/** What is run. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly faultsMs: number;
+  /** Keeps runs beside one another apart. */
+  readonly network: number;
+  readonly controls?: number;
+  readonly entries?: number;
+  /** The daemon's program; the built one when left out. */
+  readonly program?: string;
+  /** Folder of the built programs. */
+  readonly build?: string;
+}
 
 /** What one seed came to. */
 export interface FaultSoakResult {
@@ -23,194 +55,138 @@
   readonly served: number;
   readonly acknowledged: number;
   readonly promotions: number;
+  readonly configurations: number;
+  readonly outcomes: string;
+  /** How long processes of the run waited for a processor. */
+  readonly starvation: string;
   /** Where settings and logs are, when something was violated. */
   readonly folder: string | undefined;
 }
 
 /** One run: real daemons under faults drawn from a seed, promises checked on both sides. */
 export class FaultSoak {
-  private readonly random: RandomSource;
-  private readonly faults: string[] = [];
-  private readonly violations: string[] = [];
+  private readonly timer = new SystemTimerService();
+  private readonly harms = new HarmLog(this.timer);
+  private readonly ledger = new CallerLedger(this.harms, this.timer);
+  private readonly watch = new BackendWatch(this.ledger, this.timer);
   private readonly clients: SoakClient[] = [];
-  private version = 1;
-  private acknowledgedVersion = 0;
-  private stopped = false;
+  private readonly absences: DomainAbsence[] = [];
+  private readonly fleet: FaultFleet;
+  private readonly operator: SoakOperator;
+  private readonly keyCaller: KeyCaller;
+  private readonly player: FaultPlayer;
+  private readonly starvation: StarvationWatch;
+  private generators = 0;
 
   private constructor(
-    private readonly seed: number,
-    private readonly fleet: FaultFleet,
+    private readonly options: SoakOptions,
+    plan: FaultFleet['plan'],
   ) {
-    this.random = new SeededRandom(seed);
+    const { timer, harms, ledger, watch } = this;
+    const { build = BUILD, program = join(build, 'platform/start.js') } = options;
+    const programs = { program, harm: join(build, 'bench/faults/harmedHost.js') };
+    this.fleet = new FaultFleet(plan, programs, timer, harms, ledger, watch);
+    this.operator = new SoakOperator(this.fleet, ledger, this.createRandom());
+    this.keyCaller = new KeyCaller(this.fleet, ledger, harms);
+    this.starvation = new StarvationWatch(timer, harms, () => [
+      process.pid,
+      ...this.fleet.processIds,
+    ]);
+    this.player = new FaultPlayer(this.fleet, harms, (domain, lengthMs) =>
+      this.takeOut(domain, lengthMs),
+    );
   }
 
-  /** Runs a seed for a time under faults; `network` keeps runs beside one another apart. */
-  static async run(
-    seed: number,
-    faultsMs: number,
-    network: number,
-    program = STORED_PROGRAM,
-  ): Promise<FaultSoakResult> {
-    const size = { controls: 3, entries: 3, groups: 1, network, isProxied: true };
-    const fleet = new FaultFleet(await createLinePlan(size), program);
-    const soak = new FaultSoak(seed, fleet);
+  /** Runs a seed for a time under faults. */
+  static async run(options: SoakOptions): Promise<FaultSoakResult> {
+    const { controls = 3, entries = 3, network } = options;
+    const size = { controls, entries, groups: 1, network, isProxied: true };
+    const soak = new FaultSoak(options, await createLinePlan(size));
     let keeps = true;
     try {
-      await soak.play(faultsMs);
-      keeps = soak.violations.length > 0;
+      await soak.play();
+      keeps = soak.ledger.violations.length > 0;
     } finally {
-      await fleet.stop(keeps);
+      soak.starvation.stop();
+      await soak.fleet.stop(keeps);
     }
     return soak.createResult(keeps);
   }
 
-  private async play(faultsMs: number): Promise<void> {
-    const { fleet } = this;
+  private async play(): Promise<void> {
+    const { fleet, clients, operator, keyCaller } = this;
+    const schedule = drawSchedule(
+      this.createRandom(),
+      this.options.faultsMs,
+      fleet.plan.daemons.length,
+    );
     await fleet.start();
-    await this.waitFor('the first configuration', START_LIMIT_MS, () => this.configure());
-    for (const [index, database] of CLIENTS.entries()) {
-      const key = index % 2 === 0 ? 'key-mill' : 'key-press';
-      this.clients.push(new SoakClient(`item${index}`, database, key, fleet, this.random));
-    }
-    const runs = this.clients.map((client) => client.run());
-    await this.waitFor('the first answers', START_LIMIT_MS, () => this.isServing(0));
-    const operator = this.operate();
-    const endMs = fleet.timer.now() + faultsMs;
-    while (fleet.timer.now() < endMs) {
-      await this.harm();
-    }
-    for (const proxy of fleet.proxies.values()) {
-      proxy.heal();
-    }
-    const before = this.clients.map(({ served }) => served);
+    this.starvation.start();
+    await this.waitFor('the first configuration', START_LIMIT_MS, () => operator.configure());
+    this.addClients();
+    const runs = [...clients.map((client) => client.run()), operator.run(), keyCaller.run()];
+    await this.waitFor('the first answers', START_LIMIT_MS, () =>
+      clients.every(({ served }) => served > 0),
+    );
+    await this.player.play(schedule);
+    fleet.proxies.forEach((proxy) => proxy.heal());
+    const before = clients.map(({ served }) => served);
     await this.waitFor('service after the faults', RECOVERY_LIMIT_MS, () =>
-      this.clients.every(({ served }, index) => served > (before[index] ?? 0) + 3),
+      clients.every(({ served }, index) => served > (before[index] ?? 0) + 1),
     );
     await fleet.sleep(QUIET_MS);
-    this.stopped = true;
-    this.clients.forEach((client) => client.stop());
-    await Promise.all([...runs, operator]);
+    [...clients, operator, keyCaller].forEach((each) => each.stop());
+    await Promise.all(runs);
     await this.check();
   }
 
-  /** Begins one fault, and ends it after a while. */
-  private async harm(): Promise<void> {
-    const { fleet } = this;
-    const lengthMs = 200 + this.random.next() * 1800;
-    const daemon = this.pick(fleet.plan.daemons);
-    const instance = this.pick(fleet.group.instances);
-    const kinds: Readonly<Record<string, () => Promise<void>>> = {
-      pause: () => this.pause(daemon, lengthMs),
-      kill: () => this.restart(daemon, 'SIGKILL', lengthMs / 4),
-      stop: () => this.restart(daemon, 'SIGTERM', 0),
-      wipe: () => this.wipe(this.pick(fleet.controls)),
-      tear: () => this.tear(this.pick(fleet.controls)),
-      cut: () => this.harmLinks(daemon, LinkFault.Cut, lengthMs),
-      oneWay: () => this.harmLinks(daemon, LinkFault.OneWay, lengthMs),
-      delay: () => this.harmLinks(daemon, LinkFault.Delay, lengthMs),
-      silence: () => Promise.resolve(fleet.proxies.get(daemon.node)?.silence()),
-      reset: () => Promise.resolve(fleet.proxies.get(daemon.node)?.reset()),
-      instanceSilence: () => Promise.resolve(fleet.proxies.get(instance.id)?.silence()),
-      instanceStop: async () => {
-        await instance.stop();
-        await fleet.sleep(lengthMs);
-        await instance.start();
-      },
-      instanceDeaf: async () => {
-        instance.isDeaf = true;
-        await fleet.sleep(lengthMs);
-        instance.isDeaf = false;
-        fleet.group.catchUp(instance);
-      },
-      instanceDark: async () => {
-        const proxy = fleet.proxies.get(instance.id);
-        fleet.plan.daemons.forEach(({ ip }) => proxy?.setFault(ip, LinkFault.Cut));
-        await fleet.sleep(lengthMs);
-        proxy?.heal();
-      },
-    };
-    const kind = this.pick(Object.keys(kinds));
-    this.faults.push(`${kind} ${kind.startsWith('instance') ? instance.id : daemon.node}`);
-    await kinds[kind]?.();
-    await fleet.sleep(this.random.next() * 700);
-  }
-
-  private async pause({ node }: PlannedLineDaemon, lengthMs: number): Promise<void> {
-    this.fleet.signal(node, 'SIGSTOP');
-    await this.fleet.sleep(lengthMs);
-    this.fleet.signal(node, 'SIGCONT');
-  }
-
-  private async restart(
-    daemon: PlannedLineDaemon,
-    signal: NodeJS.Signals,
-    downMs: number,
-  ): Promise<void> {
-    this.fleet.signal(daemon.node, signal);
-    await this.fleet.waitForEnd(daemon.node);
-    await this.fleet.sleep(downMs);
-    this.fleet.run(daemon);
-  }
-
-  /** One disk is lost at a time: the quorum has to have taken its successor in before the next. */
-  private async wipe(daemon: PlannedLineDaemon): Promise<void> {
-    this.fleet.signal(daemon.node, 'SIGKILL');
-    await this.fleet.waitForEnd(daemon.node);
-    this.fleet.wipe(daemon.node);
-    this.fleet.run(daemon);
-    await this.fleet.sleep(4000);
-  }
-
-  private async tear(daemon: PlannedLineDaemon): Promise<void> {
-    this.fleet.signal(daemon.node, 'SIGKILL');
-    await this.fleet.waitForEnd(daemon.node);
-    this.fleet.tear(daemon.node);
-    this.fleet.run(daemon);
-  }
-
-  /** Harms the links of a daemon to all others, and perhaps to the instances. */
-  private async harmLinks(
-    daemon: PlannedLineDaemon,
-    fault: LinkFault,
-    lengthMs: number,
-  ): Promise<void> {
-    const { proxies, plan, group } = this.fleet;
-    const withInstances = this.random.next() < 0.5;
-    const own = proxies.get(daemon.node);
-    for (const { node, ip } of plan.daemons.filter((other) => other !== daemon)) {
-      own?.setFault(ip, fault);
-      proxies.get(node)?.setFault(daemon.ip, fault);
-    }
-    for (const { id } of withInstances ? group.instances : []) {
-      proxies.get(id)?.setFault(daemon.ip, fault);
+  /** Busy callers, one mostly idle caller for each entry host, and callers above the rate of their account. */
+  private addClients(): void {
+    const { entries } = this.fleet;
+    const plans: CallerPlan[] = KINDS.map((database, index) => {
+      const account = ACCOUNTS[index % ACCOUNTS.length] ?? 'mill';
+      const key = `key-${account}`;
+      return { item: `item${index}`, database, key, account, pauseMs: BUSY_PAUSE_MS };
+    });
+    entries.forEach((_, index) => {
+      const shared = { key: 'key-press', account: 'press', pauseMs: IDLE_PAUSE_MS };
+      plans.push({ item: `idle${index}`, database: 'session', ...shared });
+    });
+    for (let index = 0; index < DRIP_CALLERS; index += 1) {
+      const shared = { key: 'key-drip', account: 'drip', pauseMs: DRIP_PAUSE_MS, isPlain: true };
+      plans.push({ item: `drip${index}`, database: 'latest', ...shared });
     }
-    await this.fleet.sleep(lengthMs);
-    for (const proxy of proxies.values()) {
-      proxy.heal();
+    for (const plan of plans) {
+      this.clients.push(new SoakClient(plan, this.fleet, this.ledger, this.createRandom()));
     }
   }
 
-  private async operate(): Promise<void> {
-    while (!this.stopped) {
-      await this.configure();
-      await this.fleet.sleep(CONFIGURATION_INTERVAL_MS);
-    }
+  /** Each part draws from its own numbers, so that the times of others change nothing. */
+  private createRandom(): RandomSource {
+    this.generators += 1;
+    return createSoakRandom(this.options.seed, this.generators);
   }
 
-  private async configure(): Promise<boolean> {
-    this.version += 1 + Math.floor(this.random.next() * 3);
-    const { version } = this;
-    const options = { version, accounts: ACCOUNTS, rate: 500, burst: 500 };
-    const body = createLineConfiguration(this.fleet.plan, options);
-    const reply = await this.fleet.call('POST', '/filbertpoint/Config.Replace', body);
-    if (reply !== undefined) {
-      this.acknowledgedVersion = Math.max(this.acknowledgedVersion, version);
+  private async takeOut(domain: string, lengthMs: number): Promise<void> {
+    const isOut = await this.order(`Begin/${domain}`);
+    const fromMs = this.timer.now() + DOMAIN_LIMIT_MS;
+    await this.fleet.sleep(lengthMs);
+    if (isOut) {
+      this.absences.push({ domain, fromMs, toMs: this.timer.now() });
     }
-    return reply !== undefined;
+    await this.waitFor(`the return of ${domain}`, START_LIMIT_MS, () =>
+      this.order(`Finish/${domain}`),
+    );
   }
 
-  private isServing(least: number): boolean {
-    return this.clients.every(({ served }) => served > least);
+  private async order(path: string): Promise<boolean> {
+    for (const { control = '' } of this.fleet.controls) {
+      const { status } = await callControl(control, 'POST', `/filbertpoint/Drain.${path}`);
+      if (status === 200) {
+        return true;
+      }
+    }
+    return false;
   }
 
   private async waitFor(
@@ -218,62 +194,44 @@
     limitMs: number,
     isTrue: () => boolean | Promise<boolean>,
   ): Promise<void> {
-    const endMs = this.fleet.timer.now() + limitMs;
+    const endMs = this.timer.now() + limitMs;
     while (!(await isTrue())) {
-      if (this.fleet.timer.now() > endMs) {
-        this.violations.push(`${what} did not come within ${limitMs} ms`);
+      if (this.timer.now() > endMs) {
+        this.ledger.fail(`${what} did not come within ${limitMs} ms`);
         return;
       }
       await this.fleet.sleep(50);
     }
   }
 
-  /** Compares what callers were told with the log of the primary. */
   private async check(): Promise<void> {
-    const { group } = this.fleet;
-    const changes = (group.primary?.log ?? []).flatMap((commit) => commit.changes);
-    const times = new Map<string, number>();
-    for (const [item, data] of changes) {
-      times.set(`${item} ${data}`, (times.get(`${item} ${data}`) ?? 0) + 1);
-    }
-    for (const client of this.clients) {
-      this.violations.push(...client.violations);
-      for (const { count, fate } of client.writes) {
-        const found = times.get(`${client.item} ${count}`) ?? 0;
-        const isWrong =
-          found > 1 ||
-          (fate === WriteFate.Acknowledged && found === 0) ||
-          (fate === WriteFate.NotRun && found > 0);
-        if (isWrong) {
-          this.violations.push(`${client.item}: write ${count} was ${fate}, found ${found} times`);
-        }
-      }
-    }
-    if (group.lostCommits > 0) {
-      this.violations.push(`${group.lostCommits} commits acknowledged by a primary were lost`);
-    }
-    const read = await this.fleet.call('GET', '/filbertpoint/Config.Fetch');
-    const version = read === undefined ? 0 : (JSON.parse(read.body) as { version: number }).version;
-    if (version < this.acknowledgedVersion) {
-      this.violations.push(
-        `configuration ${version} read, ${this.acknowledgedVersion} acknowledged`,
-      );
-    }
-  }
-
-  private pick<Item>(items: readonly Item[]): Item {
-    return items[Math.floor(this.random.next() * items.length)] as Item;
+    const { ledger, watch, harms, fleet, clients, operator, keyCaller } = this;
+    await this.waitFor('a read of the configuration', START_LIMIT_MS, () => operator.read());
+    ledger.violations.push(
+      ...findWrongWrites(fleet.group, clients),
+      ...findRequestsInDomains(this.absences, watch, ledger, (fromMs, toMs) =>
+        harms.isCalm(fromMs, toMs),
+      ),
+      ...ledger.judgeCuts((id) => watch.seen.has(id)),
+      ...watch.judgeRate('drip', DRIP_RATE, DRIP_RATE, DRIP_SLACK),
+      ...keyCaller.judge(operator.sent),
+    );
   }
 
   private createResult(keeps: boolean): FaultSoakResult {
     const writes = this.clients.flatMap((client) => client.writes);
+    const { slowed, looks, worstMs } = this.starvation;
+    const outcomes = [...this.ledger.outcomes].sort(([a], [b]) => a.localeCompare(b));
     return {
-      seed: this.seed,
-      faults: this.faults,
-      violations: this.violations,
+      seed: this.options.seed,
+      faults: this.player.played,
+      violations: this.ledger.violations,
       served: this.clients.reduce((sum, { served }) => sum + served, 0),
       acknowledged: writes.filter(({ fate }) => fate === WriteFate.Acknowledged).length,
       promotions: (this.fleet.group.primary?.term ?? 1) - 1,
+      configurations: this.operator.sent.length,
+      outcomes: outcomes.map(([code, count]) => `${code} ${count}`).join(', '),
+      starvation: `${slowed} of ${looks} looks, worst ${worstMs.toFixed(0)} ms`,
       folder: keeps ? this.fleet.folder : undefined,
     };
   }
--- a/bench/faults/soakClient.ts
+++ b/bench/faults/soakClient.ts
@@ -1,12 +1,18 @@
-import { TransactionStatus } from '../../src/daemon/requests/index.js';
+import type { LineReply } from '../../platform/lines/lineReply.js';
 import type { RandomSource } from '../../src/common/random.js';
+import { TransactionStatus } from '../../src/daemon/requests/index.js';
 import { DATABASES, STALENESS_MS } from '../lines/lineConfiguration.js';
-import { LineClient } from '../lines/lineClient.js';
+import { OWNER } from './backendWatch.js';
+import type { CallerLedger } from './callerLedger.js';
+import { CallerSession } from './callerSession.js';
 import type { FaultFleet } from './faultFleet.js';
 
-const PAUSE_MS = 25;
 const WRITE_SHARE = 0.45;
-const TRANSACTION_SHARE = 0.3;
+const TRANSACTION_SHARE = 0.4;
+/** Longest pause between two statements of a transaction. */
+const THINKING_MS = 250;
+/** Share of transactions whose caller leaves in their middle. */
+const LEAVING_SHARE = 0.03;
 /** Codes that promise that nothing of the attempt is kept. */
 const PROMISES = new Set(['BUSY', 'ABORTED', 'LAGGING', 'READONLY', 'MOVED', 'TOOMANY']);
 
@@ -27,105 +33,149 @@
 /** The consistency of the databases that soak clients use. */
 export type SoakDatabase = 'latest' | 'bounded' | 'session';
 
+/** Who a caller is and how fast it asks. */
+export interface CallerPlan {
+  /** The item that it alone writes. */
+  readonly item: string;
+  readonly database: SoakDatabase;
+  readonly key: string;
+  readonly account: string;
+  /** Mean pause between two operations, in milliseconds. */
+  readonly pauseMs: number;
+  /** Only single statements. */
+  readonly isPlain?: boolean;
+}
+
 /** A caller that writes rising counts to an item of its own and checks what it reads. */
 export class SoakClient {
   readonly writes: SoakWrite[] = [];
-  readonly violations: string[] = [];
   served = 0;
   private count = 0;
-  private client: LineClient | undefined;
+  private session: CallerSession | undefined;
   /** Writes of the present session. */
   private sessionFrom = 0;
+  private sessions = 0;
   private stopped = false;
 
   constructor(
-    readonly item: string,
-    private readonly database: SoakDatabase,
-    private readonly key: string,
+    readonly plan: CallerPlan,
     private readonly fleet: FaultFleet,
+    private readonly ledger: CallerLedger,
     private readonly random: RandomSource,
   ) {}
 
   /** Works until it is stopped. */
   async run(): Promise<void> {
     while (!this.stopped) {
-      const client = await this.connect();
-      if (client !== undefined) {
-        await (this.random.next() < WRITE_SHARE ? this.write(client) : this.read(client));
+      const session = await this.connect();
+      if (session !== undefined) {
+        await (this.random.next() < WRITE_SHARE ? this.write(session) : this.read(session));
+        await this.endTransaction(session);
       }
-      await this.fleet.sleep(PAUSE_MS * this.random.next() * 2);
+      await this.pause(this.plan.pauseMs * 2);
     }
-    this.client?.close();
+    this.session?.close();
   }
 
   stop(): void {
     this.stopped = true;
   }
 
-  private async connect(): Promise<LineClient | undefined> {
-    if (this.client?.isClosed === false) {
-      return this.client;
+  /** The connection is kept for as long as the daemon keeps it. */
+  private async connect(): Promise<CallerSession | undefined> {
+    if (this.session?.isClosed === false) {
+      return this.session;
     }
     const { entries, group, timer } = this.fleet;
     const entry = entries[Math.floor(this.random.next() * entries.length)];
-    const database = `${DATABASES[this.database]}-${group.options.service}`;
-    const name = `${this.item}-${timer.now().toFixed(0)}`;
-    const address = entry?.frontend ?? '';
-    const client = await LineClient.open(address, database, this.key, name, timer);
-    this.client = client;
+    const { item, key, account } = this.plan;
+    this.sessions += 1;
+    const target = {
+      ...{ node: entry?.node ?? '', address: entry?.frontend ?? '', item, key, account },
+      database: `${DATABASES[this.plan.database]}-${group.options.service}`,
+      name: `${item}-${this.sessions}`,
+    };
+    const session = await CallerSession.open(target, this.ledger, timer);
+    this.session = session;
     this.sessionFrom = this.writes.length;
-    return client.isClosed ? undefined : client;
+    const reply = await session.ask(`SET ${OWNER} ${item}`);
+    return reply === undefined ? undefined : session;
   }
 
-  private async write(client: LineClient): Promise<void> {
+  private async write(session: CallerSession): Promise<void> {
+    const { item, isPlain = false } = this.plan;
     this.count += 1;
     const { count } = this;
-    const isTransaction = this.random.next() < TRANSACTION_SHARE;
+    const isTransaction = !isPlain && this.random.next() < TRANSACTION_SHARE;
     const texts = isTransaction
-      ? ['BEGIN', `PUT ${this.item} ${count}`, `PUT ${this.item}-twin ${count}`, 'COMMIT']
-      : [`PUT ${this.item} ${count}`];
-    let fate = WriteFate.Acknowledged;
+      ? ['BEGIN', `PUT ${item} ${count}`, `PUT ${item}-twin ${count}`, 'COMMIT']
+      : [`PUT ${item} ${count}`];
+    const fate = await this.runAll(session, texts);
+    this.served += fate === WriteFate.Acknowledged ? 1 : 0;
+    this.writes.push({ count, fate, atMs: this.fleet.timer.now() });
+  }
+
+  private async runAll(session: CallerSession, texts: readonly string[]): Promise<WriteFate> {
     for (const [index, text] of texts.entries()) {
-      const { reply } = await client.query(text);
+      if (index > 0) {
+        if (this.random.next() < LEAVING_SHARE) {
+          session.close();
+        }
+        await this.pause(THINKING_MS);
+      }
+      const reply = await session.ask(text);
       if (reply?.error === undefined && reply !== undefined) {
         continue;
       }
       const isPromise = reply?.error !== undefined && PROMISES.has(reply.error);
       const isCommit = index === texts.length - 1;
       // Without its commit a transaction leaves nothing.
-      fate = isPromise || !isCommit ? WriteFate.NotRun : WriteFate.Unknown;
-      client.close();
-      break;
+      return isPromise || !isCommit || !this.wasSent(text, reply, session)
+        ? WriteFate.NotRun
+        : WriteFate.Unknown;
     }
-    this.served += fate === WriteFate.Acknowledged ? 1 : 0;
-    this.writes.push({ count, fate, atMs: this.fleet.timer.now() });
+    return WriteFate.Acknowledged;
   }
 
-  private async read(client: LineClient): Promise<void> {
-    const startMs = this.fleet.timer.now();
-    const least = this.getLeast(startMs);
-    const { reply } = await client.query(`FETCH ${this.item}`);
+  /** A statement that its caller never sent, as the connection was over, was not run. */
+  private wasSent(text: string, reply: LineReply | undefined, session: CallerSession): boolean {
+    return reply !== undefined || session.lastText === text;
+  }
+
+  private async read(session: CallerSession): Promise<void> {
+    const { item, database } = this.plan;
+    const least = this.getLeast(this.fleet.timer.now());
+    const reply = await session.ask(`FETCH ${item}`);
     if (reply === undefined || reply.error !== undefined) {
-      if (reply?.status !== TransactionStatus.Idle) {
-        client.close();
-      }
       return;
     }
     this.served += 1;
     const read = Number(reply.rows[0] ?? 0);
     if (read < least || read > this.count) {
-      this.violations.push(
-        `${this.item} (${this.database}): read ${read}, wanted ${least} or more`,
-      );
+      this.ledger.fail(`${session.lastId} (${database}): read ${read}, wanted ${least} or more`);
     }
   }
 
+  private async endTransaction(session: CallerSession): Promise<void> {
+    if (!session.isClosed && session.status !== TransactionStatus.Idle) {
+      const reply = await session.ask('ROLLBACK');
+      if (reply?.status !== TransactionStatus.Idle) {
+        session.close();
+      }
+    }
+  }
+
+  private pause(longestMs: number): Promise<void> {
+    return this.fleet.sleep(longestMs * this.random.next());
+  }
+
   /** The least count that a read which begins now may see. */
   private getLeast(nowMs: number): number {
+    const { database } = this.plan;
     const counts = this.writes.map(({ count, fate, atMs }, index) => {
       const isOld = atMs <= nowMs - STALENESS_MS;
-      const isOwn = this.database === 'session' && index >= this.sessionFrom;
-      const isWanted = isOld || isOwn || this.database === 'latest';
+      const isOwn = database === 'session' && index >= this.sessionFrom;
+      const isWanted = isOld || isOwn || database === 'latest';
       return fate === WriteFate.Acknowledged && isWanted ? count : 0;
     });
     return Math.max(0, ...counts);
--- a/bench/lines/lineConfiguration.ts
+++ b/bench/lines/lineConfiguration.ts
@@ -7,6 +7,8 @@
   readonly accounts: Readonly<Record<string, readonly string[]>>;
   readonly rate?: number;
   readonly burst?: number;
+  /** Rate and burst of accounts that have others, in requests (a second). */
+  readonly rates?: Readonly<Record<string, number>>;
   readonly timeoutMs?: number;
 }
 
@@ -23,7 +25,7 @@
 
 /** Creates a configuration as the platform's operators send it: four databases for each group. */
 export function createLineConfiguration(plan: LinePlan, options: LineConfigurationOptions): string {
-  const { version, accounts, rate = 1000, burst = 1000, timeoutMs = 2000 } = options;
+  const { version, accounts, rate = 1000, burst = 1000, rates = {}, timeoutMs = 2000 } = options;
   const services = [...new Set(plan.instances.map(({ service }) => service))];
   const routes = services.flatMap((service) => {
     const shared = {
@@ -61,7 +63,7 @@
     limits: { txIdleMs: 1000 },
     tenants: Object.entries(accounts).map(([name, apiKeys]) => ({
       ...{ name, apiKeys, priority: 1 },
-      ...{ ratePerS: rate, burst },
+      ...{ ratePerS: rates[name] ?? rate, burst: rates[name] ?? burst },
     })),
   });
 }
--- a/standin/lines/index.ts
+++ b/standin/lines/index.ts
@@ -1,3 +1,4 @@
 export * from './lineGroup.js';
 export * from './lineInstance.js';
 export * from './linePlatform.js';
+export * from './statementWatch.js';
--- a/standin/lines/lineGroup.ts
+++ b/standin/lines/lineGroup.ts
@@ -1,5 +1,6 @@
 import type { TimerService } from '../../src/common/timer/index.js';
 import { LineInstance } from './lineInstance.js';
+import type { StatementWatch } from './statementWatch.js';
 
 /** Time that a commit takes to a replica, in milliseconds. */
 const NETWORK_MS = 1;
@@ -38,6 +39,7 @@
   constructor(
     readonly options: LineGroupOptions,
     readonly timer: TimerService,
+    readonly watch?: StatementWatch,
   ) {}
 
   get primary(): LineInstance | undefined {
--- a/standin/lines/lineServerConnection.ts
+++ b/standin/lines/lineServerConnection.ts
@@ -27,6 +27,7 @@
   private status = 'I';
   private transaction: OpenTransaction | undefined;
   private hasLostLead = false;
+  private account = NOTHING;
   private readonly values = new Map<string, string>();
   private readonly prepared = new Map<string, string>();
 
@@ -72,7 +73,7 @@
   }
 
   private connect(word: string, service: string, rest: string): void {
-    const [, id] = rest.split(' ');
+    const [account = NOTHING, id] = rest.split(' ');
     const isRight =
       word === (LineWord.Connect as string) && service === this.instance.group.options.service;
     if (!isRight || (id !== undefined && id !== this.instance.id)) {
@@ -80,10 +81,17 @@
       return;
     }
     this.isConnected = true;
+    this.account = account;
     this.ready();
   }
 
   private query(id: string, text: string): void {
+    const { id: instance, domain, group } = this.instance;
+    const { account, values, transaction } = this;
+    group.watch?.see({
+      ...{ instance, domain, account, id, text, values },
+      transaction: transaction?.statements,
+    });
     const [first = '', second = '', rest = ''] = splitWords(text, 3);
     if (first === (StatementWord.After as string)) {
       const wanted = readPosition(second);
