The last lines of the log are written before the process ends

Cause: lines that wait for an earlier write were thrown away by process.exit. Ruled out: the limit on repeated lines (it was the first such line). Evidence: tests/platform/signals.test.ts "the last lines are written before a process that stops has ended" failed before (no FP1003) and passes.

--- a/src/common/logging/boundedWriter.ts
+++ b/src/common/logging/boundedWriter.ts
@@ -27,6 +27,7 @@
   private characters = 0;
   private leftOut = 0;
   private isWriting = false;
+  private onIdle: (() => void) | undefined;
 
   constructor(
     private readonly sink: TextSink,
@@ -45,8 +46,18 @@
     this.flush();
   }
 
+  /** Calls back once everything is written; never while a reader stands still. */
+  finish(onIdle: () => void): void {
+    this.onIdle = onIdle;
+    this.flush();
+  }
+
   private flush(): void {
-    if (this.isWriting || this.waiting.length === 0) {
+    if (this.isWriting) {
+      return;
+    }
+    if (this.waiting.length === 0) {
+      this.onIdle?.();
       return;
     }
     const lines = this.waiting.splice(0);
--- a/tests/platform/signals.test.ts
+++ b/tests/platform/signals.test.ts
@@ -36,7 +36,7 @@
   child.stdout?.on('data', (bytes: Buffer) => (output += bytes.toString()));
   child.stderr?.on('data', (bytes: Buffer) => (output += bytes.toString()));
   ended = new Promise((resolve) => {
-    child.once('exit', (code, signal) => resolve(signal ?? code));
+    child.once('close', (code, signal) => resolve(signal ?? code));
   });
 }
 
@@ -70,6 +70,15 @@
   expect(await ended).toBe(0);
 });
 
+test('the last lines are written before a process that stops has ended', async () => {
+  writeFileSync(file, text);
+  start();
+  await waitFor(Diagnostics.DaemonStarted.code);
+  child.kill('SIGTERM');
+  expect(await ended).toBe(0);
+  expect(output).toContain(`code=FP${Diagnostics.DaemonStopped.code} `);
+});
+
 test('a process that is told to read its settings again while it starts goes on', async () => {
   expect(spawnSync('mkfifo', [file]).status).toBe(0);
   start();
