--- a/bench/faults/faultFleet.ts
+++ b/bench/faults/faultFleet.ts
@@ -131,13 +131,18 @@
    * starts has nothing else to go by and ends, so that they are torn for daemons that are up only.
    */
   writeSettings(daemon: PlannedLineDaemon, tears: boolean, isFirst = false): void {
-    const isTorn = tears && this.processes.get(daemon.node)?.wasUp() === true;
+    const isTorn = tears && this.wasUp(daemon.node);
     const data = this.getDataFolder(daemon.node);
     const text = formatLineSettings(this.plan, daemon, data, isFirst);
     const file = this.getFile(daemon.node, 'toml');
     writeFileSync(file, isTorn ? text.slice(0, text.length / 2) : text);
   }
 
+  /** Whether the daemon was up in the present life of its process. */
+  wasUp(node: string): boolean {
+    return this.processes.get(node)?.wasUp() === true;
+  }
+
   /** Sends a signal to a daemon's process. */
   signal(node: string, signal: NodeJS.Signals): void {
     this.processes.get(node)?.signal(signal);
