A write that may have been run is not refused as not run; what a holder refuses late is let go

The doubt of an earlier attempt stays now. - checkLease looked once at a request that was already sent: when its holder refused it after that, it was held to the deadline.

--- a/src/daemon/entry/dispatchedRequest.ts
+++ b/src/daemon/entry/dispatchedRequest.ts
@@ -2,6 +2,7 @@
 import { mayRetry } from '../../decisions/routing/index.js';
 import {
   createRefusedOutcome,
+  RequestKind,
   ResponseReceiver,
   toFault,
   type RequestOutcome,
@@ -39,6 +40,8 @@
   /** The last refusal, shown when no attempt succeeds before the deadline. */
   lastFault: Fault | undefined;
   private running: RunningRequest | undefined;
+  /** Why an attempt to write ended that may have been run. */
+  private doubt: RequestOutcome['fault'];
   private answered = false;
   private cancelled = false;
 
@@ -71,7 +74,7 @@
       return;
     }
     this.isEnded = true;
-    this.receiver.finish(outcome);
+    this.receiver.finish(this.admitDoubt(outcome));
   }
 
   consume(consumed: number): void {
@@ -111,11 +114,20 @@
     return true;
   }
 
+  /** A later attempt that was refused says nothing of an earlier one that may have been run. */
+  private admitDoubt(outcome: RequestOutcome): RequestOutcome {
+    const isRefused = outcome.fault?.execution === Execution.NotRun;
+    return this.doubt !== undefined && isRefused ? { ...outcome, fault: this.doubt } : outcome;
+  }
+
   private shouldRetry({ fault }: RequestOutcome): boolean {
     if (fault === undefined || this.cancelled) {
       return false;
     }
-    this.lastFault = toFault(fault);
+    if (fault.execution !== Execution.NotRun && this.draft.kind !== RequestKind.Read) {
+      this.doubt ??= fault;
+    }
+    this.lastFault = toFault(this.doubt ?? fault);
     const isBlocked = RETRIED_REFUSALS.has(fault.code) || fault.execution !== Execution.NotRun;
     return (
       isBlocked &&
--- a/src/daemon/entry/entryRequests.test.ts
+++ b/src/daemon/entry/entryRequests.test.ts
@@ -3,19 +3,26 @@
 import {
   toAccountId,
   toGroupId,
+  toHostId,
   toIncarnation,
   toLeaseId,
+  toRevision,
   type RequestId,
 } from '../../common/ids/index.js';
 import { Logger, RequestLog } from '../../common/logging/index.js';
 import { Metrics } from '../../common/metrics/index.js';
 import { ManualTimerService } from '../../common/timer/index.js';
-import { DaemonRecords } from '../../decisions/control/index.js';
+import {
+  DaemonRecords,
+  getGroupHolderRecordName,
+  RecordKind,
+} from '../../decisions/control/index.js';
 import { HolderLease, type GroupHolder } from '../holder/index.js';
 import type { Mesh } from '../mesh/index.js';
 import type { RateTask } from '../rates/index.js';
 import {
   RequestIds,
+  createRefusedOutcome,
   RequestKind,
   ResponseReceiver,
   type RequestOutcome,
@@ -76,13 +83,21 @@
   readonly lease = new SetLease();
   readonly rates = new SilentRates();
   readonly requests: EntryRequests;
+  readonly records = new DaemonRecords();
+  /** Attempts that were sent to holders elsewhere. */
+  readonly sent: ResponseReceiver[] = [];
 
   constructor() {
     const { timer, lease } = this;
     const ids = new RequestIds(toIncarnation('life'));
-    const records = new DaemonRecords();
+    const { records } = this;
     const holder = {} as unknown as GroupHolder;
-    const remote = {} as unknown as RemoteRequests;
+    const remote = {
+      send: (_address: string, _request: unknown, receiver: ResponseReceiver) => {
+        this.sent.push(receiver);
+        return undefined;
+      },
+    } as unknown as RemoteRequests;
     this.requests = new EntryRequests({
       ...{ ids, timer, records, lease, holder },
       rates: this.rates as unknown as RateTask,
@@ -100,6 +115,16 @@
     return receiver;
   }
 
+  /** Another host holds the group of the requests. */
+  assign(): void {
+    const { group } = PATIENT_DRAFT;
+    const holder = { host: toHostId('other'), lease: toLeaseId('other.1'), address: 'other' };
+    const value = { kind: RecordKind.GroupHolder, group, holder, draining: false } as const;
+    const revision = toRevision(1);
+    const name = getGroupHolderRecordName(group);
+    this.records.applyRecords([{ name, revision, value: { ...value, since: revision } }], revision);
+  }
+
   /** The daemon notices after a while that its lease has ended or begun. */
   setLease(leftMs: number): void {
     this.lease.leftMs = leftMs;
@@ -180,3 +205,36 @@
   host.setLease(0);
   expectNoLease(host.run());
 });
+
+const REFUSED = createFault(Diagnostics.LeaseExpired, {}, { step: 'test' });
+const DOUBTFUL = createFault(
+  Diagnostics.OutcomeUnknown,
+  {},
+  { step: 'test', execution: Execution.Unknown },
+);
+
+test('what its holder refuses after the lease was lost is not held until the deadline either', () => {
+  const host = new EntryHost();
+  host.assign();
+  const receiver = host.run({ account: OPEN_ACCOUNT });
+  host.setLease(0);
+  host.timer.advance(TARGET_MS / 4);
+  expect(receiver.outcome).toBeUndefined();
+  const [attempt] = host.sent;
+  attempt?.finish(createRefusedOutcome(REFUSED));
+  host.timer.advance(TARGET_MS / 4);
+  expectNoLease(receiver);
+});
+
+test('a write that may have been run is not refused as not run after a second attempt', () => {
+  const host = new EntryHost();
+  host.assign();
+  const receiver = host.run({ account: OPEN_ACCOUNT, idempotent: true });
+  host.sent[0]?.finish(createRefusedOutcome(DOUBTFUL));
+  host.timer.advance(TARGET_MS / 4);
+  host.sent[1]?.finish(createRefusedOutcome(REFUSED));
+  host.setLease(0);
+  host.timer.advance(TARGET_MS / 4);
+  expect(host.sent).toHaveLength(2);
+  expect(receiver.outcome?.fault?.execution).toBe(Execution.Unknown);
+});
--- a/src/daemon/entry/entryRequests.ts
+++ b/src/daemon/entry/entryRequests.ts
@@ -26,6 +26,8 @@
 const TOKEN_WAIT_SHARE = 0.25;
 /** When callers may ask again at a host without a lease: it renews about as often. */
 const LEASE_RETRY_MS = 250;
+/** How often a request that was sent is looked at while there is no lease. */
+const SENT_CHECK_MS = 50;
 
 const CLASSES: Readonly<Record<RequestKind, RequestClass>> = {
   [RequestKind.Read]: RequestClass.Read,
@@ -200,7 +202,10 @@
   private withdraw(): void {
     if (this.running !== undefined) {
       const fault = this.running.withdraw();
-      if (fault !== undefined) {
+      if (fault === undefined) {
+        // Its holder may still refuse it, and then it waits for another one.
+        this.stopWaitingForLease = this.context.timer.once(SENT_CHECK_MS, () => this.checkLease());
+      } else {
         this.refuse(fault);
       }
     } else {
