A primary that started again without its log neither goes on nor says how far a move has to get

A primary that comes back with its log is ahead of all others and goes on as before.

Evidence: the new test of promotionRules.test.ts promoted p at 3 before.

--- a/src/decisions/promotion/promotionRules.test.ts
+++ b/src/decisions/promotion/promotionRules.test.ts
@@ -123,6 +123,19 @@
   expect(rules.decide(createView([LOST, other, restarted], held))).toMatchObject({ instance: 'a' });
 });
 
+test('a primary that started again empty neither goes on nor says how far a move has to get', () => {
+  const restarted = { restartedRevision: toRevision(60) };
+  const back = createInstance('p', 5, 3, restarted);
+  const others = [createInstance('a', 5, 90), createSilent('b', 5, 100)];
+  expect(rules.decide(createView([back, ...others]))).toMatchObject({ step: 'wait' });
+  const whole = createInstance('p', 5, 100, restarted);
+  expect(rules.decide(createView([whole, ...others]))).toMatchObject({ instance: 'p' });
+  const primary = createPrimary({ phase: PrimaryPhase.Moving });
+  const change = { primary, holder: createHolder(100, true), movingSinceMs: NOW_MS - 100 };
+  const own = announcedAs(back, InstanceRole.Primary);
+  expect(rules.decide(createView([own, ...others], change))).toMatchObject({ step: 'wait' });
+});
+
 test('an announcement measured before the fence does not count, however late it came', () => {
   const late = createInstance('a', 5, 100);
   const { announced } = late;
--- a/src/decisions/promotion/promotionRules.ts
+++ b/src/decisions/promotion/promotionRules.ts
@@ -6,7 +6,7 @@
 import { decideFirst } from './firstSight.js';
 import type { GroupView } from './groupView.js';
 import { getServedStart } from './history.js';
-import type { InstanceView } from './instanceView.js';
+import type { InstanceView, Measurement } from './instanceView.js';
 import { getPlace, getToldPlace, isAnnouncedPrimary, isAnnouncing } from './places.js';
 import {
   createBlocked,
@@ -126,9 +126,13 @@
     if (isLate) {
       return this.choose(view, primary, fence, 'the move took too long');
     }
-    if (last === undefined || last.term !== getServedTimeline(primary)) {
+    const isKnown = last?.term === getServedTimeline(primary);
+    if (instance === undefined || last === undefined || !isKnown) {
       return createWait('the last position of the primary is not known');
     }
+    if (!this.hasWholeLog(view, primary, instance, last)) {
+      return createWait('the primary started again without its log');
+    }
     const [best] = getCandidates(view, primary, this.settings, Candidates.Others);
     const place = best && getPlace(best);
     if (best === undefined || place === undefined || place.position < last.position) {
@@ -201,7 +205,8 @@
     const ownPlace = own && getPlaceAfter(own, fence, this.settings);
     if (own !== undefined && ownPlace !== undefined) {
       const isSame = ownPlace.term === getServedTimeline(primary);
-      if (isSame && mayServeAgain(view, primary, own, this.settings)) {
+      const isWhole = this.hasWholeLog(view, primary, own, ownPlace);
+      if (isSame && isWhole && mayServeAgain(view, primary, own, this.settings)) {
         return this.createPromotion(view, own, ownPlace.position, 'the last primary goes on');
       }
     }
@@ -261,6 +266,25 @@
     return instance.restartedRevision > primary.since;
   }
 
+  /**
+   * Whether the primary still has what it acknowledged: after a restart its log may be gone, and then
+   * it is behind what the others received of the term, or behind what its holder acknowledged.
+   */
+  private hasWholeLog(
+    view: GroupView,
+    primary: GroupPrimary,
+    own: InstanceView,
+    { position }: Measurement,
+  ): boolean {
+    if (position < (view.holder?.confirmed ?? 0)) {
+      return false;
+    }
+    const timeline = getServedTimeline(primary);
+    const isAhead = (place: Measurement | undefined): boolean =>
+      place !== undefined && place.term === timeline && place.position > position;
+    return !this.hasLostLog(primary, own) || !view.instances.map(getPlace).some(isAhead);
+  }
+
   private createPromotion(
     view: GroupView,
     instance: InstanceView,
