Soak: busy callers have to get as far after the faults as before; the strict bound is checked without expect

The recovery check of the fault soak asked for more than one operation since, more than three before: three again for all but the new, mostly idle callers.

--- a/bench/faults/faultSoak.ts
+++ b/bench/faults/faultSoak.ts
@@ -20,6 +20,10 @@
 const ACCOUNTS = ['mill', 'press'] as const;
 const BUSY_PAUSE_MS = 25;
 const IDLE_PAUSE_MS = 900;
+/** Operations that a caller has to get beyond, after the faults, for service to be back. */
+const RECOVERY_SERVED = 3;
+/** Of a caller that is mostly idle, which pauses for seconds between its operations. */
+const IDLE_RECOVERY_SERVED = 1;
 const DRIP_PAUSE_MS = 12;
 const DRIP_CALLERS = 2;
 /** What instances may see of drip beyond its bound: one request of each caller that was held up. */
@@ -132,7 +136,10 @@
     fleet.proxies.forEach((proxy) => proxy.heal());
     const before = clients.map(({ served }) => served);
     await this.waitFor('service after the faults', RECOVERY_LIMIT_MS, () =>
-      clients.every(({ served }, index) => served > (before[index] ?? 0) + 1),
+      clients.every(({ served, plan }, index) => {
+        const more = plan.pauseMs === IDLE_PAUSE_MS ? IDLE_RECOVERY_SERVED : RECOVERY_SERVED;
+        return served > (before[index] ?? 0) + more;
+      }),
     );
     await fleet.sleep(QUIET_MS);
     [...clients, operator, keyCaller].forEach((each) => each.stop());
--- a/src/decisions/limits/strictBound.test.ts
+++ b/src/decisions/limits/strictBound.test.ts
@@ -226,14 +226,22 @@
     const burst = this.changes.at(-1)?.limit.burst ?? 0;
     if (bucket !== undefined) {
       const held = bucket.getOutstanding();
-      expect(this.fleet.getStock(mill)).toBeLessThanOrEqual(held + 1e-6);
+      assertAtMost(this.fleet.getStock(mill), held + 1e-6, 'stock beyond what is outstanding');
       if (bucket.getAvailable() > 0) {
-        expect(bucket.getAvailable() + held).toBeLessThanOrEqual(burst + 1e-6);
+        const total = bucket.getAvailable() + held;
+        assertAtMost(total, burst + 1e-6, 'available and outstanding beyond the burst');
       }
     }
   }
 }
 
+/** Looked at every 5 ms of a run: `expect` took half of the time of these tests. */
+function assertAtMost(value: number, bound: number, what: string): void {
+  if (!(value <= bound)) {
+    throw new Error(`${what}: ${value} > ${bound}`);
+  }
+}
+
 function runScenario(scenario: Scenario, factory: LimiterFactory): ScenarioRun {
   const run = new ScenarioRun(scenario, factory);
   run.run();
