--- a/src/common/timer/index.ts
+++ b/src/common/timer/index.ts
@@ -1,3 +1,4 @@
+export * from './afterPendingInput.js';
 export * from './adaptiveTick.js';
 export * from './timerService.js';
 export * from './suspensionDetector.js';
--- a/src/daemon/entry/callerFront.ts
+++ b/src/daemon/entry/callerFront.ts
@@ -10,6 +10,8 @@
   abstract recordsChanged(): void;
   /** Refuses new callers and ends each session once nothing runs in it. */
   abstract drain(): void;
-  /** Ends every session at once. */
+  /** Starts no further statements: ends sessions, open transactions too, once their statement has ended. */
+  abstract finish(): void;
+  /** Gives up what still runs and ends every session; each request is answered with what is known of it. */
   abstract close(): void;
 }
--- a/src/daemon/gateway/callerServer.ts
+++ b/src/daemon/gateway/callerServer.ts
@@ -91,6 +91,14 @@
     }
   }
 
+  override finish(): void {
+    this.drain();
+    const fault = createFault(Diagnostics.ShuttingDown, {}, { step: 'caller.finish' });
+    for (const session of [...this.sessions]) {
+      session.finish(fault);
+    }
+  }
+
   override close(): void {
     this.drain();
     const fault = createFault(Diagnostics.ShuttingDown, {}, { step: 'caller.close' });
--- a/src/daemon/gateway/callerSession.ts
+++ b/src/daemon/gateway/callerSession.ts
@@ -41,6 +41,8 @@
   private failed = false;
   private ended = false;
   private draining: Fault | undefined;
+  /** No further batch is run. */
+  private finishing = false;
 
   constructor(
     private readonly caller: AuthenticatedCaller,
@@ -116,6 +118,15 @@
     }
   }
 
+  /** Ends the session, an open transaction too, with the reason as soon as nothing runs in it. */
+  finish(reason: Fault): void {
+    this.draining = reason;
+    this.finishing = true;
+    if (!this.busy) {
+      this.fail(reason);
+    }
+  }
+
   /** Ends the session with a last error. */
   fail(fault: Fault): void {
     if (!this.ended) {
@@ -160,6 +171,9 @@
   }
 
   private next(): void {
+    if (this.finishing && !this.busy && this.draining !== undefined) {
+      this.fail(this.draining);
+    }
     while (!this.busy && !this.ended) {
       if (this.isBlocked()) {
         return;
--- a/src/daemon/sessions/sessionReplies.ts
+++ b/src/daemon/sessions/sessionReplies.ts
@@ -16,4 +16,9 @@
   abstract setReading(reading: boolean): void;
   /** Ends the session. */
   abstract end(): void;
+  /**
+   * Ends an idle session with a refusal. A statement that is on its way meets the refusal and has not
+   * run; later ones are not passed on to the session.
+   */
+  abstract leave(fault: Fault): void;
 }
--- a/src/daemon/sessions/statementSession.ts
+++ b/src/daemon/sessions/statementSession.ts
@@ -62,8 +62,11 @@
   private failed = false;
   private running: RunningRequest | undefined;
   private busy = false;
+  /** The statement that runs may change data for good. */
+  private committing = false;
   private ended = false;
   private draining = false;
+  private finishing = false;
   private idleSinceMs: number;
 
   constructor(
@@ -91,6 +94,18 @@
     this.endWhenIdle();
   }
 
+  /** Starts no further statement; ends the session, and a transaction that is open, after the present one. */
+  finish(): void {
+    this.draining = true;
+    this.finishing = true;
+    this.endWhenIdle();
+  }
+
+  /** Gives up the statement that runs, where that can still be done; it is answered all the same. */
+  cancel(): void {
+    this.running?.cancel();
+  }
+
   /** Rolls a transaction back that idles for too long. */
   tick(nowMs: number): void {
     const { transaction } = this;
@@ -104,12 +119,18 @@
     }
   }
 
-  /** Ends the session at once. */
+  /** Ends the session at once: answers what runs with an unknown outcome, refuses what waits. */
   end(): void {
-    if (!this.ended) {
-      this.replies.end();
-      this.close();
+    if (this.ended) {
+      return;
+    }
+    if (this.busy) {
+      this.replies.refuse(this.createCutFault());
+      this.replies.ready(TransactionStatus.Idle, undefined);
     }
+    this.refuseWaiting();
+    this.replies.end();
+    this.close();
   }
 
   /** Forgets the caller, which is gone, and gives up what runs for it. */
@@ -133,6 +154,9 @@
 
   private next(): void {
     while (!this.busy && !this.ended) {
+      if (this.finishing) {
+        this.refuseWaiting();
+      }
       const statement = this.waiting.shift();
       if (statement === undefined) {
         this.endWhenIdle();
@@ -144,9 +168,33 @@
   }
 
   private endWhenIdle(): void {
-    const isIdle = !this.busy && this.waiting.length === 0;
-    if (this.draining && isIdle && this.status === TransactionStatus.Idle) {
-      this.end();
+    if (!this.draining || this.busy || this.waiting.length > 0 || this.ended) {
+      return;
+    }
+    if (this.status === TransactionStatus.Idle) {
+      this.leave(createStopping());
+    } else if (this.finishing) {
+      const context = { step: 'session.finish', execution: Execution.NotRun };
+      this.leave(createFault(Diagnostics.TransactionLost, {}, context));
+    }
+  }
+
+  private leave(fault: Fault): void {
+    this.replies.leave(fault);
+    this.close();
+  }
+
+  /** What is known of a statement that is cut: a transaction that doesn't commit is rolled back. */
+  private createCutFault(): Fault {
+    const step = 'session.end';
+    return this.transaction === undefined || this.committing
+      ? createFault(Diagnostics.OutcomeUnknown, {}, { step, execution: Execution.Unknown })
+      : createFault(Diagnostics.TransactionLost, {}, { step, execution: Execution.NotRun });
+  }
+
+  private refuseWaiting(): void {
+    for (const statement of this.waiting.splice(0)) {
+      this.refuse(createStopping(), statement);
     }
   }
 
@@ -299,6 +347,7 @@
     const isPaid = kind === RequestKind.Inside || kind === RequestKind.End;
     const timeoutMs = route.statementTimeoutMs ?? DEFAULT_STATEMENT_TIMEOUT_MS;
     this.busy = true;
+    this.committing = mayCommit;
     const receiver = new StatementReceiver(this.replies, (outcome) =>
       this.answered(route.group, endsTransaction, outcome),
     );
@@ -434,3 +483,7 @@
     this.replies.ready(this.status, position);
   }
 }
+
+function createStopping(): Fault {
+  return createFault(Diagnostics.ShuttingDown, {}, { step: 'session.drain' });
+}
--- a/tests/platform/stoppingCallers.test.ts
+++ b/tests/platform/stoppingCallers.test.ts
@@ -1,6 +1,8 @@
+import fc from 'fast-check';
 import { afterEach, beforeEach, expect, test } from 'vitest';
-import { FrontHost } from './stoppingCallers.js';
+import { FrontHost, type RawCaller } from './stoppingCallers.js';
 
+const SEED = 20261205;
 const BUSY = /^ERROR BUSY FP2003[^\r]*\r\n$/;
 const REFUSED = /^ERROR BUSY FP2003[^\r]*\r\nREADY I -\r\n$/;
 const ANSWERED = /^ROW row\r\nDONE signature\r\nREADY I -\r\n/;
@@ -18,7 +20,7 @@
   const caller = await host.open();
   caller.send('QUERY 1 FETCH a\r\n');
   host.front.drain();
-  await host.until(() => caller.hasEnded);
+  await host.until(() => caller.hasEnded || caller.isTold);
   expect(caller.received).toMatch(ANSWERED);
 });
 
@@ -70,3 +72,96 @@
   await host.until(() => caller.hasEnded || caller.received.includes('ERROR'));
   expect(caller.received).toMatch(/ERROR BUSY FP2003[^\r]*\r\n/);
 });
+
+test('a statement that comes late in a stop is refused at once and not run', async () => {
+  host.requests.answersAtOnce = false;
+  const caller = await host.open();
+  caller.send('QUERY 1 FETCH a\r\n');
+  await host.until(() => host.requests.passed.length === 1);
+  host.front.drain();
+  host.front.finish();
+  await host.turn(3);
+  caller.send('QUERY 2 PUT a b\r\n');
+  await host.turn(3);
+  host.requests.passed[0]?.answer();
+  await host.until(() => caller.isTold);
+  const [answer = '', refusal = '', farewell = ''] = caller.received.split(/(?<=READY I -\r\n)/);
+  expect(answer).toMatch(ANSWERED);
+  expect(refusal).toMatch(REFUSED);
+  expect(farewell).toMatch(BUSY);
+  expect(host.requests.passed).toHaveLength(1);
+});
+
+test('a transaction that outlives its part of a stop is rolled back and its caller is told', async () => {
+  const caller = await host.open();
+  caller.send('QUERY 1 BEGIN\r\n');
+  caller.send('QUERY 2 PUT a b\r\n');
+  await host.until(() => caller.received.endsWith('READY T -\r\n') && caller.take() !== '');
+  await host.until(() => host.requests.passed.length === 1 && caller.received === '');
+  host.front.drain();
+  host.front.finish();
+  await host.until(() => caller.received.includes('ERROR'));
+  caller.send('QUERY 3 COMMIT\r\n');
+  await host.until(() => caller.hasEnded);
+  expect(caller.received).toMatch(/^ERROR ABORTED FP3012[^\r]*\r\nREADY I -\r\n$/);
+  expect(host.requests.passed.filter(({ draft }) => draft.mayCommit)).toEqual([]);
+});
+
+test('requests still under way at the end of a stop get an answer that promises nothing', async () => {
+  host.requests.answersAtOnce = false;
+  const caller = await host.open();
+  caller.send('QUERY 1 PUT a b\r\nQUERY 2 PUT a c\r\n');
+  await host.until(() => host.requests.passed.length === 1);
+  host.front.drain();
+  host.front.close();
+  await host.until(() => caller.hasEnded);
+  const [first = '', second = ''] = caller.received.split(/(?<=READY I -\r\n)/);
+  expect(first).toMatch(/^ERROR UNKNOWN FP3006[^\r]*\r\nREADY I -\r\n$/);
+  expect(second).toMatch(REFUSED);
+  expect(host.requests.passed).toHaveLength(1);
+});
+
+/** Whole replies and refusals in what a caller was sent, without the farewell to an idle one. */
+function countReplies({ received }: RawCaller): number {
+  return received.split('READY ').length - 1;
+}
+
+test('whatever arrives whole before a stop closes a connection is answered or refused', async () => {
+  const plan = fc.record({
+    before: fc.nat({ max: 2 }),
+    turns: fc.nat({ max: 3 }),
+    late: fc.boolean(),
+    finishes: fc.boolean(),
+    held: fc.boolean(),
+  });
+  await fc.assert(
+    fc.asyncProperty(plan, async ({ before, turns, late, finishes, held }) => {
+      const fresh = new FrontHost();
+      await fresh.front.listen();
+      fresh.requests.answersAtOnce = !held;
+      const caller = await fresh.open();
+      caller.send('QUERY 1 FETCH a\r\n'.repeat(before));
+      await fresh.turn(turns);
+      fresh.front.drain();
+      if (finishes) {
+        fresh.front.finish();
+      }
+      // A caller sends one statement at a time: a late one only when nothing is outstanding.
+      const sendsLate = late && before === 0;
+      if (sendsLate) {
+        await fresh.until(() => caller.received !== '' || caller.hasEnded);
+        caller.send('QUERY 9 PUT a b\r\n');
+      }
+      if (held) {
+        await fresh.turn(1);
+        fresh.front.close();
+      }
+      await fresh.until(() => caller.hasEnded || caller.isTold);
+      caller.socket.end();
+      await fresh.until(() => caller.hasEnded);
+      expect(countReplies(caller)).toBe(before + (sendsLate ? 1 : 0));
+      fresh.close();
+    }),
+    { seed: SEED, numRuns: 60 },
+  );
+});
