A stop has stages: statements start in its first half, then none is taken that it would have to cut

Cause: a stop had one stage, in which everything was served until its end. Change: after a little over half of the time no statement starts any more: it is refused as not run, an open transaction is rolled back and its caller is told; 500 ms before the end what still runs is cancelled and answered with what is known of it.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -32,6 +32,13 @@
 const METRICS_INTERVAL_MS = 1000;
 const LATE_REQUEST_MS = 300;
 const DRAIN_CHECK_MS = 20;
+/**
+ * Part of the time to stop in which callers' statements still start. A little over half: callers are promised
+ * half of the whole time, of which `graceMs` leaves out the end.
+ */
+const STARTING_SHARE = 0.55;
+/** Time that the answers to callers' last requests are given to reach them, in milliseconds. */
+const LAST_ANSWERS_MS = 500;
 
 /** What a daemon is made from. */
 export interface DaemonOptions {
@@ -176,10 +183,13 @@
     this.lease.renewSoon();
     this.callers?.drain();
     const noticedMs = timer.now() + this.options.interfaces.stopNoticeMs;
-    const hasNoCallers = (): boolean =>
-      this.callers === undefined || (this.callers.count === 0 && timer.now() >= noticedMs);
-    await this.waitUntil(hasNoCallers, endMs);
+    const isEmpty = (): boolean => this.callers === undefined || this.callers.count === 0;
+    const hasNoCallers = (): boolean => isEmpty() && timer.now() >= noticedMs;
+    await this.waitUntil(hasNoCallers, timer.now() + graceMs * STARTING_SHARE);
+    this.callers?.finish();
+    await this.waitUntil(hasNoCallers, endMs - LAST_ANSWERS_MS);
     this.callers?.close();
+    await this.waitUntil(isEmpty, endMs);
     await this.waitUntil(() => this.holder.count === 0 && this.rates.count === 0, endMs);
     // Requests that are still on their way here are refused as not run, not lost.
     await this.waitUntil(() => false, Math.min(endMs, timer.now() + LATE_REQUEST_MS));
