--- a/src/daemon/control/controlHost.ts
+++ b/src/daemon/control/controlHost.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from 'neverthrow';
 import { Diagnostics, type Fault } from '../../common/diagnostics/index.js';
-import { toFailureDomain, type HostId, type Revision } from '../../common/ids/index.js';
+import { toFailureDomain, toRevision, type HostId, type Revision } from '../../common/ids/index.js';
 import type { RandomSource } from '../../common/random.js';
 import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
 import {
@@ -43,6 +43,7 @@
 import type { Platform } from './platform.js';
 import { QuorumMember, type QuorumListener } from './quorumMember.js';
 import { RecordPusher } from './recordPusher.js';
+import { SentRecords } from './sentRecords.js';
 
 const TICK_INTERVAL_MS = 40;
 const MEMBERSHIP_INTERVAL_MS = 200;
@@ -75,6 +76,9 @@
   private readonly keeper: MemberKeeper;
   private readonly packer = new RecordPacker();
   private readonly pusher: RecordPusher;
+  private readonly sent = new SentRecords();
+  /** Revision that each daemon last said it has applied. */
+  private readonly applied = new Map<HostId, Revision>();
   /** Suspensions suspected when a quorum last confirmed that this host leads. */
   private trusted = 0;
   private confirming = false;
@@ -217,7 +221,7 @@
           void this.member.propose(output.command);
           break;
         case ControlOutputKind.Grant:
-          this.sendTo(output.host, { kind: MeshKind.LeaseGrant, grant: this.pack(output.grant) });
+          this.grant(output.host, output.grant);
           break;
         case ControlOutputKind.Update:
           this.pusher.push(output);
@@ -235,7 +239,19 @@
   private tellDaemons({ hosts, update }: Update): void {
     const packed = this.pack(update);
     for (const host of hosts) {
-      this.sendTo(host, { kind: MeshKind.RecordUpdate, update: packed });
+      const link = this.findLink(host);
+      link?.send({ kind: MeshKind.RecordUpdate, update: packed });
+      if (link !== undefined) {
+        this.sent.noteUpdate(link, update.since, update.revision);
+      }
+    }
+  }
+
+  private grant(host: HostId, grant: LeaseGrant): void {
+    const link = this.findLink(host);
+    if (link !== undefined) {
+      const shortened = this.sent.shorten(link, grant, this.applied.get(host) ?? toRevision(0));
+      link.send({ kind: MeshKind.LeaseGrant, grant: this.pack(shortened) });
     }
   }
 
@@ -272,6 +288,7 @@
     }
     const { renewal } = message;
     this.links.set(renewal.host, link);
+    this.applied.set(renewal.host, renewal.revision);
     if (renewal.member !== undefined) {
       this.keeper.heard(renewal.member, this.options.timer.now());
     }
@@ -292,13 +309,14 @@
     return suspensions === this.trusted;
   }
 
-  private sendTo(host: HostId, message: MeshMessage): void {
+  private findLink(host: HostId): MeshLink | undefined {
     const link = this.links.get(host);
     if (link?.isClosed === true) {
       this.links.delete(host);
-      return;
+      this.applied.delete(host);
+      return undefined;
     }
-    link?.send(message);
+    return link;
   }
 
   private async answer(
--- /dev/null
+++ b/src/daemon/control/sentRecords.test.ts
@@ -0,0 +1,133 @@
+import fc from 'fast-check';
+import { expect, test } from 'vitest';
+import { toHostId, toLeaseId, toRevision } from '../../common/ids/index.js';
+import {
+  DaemonRecords,
+  type ControlRecord,
+  type LeaseGrant,
+} from '../../decisions/control/index.js';
+import { SubjectKind } from '../../decisions/tickets/index.js';
+import { SentRecords } from './sentRecords.js';
+
+const SEED = 20261205;
+
+function createGrant(changes: readonly ControlRecord[], applied: number): LeaseGrant {
+  const records = changes.filter(({ revision }) => revision > applied);
+  const revision = changes.at(-1)?.revision ?? toRevision(0);
+  const grant = { lease: toLeaseId('l'), sequence: 1, lengthMs: 1, retired: false };
+  return { ...grant, revision, records };
+}
+
+function createChange(revision: number): ControlRecord {
+  const name = `subject/${SubjectKind.FailureDomain}/${toHostId(String(revision % 3))}`;
+  return { name, revision: toRevision(revision), value: { kind: 'test' } as never };
+}
+
+test('a large change is not sent again with each renewal that it overtakes', () => {
+  const sent = new SentRecords();
+  const link = {};
+  const before = [createChange(1), createChange(2)];
+  expect(sent.shorten(link, createGrant(before, 0), toRevision(0)).records).toHaveLength(2);
+  sent.noteUpdate(link, toRevision(2), toRevision(3));
+  const changes = [...before, createChange(3)];
+  for (let renewal = 0; renewal < 5; renewal += 1) {
+    const grant = sent.shorten(link, createGrant(changes, 2), toRevision(2));
+    expect(grant).toMatchObject({ since: 3, revision: 3, records: [] });
+  }
+  const other = sent.shorten({}, createGrant(changes, 2), toRevision(2));
+  expect(other.records).toEqual([createChange(3)]);
+});
+
+/** A daemon and the leader's side of its link, which is lost with what it carries. */
+class Connected {
+  readonly daemon = new DaemonRecords();
+  changes: ControlRecord[] = [];
+  private readonly sent = new SentRecords();
+  private link = {};
+  private pushed = 0;
+  private carried: (() => void)[] = [];
+
+  change(): void {
+    this.changes = [...this.changes, createChange(this.changes.length + 1)];
+  }
+
+  /** Pushes what changed; `isTold`: to this daemon too, and not only to others. */
+  push(isTold: boolean): void {
+    const update = {
+      since: toRevision(this.pushed),
+      revision: toRevision(this.changes.length),
+      records: this.changes.slice(this.pushed),
+    };
+    this.pushed = this.changes.length;
+    if (isTold) {
+      this.sent.noteUpdate(this.link, update.since, update.revision);
+      this.carried.push(() => this.daemon.applyUpdate(update));
+    }
+  }
+
+  renew(): void {
+    const applied = this.daemon.revision;
+    const grant = this.sent.shorten(this.link, createGrant(this.changes, applied), applied);
+    const { since, revision, records } = grant;
+    this.carried.push(() =>
+      since === undefined
+        ? this.daemon.applyRecords(records, revision)
+        : this.daemon.applyUpdate({ since, revision, records }),
+    );
+  }
+
+  deliver(): boolean {
+    const first = this.carried.shift();
+    first?.();
+    return first !== undefined;
+  }
+
+  lose(): void {
+    this.link = {};
+    this.carried = [];
+  }
+}
+
+const event = fc.constantFrom('change', 'push', 'skip', 'renew', 'deliver', 'lose');
+
+function play(each: string, connected: Connected): void {
+  switch (each) {
+    case 'change':
+      connected.change();
+      break;
+    case 'push':
+    case 'skip':
+      connected.push(each === 'push');
+      break;
+    case 'renew':
+      connected.renew();
+      break;
+    case 'deliver':
+      connected.deliver();
+      break;
+    case 'lose':
+      connected.lose();
+      break;
+  }
+}
+
+test('a daemon has all that it says it has, and gets the rest, whatever its links lose', () => {
+  fc.assert(
+    fc.property(fc.array(event, { maxLength: 80 }), (events) => {
+      const connected = new Connected();
+      const { daemon } = connected;
+      for (const each of events) {
+        play(each, connected);
+        for (const { name, revision } of connected.changes) {
+          const isDue = revision <= daemon.revision;
+          expect(isDue && daemon.getRecordRevision(name) < revision).toBe(false);
+        }
+      }
+      while (connected.deliver());
+      connected.renew();
+      connected.deliver();
+      expect(daemon.revision).toBe(connected.changes.length);
+    }),
+    { seed: SEED, numRuns: 3000 },
+  );
+});
--- a/src/daemon/lease/leaseTask.ts
+++ b/src/daemon/lease/leaseTask.ts
@@ -224,7 +224,11 @@
 
   private takeGrant(grant: LeaseGrant): void {
     const nowMs = this.timer.now();
-    const changed = this.records.applyRecords(grant.records, grant.revision);
+    const { since, revision, records } = grant;
+    const changed =
+      since === undefined
+        ? this.records.applyRecords(records, revision)
+        : this.records.applyUpdate({ since, revision, records });
     const effect = this.lease.receiveGrant(grant, nowMs);
     if (grant.lease === this.lease.id) {
       if (effect === GrantEffect.Extended) {
--- a/src/daemon/mesh/meshLink.ts
+++ b/src/daemon/mesh/meshLink.ts
@@ -23,7 +23,7 @@
 const MAXIMUM_WAITING_FRAMES = 10_000;
 
 /** The version of the mesh protocol; daemons of other versions are refused. */
-export const MESH_VERSION = 2;
+export const MESH_VERSION = 3;
 
 /** What a link tells its owner. */
 export interface MeshLinkOwner {
--- a/src/daemon/mesh/packedRecords.test.ts
+++ b/src/daemon/mesh/packedRecords.test.ts
@@ -1,3 +1,4 @@
+import { deflateRawSync } from 'node:zlib';
 import { expect, test } from 'vitest';
 import { toRevision } from '../../common/ids/index.js';
 import type { ControlRecord } from '../../decisions/control/index.js';
@@ -24,9 +25,42 @@
   expect(tryUnpackRecords(packer.pack([], toRevision(91)), 'a')._unsafeUnwrap()).toEqual([]);
 });
 
-test.each([[[]], [[0xc1]], [[0x93, 1, 2]], [[0x91, 0x80]], [[0xa1, 0x61]]])(
-  'bytes that are no records are refused: %j',
-  (bytes) => {
-    expect(tryUnpackRecords(Uint8Array.from(bytes), 'a').isErr()).toBe(true);
-  },
-);
+/** Bytes a second of a link of 2 Mbit/s. */
+const NARROW_LINK_BYTES = 250_000;
+/** Configurations that follow each other at once, a second. */
+const CHANGES_PER_SECOND = 2;
+
+test('a configuration of a thousand routes leaves a narrow link to the requests of callers', () => {
+  const routes = Array.from({ length: 1100 }, (_, index) => ({
+    ...{ kind: 'route', route: `route-${(index * 7919).toString(36)}`, group: 'ledger-1' },
+    ...{ consistency: 'bounded', statementTimeoutMs: 3000, targetLatencyMs: 800 },
+    ...{ maximumStalenessMs: 1500, transactionIdleMs: 3000 },
+  }));
+  const record = {
+    ...{ name: 'subject/configuration', revision: toRevision(4) },
+    value: { kind: 'subject', state: { kind: 'configuration', routes } },
+  } as unknown as ControlRecord;
+  const bytes = new RecordPacker().pack([record], toRevision(4));
+  expect(tryUnpackRecords(bytes, 'a')._unsafeUnwrap()).toEqual([record]);
+  expect(bytes.length * CHANGES_PER_SECOND).toBeLessThan(NARROW_LINK_BYTES / 5);
+});
+
+test('compressed bytes that are cut or unfold to no records are refused', () => {
+  const bytes = new RecordPacker().pack(createRecords(200, 300), toRevision(300));
+  expect(tryUnpackRecords(bytes.subarray(0, bytes.length - 9), 'a').isErr()).toBe(true);
+  expect(tryUnpackRecords(Uint8Array.of(2, ...bytes.subarray(1)), 'a').isErr()).toBe(true);
+  const bomb = deflateRawSync(Buffer.alloc(80_000_000));
+  expect(tryUnpackRecords(Buffer.concat([Buffer.of(1), bomb]), 'a').isErr()).toBe(true);
+});
+
+test.each([
+  [[]],
+  [[0xc1]],
+  [[0x93, 1, 2]],
+  [[0x91, 0x80]],
+  [[0xa1, 0x61]],
+  [[0, 0xc1]],
+  [[0, 0x91, 0x80]],
+])('bytes that are no records are refused: %j', (bytes) => {
+  expect(tryUnpackRecords(Uint8Array.from(bytes), 'a').isErr()).toBe(true);
+});
--- a/src/daemon/mesh/packedRecords.ts
+++ b/src/daemon/mesh/packedRecords.ts
@@ -1,12 +1,26 @@
+import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { Packr } from 'msgpackr';
 import { err, ok, type Result } from 'neverthrow';
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
 import type { Revision } from '../../common/ids/index.js';
 import type { ControlRecord } from '../../decisions/control/index.js';
 
+/** Records of fewer bytes are sent as they are packed. */
+const COMPRESSED_FROM_BYTES = 1024;
+/** A whole configuration repeats the names and values of its routes: the fastest level finds them. */
+const COMPRESSION_LEVEL = 1;
+/** Most bytes that packed records unfold to. */
+const MAXIMUM_RECORD_BYTES = 67_108_864;
+
+/** The first byte of packed records: how the rest is to be read. */
+enum Packing {
+  Plain = 0,
+  Compressed = 1,
+}
+
 /**
  * Packs replicated records once for all daemons that are to have them: a change of the configuration
- * goes to every daemon of the fleet.
+ * goes to every daemon of the fleet, over links that may be narrow.
  */
 export class RecordPacker {
   private readonly codec = createCodec();
@@ -22,7 +36,7 @@
     }
     let bytes = this.packed.get(records.length);
     if (bytes === undefined) {
-      bytes = Uint8Array.from(this.codec.pack(records));
+      bytes = compress(this.codec.pack(records));
       this.packed.set(records.length, bytes);
     }
     return bytes;
@@ -38,7 +52,7 @@
 ): Result<readonly ControlRecord[], Fault> {
   let content: unknown;
   try {
-    content = decoder.unpack(bytes);
+    content = decoder.unpack(decompress(bytes));
   } catch (cause) {
     return err(createInvalid(cause instanceof Error ? cause.message : 'not decodable', peer));
   }
@@ -47,6 +61,24 @@
     : err(createInvalid('no list of records', peer));
 }
 
+function compress(packed: Uint8Array): Uint8Array {
+  const isLarge = packed.length >= COMPRESSED_FROM_BYTES;
+  const content = isLarge ? deflateRawSync(packed, { level: COMPRESSION_LEVEL }) : packed;
+  return Buffer.concat([Buffer.of(isLarge ? Packing.Compressed : Packing.Plain), content]);
+}
+
+function decompress(bytes: Uint8Array): Uint8Array {
+  const content = bytes.subarray(1);
+  switch (bytes[0]) {
+    case Packing.Plain:
+      return content;
+    case Packing.Compressed:
+      return inflateRawSync(content, { maxOutputLength: MAXIMUM_RECORD_BYTES });
+    default:
+      throw new Error('no known packing');
+  }
+}
+
 function createCodec(): Packr {
   return new Packr({ mapsAsObjects: true, int64AsType: 'number' });
 }
--- a/src/decisions/control/leaseGrant.ts
+++ b/src/decisions/control/leaseGrant.ts
@@ -9,7 +9,9 @@
   readonly lengthMs: number;
   /** The lease ran out or was retired: the daemon must start one under a new id. */
   readonly retired: boolean;
-  /** The records up to `revision` that changed since the renewal's revision. */
+  /** The records begin after this revision; absent: after the renewal's. */
+  readonly since?: Revision;
+  /** The records up to `revision` that changed since then. */
   readonly revision: Revision;
   readonly records: readonly ControlRecord[];
 }
