A configuration that is nested too deeply or holds too many values is refused before it is made

Seen: a report of other operators: an entry that is "very deeply nested" ended the processes that read it. Here a body of up to 16 MB went into JSON.parse whole. No error can be caught then.

Ruled out: the stack. JSON.parse of Node 20 doesn't recurse; the checks after it drop what isn't known.

Change: one bounded reader of JSON from outside (src/common/json). It looks once through the text, for depth and number of values, before anything is made.

--- /dev/null
+++ b/src/common/json/index.ts
@@ -0,0 +1,1 @@
+export * from './boundedJson.js';
