What names no instance is refused by one bounded schema, at each door

Seen: a heartbeat with port 0, with 2^53 - 1 slots, `born` or `seq` was taken and went into the replicated records; the other way in (announcements) had bounds of its own. Departures and drains of any text of 256 characters went to control, drains into records that are never removed. A heartbeat could have 16 MB.

Cause: each door checked by itself.

Change: `announcementSchema` (src/decisions/control) is the check of all doors: slots to 100,000, ports from 1, start times that a clock can show, `seq` to 2^48, names. The heartbeat translates and asks it. Reports of instances and drains take 16 KB, and their ids have to be names (400).

Ruled out: a bound of `born` by this host's clock, as the time of day jumps on some hosts.

--- a/src/common/settings/address.ts
+++ b/src/common/settings/address.ts
@@ -15,6 +15,11 @@
   return isIP(ipv4 ?? ipv6 ?? '') !== 0 && Number(port) <= MAXIMUM_PORT;
 }
 
+/** Whether a text is an address that can be connected to: 0 is no port of anybody. */
+export function isPeerAddress(text: string): boolean {
+  return isAddress(text) && splitAddress(text).port > 0;
+}
+
 /** Splits a checked address. */
 export function splitAddress(address: string): Address {
   const colon = address.lastIndexOf(':');
--- a/src/decisions/control/index.ts
+++ b/src/decisions/control/index.ts
@@ -7,6 +7,7 @@
 export * from './groupPrimary.js';
 export * from './controlRecord.js';
 export * from './announcement.js';
+export * from './announcementSchema.js';
 export * from './forwardedAnnouncement.js';
 export * from './groupReport.js';
 export * from './leaseRenewal.js';
--- a/tests/support/memoryControlClient.ts
+++ b/tests/support/memoryControlClient.ts
@@ -4,6 +4,7 @@
 import {
   toHostId,
   toRevision,
+  type FailureDomain,
   type InstanceId,
   type TicketNumber,
 } from '../../src/common/ids/index.js';
@@ -20,6 +21,7 @@
 export class MemoryControlClient extends ControlClient {
   readonly announcements: Announcement[] = [];
   readonly departures: InstanceId[] = [];
+  readonly domains: FailureDomain[] = [];
   readonly submitted: Ticket[] = [];
   /** When set, the next `faultsLeft` requests end with it. */
   fault: Fault | undefined;
@@ -63,7 +65,8 @@
     this.announcements.push(announcement);
   }
 
-  override switchDomain(): Outcome<unknown> {
+  override switchDomain(domain: FailureDomain): Outcome<unknown> {
+    this.domains.push(domain);
     return this.answer(() => ({ changed: true }));
   }
 
