An address that nobody can have ends no process, whoever names it

Seen (trial, one process): `mesh.send('127.0.0.1:99999', ...)` throws SyntaxError out of `new WebSocket`. Addresses come from greetings, renewals, redirections and stored records, none checked, and are dialled from timers: the process ends, and again at each start when the address is in a record. Counts of 2^53, 1e308 or 0.5 in messages were taken as well.

Change: greetings and renewals have to carry addresses with a port (a new type of field), counts have to be whole numbers that arithmetic keeps exact, durations finite. What is stored already is dialled like a host that is down. A mesh that listens on IPv6 names itself with brackets, as the check needs.

Ruled out by test: frames whose lists, maps, texts or bytes claim 2^32 - 1, also 100 of them in one another, and 900,000 nested lists: msgpackr refuses all, which ends the link alone.

Evidence: src/daemon/mesh/oddAddresses.test.ts, 3 of 4 tests failed before; the fourth shows what held.

--- a/src/daemon/mesh/mesh.ts
+++ b/src/daemon/mesh/mesh.ts
@@ -8,7 +8,7 @@
 import type { Logger } from '../../common/logging/index.js';
 import { Mailbox } from '../../common/tasks/index.js';
 import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
-import { splitAddress } from '../../common/settings/index.js';
+import { formatAddress, isPeerAddress, splitAddress } from '../../common/settings/index.js';
 import { MeshKind } from './meshKind.js';
 import {
   GREETING_LIMIT_MS,
@@ -20,6 +20,9 @@
 import type { Hello, MeshMessage } from './meshMessage.js';
 import type { MeshOptions } from './meshOptions.js';
 
+/** Dialled in place of an address that nobody can have: such a link is lost like one to a host that is down. */
+const UNREACHABLE = '0.0.0.0:0';
+
 /** A message with the link it came over. */
 export interface MeshDelivery<Message extends MeshMessage = MeshMessage> {
   readonly link: MeshLink;
@@ -84,7 +87,10 @@
       this.web.listen(port, ip, resolve);
     });
     const bound = this.web.address() as AddressInfo;
-    this.hello = createHello(this.options, this.options.advertise ?? `${ip}:${bound.port}`);
+    this.hello = createHello(
+      this.options,
+      this.options.advertise ?? formatAddress({ host: ip, port: bound.port }),
+    );
   }
 
   /** The messages of one kind that other daemons send. */
@@ -211,8 +217,9 @@
     return link;
   }
 
-  private createSocket(address: string, onReached: () => void): WebSocket {
+  private createSocket(target: string, onReached: () => void): WebSocket {
     const { tls, maximumFrameBytes, listen } = this.options;
+    const address = isPeerAddress(target) ? target : UNREACHABLE;
     const options: ClientOptions = {
       localAddress: splitAddress(listen).host,
       maxPayload: maximumFrameBytes,
--- a/src/daemon/mesh/messageShape.ts
+++ b/src/daemon/mesh/messageShape.ts
@@ -1,9 +1,14 @@
+import { isPeerAddress } from '../../common/settings/index.js';
 import { MeshKind } from './meshKind.js';
 
 /** The types of fields that are checked in received messages. */
 enum FieldType {
   Text = 'text',
+  /** Where a daemon can be dialled. */
+  Address = 'address',
+  /** A whole number that arithmetic keeps exact. */
   Count = 'count',
+  Duration = 'duration',
   Flag = 'flag',
   Bytes = 'bytes',
   List = 'list',
@@ -14,9 +19,9 @@
   readonly [name: string]: FieldType | Shape;
 }
 
-const { Text, Count, Flag, Bytes, List } = FieldType;
+const { Text, Address, Count, Duration, Flag, Bytes, List } = FieldType;
 
-const OUTCOME: Shape = { status: Text, wrote: Flag, onReplica: Flag, waitMs: Count };
+const OUTCOME: Shape = { status: Text, wrote: Flag, onReplica: Flag, waitMs: Duration };
 
 const REQUEST: Shape = {
   id: Text,
@@ -26,7 +31,7 @@
   kind: Text,
   idempotent: Flag,
   mayCommit: Flag,
-  remainingMs: Count,
+  remainingMs: Duration,
   closesConnection: Flag,
   costClass: Text,
   prepared: List,
@@ -38,10 +43,10 @@
   incarnation: Text,
   lease: Text,
   domain: Text,
-  address: Text,
+  address: Address,
   sequence: Count,
   answered: Count,
-  sinceAnsweredMs: Count,
+  sinceAnsweredMs: Duration,
   revision: Count,
   announcements: List,
   reports: List,
@@ -52,7 +57,7 @@
 
 /** Fields that every message of a kind has; optional ones are left to their readers. */
 const SHAPES: Readonly<Record<MeshKind, Shape>> = {
-  [MeshKind.Hello]: { version: Count, host: Text, incarnation: Text, address: Text },
+  [MeshKind.Hello]: { version: Count, host: Text, incarnation: Text, address: Address },
   [MeshKind.Heartbeat]: { sequence: Count },
   [MeshKind.HeartbeatAnswer]: { sequence: Count },
   [MeshKind.Execute]: { request: REQUEST, received: Count },
@@ -64,7 +69,7 @@
   [MeshKind.TokenMessage]: { content: { kind: Text, account: Text } },
   [MeshKind.LeaseRenewal]: { renewal: RENEWAL },
   [MeshKind.LeaseGrant]: {
-    grant: { lease: Text, sequence: Count, lengthMs: Count, retired: Flag, records: Bytes },
+    grant: { lease: Text, sequence: Count, lengthMs: Duration, retired: Flag, records: Bytes },
   },
   [MeshKind.LeaseRedirect]: {},
   [MeshKind.RecordUpdate]: { update: { since: Count, revision: Count, records: Bytes } },
@@ -103,8 +108,12 @@
   switch (type) {
     case FieldType.Text:
       return typeof field === 'string';
+    case FieldType.Address:
+      return typeof field === 'string' && isPeerAddress(field);
     case FieldType.Count:
-      return typeof field === 'number' && field >= 0;
+      return Number.isSafeInteger(field) && (field as number) >= 0;
+    case FieldType.Duration:
+      return Number.isFinite(field) && (field as number) >= 0;
     case FieldType.Flag:
       return typeof field === 'boolean';
     case FieldType.Bytes:
--- /dev/null
+++ b/src/daemon/mesh/oddAddresses.test.ts
@@ -0,0 +1,56 @@
+import { Packr } from 'msgpackr';
+import { afterEach, expect, test } from 'vitest';
+import { toHostId, toIncarnation } from '../../common/ids/index.js';
+import { Logger } from '../../common/logging/index.js';
+import { Metrics } from '../../common/metrics/index.js';
+import { SystemTimerService } from '../../common/timer/index.js';
+import { FrameCodec } from './frameCodec.js';
+import { Mesh } from './mesh.js';
+import { MeshKind } from './meshKind.js';
+import { MESH_VERSION } from './meshLink.js';
+
+const ODD_ADDRESSES = ['', 'x', '127.0.0.1:99999', '127.0.0.1:0', 'a b:1', '127.0.0.1:1/x?y#z'];
+const codec = new Packr({ useRecords: false });
+const options = {
+  ...{ host: toHostId('a'), incarnation: toIncarnation('a-1'), listen: '127.0.0.1:0' },
+  maximumFrameBytes: 1_000_000,
+};
+const logger = new Logger('error', {}, () => undefined);
+const mesh = new Mesh(options, new SystemTimerService(), logger, new Metrics().meshTraffic);
+
+afterEach(() => mesh.close());
+
+test('a message to an address that nobody can have is lost and throws nothing', async () => {
+  await mesh.listen();
+  const lost: string[] = [];
+  void mesh.lost.stream.observe(({ target }) => lost.push(target));
+  for (const address of ODD_ADDRESSES) {
+    mesh.send(address, { kind: MeshKind.LeaseRedirect });
+  }
+  await expect.poll(() => [...lost].sort()).toEqual([...ODD_ADDRESSES].sort());
+});
+
+test('a greeting with an address that nobody can have ends its link', () => {
+  for (const address of ODD_ADDRESSES) {
+    const hello = { host: 'b', incarnation: 'b-1', version: MESH_VERSION, address };
+    const frame = codec.pack({ kind: MeshKind.Hello, ...hello });
+    expect(new FrameCodec().tryDecode(frame, 'peer').isErr()).toBe(true);
+  }
+});
+
+test('counts that no daemon sends end their link', () => {
+  for (const sequence of [2 ** 53, 2 ** 63, 1e308, Infinity, 0.5, -1, NaN]) {
+    const frame = codec.pack({ kind: MeshKind.Heartbeat, sequence });
+    expect(new FrameCodec().tryDecode(frame, 'peer').isErr()).toBe(true);
+  }
+});
+
+test('frames that claim more than they hold, or are nested without end, are refused', () => {
+  const claim = (type: number, ...rest: number[]) =>
+    Buffer.from([type, 0xff, 0xff, 0xff, 0xff, ...rest]);
+  const nested = Buffer.concat(Array.from({ length: 100 }, () => claim(0xdd)));
+  const frames = [0xdd, 0xdf, 0xdb, 0xc6, 0xc9].map((type) => claim(type, 0x72));
+  for (const frame of [...frames, nested, Buffer.alloc(900_000, 0x91)]) {
+    expect(new FrameCodec().tryDecode(frame, 'peer').isErr()).toBe(true);
+  }
+});
