An instance or an address for orders that can't be dialled ends no process

Seen (trial): `LineSocket.open` at 10.0.0.1:99999 fails with a RangeError of Node.js, which is no Fault; the pool of connections throws what is no Fault on, out of a promise: the holder ends, and the next one after it, as the address is in a replicated record. An order to such an address (`cloudApi` of the settings, which is not checked) ended the control leader in the same way.

Evidence: tests/platform/oddEntries.test.ts, "an instance whose recorded address ..." (RangeError before) and "an order to an address ..." (RangeError before).

--- a/tests/platform/oddEntries.test.ts
+++ b/tests/platform/oddEntries.test.ts
@@ -3,8 +3,13 @@
 import { findFreePorts } from '../../bench/fleet/freePorts.js';
 import { tryReadConfiguration } from '../../platform/http/configurationText.js';
 import { ControlFront } from '../../platform/http/controlFront.js';
+import { PromotionClient } from '../../platform/http/promotionClient.js';
+import { LineProtocol } from '../../platform/lines/lineProtocol.js';
 import { readHeartbeat } from '../../platform/http/heartbeatBody.js';
+import { Fault } from '../../src/common/diagnostics/index.js';
+import { toAccountId, toGroupId, toInstanceId, toTerm } from '../../src/common/ids/index.js';
 import { Logger } from '../../src/common/logging/index.js';
+import { SystemTimerService } from '../../src/common/timer/index.js';
 import { callControl } from '../../standin/lines/index.js';
 import { MemoryControlClient } from '../support/memoryControlClient.js';
 import { SettableReadiness } from '../support/operatorHost.js';
@@ -116,3 +121,29 @@
     { seed: SEED, numRuns: 3000 },
   );
 });
+
+test('an instance whose recorded address nobody can have is out of reach, and ends no process', async () => {
+  const timer = new SystemTimerService();
+  for (const address of ['10.0.0.1:99999', '10.0.0.1:0', 'x', '']) {
+    const target = { address, group: toGroupId('g'), instance: toInstanceId('i-1') };
+    const opening = new LineProtocol('127.0.0.1').open(target, toAccountId('a'), 1000, timer);
+    await expect(opening).rejects.toBeInstanceOf(Fault);
+  }
+});
+
+test('an order to an address that nobody can have counts as one without an answer', async () => {
+  const order = { group: toGroupId('g'), instance: toInstanceId('i-1'), term: toTerm(3) };
+  const client = new PromotionClient('10.0.0.1:99999', '127.0.0.1', 'c-1');
+  expect((await client.promote({ ...order, platform: '' })).isOk()).toBe(true);
+});
+
+test('a departure tells which life of an instance ended', async () => {
+  for (const body of ['', '{"born":1e308}', '{"born":"1"}', '{"born":7}']) {
+    expect(await post('Instances.Deregister/i-1', body)).toBe(200);
+  }
+  const instance = toInstanceId('i-1');
+  expect(control.departures).toEqual([
+    ...[{ instance }, { instance }, { instance }],
+    { instance, startedMs: 7 },
+  ]);
+});
