The control leader checks what hosts pass on; a departure names the life that ended

Seen: the lists in a renewal were taken as they came: an announcement or a member of any form went into the replicated records. A `Deregister` counted for whatever life of the instance was known, as only its id was read: one that a partition delayed ended the life that had started since, for good, as its reports were then ignored.

Change: `dropOddEntries` checks announcements with the schema of the HTTP doors, members and departures. What is odd is left out, the rest counts, so that a host that passes an odd entry on keeps its lease. A daemon repeats at most 1000 departures. A domain to be switched has to have a name here too.

--- a/src/daemon/control/controlHost.ts
+++ b/src/daemon/control/controlHost.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from 'neverthrow';
-import { Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
 import { toFailureDomain, type HostId, type Revision } from '../../common/ids/index.js';
 import type { RandomSource } from '../../common/random.js';
 import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
@@ -15,6 +15,8 @@
   ControlInputKind,
   ControlLeader,
   ControlOutputKind,
+  dropOddEntries,
+  isName,
   type Command,
   type CommandAnswer,
   type ControlInput,
@@ -270,7 +272,7 @@
       link.send({ kind: MeshKind.LeaseRedirect, ...hint });
       return;
     }
-    const { renewal } = message;
+    const renewal = dropOddEntries(message.renewal);
     this.links.set(renewal.host, link);
     if (renewal.member !== undefined) {
       this.keeper.heard(renewal.member, this.options.timer.now());
@@ -349,9 +351,14 @@
   }
 
   private switchDomain(domain: unknown, inService: unknown): Promise<Result<unknown, Fault>> {
+    if (typeof domain !== 'string' || !isName(domain)) {
+      const problem = 'a failure domain has a name';
+      const fault = createFault(Diagnostics.RequestInvalid, { problem }, { step: 'control.call' });
+      return Promise.resolve(err(fault));
+    }
     return this.member.propose({
       kind: CommandKind.SwitchDomain,
-      domain: toFailureDomain(String(domain)),
+      domain: toFailureDomain(domain),
       inService: inService === true,
     });
   }
--- a/src/daemon/control/meshControlClient.ts
+++ b/src/daemon/control/meshControlClient.ts
@@ -1,10 +1,11 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
-import type { FailureDomain, InstanceId, RequestId, TicketNumber } from '../../common/ids/index.js';
+import type { FailureDomain, RequestId, TicketNumber } from '../../common/ids/index.js';
 import type { Outcome } from '../../common/result.js';
 import type { TimerService } from '../../common/timer/index.js';
 import type {
   Announcement,
+  Departure,
   FleetStatus,
   SubjectReading,
   TicketAnswer,
@@ -30,7 +31,7 @@
 /** Takes what backend servers say of themselves on its way to the control leader. */
 export interface AnnouncementReceiver {
   announce(announcement: Announcement): void;
-  announceDeparture(instance: InstanceId): void;
+  announceDeparture(departure: Departure): void;
 }
 
 /** Calls the control leader over the mesh, wherever it is. */
@@ -75,8 +76,8 @@
     this.receiver.announce(announcement);
   }
 
-  override announceDeparture(instance: InstanceId): void {
-    this.receiver.announceDeparture(instance);
+  override announceDeparture(departure: Departure): void {
+    this.receiver.announceDeparture(departure);
   }
 
   private call<Answer>(content: ControlCallContent): Outcome<Answer> {
--- a/src/daemon/lease/leaseTask.ts
+++ b/src/daemon/lease/leaseTask.ts
@@ -6,7 +6,6 @@
   type GroupId,
   type HostId,
   type Incarnation,
-  type InstanceId,
   type LeaseId,
 } from '../../common/ids/index.js';
 import type { Logger } from '../../common/logging/index.js';
@@ -16,6 +15,7 @@
   Announcement,
   ControlRecord,
   DaemonRecords,
+  Departure,
   GroupReport,
   LeaseGrant,
 } from '../../decisions/control/index.js';
@@ -44,6 +44,14 @@
 /** How long a departure is repeated: longer than a change of the control leader takes. */
 const DEPARTURE_RETENTION_MS = 3000;
 
+/** Departures that are repeated at once: far more instances than stop within that time. */
+const MAXIMUM_DEPARTURES = 1000;
+
+interface ReceivedDeparture {
+  readonly departure: Departure;
+  readonly receivedMs: number;
+}
+
 /** What goes with each renewal. */
 export interface RenewalContents {
   readonly reports: readonly GroupReport[];
@@ -78,7 +86,8 @@
   private trusted = 0;
   private readonly pace = new SearchPace();
   private readonly announcements = new RecentAnnouncements();
-  private readonly departures = new Map<InstanceId, number>();
+  /** By life of an instance, with the time at which it was told. */
+  private readonly departures = new Map<string, ReceivedDeparture>();
   private readonly subscriptions: Unsubscribe[] = [];
 
   constructor(
@@ -155,8 +164,12 @@
   }
 
   /** Takes a backend server's word that it is gone; passed on for a while, as answers get lost. */
-  announceDeparture(instance: InstanceId): void {
-    this.departures.set(instance, this.timer.now());
+  announceDeparture(departure: Departure): void {
+    const life = `${departure.instance} ${departure.startedMs ?? ''}`;
+    if (this.departures.size >= MAXIMUM_DEPARTURES && !this.departures.has(life)) {
+      return;
+    }
+    this.departures.set(life, { departure, receivedMs: this.timer.now() });
     this.renewSoon();
   }
 
@@ -205,7 +218,9 @@
         address: this.mesh.address,
         revision: this.records.revision,
         announcements: this.announcements.getForwarded(nowMs),
-        ...(this.departures.size === 0 ? {} : { departures: [...this.departures.keys()] }),
+        ...(this.departures.size === 0
+          ? {}
+          : { departures: [...this.departures.values()].map(({ departure }) => departure) }),
       },
     });
   }
@@ -244,9 +259,9 @@
   }
 
   private forgetDepartures(nowMs: number): void {
-    for (const [instance, sinceMs] of this.departures) {
-      if (nowMs - sinceMs > DEPARTURE_RETENTION_MS) {
-        this.departures.delete(instance);
+    for (const [life, { receivedMs }] of this.departures) {
+      if (nowMs - receivedMs > DEPARTURE_RETENTION_MS) {
+        this.departures.delete(life);
       }
     }
   }
--- a/src/daemon/operators/controlClient.ts
+++ b/src/daemon/operators/controlClient.ts
@@ -1,7 +1,12 @@
 import type { Outcome } from '../../common/result.js';
-import type { Announcement, SubjectReading, TicketAnswer } from '../../decisions/control/index.js';
+import type {
+  Announcement,
+  Departure,
+  SubjectReading,
+  TicketAnswer,
+} from '../../decisions/control/index.js';
 import type { Ticket } from '../../decisions/tickets/index.js';
-import type { FailureDomain, InstanceId, TicketNumber } from '../../common/ids/index.js';
+import type { FailureDomain, TicketNumber } from '../../common/ids/index.js';
 import type { FleetStatus } from './fleetStatus.js';
 
 /** The way from a daemon's HTTP interface to the control quorum, on whichever host its leader is. */
@@ -17,7 +22,7 @@
   /** Takes a failure domain out of service or back; idempotent. */
   abstract switchDomain(domain: FailureDomain, inService: boolean): Outcome<unknown>;
   /** Takes a backend server's word that it is gone for good. */
-  abstract announceDeparture(instance: InstanceId): void;
+  abstract announceDeparture(departure: Departure): void;
   /** Takes a backend server's announcement; the newest of each instance goes to the control leader. */
   abstract announce(announcement: Announcement): void;
 }
--- a/src/decisions/control/index.ts
+++ b/src/decisions/control/index.ts
@@ -9,6 +9,8 @@
 export * from './announcement.js';
 export * from './announcementSchema.js';
 export * from './forwardedAnnouncement.js';
+export * from './departure.js';
+export * from './renewalReading.js';
 export * from './groupReport.js';
 export * from './leaseRenewal.js';
 export * from './leaseGrant.js';
--- a/src/decisions/control/leaseRenewal.ts
+++ b/src/decisions/control/leaseRenewal.ts
@@ -5,10 +5,10 @@
   GroupId,
   HostId,
   Incarnation,
-  InstanceId,
   LeaseId,
   Revision,
 } from '../../common/ids/index.js';
+import type { Departure } from './departure.js';
 import type { ForwardedAnnouncement } from './forwardedAnnouncement.js';
 import type { GroupReport } from './groupReport.js';
 
@@ -30,7 +30,7 @@
   /** The newest announcement of each instance since the last renewal. */
   readonly announcements: readonly ForwardedAnnouncement[];
   /** Instances that said that they are gone, with their logs. */
-  readonly departures?: readonly InstanceId[];
+  readonly departures?: readonly Departure[];
   readonly reports: readonly GroupReport[];
   /** Resources that the daemon gave up: it acts on them no more. */
   readonly releasedGroups: readonly GroupId[];
--- /dev/null
+++ b/src/decisions/control/renewalReading.ts
@@ -0,0 +1,51 @@
+import { z } from 'zod';
+import { isPeerAddress } from '../../common/settings/address.js';
+import { isName, readAnnouncement } from './announcementSchema.js';
+import type { ForwardedAnnouncement } from './forwardedAnnouncement.js';
+import type { Departure } from './departure.js';
+import type { LeaseRenewal } from './leaseRenewal.js';
+
+const MAXIMUM_IDENTITY_LENGTH = 256;
+
+const memberSchema = z.object({
+  member: z.string().min(1).max(MAXIMUM_IDENTITY_LENGTH),
+  host: z.string().refine(isName),
+  domain: z.string().refine(isName),
+  address: z.string().refine(isPeerAddress),
+});
+
+const departureSchema = z.object({
+  instance: z.string().refine(isName),
+  startedMs: z.int().min(0).optional(),
+});
+
+const ageSchema = z.object({ ageMs: z.number().min(0), announcement: z.unknown() });
+
+/**
+ * Leaves out of a renewal what would go into the replicated records and is not as it should be. The
+ * rest counts: a host that passes an odd entry on keeps its lease.
+ */
+export function dropOddEntries(renewal: LeaseRenewal): LeaseRenewal {
+  const { member, departures, ...rest } = renewal;
+  const isMember = member !== undefined && memberSchema.safeParse(member).success;
+  return {
+    ...rest,
+    announcements: renewal.announcements
+      .map((each) => readForwarded(each))
+      .filter((each) => each !== undefined),
+    ...(isMember ? { member } : {}),
+    ...(departures === undefined ? {} : { departures: readDepartures(departures) }),
+  };
+}
+
+function readForwarded(value: unknown): ForwardedAnnouncement | undefined {
+  const aged = ageSchema.safeParse(value);
+  const announcement = aged.success ? readAnnouncement(aged.data.announcement) : undefined;
+  return aged.success && announcement !== undefined
+    ? { announcement, ageMs: aged.data.ageMs }
+    : undefined;
+}
+
+function readDepartures(values: readonly Departure[]): Departure[] {
+  return values.filter((each) => departureSchema.safeParse(each).success);
+}
--- a/tests/support/memoryControlClient.ts
+++ b/tests/support/memoryControlClient.ts
@@ -5,12 +5,12 @@
   toHostId,
   toRevision,
   type FailureDomain,
-  type InstanceId,
   type TicketNumber,
 } from '../../src/common/ids/index.js';
 import {
   TicketRegister,
   type Announcement,
+  type Departure,
   type SubjectReading,
   type TicketAnswer,
 } from '../../src/decisions/control/index.js';
@@ -20,7 +20,7 @@
 /** A control client for tests: one register in memory, which can be made to fail. */
 export class MemoryControlClient extends ControlClient {
   readonly announcements: Announcement[] = [];
-  readonly departures: InstanceId[] = [];
+  readonly departures: Departure[] = [];
   readonly domains: FailureDomain[] = [];
   readonly submitted: Ticket[] = [];
   /** When set, the next `faultsLeft` requests end with it. */
@@ -70,8 +70,8 @@
     return this.answer(() => ({ changed: true }));
   }
 
-  override announceDeparture(instance: InstanceId): void {
-    this.departures.push(instance);
+  override announceDeparture(departure: Departure): void {
+    this.departures.push(departure);
   }
 
   private answer<Value>(compute: () => Value): Outcome<Value> {
