An odd entry does not shut a living instance out

Seen, by pure tests: one entry at the address of a living instance, under another id and with a later start, had the living one recorded as gone at once; so had a departure under its id. Its own reports were ignored from then on, for good, as they are of the life that is gone. A start time near 2^53 under its id made that worse: no later start could undo it.

Cause: "gone" was final for a life, and one entry was enough to say so.

Change: an instance is replaced at its address only once it has not reported for the time after which it is missing. One that is recorded as gone and goes on reporting (four rising `seq` without a pause, over that time, not leaving) is registered again. Late reports are few and stop, and one that says that it leaves stays gone, as it ends without a word.

Held already: a high start or `seq` under a living id is followed for the time after which an instance is missing, no longer.

--- a/src/decisions/control/leader/groupWatch.ts
+++ b/src/decisions/control/leader/groupWatch.ts
@@ -8,6 +8,7 @@
 import type { PromotionOrder, SightedPlace } from '../../promotion/index.js';
 import type { Announcement } from '../announcement.js';
 import type { GroupReport } from '../groupReport.js';
+import { SignOfLife } from './signOfLife.js';
 
 /** An announcement and when this leader received it. */
 export interface ReceivedAnnouncement {
@@ -30,6 +31,8 @@
 /** What a leader knows of one group besides the records, in memory only. */
 export class GroupWatch {
   readonly announcements = new Map<InstanceId, ReceivedAnnouncement>();
+  /** Of instances that are recorded as gone and report all the same. */
+  readonly signsOfLife = new Map<InstanceId, SignOfLife>();
   readonly sightings = new Map<InstanceId, SightedPlace>();
   reporter: LeaseId | undefined;
   fencedTerm = toTerm(0);
@@ -71,6 +74,18 @@
       : AnnouncementEffect.Renewed;
   }
 
+  /** Notes a report of an instance that is recorded as gone; whether it lives all the same. */
+  noteReturn(announcement: Announcement, nowMs: number, missingMs: number): boolean {
+    const { instance } = announcement;
+    const sign = this.signsOfLife.get(instance) ?? new SignOfLife();
+    this.signsOfLife.set(instance, sign);
+    const isAlive = sign.note(announcement, nowMs, missingMs);
+    if (isAlive) {
+      this.signsOfLife.delete(instance);
+    }
+    return isAlive;
+  }
+
   /** Takes in the present holder's report. */
   report(report: GroupReport, lease: LeaseId, nowMs: number): void {
     if (this.reporter !== lease) {
--- a/src/decisions/control/leader/renewalIntake.ts
+++ b/src/decisions/control/leader/renewalIntake.ts
@@ -3,6 +3,7 @@
 import { RenewalOutcome } from '../../leases/daemonLeases.js';
 import { InstanceRole, type Announcement } from '../announcement.js';
 import type { Assignment } from '../assignment.js';
+import type { Departure } from '../departure.js';
 import { CommandKind } from '../commandKind.js';
 import { PrimaryPhase } from '../groupPrimary.js';
 import type { GroupReport } from '../groupReport.js';
@@ -121,7 +122,8 @@
     const { startedMs } = announcement;
     const leaving = announcement.leaving && startedMs !== undefined;
     const present = state.getInstance(group, instance);
-    if (present?.gone === true && (startedMs ?? 0) <= (present.startedMs ?? 0)) {
+    const isOfGoneLife = present?.gone === true && (startedMs ?? 0) <= (present.startedMs ?? 0);
+    if (isOfGoneLife && !this.isBack(announcement, nowMs)) {
       return;
     }
     const isKnown =
@@ -134,6 +136,7 @@
       present.slots === slots &&
       present.connectionLimit === connectionLimit;
     if (isKnown) {
+      this.retireReplaced(present, nowMs);
       return;
     }
     const kind = RecordKind.Instance;
@@ -149,7 +152,13 @@
     this.retireReplaced(record, nowMs);
   }
 
-  /** An instance that starts at another's address is what came in its place. */
+  /** Whether an instance that is recorded as gone lives: an entry of another writer may have said so. */
+  private isBack(announcement: Announcement, nowMs: number): boolean {
+    const { missingMs } = this.context.settings.promotion;
+    return getWatch(this.context, announcement.group).noteReturn(announcement, nowMs, missingMs);
+  }
+
+  /** An instance that starts at the address of one that reports no more is what came in its place. */
   private retireReplaced(
     { group, instance, address, startedMs }: InstanceRecord,
     nowMs: number,
@@ -161,17 +170,25 @@
     const groups = [...new Set([...state.getGroups(), group])];
     for (const other of groups.flatMap((each) => state.getInstances(each))) {
       const isOther = other.instance !== instance || other.group !== group;
-      if (isOther && other.address === address && (other.startedMs ?? 0) < startedMs) {
+      const isAt = isOther && other.address === address && other.gone !== true;
+      if (isAt && (other.startedMs ?? 0) < startedMs && this.isSilent(other, nowMs)) {
         this.retire(other, nowMs);
       }
     }
   }
 
+  /** Whether an instance has not reported for so long that it is missing, as far as this leader can tell. */
+  private isSilent({ group, instance }: InstanceRecord, nowMs: number): boolean {
+    const { sinceMs, settings } = this.context;
+    const received = getWatch(this.context, group).announcements.get(instance);
+    return nowMs - (received?.receivedAtMs ?? sinceMs) >= settings.promotion.missingMs;
+  }
+
   private noteDepartures({ departures = [] }: LeaseRenewal, nowMs: number): void {
     const { state } = this.context;
     for (const group of departures.length === 0 ? [] : state.getGroups()) {
       for (const instance of state.getInstances(group)) {
-        if (departures.includes(instance.instance)) {
+        if (departures.some((departure) => isOfLife(departure, instance))) {
           this.retire(instance, nowMs);
         }
       }
@@ -240,3 +257,8 @@
     );
   }
 }
+
+/** Whether a departure is that of an instance's present life; a late one may be of the life before. */
+function isOfLife(departure: Departure, { instance, startedMs }: InstanceRecord): boolean {
+  return departure.instance === instance && (departure.startedMs ?? Infinity) >= (startedMs ?? 0);
+}
--- /dev/null
+++ b/src/decisions/control/leader/signOfLife.ts
@@ -0,0 +1,31 @@
+import type { Announcement } from '../announcement.js';
+
+/** Reports in a row after which an instance is taken for alive. */
+const MINIMUM_REPORTS = 4;
+
+/**
+ * Tells an instance that goes on reporting from reports of it that come late: those are few, come
+ * together, and don't go on.
+ */
+export class SignOfLife {
+  private sinceMs = 0;
+  private lastMs = -Infinity;
+  private sequence = -1;
+  private reports = 0;
+
+  /** Takes in a report; whether the reports have gone on for so long that their sender lives. */
+  note({ sequence, leaving }: Announcement, nowMs: number, missingMs: number): boolean {
+    if (nowMs - this.lastMs >= missingMs) {
+      this.sinceMs = nowMs;
+      this.sequence = -1;
+      this.reports = 0;
+    }
+    if (sequence === undefined || leaving || sequence <= this.sequence) {
+      return false;
+    }
+    this.sequence = sequence;
+    this.lastMs = nowMs;
+    this.reports += 1;
+    return this.reports >= MINIMUM_REPORTS && nowMs - this.sinceMs >= missingMs;
+  }
+}
