A writer that names ever new instances takes a host no more memory

Seen, by a pure test: each host kept what every id ever announced to it last said of itself, for good. Change: 5000 instances, those that report last.

--- /dev/null
+++ b/src/daemon/lease/recentAnnouncements.test.ts
@@ -0,0 +1,33 @@
+import { expect, test } from 'vitest';
+import {
+  toFailureDomain,
+  toGroupId,
+  toInstanceId,
+  toLogPosition,
+  toTerm,
+} from '../../common/ids/index.js';
+import { InstanceRole, type Announcement } from '../../decisions/control/index.js';
+import { RecentAnnouncements } from './recentAnnouncements.js';
+
+function create(name: string): Announcement {
+  return {
+    ...{ group: toGroupId('g'), instance: toInstanceId(name), domain: toFailureDomain('north') },
+    ...{ address: '10.0.0.1:1', platform: '', role: InstanceRole.Replica, term: toTerm(0) },
+    ...{ position: toLogPosition(0), slots: 1, connectionLimit: 1, leaving: false },
+  };
+}
+
+test('a writer that names ever new instances takes no more memory, and drives out none that reports', () => {
+  const announcements = new RecentAnnouncements();
+  let news = 0;
+  for (let count = 0; count < 100_000; count += 1) {
+    announcements.add(create(`odd-${count}`), count);
+    if (count % 100 === 0) {
+      news += announcements.add(create('a'), count) ? 1 : 0;
+    }
+  }
+  const names = announcements.getForwarded(0).map(({ announcement }) => announcement.instance);
+  expect(names.length).toBeLessThanOrEqual(5000);
+  expect(names).toContain('a');
+  expect(news).toBe(1);
+});
--- a/src/daemon/lease/recentAnnouncements.ts
+++ b/src/daemon/lease/recentAnnouncements.ts
@@ -5,6 +5,9 @@
   readonly receivedMs: number;
 }
 
+/** Instances that one host remembers: more than any fleet has, as another writer may name ever new ones. */
+const MAXIMUM_INSTANCES = 5000;
+
 /** The newest announcement of each instance, until the control leader has it. */
 export class RecentAnnouncements {
   private readonly received = new Map<string, ReceivedAnnouncement>();
@@ -17,11 +20,22 @@
     const { role, leaving, startedMs } = announcement;
     const content = `${role} ${leaving} ${startedMs ?? ''}`;
     const isNews = this.contents.get(key) !== content;
+    // The order of the map is that of the last report, so that the ones that go on reporting stay.
+    this.contents.delete(key);
     this.contents.set(key, content);
+    this.forgetSilent();
     this.received.set(key, { announcement, receivedMs: nowMs });
     return isNews;
   }
 
+  private forgetSilent(): void {
+    const silent = this.contents.keys().next();
+    if (this.contents.size > MAXIMUM_INSTANCES && silent.done !== true) {
+      this.contents.delete(silent.value);
+      this.received.delete(silent.value);
+    }
+  }
+
   /** What is to go with the next renewal. */
   getForwarded(nowMs: number): readonly ForwardedAnnouncement[] {
     return [...this.received.values()].map(({ announcement, receivedMs }) => ({
