An entry of a group that the configuration doesn't name makes no group

Seen, by a pure test: an announcement of any service made a group of it, with records that are never removed, a holder and connections. Change: once a configuration is in force its groups and those with instances are all there are. Before the first one all are taken, as heartbeats may come before it; instances report again soon. Without configurations (tickets) nothing changes.

--- a/src/decisions/control/leader/departedInstance.test.ts
+++ b/src/decisions/control/leader/departedInstance.test.ts
@@ -9,8 +9,16 @@
   toLogPosition,
   toRevision,
   toTerm,
+  toTicketNumber,
 } from '../../../common/ids/index.js';
-import { ControlState, InstanceRole, type Announcement, type Departure } from '../index.js';
+import {
+  CommandKind,
+  ControlState,
+  InstanceRole,
+  type Announcement,
+  type Departure,
+} from '../index.js';
+import { Acknowledgement, SubjectKind } from '../../tickets/index.js';
 import {
   ControlInputKind,
   ControlLeader,
@@ -157,3 +165,16 @@
     expect(state.getInstance(GROUP, toInstanceId('a'))?.startedMs).toBe(1);
   }
 });
+
+test('an entry of a group that the configuration does not name makes no group', () => {
+  const group = toGroupId('odd');
+  const named = { kind: SubjectKind.Group, group: GROUP, transactionLimitMs: 1000 } as const;
+  const groups = [{ ...named, acknowledgement: Acknowledgement.Primary }];
+  const kind = SubjectKind.Configuration;
+  const configuration = { kind, routes: [], accounts: [], groups, source: '' } as const;
+  const ticket = { number: toTicketNumber(1), subjects: [configuration] };
+  state.apply({ kind: CommandKind.SubmitTicket, ticket }, toRevision(1));
+  beat([create('a', 1, { group }), create('a', 1)]);
+  expect(state.getGroups()).toEqual([GROUP]);
+  expect(leader.getStatus(nowMs).groups.map((each) => each.group)).toEqual([GROUP]);
+});
--- a/src/decisions/control/leader/renewalIntake.ts
+++ b/src/decisions/control/leader/renewalIntake.ts
@@ -1,5 +1,5 @@
 import { Diagnostics } from '../../../common/diagnostics/index.js';
-import type { LeaseId } from '../../../common/ids/index.js';
+import type { GroupId, LeaseId } from '../../../common/ids/index.js';
 import { RenewalOutcome } from '../../leases/daemonLeases.js';
 import { InstanceRole, type Announcement } from '../announcement.js';
 import type { Assignment } from '../assignment.js';
@@ -95,6 +95,9 @@
   private noteAnnouncement(received: ReceivedAnnouncement): void {
     const { settings, groupAgenda } = this.context;
     const { group } = received.announcement;
+    if (!this.isWanted(group)) {
+      return;
+    }
     const watch = getWatch(this.context, group);
     const effect = watch.announce(received, settings.promotion.missingMs);
     if (effect === AnnouncementEffect.Ignored) {
@@ -107,6 +110,13 @@
     }
   }
 
+  /** Where operators name all groups, others come from another writer; what is known already stays. */
+  private isWanted(group: GroupId): boolean {
+    const { state } = this.context;
+    const isNamed = state.getConfiguration() === undefined || state.getGroup(group) !== undefined;
+    return isNamed || state.getInstances(group).length > 0;
+  }
+
   /** Nobody but control orders promotions: an instance that says otherwise is not followed. */
   private warnOfForeignPrimary(announcement: Announcement): void {
     const { group, instance, role, term } = announcement;
