--- a/src/decisions/control/leader/renewalIntake.ts
+++ b/src/decisions/control/leader/renewalIntake.ts
@@ -1,8 +1,9 @@
 import { Diagnostics } from '../../../common/diagnostics/index.js';
-import type { LeaseId } from '../../../common/ids/index.js';
+import type { GroupId, LeaseId } from '../../../common/ids/index.js';
 import { RenewalOutcome } from '../../leases/daemonLeases.js';
 import { InstanceRole, type Announcement } from '../announcement.js';
 import type { Assignment } from '../assignment.js';
+import type { Departure } from '../departure.js';
 import { CommandKind } from '../commandKind.js';
 import { PrimaryPhase } from '../groupPrimary.js';
 import type { GroupReport } from '../groupReport.js';
@@ -94,6 +95,9 @@
   private noteAnnouncement(received: ReceivedAnnouncement): void {
     const { settings, groupAgenda } = this.context;
     const { group } = received.announcement;
+    if (!this.isWanted(group)) {
+      return;
+    }
     const watch = getWatch(this.context, group);
     const effect = watch.announce(received, settings.promotion.missingMs);
     if (effect === AnnouncementEffect.Ignored) {
@@ -106,6 +110,13 @@
     }
   }
 
+  /** Where operators name all groups, others come from another writer; what is known already stays. */
+  private isWanted(group: GroupId): boolean {
+    const { state } = this.context;
+    const isNamed = state.getConfiguration() === undefined || state.getGroup(group) !== undefined;
+    return isNamed || state.getInstances(group).length > 0;
+  }
+
   /** Nobody but control orders promotions: an instance that says otherwise is not followed. */
   private warnOfForeignPrimary(announcement: Announcement): void {
     const { group, instance, role, term } = announcement;
@@ -121,7 +132,8 @@
     const { startedMs } = announcement;
     const leaving = announcement.leaving && startedMs !== undefined;
     const present = state.getInstance(group, instance);
-    if (present?.gone === true && (startedMs ?? 0) <= (present.startedMs ?? 0)) {
+    const isOfGoneLife = present?.gone === true && (startedMs ?? 0) <= (present.startedMs ?? 0);
+    if (isOfGoneLife && !this.isBack(announcement, nowMs)) {
       return;
     }
     const isKnown =
@@ -134,6 +146,7 @@
       present.slots === slots &&
       present.connectionLimit === connectionLimit;
     if (isKnown) {
+      this.retireReplaced(present, nowMs);
       return;
     }
     const kind = RecordKind.Instance;
@@ -149,7 +162,13 @@
     this.retireReplaced(record, nowMs);
   }
 
-  /** An instance that starts at another's address is what came in its place. */
+  /** Whether an instance that is recorded as gone lives: an entry of another writer may have said so. */
+  private isBack(announcement: Announcement, nowMs: number): boolean {
+    const { missingMs } = this.context.settings.promotion;
+    return getWatch(this.context, announcement.group).noteReturn(announcement, nowMs, missingMs);
+  }
+
+  /** An instance that starts at the address of one that reports no more is what came in its place. */
   private retireReplaced(
     { group, instance, address, startedMs }: InstanceRecord,
     nowMs: number,
@@ -161,17 +180,25 @@
     const groups = [...new Set([...state.getGroups(), group])];
     for (const other of groups.flatMap((each) => state.getInstances(each))) {
       const isOther = other.instance !== instance || other.group !== group;
-      if (isOther && other.address === address && (other.startedMs ?? 0) < startedMs) {
+      const isAt = isOther && other.address === address && other.gone !== true;
+      if (isAt && (other.startedMs ?? 0) < startedMs && this.isSilent(other, nowMs)) {
         this.retire(other, nowMs);
       }
     }
   }
 
+  /** Whether an instance has not reported for so long that it is missing, as far as this leader can tell. */
+  private isSilent({ group, instance }: InstanceRecord, nowMs: number): boolean {
+    const { sinceMs, settings } = this.context;
+    const received = getWatch(this.context, group).announcements.get(instance);
+    return nowMs - (received?.receivedAtMs ?? sinceMs) >= settings.promotion.missingMs;
+  }
+
   private noteDepartures({ departures = [] }: LeaseRenewal, nowMs: number): void {
     const { state } = this.context;
     for (const group of departures.length === 0 ? [] : state.getGroups()) {
       for (const instance of state.getInstances(group)) {
-        if (departures.includes(instance.instance)) {
+        if (departures.some((departure) => isOfLife(departure, instance))) {
           this.retire(instance, nowMs);
         }
       }
@@ -240,3 +267,8 @@
     );
   }
 }
+
+/** Whether a departure is that of an instance's present life; a late one may be of the life before. */
+function isOfLife(departure: Departure, { instance, startedMs }: InstanceRecord): boolean {
+  return departure.instance === instance && (departure.startedMs ?? Infinity) >= (startedMs ?? 0);
+}
--- a/tests/support/memoryControlClient.ts
+++ b/tests/support/memoryControlClient.ts
@@ -4,12 +4,13 @@
 import {
   toHostId,
   toRevision,
-  type InstanceId,
+  type FailureDomain,
   type TicketNumber,
 } from '../../src/common/ids/index.js';
 import {
   TicketRegister,
   type Announcement,
+  type Departure,
   type SubjectReading,
   type TicketAnswer,
 } from '../../src/decisions/control/index.js';
@@ -19,7 +20,8 @@
 /** A control client for tests: one register in memory, which can be made to fail. */
 export class MemoryControlClient extends ControlClient {
   readonly announcements: Announcement[] = [];
-  readonly departures: InstanceId[] = [];
+  readonly departures: Departure[] = [];
+  readonly domains: FailureDomain[] = [];
   readonly submitted: Ticket[] = [];
   /** When set, the next `faultsLeft` requests end with it. */
   fault: Fault | undefined;
@@ -63,12 +65,13 @@
     this.announcements.push(announcement);
   }
 
-  override switchDomain(): Outcome<unknown> {
+  override switchDomain(domain: FailureDomain): Outcome<unknown> {
+    this.domains.push(domain);
     return this.answer(() => ({ changed: true }));
   }
 
-  override announceDeparture(instance: InstanceId): void {
-    this.departures.push(instance);
+  override announceDeparture(departure: Departure): void {
+    this.departures.push(departure);
   }
 
   private answer<Value>(compute: () => Value): Outcome<Value> {
