Fault soak: callers that stay until the process is gone, rushes while several hosts stop

The soak had few callers, which were busy while they were connected, and took every cut on a starved machine as the starvation's fault.

- Each entry host has a crowd of callers (--crowd, 24): mostly idle sessions that are kept until the process is gone and ask at random moments, also during the stop.
- Rushes: all callers of one to three entry hosts ask at once while each read of a socket costs these hosts processor time, and three of four rushes stop these hosts in their midst.
They come beside the schedule, whose draws stay as they were.
- A host that stops in order answers or refuses what reached it also when processes have no processor.
A cut is judged by the time at which the connection was last seen open, so that starvation of the soak itself can't make one.

--- a/bench/faults/callerLedger.ts
+++ b/bench/faults/callerLedger.ts
@@ -8,6 +8,8 @@
 /** Time that open transactions have after a SIGTERM. */
 const TRANSACTION_GRACE_MS = 3000;
 
+/** How often it is noted that what has arrived was looked at. */
+const LOOK_MS = 10;
 /** A process is gone this long after its SIGTERM. */
 const STOP_LIMIT_MS = 7000;
 
@@ -29,6 +31,8 @@
   readonly name: string;
   readonly status: TransactionStatus;
   readonly endMs: number;
+  /** The connection had not ended yet at this time. */
+  readonly openUntilMs: number;
   /** The caller got no answer in time and broke off itself. */
   readonly isOwn: boolean;
 }
@@ -40,11 +44,19 @@
   readonly outcomes = new Map<string, number>();
   readonly violations: string[] = [];
   private readonly cuts: CutSession[] = [];
+  private lastLookMs = -Infinity;
+  private openUntilMs = -Infinity;
 
   constructor(
     private readonly harms: HarmLog,
     private readonly timer: TimerService,
-  ) {}
+  ) {
+    timer.subscribe(LOOK_MS, (nowMs) => {
+      // Between two of these all sockets were looked at, also where this process had no processor.
+      this.openUntilMs = this.lastLookMs;
+      this.lastLookMs = nowMs;
+    });
+  }
 
   asked(request: SoakRequest): void {
     this.requests.set(request.id, request);
@@ -54,9 +66,9 @@
     this.outcomes.set(error, (this.outcomes.get(error) ?? 0) + 1);
   }
 
-  cut(session: CutSession): void {
+  cut(session: Omit<CutSession, 'openUntilMs'>): void {
     this.outcomes.set('cut', (this.outcomes.get('cut') ?? 0) + 1);
-    this.cuts.push(session);
+    this.cuts.push({ ...session, openUntilMs: this.openUntilMs });
   }
 
   fail(violation: string): void {
@@ -70,10 +82,10 @@
   judgeCuts(wasPassedOn: (id: string) => boolean): readonly string[] {
     return this.cuts.flatMap((cut) => {
       const { request, node, name, status, endMs } = cut;
-      const stopMs = this.harms.getStop(node, endMs);
-      const sinceMs = endMs - (stopMs ?? -Infinity);
+      const stopped = this.harms.getStop(node, endMs);
+      const sinceMs = endMs - (stopped?.atMs ?? -Infinity);
       const stop =
-        stopMs === undefined ? 'never stopped' : `${sinceMs.toFixed(0)} ms after SIGTERM`;
+        stopped === undefined ? 'never stopped' : `${sinceMs.toFixed(0)} ms after SIGTERM`;
       if (request === undefined) {
         const isLost = sinceMs < TRANSACTION_GRACE_MS || sinceMs > STOP_LIMIT_MS;
         return isLost && this.harms.isUnharmed(endMs, endMs)
@@ -89,13 +101,18 @@
   }
 
   private isLost(
-    { endMs, isOwn }: CutSession,
+    { node, endMs, openUntilMs, isOwn }: CutSession,
     { sentMs }: SoakRequest,
     wasPassedOn: boolean,
   ): boolean {
     if (wasPassedOn && !isOwn) {
       return this.harms.isUnharmed(sentMs, endMs);
     }
-    return endMs - sentMs > LOSS_SLACK_MS && this.harms.isCalm(sentMs, endMs);
+    const stopped = this.harms.getStop(node, endMs);
+    const isOrderly = stopped?.isOrderly === true && endMs - stopped.atMs < STOP_LIMIT_MS;
+    // A process that stops in order answers or refuses all that reached it, however slow it is.
+    return isOrderly && !isOwn
+      ? openUntilMs - sentMs > LOSS_SLACK_MS && this.harms.isUnharmed(sentMs, endMs)
+      : endMs - sentMs > LOSS_SLACK_MS && this.harms.isCalm(sentMs, endMs);
   }
 }
--- a/bench/faults/faultFleet.ts
+++ b/bench/faults/faultFleet.ts
@@ -42,6 +42,8 @@
   readonly proxies = new Map<string, LinkProxy>();
   private readonly processes = new Map<string, DaemonProcess>();
   private readonly harmedDisks = new Set<string>();
+  /** What each host suffers from now, in the order in which it began. */
+  private readonly present = new Map<string, readonly HostHarm[]>();
   private platform: LinePlatform | undefined;
   private isOver = false;
 
@@ -169,7 +171,7 @@
     }
     const startMs = this.timer.now();
     daemon.isExpected = true;
-    this.harms.noteStop(node);
+    const stop = this.harms.noteStop(node);
     daemon.signal('SIGTERM');
     const cancel = this.timer.once(GRACE_MS, () => daemon.signal('SIGKILL'));
     if (also !== undefined) {
@@ -177,6 +179,7 @@
     }
     const how = await daemon.ended;
     cancel();
+    stop.isOrderly = how === 'code 0';
     const isCalm = this.harms.isCalm(startMs, this.timer.now());
     // A process that is not up yet has nothing to hand over.
     const isEarly = how === 'SIGTERM' && !daemon.wasUp();
@@ -188,17 +191,20 @@
     }
   }
 
-  /** Makes a host misbehave; call what is returned to end it. */
+  /** Makes a host misbehave, perhaps in several ways at once; call what is returned to end it. */
   misbehave(node: string, harm: HostHarm): () => void {
-    const file = this.getFile(node, 'harm');
-    writeFileSync(`${file}.new`, JSON.stringify(harm));
-    renameSync(`${file}.new`, file);
+    this.setHarms(node, [...(this.present.get(node) ?? []), harm]);
     if (harm.disk !== undefined) {
       this.harmedDisks.add(node);
     }
     return () => {
-      rmSync(file, { force: true });
-      this.timer.once(DISK_SETTLE_MS, () => this.harmedDisks.delete(node));
+      this.setHarms(
+        node,
+        (this.present.get(node) ?? []).filter((each) => each !== harm),
+      );
+      if (harm.disk !== undefined) {
+        this.timer.once(DISK_SETTLE_MS, () => this.harmedDisks.delete(node));
+      }
     };
   }
 
@@ -236,6 +242,13 @@
     });
   }
 
+  private setHarms(node: string, harms: readonly HostHarm[]): void {
+    this.present.set(node, harms);
+    const file = this.getFile(node, 'harm');
+    writeFileSync(`${file}.new`, JSON.stringify(Object.assign({}, ...harms)));
+    renameSync(`${file}.new`, file);
+  }
+
   private getDataFolder(node: string): string {
     return join(this.folder, node);
   }
--- a/bench/faults/faultPlayer.ts
+++ b/bench/faults/faultPlayer.ts
@@ -5,6 +5,7 @@
 import type { HarmLog } from './harmLog.js';
 import type { HostHarm } from './harmedHost.js';
 import { LinkFault } from './linkProxy.js';
+import type { ScheduledRush } from './rushSchedule.js';
 
 /** Nothing else harms processes of control hosts until the successor of a lost disk can be in. */
 const WIPE_SETTLE_MS = 4000;
@@ -52,6 +53,47 @@
     await Promise.all(running);
   }
 
+  /** Plays rushes beside the faults; `rush` lets the callers of a host ask. */
+  async playRushes(
+    schedule: readonly ScheduledRush[],
+    rush: (node: string, lengthMs: number) => void,
+  ): Promise<void> {
+    const startMs = this.fleet.timer.now();
+    const running: Promise<void>[] = [];
+    for (const each of schedule) {
+      await this.fleet.sleep(Math.max(0, startMs + each.atMs - this.fleet.timer.now()));
+      running.push(this.beginRush(each, rush));
+    }
+    await Promise.all(running);
+  }
+
+  private async beginRush(
+    { where, hosts, lengthMs, readMs, stopsMs }: ScheduledRush,
+    rush: (node: string, lengthMs: number) => void,
+  ): Promise<void> {
+    const { entries, timer } = this.fleet;
+    const first = Math.floor(where * entries.length);
+    const at = (timer.now() / 1000).toFixed(3);
+    const running = entries.map(async (entry, index) => {
+      const rank = (index - first + entries.length) % entries.length;
+      if (rank >= hosts) {
+        return;
+      }
+      const stopMs = stopsMs[rank];
+      const stop = stopMs === undefined ? '' : `, stop after ${stopMs.toFixed(0)} ms`;
+      const what = `rush ${entry.node} ${lengthMs.toFixed(0)} ms, ${readMs.toFixed(1)} ms a read`;
+      this.played.push(`${at} s ${what}${stop}`);
+      const end = this.fleet.misbehave(entry.node, { readMs });
+      rush(entry.node, lengthMs);
+      this.fleet.timer.once(lengthMs, end);
+      if (stopMs !== undefined) {
+        await this.fleet.sleep(stopMs);
+        await this.hold(entry.node, () => this.harmProcess(FaultKind.Stop, entry, 0, 0));
+      }
+    });
+    await Promise.all(running);
+  }
+
   private async begin(fault: ScheduledFault): Promise<void> {
     const { kind, where, lengthMs, draw } = fault;
     const { plan, group } = this.fleet;
--- a/bench/faults/faultSoak.ts
+++ b/bench/faults/faultSoak.ts
@@ -4,12 +4,14 @@
 import { callControl } from '../../standin/lines/index.js';
 import { createLinePlan } from '../lines/linePlan.js';
 import { BackendWatch } from './backendWatch.js';
+import { CallerCrowd } from './callerCrowd.js';
 import { CallerLedger } from './callerLedger.js';
 import { FaultFleet } from './faultFleet.js';
 import { FaultPlayer } from './faultPlayer.js';
 import { drawSchedule } from './faultSchedule.js';
 import { HarmLog } from './harmLog.js';
 import { KeyCaller } from './keyCaller.js';
+import { drawRushes } from './rushSchedule.js';
 import { findRequestsInDomains, findWrongWrites, type DomainAbsence } from './soakChecks.js';
 import { SoakClient, WriteFate, type CallerPlan, type SoakDatabase } from './soakClient.js';
 import { DRIP_RATE, SoakOperator } from './soakOperator.js';
@@ -28,6 +30,8 @@
 const DRIP_CALLERS = 2;
 /** What instances may see of drip beyond its bound: one request of each caller that was held up. */
 const DRIP_SLACK = DRIP_CALLERS;
+/** Crowds draw from numbers far from those of other parts. */
+const CROWD_PART = 500;
 const START_LIMIT_MS = 20_000;
 /** Everything has to be served again within this time once all faults are over. */
 const RECOVERY_LIMIT_MS = 12_000;
@@ -45,6 +49,8 @@
   readonly network: number;
   readonly controls?: number;
   readonly entries?: number;
+  /** Callers that stay with each entry host and at times all ask at once; none when left out. */
+  readonly crowd?: number;
   /** The daemon's program; the built one when left out. */
   readonly program?: string;
   /** Folder of the built programs. */
@@ -74,6 +80,7 @@
   private readonly ledger = new CallerLedger(this.harms, this.timer);
   private readonly watch = new BackendWatch(this.ledger, this.timer);
   private readonly clients: SoakClient[] = [];
+  private readonly crowds = new Map<string, CallerCrowd>();
   private readonly absences: DomainAbsence[] = [];
   private readonly fleet: FaultFleet;
   private readonly operator: SoakOperator;
@@ -128,11 +135,14 @@
     this.starvation.start();
     await this.waitFor('the first configuration', START_LIMIT_MS, () => operator.configure());
     this.addClients();
-    const runs = [...clients.map((client) => client.run()), operator.run(), keyCaller.run()];
+    this.addCrowds();
+    const crowds = [...this.crowds.values()];
+    const parts = [...clients, ...crowds, operator, keyCaller];
+    const runs = parts.map((part) => part.run());
     await this.waitFor('the first answers', START_LIMIT_MS, () =>
       clients.every(({ served }) => served > 0),
     );
-    await this.player.play(schedule);
+    await Promise.all([this.player.play(schedule), this.playRushes()]);
     fleet.proxies.forEach((proxy) => proxy.heal());
     const before = clients.map(({ served }) => served);
     await this.waitFor('service after the faults', RECOVERY_LIMIT_MS, () =>
@@ -142,7 +152,7 @@
       }),
     );
     await fleet.sleep(QUIET_MS);
-    [...clients, operator, keyCaller].forEach((each) => each.stop());
+    parts.forEach((part) => part.stop());
     await Promise.all(runs);
     await this.check();
   }
@@ -168,6 +178,25 @@
     }
   }
 
+  private addCrowds(): void {
+    const { fleet, ledger, options } = this;
+    const { crowd = 0, seed } = options;
+    fleet.entries.forEach((entry, index) => {
+      const random = createSoakRandom(seed, CROWD_PART + 1 + index);
+      this.crowds.set(entry.node, new CallerCrowd(entry, crowd, fleet, ledger, random));
+    });
+  }
+
+  private async playRushes(): Promise<void> {
+    const { crowd = 0, seed, faultsMs } = this.options;
+    if (crowd > 0) {
+      const rushes = drawRushes(createSoakRandom(seed, CROWD_PART), faultsMs);
+      await this.player.playRushes(rushes, (node, lengthMs) =>
+        this.crowds.get(node)?.rush(lengthMs),
+      );
+    }
+  }
+
   /** Each part draws from its own numbers, so that the times of others change nothing. */
   private createRandom(): RandomSource {
     this.generators += 1;
--- a/bench/faults/harmLog.ts
+++ b/bench/faults/harmLog.ts
@@ -3,6 +3,13 @@
 /** Promises with a time bound hold only where nothing unplanned happened for this long before. */
 export const CONTACT_MS = 4000;
 
+/** A host that was told to stop. */
+export interface PlannedStop {
+  readonly atMs: number;
+  /** The process ended by itself and well, however little processor time it had. */
+  isOrderly: boolean;
+}
+
 interface HarmSpan {
   readonly fromMs: number;
   toMs: number;
@@ -16,7 +23,7 @@
 export class HarmLog {
   private readonly spans: HarmSpan[] = [];
   private readonly slowed: HarmSpan[] = [];
-  private readonly stops = new Map<string, number[]>();
+  private readonly stops = new Map<string, PlannedStop[]>();
 
   constructor(private readonly timer: TimerService) {}
 
@@ -35,13 +42,15 @@
   }
 
   /** A host is told to stop. */
-  noteStop(node: string): void {
-    this.stops.set(node, [...(this.stops.get(node) ?? []), this.timer.now()]);
+  noteStop(node: string): PlannedStop {
+    const stop = { atMs: this.timer.now(), isOrderly: false };
+    this.stops.set(node, [...(this.stops.get(node) ?? []), stop]);
+    return stop;
   }
 
   /** The last time before `atMs` at which a host was told to stop. */
-  getStop(node: string, atMs: number): number | undefined {
-    return this.stops.get(node)?.findLast((stopMs) => stopMs <= atMs);
+  getStop(node: string, atMs: number): PlannedStop | undefined {
+    return this.stops.get(node)?.findLast((stop) => stop.atMs <= atMs);
   }
 
   /** Whether no unplanned fault was at work from `CONTACT_MS` before a span until its end. */
--- a/bench/faults/harmedHost.ts
+++ b/bench/faults/harmedHost.ts
@@ -4,6 +4,7 @@
  */
 import { existsSync, readFileSync } from 'node:fs';
 import { open, type FileHandle } from 'node:fs/promises';
+import { Socket } from 'node:net';
 
 /** How a host's disk and clock misbehave. */
 export interface HostHarm {
@@ -11,6 +12,8 @@
   readonly disk?: 'full' | 'failing' | 'stalled' | 'slow';
   /** What the wall clock is off by, in milliseconds. */
   readonly clockMs?: number;
+  /** Processor time that each read of a socket takes besides, in milliseconds: a small core under load. */
+  readonly readMs?: number;
 }
 
 const POLL_MS = 25;
@@ -31,6 +34,12 @@
   return new Promise((resolve) => setTimeout(resolve, durationMs));
 }
 
+/** Holds the event loop. */
+function spend(durationMs: number): void {
+  const endMs = performance.now() + durationMs;
+  while (performance.now() < endMs);
+}
+
 async function suffer(isSync: boolean): Promise<void> {
   while (harm.disk === 'stalled') {
     await sleep(POLL_MS);
@@ -45,6 +54,7 @@
   }
 }
 
+type Emit = (this: unknown, event: string, ...values: unknown[]) => boolean;
 type Call = (this: FileHandle, ...values: unknown[]) => Promise<unknown>;
 
 function wrap(prototype: Record<string, Call>, name: string, isSync: boolean): void {
@@ -62,6 +72,14 @@
 await handle.close();
 CHANGES.forEach((name) => wrap(prototype, name, false));
 SYNCS.forEach((name) => wrap(prototype, name, true));
+const sockets = Socket.prototype as unknown as Record<'emit', Emit>;
+const { emit } = sockets;
+sockets.emit = function (event, ...values) {
+  if (event === 'data') {
+    spend(harm.readMs ?? 0);
+  }
+  return emit.call(this, event, ...values);
+};
 Date.now = () => readWallMs() + (harm.clockMs ?? 0);
 look();
 setInterval(look, POLL_MS).unref();
--- a/bench/faults/main.ts
+++ b/bench/faults/main.ts
@@ -18,12 +18,17 @@
   .option('seconds', { type: 'number', default: 15, describe: 'Time under faults, each seed.' })
   .option('controls', { type: 'number', default: 3, describe: 'Control hosts.' })
   .option('entries', { type: 'number', default: 3, describe: 'Entry hosts.' })
+  .option('crowd', {
+    type: 'number',
+    default: 24,
+    describe: 'Callers that stay with each entry host and at times all ask at once.',
+  })
   .option('at-once', { type: 'number', default: 2, describe: 'Seeds at a time.' })
   .option('program', { type: 'string', describe: "Daemon's program; the built one by default." })
   .strict()
   .parse();
 
-const { controls, entries, seconds } = options;
+const { controls, entries, crowd, seconds } = options;
 const processes = (controls + entries) * options.atOnce;
 const memory = processes * PROCESS_BYTES;
 if (processes > MOST_PROCESSES || memory > Math.min(totalmem() / 2, freemem())) {
@@ -45,7 +50,7 @@
     failed += 1;
     violations.forEach((violation) => process.stdout.write(`  VIOLATED ${violation}\n`));
     faults.forEach((fault) => process.stdout.write(`  ${fault}\n`));
-    const size = `--seconds ${seconds} --controls ${controls} --entries ${entries}`;
+    const size = `--seconds ${seconds} --controls ${controls} --entries ${entries} --crowd ${crowd}`;
     process.stdout.write(`  again: npm run faults -- --seed ${seed} ${size}\n`);
     process.stdout.write(`  logs: ${folder ?? ''}/logs\n`);
   }
@@ -54,7 +59,7 @@
 async function work(network: number): Promise<void> {
   for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
     const { program } = options;
-    const size = { controls, entries, ...(program === undefined ? {} : { program }) };
+    const size = { controls, entries, crowd, ...(program === undefined ? {} : { program }) };
     report(await FaultSoak.run({ seed, faultsMs: seconds * 1000, network, ...size }));
   }
 }
--- a/bench/faults/soakChecks.test.ts
+++ b/bench/faults/soakChecks.test.ts
@@ -6,6 +6,7 @@
 import { CallerLedger, type SoakRequest } from './callerLedger.js';
 import { drawSchedule, PLANNED_KINDS } from './faultSchedule.js';
 import { HarmLog } from './harmLog.js';
+import { drawRushes } from './rushSchedule.js';
 import { createSoakRandom } from './soakRandom.js';
 
 const SENT: SoakRequest = {
@@ -64,6 +65,37 @@
     expect(ledger.judgeCuts(() => false)).toHaveLength(1);
   });
 
+  describe('at a host that stops while processes get no processor', () => {
+    function createStop(isOrderly: boolean) {
+      const timer = new ManualTimerService();
+      const harms = new HarmLog(timer);
+      const ledger = new CallerLedger(harms, timer);
+      timer.advance(SENT.sentMs - 50);
+      harms.noteStop('edge-1').isOrderly = isOrderly;
+      harms.noteSlowed(SENT.sentMs, SENT.sentMs + 400);
+      return { timer, ledger };
+    }
+
+    test.each([
+      [true, 400, 1],
+      [true, 200, 0],
+      [false, 400, 0],
+    ])('ends in order %s, open for %i ms: %i lost', (isOrderly, openMs, lost) => {
+      const { timer, ledger } = createStop(isOrderly);
+      timer.advance(50 + openMs);
+      ledger.cut({ ...cut, endMs: timer.now() });
+      expect(ledger.judgeCuts(() => false)).toHaveLength(lost);
+    });
+
+    test('is not lost when the end may have come before the request', () => {
+      const { timer, ledger } = createStop(true);
+      timer.advance(50);
+      // The caller's own process had no processor: it looked at nothing meanwhile.
+      ledger.cut({ ...cut, endMs: SENT.sentMs + 400 });
+      expect(ledger.judgeCuts(() => false)).toEqual([]);
+    });
+  });
+
   test('is not judged beside an unplanned fault', () => {
     const { harms, ledger } = create();
     harms.begin();
@@ -102,3 +134,11 @@
   const firstKinds = Array.from({ length: 50 }, (_, index) => draw(1001 + index)[0]?.kind);
   expect(new Set(firstKinds).size).toBe(PLANNED_KINDS.length);
 });
+
+test('rushes draw the same again, stop several hosts at once, and leave a seed its other faults', () => {
+  const draw = (seed: number) => drawRushes(createSoakRandom(seed, 500), 20_000);
+  expect(draw(1001)).toEqual(draw(1001));
+  const rushes = Array.from({ length: 20 }, (_, index) => draw(1001 + index)).flat();
+  expect(rushes.some(({ stopsMs }) => stopsMs.length === 0)).toBe(true);
+  expect(Math.max(...rushes.map(({ stopsMs }) => stopsMs.length))).toBe(3);
+});
