--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -243,6 +243,7 @@
   MeshLinkLost: message(8502, 'A link was lost: {reason}.'),
   MeshLinkOpened: message(8503, 'A link was opened.'),
   MeshUnreachable: error(8504, 'No link could be opened: {reason}.', '08006'),
+  EventLoopHeld: message(8520, 'Nothing else ran in this process for {heldMs} ms.'),
   TaskFailed: error(8505, 'A task failed: {reason}.', 'XX000'),
 
   // 9000: stand-in, bench
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -15,6 +15,7 @@
 import { Dispatcher, EntryRequests, RemoteRequests, type CallerFront } from './entry/index.js';
 import { ExecuteServer, GroupHolder } from './holder/index.js';
 import { ControlRoute, LeaseTask } from './lease/index.js';
+import { LoopWatch, readProcessorMs } from './loopWatch.js';
 import { Mesh } from './mesh/index.js';
 import {
   OperatorServer,
@@ -164,6 +165,7 @@
     }
     this.metrics.collectProcessMetrics();
     timer.subscribe(METRICS_INTERVAL_MS, () => this.updateMetrics());
+    new LoopWatch(timer, logger, readProcessorMs).start();
     logger.report(Diagnostics.DaemonStarted, {}, { step: 'daemon.start', peer: this.mesh.address });
   }
 
--- /dev/null
+++ b/src/daemon/loopWatch.test.ts
@@ -0,0 +1,31 @@
+import { expect, test } from 'vitest';
+import { Logger } from '../common/logging/index.js';
+import { ManualTimerService } from '../common/timer/index.js';
+import { LoopWatch } from './loopWatch.js';
+
+class HeldTimerService extends ManualTimerService {
+  heldMs = 0;
+
+  override subscribe(intervalMs: number, handler: (nowMs: number) => void): () => void {
+    return super.subscribe(intervalMs, (nowMs) => handler(nowMs + this.heldMs));
+  }
+}
+
+test('a held event loop is told, with the processor time that went by, and not in every look', () => {
+  const lines: string[] = [];
+  const timer = new HeldTimerService();
+  let usedMs = 0;
+  const logger = new Logger('info', {}, (line) => lines.push(line));
+  new LoopWatch(timer, logger, () => usedMs).start();
+  timer.advance(1000);
+  expect(lines).toEqual([]);
+  timer.heldMs = 400;
+  usedMs = 60;
+  timer.advance(100);
+  expect(lines).toHaveLength(1);
+  expect(lines[0]).toContain('for 400 ms');
+  expect(lines[0]).toContain('processorMs=60');
+  timer.heldMs = 700;
+  timer.advance(100);
+  expect(lines).toHaveLength(1);
+});
