Record and command for readers of replicas

There is no draining: two readers at once harm nothing, since the instance checks the position that a read needs.

--- a/src/decisions/control/assignmentBook.ts
+++ b/src/decisions/control/assignmentBook.ts
@@ -1,14 +1,21 @@
-import type { AccountId, GroupId, LeaseId, Revision } from '../../common/ids/index.js';
+import type { AccountId, GroupId, InstanceId, LeaseId, Revision } from '../../common/ids/index.js';
 import { toRevision } from '../../common/ids/index.js';
 import type { AccountAssignment } from './accountAssignment.js';
 import type { RetireLease } from './command.js';
 import type { Assignment } from './assignment.js';
-import type { AssignmentCommand } from './assignmentCommand.js';
+import type { AssignmentCommand, AssignReader } from './assignmentCommand.js';
 import { CommandKind } from './commandKind.js';
+import type { ControlRecordValue } from './controlRecord.js';
 import type { GroupAssignment } from './groupAssignment.js';
 import type { Holder } from './holder.js';
+import type { ReaderAssignment } from './readerAssignment.js';
 import { RecordKind } from './recordKind.js';
-import { getAccountHolderRecordName, getGroupHolderRecordName } from './recordNames.js';
+import {
+  getAccountHolderRecordName,
+  getGroupHolderRecordName,
+  getInstanceReaderRecordName,
+  getRecordName,
+} from './recordNames.js';
 import type { RecordTable } from './recordTable.js';
 
 const MAXIMUM_RETIRED_LEASES = 20_000;
@@ -18,6 +25,8 @@
   private readonly retired = new Set<LeaseId>();
   /** Names of the assignment records that name each lease. */
   private readonly byLease = new Map<LeaseId, Set<string>>();
+  /** Names of the records of each group's present readers. */
+  private readonly readers = new Map<GroupId, Set<string>>();
 
   constructor(private readonly records: RecordTable) {}
 
@@ -41,6 +50,8 @@
         return this.release(getGroupHolderRecordName(command.group), command, revision);
       case CommandKind.ReleaseAccount:
         return this.release(getAccountHolderRecordName(command.account), command, revision);
+      case CommandKind.AssignReader:
+        return this.assignReader(command, revision);
       case CommandKind.RetireLease:
         return this.retire(command.lease, revision);
     }
@@ -80,17 +91,25 @@
     return [...names].map((name) => this.find(name)).filter((each) => each !== undefined);
   }
 
+  /** The replicas of a group that have a reader, also those that are gone. */
+  getReaders(group: GroupId): ReaderAssignment[] {
+    return [...(this.readers.get(group) ?? [])]
+      .map((name) => this.find(name))
+      .filter((each) => each?.kind === RecordKind.InstanceReader);
+  }
+
   /** Takes over the retired leases and indexes the records. */
   restore(retired: readonly LeaseId[]): void {
     this.retired.clear();
     this.byLease.clear();
+    this.readers.clear();
     for (const lease of retired) {
       this.retired.add(lease);
     }
     for (const record of this.records.getSince(toRevision(0))) {
       const { value } = record;
-      if (value.kind === RecordKind.GroupHolder || value.kind === RecordKind.AccountHolder) {
-        this.index(record.name, value.holder);
+      if (isAssignment(value)) {
+        this.index(value);
       }
     }
   }
@@ -106,7 +125,7 @@
     expected: Revision,
     revision: Revision,
   ): boolean {
-    const name = getName(empty);
+    const name = getRecordName(empty);
     const present = this.find(name);
     if (!this.isAt(name, expected) || !this.isFree(present)) {
       return false;
@@ -114,14 +133,35 @@
     if (this.retired.has(holder.lease)) {
       return false;
     }
-    this.records.set({ ...empty, holder, since: revision }, revision);
-    this.index(name, holder);
+    this.set({ ...empty, holder, since: revision }, revision);
+    return true;
+  }
+
+  private assignReader(command: AssignReader, revision: Revision): boolean {
+    const { group, instance, holder, expected } = command;
+    const name = getInstanceReaderRecordName(group, instance);
+    const present = this.find(name);
+    const isSame = present?.holder?.lease === holder?.lease;
+    if (isSame || !this.isAt(name, expected)) {
+      return false;
+    }
+    if (holder !== undefined && this.retired.has(holder.lease)) {
+      return false;
+    }
+    if (present !== undefined) {
+      this.unindex(present);
+    }
+    const empty = createReader(group, instance);
+    this.set({ ...empty, ...(holder && { holder }), since: revision }, revision);
     return true;
   }
 
   private drain(name: string, expected: Revision, revision: Revision): boolean {
     const present = this.find(name);
-    if (present?.holder === undefined || present.draining || !this.isAt(name, expected)) {
+    if (present?.holder === undefined || present.kind === RecordKind.InstanceReader) {
+      return false;
+    }
+    if (present.draining || !this.isAt(name, expected)) {
       return false;
     }
     this.records.set({ ...present, draining: true }, revision);
@@ -137,7 +177,7 @@
     if (present?.holder?.lease !== command.lease || !this.isAt(name, command.expected)) {
       return false;
     }
-    this.free(name, present, revision);
+    this.free(present, revision);
     return true;
   }
 
@@ -154,38 +194,43 @@
     for (const name of names) {
       const present = this.find(name);
       if (present !== undefined) {
-        this.free(name, present, revision);
+        this.free(present, revision);
       }
     }
     return names.length > 0;
   }
 
-  private free(name: string, present: Assignment, revision: Revision): void {
-    const lease = present.holder?.lease;
-    const empty =
-      present.kind === RecordKind.GroupHolder
-        ? createGroup(present.group)
-        : createAccount(present.account);
-    this.records.set({ ...empty, since: revision }, revision);
-    if (lease !== undefined) {
-      this.unindex(name, lease);
-    }
+  private free(present: Assignment, revision: Revision): void {
+    this.unindex(present);
+    this.records.set({ ...createEmpty(present), since: revision }, revision);
+  }
+
+  private set(assignment: Assignment, revision: Revision): void {
+    this.records.set(assignment, revision);
+    this.index(assignment);
   }
 
-  private index(name: string, holder: Holder | undefined): void {
+  private index(assignment: Assignment): void {
+    const { holder } = assignment;
     if (holder === undefined) {
       return;
     }
-    const names = this.byLease.get(holder.lease) ?? new Set<string>();
-    names.add(name);
-    this.byLease.set(holder.lease, names);
+    const name = getRecordName(assignment);
+    addTo(this.byLease, holder.lease, name);
+    if (assignment.kind === RecordKind.InstanceReader) {
+      addTo(this.readers, assignment.group, name);
+    }
   }
 
-  private unindex(name: string, lease: LeaseId): void {
-    const names = this.byLease.get(lease);
-    names?.delete(name);
-    if (names?.size === 0) {
-      this.byLease.delete(lease);
+  private unindex(assignment: Assignment): void {
+    const { holder } = assignment;
+    if (holder === undefined) {
+      return;
+    }
+    const name = getRecordName(assignment);
+    removeFrom(this.byLease, holder.lease, name);
+    if (assignment.kind === RecordKind.InstanceReader) {
+      removeFrom(this.readers, assignment.group, name);
     }
   }
 
@@ -198,10 +243,41 @@
   }
 }
 
-function getName(assignment: Assignment): string {
-  return assignment.kind === RecordKind.GroupHolder
-    ? getGroupHolderRecordName(assignment.group)
-    : getAccountHolderRecordName(assignment.account);
+function isAssignment(value: ControlRecordValue): value is Assignment {
+  return (
+    value.kind === RecordKind.GroupHolder ||
+    value.kind === RecordKind.AccountHolder ||
+    value.kind === RecordKind.InstanceReader
+  );
+}
+
+function addTo<Key>(index: Map<Key, Set<string>>, key: Key, name: string): void {
+  const names = index.get(key) ?? new Set<string>();
+  names.add(name);
+  index.set(key, names);
+}
+
+function removeFrom<Key>(index: Map<Key, Set<string>>, key: Key, name: string): void {
+  const names = index.get(key);
+  names?.delete(name);
+  if (names?.size === 0) {
+    index.delete(key);
+  }
+}
+
+function createEmpty(assignment: Assignment): Assignment {
+  switch (assignment.kind) {
+    case RecordKind.GroupHolder:
+      return createGroup(assignment.group);
+    case RecordKind.AccountHolder:
+      return createAccount(assignment.account);
+    case RecordKind.InstanceReader:
+      return createReader(assignment.group, assignment.instance);
+  }
+}
+
+function createReader(group: GroupId, instance: InstanceId): ReaderAssignment {
+  return { kind: RecordKind.InstanceReader, group, instance, since: toRevision(0) };
 }
 
 function createGroup(group: GroupId): GroupAssignment {
--- a/src/decisions/control/assignmentCommand.ts
+++ b/src/decisions/control/assignmentCommand.ts
@@ -1,4 +1,4 @@
-import type { AccountId, GroupId, LeaseId, Revision } from '../../common/ids/index.js';
+import type { AccountId, GroupId, InstanceId, LeaseId, Revision } from '../../common/ids/index.js';
 import type { CommandKind } from './commandKind.js';
 import type { Holder } from './holder.js';
 
@@ -50,6 +50,23 @@
   readonly expected: Revision;
 }
 
+/** Gives a replica's reads to a daemon's lease in place of the present one, or back to the holder. */
+export interface AssignReader {
+  readonly kind: CommandKind.AssignReader;
+  readonly group: GroupId;
+  readonly instance: InstanceId;
+  /** The reader; absent to take the present one away. */
+  readonly holder?: Holder;
+  /** Revision of the present reader record; 0 for none. */
+  readonly expected: Revision;
+}
+
 /** A command that changes who holds a resource. */
 export type AssignmentCommand =
-  AssignGroup | DrainGroup | ReleaseGroup | AssignAccount | DrainAccount | ReleaseAccount;
+  | AssignGroup
+  | DrainGroup
+  | ReleaseGroup
+  | AssignAccount
+  | DrainAccount
+  | ReleaseAccount
+  | AssignReader;
--- a/src/decisions/control/commandKind.ts
+++ b/src/decisions/control/commandKind.ts
@@ -10,6 +10,7 @@
   AssignAccount = 'assign-account',
   DrainAccount = 'drain-account',
   ReleaseAccount = 'release-account',
+  AssignReader = 'assign-reader',
   RetireLease = 'retire-lease',
   RecordPrimary = 'record-primary',
   BeginMove = 'begin-move',
--- a/src/decisions/control/controlRecord.ts
+++ b/src/decisions/control/controlRecord.ts
@@ -3,18 +3,27 @@
 import type { GroupAssignment } from './groupAssignment.js';
 import type { GroupPrimary } from './groupPrimary.js';
 import type { InstanceRecord } from './instanceRecord.js';
+import type { ReaderAssignment } from './readerAssignment.js';
 import type { SubjectInForce } from './subjectInForce.js';
 
 /** The content of one replicated record. */
 export type ControlRecordValue =
-  SubjectInForce | InstanceRecord | GroupAssignment | AccountAssignment | GroupPrimary;
+  | SubjectInForce
+  | InstanceRecord
+  | GroupAssignment
+  | AccountAssignment
+  | ReaderAssignment
+  | GroupPrimary;
 
 /**
  * One replicated record. Daemons copy the records; a change since revision R is every record
  * whose revision is above R. Records are overwritten, never removed.
  */
 export interface ControlRecord {
-  /** `subject/...`, `instance/GROUP/INSTANCE`, `group-holder/GROUP`, `account-holder/ACCOUNT` or `primary/GROUP`. */
+  /**
+   * `subject/...`, `instance/GROUP/INSTANCE`, `group-holder/GROUP`, `account-holder/ACCOUNT`,
+   * `instance-reader/GROUP/INSTANCE` or `primary/GROUP`.
+   */
   readonly name: string;
   readonly revision: Revision;
   readonly value: ControlRecordValue;
--- a/src/decisions/control/controlState.ts
+++ b/src/decisions/control/controlState.ts
@@ -20,6 +20,7 @@
 import type { Holder } from './holder.js';
 import type { InstanceRecord } from './instanceRecord.js';
 import { PrimaryBook } from './primaryBook.js';
+import type { ReaderAssignment } from './readerAssignment.js';
 import { RecordIndex } from './recordIndex.js';
 import { RecordKind } from './recordKind.js';
 import { getInstanceRecordName, getSubjectRecordName } from './recordNames.js';
@@ -133,6 +134,11 @@
     return this.assignments.getHeld(lease);
   }
 
+  /** The replicas of a group that have a reader, also those that are gone. */
+  getReaders(group: GroupId): readonly ReaderAssignment[] {
+    return this.assignments.getReaders(group);
+  }
+
   /** Revision of a record; 0 when there is none. */
   getRecordRevision(name: string): Revision {
     return this.records.get(name)?.revision ?? toRevision(0);
--- a/src/decisions/control/index.ts
+++ b/src/decisions/control/index.ts
@@ -4,6 +4,7 @@
 export * from './instanceRecord.js';
 export * from './groupAssignment.js';
 export * from './accountAssignment.js';
+export * from './readerAssignment.js';
 export * from './groupPrimary.js';
 export * from './controlRecord.js';
 export * from './announcement.js';
--- a/src/decisions/control/leader/commandKey.ts
+++ b/src/decisions/control/leader/commandKey.ts
@@ -4,6 +4,7 @@
 import {
   getAccountHolderRecordName,
   getGroupHolderRecordName,
+  getInstanceReaderRecordName,
   getInstanceRecordName,
   getPrimaryRecordName,
   getSubjectRecordName,
@@ -27,6 +28,8 @@
     case CommandKind.DrainAccount:
     case CommandKind.ReleaseAccount:
       return getAccountHolderRecordName(command.account);
+    case CommandKind.AssignReader:
+      return getInstanceReaderRecordName(command.group, command.instance);
     case CommandKind.RetireLease:
       return getLeaseKey(command.lease);
     case CommandKind.RecordPrimary:
--- a/src/decisions/control/leader/commitIntake.ts
+++ b/src/decisions/control/leader/commitIntake.ts
@@ -107,6 +107,9 @@
         this.place(value, name);
         this.context.accountAgenda.add(value.account);
         break;
+      case RecordKind.InstanceReader:
+        this.context.groupAgenda.add(value.group);
+        break;
       case RecordKind.Primary:
         this.notePrimary(value, nowMs);
         break;
--- a/src/decisions/control/leader/hostRegister.ts
+++ b/src/decisions/control/leader/hostRegister.ts
@@ -80,10 +80,10 @@
     const { leases, state, groupAgenda, accountAgenda } = this.context;
     const lease = leases.getByHost(host);
     for (const held of lease === undefined ? [] : state.getHeld(lease.lease)) {
-      if (held.kind === RecordKind.GroupHolder) {
-        groupAgenda.add(held.group);
-      } else {
+      if (held.kind === RecordKind.AccountHolder) {
         accountAgenda.add(held.account);
+      } else {
+        groupAgenda.add(held.group);
       }
     }
   }
--- a/src/decisions/control/recordKind.ts
+++ b/src/decisions/control/recordKind.ts
@@ -5,4 +5,5 @@
   GroupHolder = 'group-holder',
   AccountHolder = 'account-holder',
   Primary = 'primary',
+  InstanceReader = 'instance-reader',
 }
--- a/src/decisions/control/recordNames.ts
+++ b/src/decisions/control/recordNames.ts
@@ -23,6 +23,11 @@
   return `account-holder/${account}`;
 }
 
+/** Name of the record of a replica's reader. */
+export function getInstanceReaderRecordName(group: GroupId, instance: InstanceId): string {
+  return `instance-reader/${group}/${instance}`;
+}
+
 /** Name of the record of a group's primary. */
 export function getPrimaryRecordName(group: GroupId): string {
   return `primary/${group}`;
@@ -39,6 +44,8 @@
       return getGroupHolderRecordName(value.group);
     case RecordKind.AccountHolder:
       return getAccountHolderRecordName(value.account);
+    case RecordKind.InstanceReader:
+      return getInstanceReaderRecordName(value.group, value.instance);
     case RecordKind.Primary:
       return getPrimaryRecordName(value.group);
   }
--- a/src/decisions/control/recordReader.ts
+++ b/src/decisions/control/recordReader.ts
@@ -20,10 +20,12 @@
 import type { GroupAssignment } from './groupAssignment.js';
 import type { GroupPrimary } from './groupPrimary.js';
 import type { InstanceRecord } from './instanceRecord.js';
+import type { ReaderAssignment } from './readerAssignment.js';
 import { RecordKind } from './recordKind.js';
 import {
   getAccountHolderRecordName,
   getGroupHolderRecordName,
+  getInstanceReaderRecordName,
   getInstanceRecordName,
   getPrimaryRecordName,
   getSubjectRecordName,
@@ -105,6 +107,11 @@
     return this.getValue(RecordKind.AccountHolder, getAccountHolderRecordName(account));
   }
 
+  /** A replica's reader. */
+  getReader(group: GroupId, instance: InstanceId): ReaderAssignment | undefined {
+    return this.getValue(RecordKind.InstanceReader, getInstanceReaderRecordName(group, instance));
+  }
+
   /** A group's primary. */
   getPrimary(group: GroupId): GroupPrimary | undefined {
     return this.getValue(RecordKind.Primary, getPrimaryRecordName(group));
