Lease renewals say the rate of the sender's link

A renewal whose rate is no count is refused with its frame. The leader keeps the rate with the lease.

--- a/src/common/settings/settings.ts
+++ b/src/common/settings/settings.ts
@@ -39,6 +39,13 @@
       advertise: addressSchema
         .optional()
         .describe('Address that other daemons dial; that of listen when absent.'),
+      link_bytes_per_second: z
+        .int()
+        .min(1)
+        .optional()
+        .describe(
+          "Rate of this host's link, where it is narrow; reads of groups held here spread by it.",
+        ),
       plain: z.boolean().default(false).describe('Allow the mesh without TLS.'),
       tls: tlsSchema.optional().describe('TLS on the mesh; both sides show a certificate.'),
     })
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -81,7 +81,9 @@
     this.mesh = this.createMesh();
     const route = new ControlRoute(() => this.getControlAddresses());
     const { incarnation, mesh, records, ids } = this;
-    const identity = { host, incarnation, domain };
+    const { link_bytes_per_second: linkBytesPerSecond } = settings.mesh;
+    const link = linkBytesPerSecond === undefined ? {} : { linkBytesPerSecond };
+    const identity = { host, incarnation, domain, ...link };
     this.lease = new LeaseTask(identity, mesh, route, records, timer, logger, () => ({
       reports: this.holder.getReports(),
       releasedGroups: this.holder.releasedGroups,
--- a/src/daemon/lease/leaseTask.ts
+++ b/src/daemon/lease/leaseTask.ts
@@ -59,6 +59,8 @@
   readonly host: HostId;
   readonly incarnation: Incarnation;
   readonly domain: FailureDomain;
+  /** What its link carries, in bytes a second, where that is known. */
+  readonly linkBytesPerSecond?: number;
 }
 
 /** Keeps the daemon's lease and its copy of the replicated records. */
--- a/src/daemon/mesh/messageShape.ts
+++ b/src/daemon/mesh/messageShape.ts
@@ -4,6 +4,7 @@
 enum FieldType {
   Text = 'text',
   Count = 'count',
+  OptionalCount = 'optional-count',
   Flag = 'flag',
   Bytes = 'bytes',
   List = 'list',
@@ -14,7 +15,7 @@
   readonly [name: string]: FieldType | Shape;
 }
 
-const { Text, Count, Flag, Bytes, List } = FieldType;
+const { Text, Count, OptionalCount, Flag, Bytes, List } = FieldType;
 
 const OUTCOME: Shape = { status: Text, wrote: Flag, onReplica: Flag, waitMs: Count };
 
@@ -48,9 +49,10 @@
   releasedGroups: List,
   releasedAccounts: List,
   stopping: Flag,
+  linkBytesPerSecond: OptionalCount,
 };
 
-/** Fields that every message of a kind has; optional ones are left to their readers. */
+/** Fields that every message of a kind has; most optional ones are left to their readers. */
 const SHAPES: Readonly<Record<MeshKind, Shape>> = {
   [MeshKind.Hello]: { version: Count, host: Text, incarnation: Text, address: Text },
   [MeshKind.Heartbeat]: { sequence: Count },
@@ -105,6 +107,8 @@
       return typeof field === 'string';
     case FieldType.Count:
       return typeof field === 'number' && field >= 0;
+    case FieldType.OptionalCount:
+      return field === undefined || hasType(Count, field);
     case FieldType.Flag:
       return typeof field === 'boolean';
     case FieldType.Bytes:
--- a/src/decisions/control/leaseRenewal.ts
+++ b/src/decisions/control/leaseRenewal.ts
@@ -37,7 +37,7 @@
   readonly releasedAccounts: readonly AccountId[];
   /** The daemon takes no resources and gives up those it has: it is stopping or no entry host. */
   readonly stopping: boolean;
-  /** What the sender's link carries, in both directions together, in bytes a second, where that is known. */
+  /** What the sender's link carries, in bytes a second, where that is known. */
   readonly linkBytesPerSecond?: number;
   /** The sender as a member of the control quorum, when it is to be admitted by itself. */
   readonly member?: ControlMember;
--- a/src/decisions/leases/daemonLease.ts
+++ b/src/decisions/leases/daemonLease.ts
@@ -11,6 +11,8 @@
   /** Revision that the daemon had applied at that renewal. */
   readonly revision: Revision;
   readonly stopping: boolean;
+  /** What its host's link carries, in bytes a second; absent where that is unknown. */
+  readonly linkBytesPerSecond?: number;
   readonly grantedAtMs: number;
   readonly expiryMs: number;
   /** Renewed at this leader, not only known from the log. */
--- a/src/decisions/leases/daemonLeases.ts
+++ b/src/decisions/leases/daemonLeases.ts
@@ -181,7 +181,9 @@
   private grant(renewal: LeaseRenewal, nowMs: number): void {
     const { lease, host, domain, address, sequence, revision, stopping } = renewal;
     const expiryMs = this.getExpiryMs(nowMs);
-    const granted = { lease, host, domain, address, sequence, revision, stopping };
+    const { linkBytesPerSecond: link } = renewal;
+    const named = { lease, host, domain, address, sequence, revision, stopping };
+    const granted = link === undefined ? named : { ...named, linkBytesPerSecond: link };
     this.leases.delete(lease);
     this.leases.set(lease, { ...granted, grantedAtMs: nowMs, expiryMs, isLive: true });
     this.byHost.set(host, lease);
--- a/src/decisions/leases/leases.test.ts
+++ b/src/decisions/leases/leases.test.ts
@@ -42,6 +42,15 @@
   };
 }
 
+test('a lease carries the rate of the link that its renewals say', () => {
+  const leases = new DaemonLeases(DEFAULT_LEASE_TERMS);
+  leases.begin([], toRevision(0), 0);
+  leases.renew(createRenewal(1), false, true, 0);
+  expect(leases.get(LEASE)).not.toHaveProperty('linkBytesPerSecond');
+  leases.renew(createRenewal(2, { linkBytesPerSecond: 250_000 }), false, true, 1);
+  expect(leases.get(LEASE)?.linkBytesPerSecond).toBe(250_000);
+});
+
 test('a lease counts from before the renewal was sent', () => {
   const held = new HeldLease(LEASE);
   const { sequence } = held.beginRenewal(100);
--- a/tests/callers/meshFuzz.test.ts
+++ b/tests/callers/meshFuzz.test.ts
@@ -120,6 +120,25 @@
   expect(tryDecodeFrame(encodeFrame(right), 'peer').isOk()).toBe(true);
 });
 
+test('a lease renewal is refused when the rate of the link in it is no count', () => {
+  const renewal = {
+    ...{ host: 'h', incarnation: 'h1', lease: 'l', domain: 'd', address: 'a', sequence: 1 },
+    ...{ answered: 0, sinceAnsweredMs: 0, revision: 0, announcements: [], reports: [] },
+    ...{ releasedGroups: [], releasedAccounts: [], stopping: false },
+  };
+  const tryDecode = (link: object) =>
+    tryDecodeFrame(
+      codec.pack({ kind: MeshKind.LeaseRenewal, renewal: { ...renewal, ...link } }),
+      'peer',
+    );
+  for (const linkBytesPerSecond of ['250000', -1, NaN, true, null]) {
+    const decoded = tryDecode({ linkBytesPerSecond });
+    expect(decoded.isErr() && decoded.error.message).toMatch(/field renewal.linkBytes\S+ is wrong/);
+  }
+  expect(tryDecode({}).isOk()).toBe(true);
+  expect(tryDecode({ linkBytesPerSecond: 250_000 }).isOk()).toBe(true);
+});
+
 test('a link decodes its messages in order, whatever their shapes, far smaller than one by one', () => {
   const sender = new FrameCodec();
   const receiver = new FrameCodec();
