The leader gives replicas readers where their holder's link is narrow

The leader now gives each replica a host that holds no group (most 2 readers a host), near first. Nothing is given beside a wide or unknown link. Hosts with readers are the last among equals to be given a group; one that is given a group anyway hands its readers on when another host is spare. Decisions are made with the look at a changed group; groups without a spare host wait in a set and are looked at when there is one.

Evidence: readerPlacement.test.ts, random fleets (hosts lost, back, stopping, domains out, promotions, leaving replicas, new leaders): holder never reads for longer than a look, lost and leaving hosts neither, no reader beside other links, a reader wherever a host is spare, no change without a cause. Seven broken variants are found.

--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -178,6 +178,11 @@
   GroupAssigned: message(6011, 'Group "{group}" is assigned to host "{host}".'),
   AccountAssigned: message(6012, 'Client account "{account}" is assigned to host "{host}".'),
   GroupDraining: message(6013, 'Host "{host}" is asked to release group "{group}".'),
+  ReaderAssigned: message(
+    6014,
+    'Reads of instance "{instance}" of group "{group}" are assigned to host "{host}".',
+  ),
+  ReaderRemoved: message(6015, 'Instance "{instance}" of group "{group}" loses its reader.'),
   PrimaryRecorded: message(6020, 'Group "{group}" has primary "{instance}" of term {term}.'),
   PrimaryLost: warning(6021, 'Primary "{instance}" of group "{group}" is lost: {reason}.'),
   PromotionBegan: message(6022, 'Promotion of "{instance}" in group "{group}" to term {term}.'),
--- a/src/decisions/control/leader/commitIntake.ts
+++ b/src/decisions/control/leader/commitIntake.ts
@@ -1,18 +1,20 @@
 import { Diagnostics } from '../../../common/diagnostics/index.js';
-import { toRevision } from '../../../common/ids/index.js';
+import { toRevision, type GroupId, type InstanceId } from '../../../common/ids/index.js';
 import { SubjectKind } from '../../tickets/index.js';
 import type { Assignment } from '../assignment.js';
 import { CommandKind } from '../commandKind.js';
 import type { ControlRecord } from '../controlRecord.js';
 import { PrimaryPhase, type GroupPrimary } from '../groupPrimary.js';
+import type { Holder } from '../holder.js';
 import { RecordKind } from '../recordKind.js';
+import { getInstanceReaderRecordName } from '../recordNames.js';
 import type { SubjectInForce } from '../subjectInForce.js';
 import type { Committed } from './controlInput.js';
 import { ControlOutputKind } from './controlOutput.js';
 import { getCommandKey } from './commandKey.js';
 import type { GroupWatch } from './groupWatch.js';
 import type { HostRegister } from './hostRegister.js';
-import { getWatch, type LeaderContext } from './leaderContext.js';
+import { getWatch, placeGroup, placeReader, type LeaderContext } from './leaderContext.js';
 
 /** Takes in committed commands: pushes the changes and notes what has to be looked at. */
 export class CommitIntake {
@@ -78,6 +80,24 @@
     } else if (command.kind === CommandKind.AssignAccount) {
       this.place(state.getAccountAssignment(command.account), getCommandKey(command));
       this.context.accountAgenda.add(command.account);
+    } else if (command.kind === CommandKind.AssignReader) {
+      this.noteReader(command.group, command.instance);
+    }
+  }
+
+  private noteReader(group: GroupId, instance: InstanceId): void {
+    const host = this.context.state.getReader(group, instance)?.holder?.host;
+    placeReader(this.context, getInstanceReaderRecordName(group, instance), host);
+    this.context.groupAgenda.add(group);
+  }
+
+  /** A host that came to hold a group is to read no others, where there is a spare one. */
+  private lookAtReaders({ host, lease }: Holder): void {
+    const { spareHosts, state, groupAgenda } = this.context;
+    for (const held of spareHosts.countReaders(host) === 0 ? [] : state.getHeld(lease)) {
+      if (held.kind === RecordKind.InstanceReader) {
+        groupAgenda.add(held.group);
+      }
     }
   }
 
@@ -100,6 +120,9 @@
           watch.forgetReport();
         }
         this.place(value, name);
+        if (value.holder !== undefined) {
+          this.lookAtReaders(value.holder);
+        }
         this.context.groupAgenda.add(value.group);
         break;
       }
@@ -108,7 +131,7 @@
         this.context.accountAgenda.add(value.account);
         break;
       case RecordKind.InstanceReader:
-        this.context.groupAgenda.add(value.group);
+        this.noteReader(value.group, value.instance);
         break;
       case RecordKind.Primary:
         this.notePrimary(value, nowMs);
@@ -192,13 +215,12 @@
   }
 
   private place(assignment: Assignment | undefined, name: string | undefined): void {
-    const { groupPlacement, accountPlacement } = this.context;
-    if (name === undefined) {
-      return;
+    const host = assignment?.holder?.host;
+    if (name?.startsWith(RecordKind.GroupHolder) === true) {
+      placeGroup(this.context, name, host);
+    } else if (name !== undefined) {
+      this.context.accountPlacement.place(name, host);
     }
-    const isGroup = name.startsWith(RecordKind.GroupHolder);
-    const placement = isGroup ? groupPlacement : accountPlacement;
-    placement.place(name, assignment?.holder?.host);
   }
 }
 
--- a/src/decisions/control/leader/controlLeader.ts
+++ b/src/decisions/control/leader/controlLeader.ts
@@ -13,7 +13,7 @@
 import { CommandKind } from '../commandKind.js';
 import type { FleetStatus } from '../fleetStatus.js';
 import type { Holder } from '../holder.js';
-import { LeastLoadedNear, Placement } from '../placement/index.js';
+import { LeastLoadedNear, Placement, SpareHosts } from '../placement/index.js';
 import { getPrimaryRecordName } from '../recordNames.js';
 import type { SubjectReading } from '../subjectReading.js';
 import { AccountPlacement } from './accountPlacement.js';
@@ -29,6 +29,7 @@
 import { HostRegister } from './hostRegister.js';
 import { avoidLoser, getWatch, type LeaderContext } from './leaderContext.js';
 import { Outbox } from './outbox.js';
+import { ReaderPlacement } from './readerPlacement.js';
 import { Rebalancer } from './rebalancer.js';
 import { RenewalIntake } from './renewalIntake.js';
 
@@ -41,6 +42,7 @@
   readonly createRules?: (settings: ControlSettings) => PromotionRules;
   readonly createPlacement?: () => Placement;
   readonly createGroupPlacement?: (context: LeaderContext) => GroupPlacement;
+  readonly createReaderPlacement?: (context: LeaderContext) => ReaderPlacement;
 }
 
 /**
@@ -53,6 +55,7 @@
   private readonly commits: CommitIntake;
   private readonly renewals: RenewalIntake;
   private readonly groups: GroupDecisions;
+  private readonly readers: ReaderPlacement;
   private readonly accounts: AccountPlacement;
   private readonly rebalancer: Rebalancer;
   private readonly reader: FleetReader;
@@ -68,7 +71,8 @@
     const rules = parts.createRules?.(settings) ?? new PromotionRules(settings.promotion);
     const placement =
       parts.createGroupPlacement?.(this.context) ?? new GroupPlacement(this.context);
-    this.groups = new GroupDecisions(this.context, rules, placement);
+    this.readers = parts.createReaderPlacement?.(this.context) ?? new ReaderPlacement(this.context);
+    this.groups = new GroupDecisions(this.context, rules, placement, this.readers);
     this.accounts = new AccountPlacement(this.context);
     this.rebalancer = new Rebalancer(this.context);
     this.reader = new FleetReader(this.context);
@@ -118,6 +122,7 @@
       case ControlInputKind.Tick:
         this.expire(nowMs);
         this.rebalancer.run(nowMs);
+        this.readers.wake();
         break;
     }
   }
@@ -131,6 +136,7 @@
     context.groupAgenda.clear();
     context.accountAgenda.clear();
     this.hosts.clear();
+    this.readers.clear();
     const held = context.state.getHolders().map(createUnknownLease);
     context.leases.begin(held, context.state.changeRevision, nowMs);
     this.commits.begin(nowMs);
@@ -194,6 +200,7 @@
     leases: parts.createLeases?.(settings) ?? new DaemonLeases(settings.lease),
     groupPlacement: createPlacement(),
     accountPlacement: createPlacement(),
+    spareHosts: new SpareHosts(),
     groupAgenda: new Agenda(),
     accountAgenda: new Agenda(),
     watches: new Map(),
--- a/src/decisions/control/leader/groupDecisions.ts
+++ b/src/decisions/control/leader/groupDecisions.ts
@@ -16,22 +16,25 @@
 import { createGroupView } from './createGroupView.js';
 import type { GroupPlacement } from './groupPlacement.js';
 import { getWatch, type LeaderContext } from './leaderContext.js';
+import type { ReaderPlacement } from './readerPlacement.js';
 
 const NO_TERM = toTerm(0);
 
-/** Decides on one group at a time: its primary, then its holder. */
+/** Decides on one group at a time: its primary, its holder, then the readers of its replicas. */
 export class GroupDecisions {
   constructor(
     private readonly context: LeaderContext,
     private readonly rules: PromotionRules,
     private readonly placement: GroupPlacement,
+    private readonly readers: ReaderPlacement,
   ) {}
 
   /** Looks at a group; true when it has to be looked at again without a change. */
   look(group: GroupId, nowMs: number): boolean {
     const view = createGroupView(this.context, group, nowMs);
-    const isWaiting = this.decidePrimary(view);
-    return this.placement.look(view) || isWaiting;
+    const isPrimaryOpen = this.decidePrimary(view);
+    const isHolderOpen = this.placement.look(view);
+    return this.readers.look(group, nowMs) || isHolderOpen || isPrimaryOpen;
   }
 
   private decidePrimary(view: GroupView): boolean {
--- a/src/decisions/control/leader/groupPlacement.ts
+++ b/src/decisions/control/leader/groupPlacement.ts
@@ -5,7 +5,7 @@
 import { PrimaryPhase } from '../groupPrimary.js';
 import type { Holder } from '../holder.js';
 import { getGroupHolderRecordName } from '../recordNames.js';
-import { getWatch, isSettled, type LeaderContext } from './leaderContext.js';
+import { getWatch, isSettled, placeGroup, type LeaderContext } from './leaderContext.js';
 
 /** Decides on the holder of one group at a time. */
 export class GroupPlacement {
@@ -62,7 +62,7 @@
     const expected = state.getRecordRevision(name);
     const command = { kind: CommandKind.AssignGroup, group, holder, expected } as const;
     if (outbox.propose(name, command, nowMs)) {
-      groupPlacement.place(name, host);
+      placeGroup(this.context, name, host);
       outbox.log(Diagnostics.GroupAssigned, { group, host });
     }
   }
--- a/src/decisions/control/leader/hostRegister.ts
+++ b/src/decisions/control/leader/hostRegister.ts
@@ -1,4 +1,5 @@
 import type { FailureDomain, HostId } from '../../../common/ids/index.js';
+import type { DaemonLease } from '../../leases/daemonLease.js';
 import { RecordKind } from '../recordKind.js';
 import type { LeaderContext } from './leaderContext.js';
 
@@ -26,7 +27,7 @@
       this.leaving.delete(host);
     }
     if (isLive && !mustLeave) {
-      this.add(host, lease.domain, nowMs);
+      this.add(lease, nowMs);
     } else {
       this.remove(host);
     }
@@ -51,7 +52,7 @@
     this.leaving.clear();
   }
 
-  private add(host: HostId, domain: FailureDomain, nowMs: number): void {
+  private add({ host, domain, linkBytesPerSecond }: DaemonLease, nowMs: number): void {
     if (this.eligible.has(host)) {
       return;
     }
@@ -62,12 +63,17 @@
     const added = { host, domain, sinceMs: nowMs, warmAtMs };
     this.context.groupPlacement.addHost(added);
     this.context.accountPlacement.addHost(added);
+    this.context.spareHosts.addHost(host, domain);
+    if (linkBytesPerSecond !== undefined) {
+      this.lookAtHeld(host);
+    }
   }
 
   private remove(host: HostId): void {
     if (this.eligible.delete(host)) {
       this.context.groupPlacement.removeHost(host);
       this.context.accountPlacement.removeHost(host);
+      this.context.spareHosts.removeHost(host);
     }
   }
 
--- a/src/decisions/control/leader/leaderContext.ts
+++ b/src/decisions/control/leader/leaderContext.ts
@@ -2,7 +2,7 @@
 import type { DaemonLease } from '../../leases/daemonLease.js';
 import type { DaemonLeases } from '../../leases/daemonLeases.js';
 import type { ControlState } from '../controlState.js';
-import type { Placement } from '../placement/index.js';
+import type { Placement, SpareHosts } from '../placement/index.js';
 import { RecordKind } from '../recordKind.js';
 import type { Agenda } from './agenda.js';
 import type { ControlSettings } from './controlSettings.js';
@@ -16,6 +16,7 @@
   readonly leases: DaemonLeases;
   readonly groupPlacement: Placement;
   readonly accountPlacement: Placement;
+  readonly spareHosts: SpareHosts;
   readonly groupAgenda: Agenda<GroupId>;
   readonly accountAgenda: Agenda<AccountId>;
   readonly watches: Map<GroupId, GroupWatch>;
@@ -41,6 +42,20 @@
   return watch;
 }
 
+/** Notes which host holds a group, by the name of its record; undefined for none. */
+export function placeGroup(context: LeaderContext, name: string, host: HostId | undefined): void {
+  context.groupPlacement.place(name, host);
+  context.spareHosts.placeGroup(name, host);
+}
+
+/** Notes which host is a replica's reader, by the name of its record; undefined for none. */
+export function placeReader(context: LeaderContext, name: string, host: HostId | undefined): void {
+  const { spareHosts, groupPlacement } = context;
+  for (const changed of spareHosts.placeReader(name, host)) {
+    groupPlacement.setReading(changed, spareHosts.countReaders(changed) > 0);
+  }
+}
+
 /**
  * Notes that a host lost a lease that it renewed here, before that one is retired: it may have the next
  * one already, but can carry no more than before, so that its groups are to go elsewhere.
--- /dev/null
+++ b/src/decisions/control/leader/readerPlacement.test.ts
@@ -0,0 +1,213 @@
+import * as fc from 'fast-check';
+import { expect, test } from 'vitest';
+import type { FailureDomain, HostId } from '../../../common/ids/index.js';
+import { DaemonLeases } from '../../leases/index.js';
+import { SubjectKind } from '../../tickets/index.js';
+import type { Holder } from '../holder.js';
+import type { ControlLeaderParts } from './controlLeader.js';
+import { needsReaders } from './needsReaders.js';
+import type { ControlSettings } from './controlSettings.js';
+import type { LeaderContext } from './leaderContext.js';
+import { ReaderPlacement } from './readerPlacement.js';
+import {
+  NARROW_BYTES_PER_SECOND,
+  ReaderChecks,
+  ReaderFleet,
+} from '../../../../tests/support/fleet/index.js';
+
+const RUNS = Number(process.env.FLEET_RUNS ?? 100);
+const SEED = Number(process.env.FLEET_SEED ?? 20261205);
+const WIDE_BYTES_PER_SECOND = 125_000_000;
+const SETTLE_MS = 6000;
+
+enum EventKind {
+  Lose = 'lose',
+  Return = 'return',
+  Stop = 'stop',
+  DomainOut = 'domain-out',
+  DomainBack = 'domain-back',
+  Promote = 'promote',
+  Leaving = 'leaving',
+  Staying = 'staying',
+  NewLeader = 'new-leader',
+}
+
+interface FleetEvent {
+  readonly kind: EventKind;
+  readonly target: number;
+  readonly restMs: number;
+}
+
+const link = fc.oneof(
+  { weight: 6, arbitrary: fc.constant(NARROW_BYTES_PER_SECOND) },
+  { weight: 1, arbitrary: fc.constantFrom(WIDE_BYTES_PER_SECOND, undefined) },
+);
+const fleets = fc.record({
+  links: fc.oneof(
+    fc.array(fc.constant(NARROW_BYTES_PER_SECOND), { minLength: 2, maxLength: 10 }),
+    fc.array(link, { minLength: 2, maxLength: 10 }),
+  ),
+  groups: fc.integer({ min: 1, max: 3 }),
+  domains: fc.integer({ min: 1, max: 3 }),
+});
+/** Fleets in which no reader's host can come to hold another group. */
+const singles = fleets.map((size) => ({ ...size, groups: 1 }));
+const events: fc.Arbitrary<FleetEvent[]> = fc.array(
+  fc.record({
+    kind: fc.constantFrom(...Object.values(EventKind)),
+    target: fc.nat(30),
+    restMs: fc.constantFrom(50, 300, 1000, SETTLE_MS),
+  }),
+  { maxLength: 12 },
+);
+
+function at<Item>(items: readonly Item[], index: number): Item {
+  return items[index % items.length] as Item;
+}
+
+function bring(fleet: ReaderFleet, { kind, target }: FleetEvent): void {
+  const host = at(fleet.hosts, target);
+  const group = at(fleet.groups, target);
+  switch (kind) {
+    case EventKind.Lose:
+      host.isAlive = false;
+      break;
+    case EventKind.Return:
+      fleet.restart(host);
+      break;
+    case EventKind.Stop:
+      host.isStopping = true;
+      break;
+    case EventKind.DomainOut:
+    case EventKind.DomainBack: {
+      const domain = at(fleet.domains, target);
+      const inService = kind === EventKind.DomainBack;
+      fleet.submit({ kind: SubjectKind.FailureDomain, domain, inService });
+      break;
+    }
+    case EventKind.Promote:
+      fleet.promote(group, target);
+      break;
+    case EventKind.Leaving:
+    case EventKind.Staying: {
+      const instance = at(fleet.getInstances(group), target >> 2);
+      fleet.setLeaving(group, instance, kind === EventKind.Leaving);
+      break;
+    }
+    case EventKind.NewLeader:
+      fleet.changeLeader();
+      break;
+  }
+  fleet.lastCauseMs = fleet.nowMs;
+}
+
+function createProperty(leaderParts: ControlLeaderParts, sizes = fleets) {
+  return fc.property(sizes, events, (options, sequence) => {
+    const fleet = new ReaderFleet({ ...options, leaderParts });
+    const checks = new ReaderChecks(fleet);
+    const check = () => checks.check();
+    fleet.run(SETTLE_MS, check);
+    for (const event of sequence) {
+      bring(fleet, event);
+      fleet.run(event.restMs, check);
+    }
+    fleet.run(SETTLE_MS, check);
+  });
+}
+
+test('readers are given where a link is narrow and a host is spare, and change for a cause', () => {
+  fc.assert(createProperty({}), { seed: SEED, numRuns: RUNS });
+});
+
+type Variant = new (context: LeaderContext) => ReaderPlacement;
+
+function findViolation(leaderParts: ControlLeaderParts, sizes = fleets): string {
+  const property = createProperty(leaderParts, sizes);
+  const details = fc.check(property, { seed: SEED, numRuns: 400, endOnFailure: true });
+  const { errorInstance } = details;
+  return errorInstance instanceof Error ? errorInstance.message : 'none';
+}
+
+function findWith(variant: Variant, sizes = fleets): string {
+  return findViolation({ createReaderPlacement: (context) => new variant(context) }, sizes);
+}
+
+test('readers that stay on hosts that leave are found', () => {
+  class Staying extends ReaderPlacement {
+    protected override mustLeave(reader: Holder, holder: HostId | undefined): boolean {
+      return reader.host === holder;
+    }
+  }
+  expect(findWith(Staying)).toMatch(/leaving host reads/);
+});
+
+test('a holder that reads its own replica is found', () => {
+  class Beside extends ReaderPlacement {
+    protected override mustLeave(reader: Holder): boolean {
+      return super.mustLeave(reader, undefined);
+    }
+    protected override mayMove(): boolean {
+      return false;
+    }
+  }
+  expect(findWith(Beside, singles)).toMatch(/: holder reads/);
+});
+
+test('readers on hosts whose lease is over are found', () => {
+  class Late extends DaemonLeases {
+    protected override getExpiryMs(nowMs: number): number {
+      return super.getExpiryMs(nowMs) + 1000;
+    }
+  }
+  const createLeases = (settings: ControlSettings) => new Late(settings.lease);
+  expect(findViolation({ createLeases })).toMatch(/lost host reads/);
+});
+
+test('readers given to hosts that hold groups are found', () => {
+  class Anywhere extends ReaderPlacement {
+    protected override choose(near: FailureDomain): HostId | undefined {
+      return this.context.leases.getLive().find((lease) => lease.domain === near)?.host;
+    }
+  }
+  expect(findWith(Anywhere)).toMatch(/holder of another group reads|: holder reads/);
+});
+
+test('readers beside wide and unknown links are found', () => {
+  class Everywhere extends ReaderPlacement {
+    protected override needsReaders(): boolean {
+      return true;
+    }
+  }
+  expect(findWith(Everywhere)).toMatch(/beside a wide link/);
+});
+
+test('replicas left without a reader when a host becomes spare are found', () => {
+  class Forgetful extends ReaderPlacement {
+    override wake(): void {
+      this.wanting.clear();
+    }
+    protected override mayMove(): boolean {
+      return false;
+    }
+  }
+  expect(findWith(Forgetful, singles)).toMatch(/no reader of/);
+});
+
+test('readers that change places without a cause are found', () => {
+  class Restless extends ReaderPlacement {
+    protected override mayMove(): boolean {
+      return this.context.spareHosts.size > 0;
+    }
+  }
+  expect(findWith(Restless)).toMatch(/without a cause/);
+});
+
+test.each([
+  [18, 250_000, true],
+  [18, 125_000_000, false],
+  [18, undefined, false],
+  [0, 250_000, false],
+  [4, 250_000, false],
+])('%s slots behind a link of %s bytes a second need readers: %s', (slots, bytes, expected) => {
+  expect(needsReaders([{ slots }], bytes)).toBe(expected);
+});
--- a/src/decisions/control/placement/index.ts
+++ b/src/decisions/control/placement/index.ts
@@ -4,3 +4,5 @@
 export * from './leastLoadedNear.js';
 export * from './boundedRendezvous.js';
 export * from './placement.js';
+export * from './hostLoads.js';
+export * from './spareHosts.js';
--- a/src/decisions/control/placement/loadBuckets.ts
+++ b/src/decisions/control/placement/loadBuckets.ts
@@ -1,8 +1,15 @@
 import type { HostId } from '../../../common/ids/index.js';
 
-/** Hosts ordered by load, with cheap changes of load. */
+/** Hosts of one load, the longest at it first. */
+interface Bucket {
+  readonly plain: Set<HostId>;
+  /** Hosts that read replicas as well: the last to be chosen. */
+  readonly reading: Set<HostId>;
+}
+
+/** Hosts ordered by load, with cheap changes of load; reading ones come last among equals. */
 export class LoadBuckets {
-  private readonly buckets = new Map<number, Set<HostId>>();
+  private readonly buckets = new Map<number, Bucket>();
   private lowest = 0;
   private highest = 0;
   private count = 0;
@@ -13,9 +20,9 @@
   }
 
   /** Adds a host. */
-  add(host: HostId, load: number): void {
-    const bucket = this.buckets.get(load) ?? new Set<HostId>();
-    bucket.add(host);
+  add(host: HostId, load: number, isReading = false): void {
+    const bucket = this.buckets.get(load) ?? { plain: new Set(), reading: new Set() };
+    (isReading ? bucket.reading : bucket.plain).add(host);
     this.buckets.set(load, bucket);
     this.lowest = this.count === 0 ? load : Math.min(this.lowest, load);
     this.highest = this.count === 0 ? load : Math.max(this.highest, load);
@@ -25,17 +32,17 @@
   /** Removes a host that was added with that load. */
   remove(host: HostId, load: number): void {
     const bucket = this.buckets.get(load);
-    if (bucket?.delete(host) !== true) {
+    if (bucket === undefined || !(bucket.plain.delete(host) || bucket.reading.delete(host))) {
       return;
     }
     this.count--;
-    if (bucket.size === 0) {
+    if (bucket.plain.size + bucket.reading.size === 0) {
       this.buckets.delete(load);
       this.shrink();
     }
   }
 
-  /** The host with the least load; the longest at that load among equals. */
+  /** The host with the least load; the longest at that load among equals without readers. */
   getLeast(): HostId | undefined {
     return this.first(this.lowest);
   }
@@ -50,7 +57,7 @@
     if (bucket === undefined) {
       return undefined;
     }
-    const [host] = bucket;
+    const [host] = bucket.plain.size > 0 ? bucket.plain : bucket.reading;
     return host;
   }
 
--- a/src/decisions/control/placement/placement.ts
+++ b/src/decisions/control/placement/placement.ts
@@ -1,17 +1,17 @@
 import type { HostId } from '../../../common/ids/index.js';
+import { HostLoads } from './hostLoads.js';
 import type { PlacementHost, PlacementMove, PlacementRequest } from './placementHost.js';
 import type { PlacementPolicy } from './placementPolicy.js';
 
 /** Which host carries which resource, as assigned or proposed, with the policy that chooses. */
 export class Placement {
-  private readonly placed = new Map<string, HostId>();
-  private readonly loads = new Map<HostId, number>();
+  private readonly loads = new HostLoads();
 
   constructor(private readonly policy: PlacementPolicy) {}
 
   /** Makes a host eligible. */
   addHost(host: PlacementHost): void {
-    this.policy.addHost(host, this.loads.get(host.host) ?? 0);
+    this.policy.addHost(host, this.loads.get(host.host));
   }
 
   /** Makes a host ineligible; what it carries is counted on. */
@@ -21,20 +21,16 @@
 
   /** Notes where a resource is; undefined for nowhere. */
   place(key: string, host: HostId | undefined): void {
-    const before = this.placed.get(key);
-    if (before === host) {
-      return;
-    }
-    if (before !== undefined) {
-      this.placed.delete(key);
-      this.changeLoad(before, -1);
-    }
-    if (host !== undefined) {
-      this.placed.set(key, host);
-      this.changeLoad(host, 1);
+    for (const changed of this.loads.place(key, host)) {
+      this.policy.setLoad(changed, this.loads.get(changed));
     }
   }
 
+  /** Notes whether a host reads replicas of other groups: the last among equals to be given more. */
+  setReading(host: HostId, isReading: boolean): void {
+    this.policy.setReading(host, isReading);
+  }
+
   /** Chooses a host for a resource. */
   choose(request: PlacementRequest, nowMs: number): HostId | undefined {
     return this.policy.choose(request, nowMs);
@@ -57,16 +53,6 @@
 
   /** What a host carries. */
   getLoad(host: HostId): number {
-    return this.loads.get(host) ?? 0;
-  }
-
-  private changeLoad(host: HostId, change: number): void {
-    const load = this.getLoad(host) + change;
-    if (load === 0) {
-      this.loads.delete(host);
-    } else {
-      this.loads.set(host, load);
-    }
-    this.policy.setLoad(host, load);
+    return this.loads.get(host);
   }
 }
--- a/src/decisions/control/placement/placementPolicy.ts
+++ b/src/decisions/control/placement/placementPolicy.ts
@@ -17,6 +17,7 @@
   protected readonly warm = new LoadBuckets();
   protected readonly warmByDomain = new Map<FailureDomain, LoadBuckets>();
   private readonly warming = new Set<HostId>();
+  private readonly reading = new Set<HostId>();
   private totalLoad = 0;
 
   /** Adds an eligible host with what it carries already. */
@@ -62,6 +63,19 @@
     }
   }
 
+  /** Notes whether a host reads replicas as well: among equals it is chosen last. */
+  setReading(id: HostId, isReading: boolean): void {
+    const host = this.hosts.get(id);
+    const isIndexed = host !== undefined && !this.warming.has(id);
+    if (isIndexed) {
+      this.unindex(host, this.getLoad(id));
+    }
+    this.reading[isReading ? 'add' : 'delete'](id);
+    if (isIndexed) {
+      this.index(host, this.getLoad(id));
+    }
+  }
+
   /** Chooses a host for a resource; undefined when no host is eligible. */
   choose(request: PlacementRequest, nowMs: number): HostId | undefined {
     const avoided = request.avoid === undefined ? undefined : this.hosts.get(request.avoid);
@@ -203,9 +217,10 @@
 
   private index(host: PlacementHost, load: number): void {
     const domain = this.warmByDomain.get(host.domain) ?? new LoadBuckets();
-    domain.add(host.host, load);
+    const isReading = this.reading.has(host.host);
+    domain.add(host.host, load, isReading);
     this.warmByDomain.set(host.domain, domain);
-    this.warm.add(host.host, load);
+    this.warm.add(host.host, load, isReading);
   }
 
   private unindex(host: PlacementHost, load: number): void {
--- a/tests/support/fleet/index.ts
+++ b/tests/support/fleet/index.ts
@@ -5,3 +5,5 @@
 export * from './fleetObserver.js';
 export * from './fakeDaemon.js';
 export * from './fakeNetwork.js';
+export * from './readerFleet.js';
+export * from './readerChecks.js';
