--- a/src/cli/commands/statusCommand.test.ts
+++ b/src/cli/commands/statusCommand.test.ts
@@ -40,7 +40,7 @@
       phase: PrimaryPhase.Serving,
       instances: [
         createInstance('ledger-1-a', InstanceRole.Primary, 2, 900),
-        createInstance('ledger-1-b', InstanceRole.Replica, 2, 870),
+        { ...createInstance('ledger-1-b', InstanceRole.Replica, 2, 870), reader: toHostId('b2') },
         createInstance('ledger-1-c', InstanceRole.Replica, 1, 905),
       ],
     },
@@ -78,10 +78,10 @@
     GROUP     HOLDER  TERM  PRIMARY     PHASE
     ledger-1  a1      2     ledger-1-a  serving
 
-    GROUP     INSTANCE    DOMAIN   ROLE     TERM  POSITION  LAG  ANNOUNCED
-    ledger-1  ledger-1-a  mekelle  primary  2     900       0    80 ms
-    ledger-1  ledger-1-b  mekelle  replica  2     870       30   80 ms
-    ledger-1  ledger-1-c  mekelle  replica  1     905       -    80 ms
+    GROUP     INSTANCE    DOMAIN   ROLE     TERM  POSITION  READER  LAG  ANNOUNCED
+    ledger-1  ledger-1-a  mekelle  primary  2     900       -       0    80 ms
+    ledger-1  ledger-1-b  mekelle  replica  2     870       b2      30   80 ms
+    ledger-1  ledger-1-c  mekelle  replica  1     905       -       -    80 ms
 
     ACCOUNT  HOLDER
     mill-7   -
--- a/src/cli/commands/statusCommand.ts
+++ b/src/cli/commands/statusCommand.ts
@@ -22,7 +22,7 @@
 ): Argv<GlobalOptions> {
   return program.command(
     'status',
-    'Show daemons, leases, holders, terms, positions, lag, and refusals at the given addresses.',
+    'Show daemons, leases, holders, readers, terms, positions, lag, and refusals at the given addresses.',
     (command) => command.example('$0 status --url http://10.0.1.1:7480', 'the state of the fleet'),
     (args) => runner.runRemote(args, readStatus),
   );
@@ -87,12 +87,13 @@
       instance.role,
       instance.term,
       instance.position,
+      instance.reader,
       getLag(group, instance),
       formatDuration(instance.announcedAgoMs),
     ]),
   );
-  const heading = ['GROUP', 'INSTANCE', 'DOMAIN', 'ROLE', 'TERM', 'POSITION', 'LAG', 'ANNOUNCED'];
-  return formatTable(heading, rows);
+  const places = ['GROUP', 'INSTANCE', 'DOMAIN', 'ROLE', 'TERM', 'POSITION'];
+  return formatTable([...places, 'READER', 'LAG', 'ANNOUNCED'], rows);
 }
 
 /** Positions behind the primary; unknown while the histories differ. */
--- a/src/decisions/control/fleetStatus.ts
+++ b/src/decisions/control/fleetStatus.ts
@@ -28,6 +28,8 @@
   readonly role: InstanceRole;
   readonly term: Term;
   readonly position: LogPosition;
+  /** The host that runs its reads; the group's holder where absent. */
+  readonly reader?: HostId;
   readonly announcedAgoMs: number;
 }
 
--- a/src/decisions/control/leader/fleetReader.ts
+++ b/src/decisions/control/leader/fleetReader.ts
@@ -76,10 +76,14 @@
   }
 
   private getInstances(group: GroupId, nowMs: number): InstanceStatus[] {
-    const received = this.context.watches.get(group)?.announcements.values() ?? [];
+    const { watches, state } = this.context;
+    const received = watches.get(group)?.announcements.values() ?? [];
     return [...received].map(({ announcement, receivedAtMs }) => {
       const { instance, domain, role, term, position } = announcement;
-      return { instance, domain, role, term, position, announcedAgoMs: nowMs - receivedAtMs };
+      const reader = state.getReader(group, instance)?.holder?.host;
+      const announcedAgoMs = nowMs - receivedAtMs;
+      const status = { instance, domain, role, term, position, announcedAgoMs };
+      return reader === undefined ? status : { ...status, reader };
     });
   }
 
--- a/tests/support/fleet/fakeDaemon.ts
+++ b/tests/support/fleet/fakeDaemon.ts
@@ -188,6 +188,7 @@
       return { announcement, ageMs: nowMs - atMs };
     });
     this.heard.clear();
+    const { linkBytesPerSecond: link } = this.fleet.options;
     const released = [...this.held.values()].filter((held) => held.isReleased);
     return {
       ...this.lease.beginRenewal(nowMs),
@@ -202,6 +203,7 @@
       releasedGroups: released.map((held) => held.group),
       releasedAccounts: this.getReleasedAccounts(),
       stopping: this.isStopping,
+      ...(link === undefined ? {} : { linkBytesPerSecond: link }),
     };
   }
 
--- a/tests/support/fleet/fleetOptions.ts
+++ b/tests/support/fleet/fleetOptions.ts
@@ -18,6 +18,8 @@
   readonly instances: number;
   readonly domains: number;
   readonly driftBound: number;
+  /** What each daemon's link carries, in bytes a second, where that is known. */
+  readonly linkBytesPerSecond?: number;
   readonly network: NetworkFaults;
   /** Writes are acknowledged the safe way, so that none may be lost. */
   readonly isSafe: boolean;
