--- a/src/daemon/mesh/messageShape.ts
+++ b/src/daemon/mesh/messageShape.ts
@@ -8,6 +8,7 @@
   Address = 'address',
   /** A whole number that arithmetic keeps exact. */
   Count = 'count',
+  OptionalCount = 'optional-count',
   Duration = 'duration',
   Flag = 'flag',
   Bytes = 'bytes',
@@ -19,7 +20,7 @@
   readonly [name: string]: FieldType | Shape;
 }
 
-const { Text, Address, Count, Duration, Flag, Bytes, List } = FieldType;
+const { Text, Address, Count, OptionalCount, Duration, Flag, Bytes, List } = FieldType;
 
 const OUTCOME: Shape = { status: Text, wrote: Flag, onReplica: Flag, waitMs: Duration };
 
@@ -53,9 +54,10 @@
   releasedGroups: List,
   releasedAccounts: List,
   stopping: Flag,
+  linkBytesPerSecond: OptionalCount,
 };
 
-/** Fields that every message of a kind has; optional ones are left to their readers. */
+/** Fields that every message of a kind has; most optional ones are left to their readers. */
 const SHAPES: Readonly<Record<MeshKind, Shape>> = {
   [MeshKind.Hello]: { version: Count, host: Text, incarnation: Text, address: Address },
   [MeshKind.Heartbeat]: { sequence: Count },
@@ -112,6 +114,8 @@
       return typeof field === 'string' && isPeerAddress(field);
     case FieldType.Count:
       return Number.isSafeInteger(field) && (field as number) >= 0;
+    case FieldType.OptionalCount:
+      return field === undefined || hasType(Count, field);
     case FieldType.Duration:
       return Number.isFinite(field) && (field as number) >= 0;
     case FieldType.Flag:
