--- a/bench/lines/linePlan.ts
+++ b/bench/lines/linePlan.ts
@@ -24,6 +24,8 @@
     readonly address: string;
   }[];
   readonly platform: string;
+  /** Rate of each host's link, in megabits a second; absent where hosts are not told. */
+  readonly linkMbps?: number;
 }
 
 const DOMAINS = ['north-a', 'north-b', 'north-c'];
@@ -38,11 +40,13 @@
   readonly network: number;
   /** Other daemons are dialled at addresses of their own, behind a proxy. */
   readonly isProxied?: boolean;
+  /** What each host is told of its link; absent: nothing. */
+  readonly linkMbps?: number;
 }
 
 /** Plans a fleet on free ports of loopback addresses. */
 export async function createLinePlan(size: LinePlanSize): Promise<LinePlan> {
-  const { controls, entries, groups, network, isProxied = false } = size;
+  const { controls, entries, groups, network, isProxied = false, linkMbps } = size;
   const daemons: PlannedLineDaemon[] = [];
   for (let index = 0; index < controls + entries; index += 1) {
     const ip = `127.${network}.0.${index + 1}`;
@@ -75,7 +79,8 @@
   }
   const platformIp = `127.${network}.3.1`;
   const [platformPort = 0] = await findFreePorts(platformIp, 1);
-  return { daemons, instances, platform: `${platformIp}:${platformPort}` };
+  const platform = `${platformIp}:${platformPort}`;
+  return { daemons, instances, platform, ...(linkMbps === undefined ? {} : { linkMbps }) };
 }
 
 /** Text of a daemon's settings file, as the platform writes it. */
@@ -104,6 +109,7 @@
     ...listen.map(([name, address]) => `${name} = "${address ?? ''}"`),
     '[limits]',
     'maxFds = 4000',
+    ...(plan.linkMbps === undefined ? [] : [`linkMbps = ${plan.linkMbps}`]),
     '[bounds]',
     'graceS = 6',
     '[cloudApi]',
--- a/bench/lines/localLineFleet.ts
+++ b/bench/lines/localLineFleet.ts
@@ -12,6 +12,7 @@
   LinePlatform,
   type LineInstance,
 } from '../../standin/lines/index.js';
+import type { HostLinks } from './hostLinks.js';
 import { LineClient } from './lineClient.js';
 import { createLineConfiguration, type LineConfigurationOptions } from './lineConfiguration.js';
 import { formatLineSettings, type LinePlan, type PlannedLineDaemon } from './linePlan.js';
@@ -20,6 +21,8 @@
 const POLL_INTERVAL_MS = 20;
 const HEARTBEAT_MS = 300;
 const GRACE_MS = 5000;
+/** Added to the third number of an address for the proxy before it. */
+const PROXY_NETWORK = 10;
 
 /** Daemons with the platform's interfaces in this process, before stand-in instances. */
 export class LocalLineFleet {
@@ -34,10 +37,13 @@
     readonly plan: LinePlan,
     private readonly workMs = 1,
     private readonly lagMs = 5,
+    /** Stands before the addresses of hosts and instances; the plan is a proxied one then. */
+    private readonly links?: HostLinks,
   ) {}
 
   /** Starts everything and puts a first configuration in force. */
   async start(configuration: LineConfigurationOptions): Promise<void> {
+    await this.startLinks();
     await this.startGroups();
     for (const daemon of this.plan.daemons) {
       await this.startDaemon(daemon, true);
@@ -50,6 +56,7 @@
     await Promise.all([...this.daemons.keys()].map((node) => this.stopDaemon(node)));
     await this.platform?.stop();
     await Promise.all(this.instances.map((instance) => instance.stop()));
+    await this.links?.stop();
     rmSync(this.folder, { recursive: true, force: true });
   }
 
@@ -105,7 +112,8 @@
 
   /** Connects to an entry daemon. */
   connect(database: string, key: string, entry = 0): Promise<LineClient> {
-    const address = this.entries[entry]?.frontend ?? '';
+    const frontend = this.entries[entry]?.frontend ?? '';
+    const address = this.links === undefined ? frontend : getProxyAddress(frontend);
     const name = `c${this.timer.now().toFixed(0)}`;
     return LineClient.open(address, database, key, name, this.timer);
   }
@@ -129,6 +137,23 @@
     });
   }
 
+  private async startLinks(): Promise<void> {
+    const { links, plan } = this;
+    if (links === undefined) {
+      return;
+    }
+    for (const { ip, meshAddress, meshPort, frontend } of plan.daemons) {
+      links.addHost(ip);
+      await links.addProxy(meshAddress, `${ip}:${meshPort}`, ip);
+      if (frontend !== undefined) {
+        await links.addProxy(getProxyAddress(frontend), frontend, ip);
+      }
+    }
+    for (const { address } of plan.instances) {
+      await links.addProxy(getProxyAddress(address), address);
+    }
+  }
+
   private async startGroups(): Promise<void> {
     const services = [...new Set(this.plan.instances.map(({ service }) => service))];
     for (const service of services) {
@@ -141,7 +166,8 @@
       this.groups.push(group);
     }
     const { platform } = this.plan;
-    const getAddress = ({ address }: LineInstance): string => address;
+    const getAddress = ({ address }: LineInstance): string =>
+      this.links === undefined ? address : getProxyAddress(address);
     this.platform = new LinePlatform(platform, this.groups, this.controls, getAddress, this.timer);
     await this.platform.start(HEARTBEAT_MS);
   }
@@ -160,3 +186,9 @@
     return true;
   }
 }
+
+/** Where a proxy stands before an address of a host or instance. */
+function getProxyAddress(address: string): string {
+  const [network = '', second = '', third = '', rest = ''] = address.split('.');
+  return `${network}.${second}.${Number(third) + PROXY_NETWORK}.${rest}`;
+}
