--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -87,6 +87,16 @@
     'The backend server did not run the statement: {refusal}.',
     '57P03',
   ),
+  ReaderRefused: refusal(
+    3021,
+    'The reader of replica "{instance}" does not run the read: {reason}.',
+    '57P03',
+  ),
+  ReaderStarted: message(3022, 'This daemon now reads replica "{instance}" of group "{group}".'),
+  ReaderEnded: message(
+    3023,
+    'This daemon no longer reads replica "{instance}" of group "{group}".',
+  ),
   RequestEnded: message(3030, 'A request ended: {outcome}.'),
   RequestHeld: message(3031, 'A request left its holder: {outcome}.'),
   RequestLinesLeftOut: message(3032, '{count} more requests that were not served as wished.'),
--- a/src/common/metrics/instanceMetrics.ts
+++ b/src/common/metrics/instanceMetrics.ts
@@ -30,6 +30,8 @@
   private readonly lag: InstanceGauge;
   private readonly requests: Counter<'instance' | 'class' | 'outcome'>;
   private readonly waits: Histogram<'instance' | 'class'>;
+  private readonly readerReads: Counter;
+  private readonly readerRefusals: Counter<'reason'>;
   /** Instances with labels of their own in counters. */
   private readonly labels = new Set<string>();
 
@@ -55,6 +57,27 @@
       buckets: TIME_BUCKETS_SECONDS,
       registers: [registry],
     });
+    this.readerReads = new Counter({
+      name: 'filbertpoint_reader_reads_total',
+      help: 'Reads and statements of read-only transactions that this daemon ran as the reader of a replica.',
+      registers: [registry],
+    });
+    this.readerRefusals = new Counter({
+      name: 'filbertpoint_reader_refusals_total',
+      help: 'Reads that this daemon left to the holder of the group, by reason.',
+      labelNames: ['reason'],
+      registers: [registry],
+    });
+  }
+
+  /** Counts what this daemon ran as the reader of a replica. */
+  recordReaderRead(): void {
+    this.readerReads.inc();
+  }
+
+  /** Counts a read that was left to the holder. */
+  recordReaderRefusal(reason: string): void {
+    this.readerRefusals.inc({ reason });
   }
 
   /** Sets how the held instances stand; those left out are forgotten. Beyond the bound none is added. */
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -12,8 +12,14 @@
 import { createControlHost } from './createControlHost.js';
 import type { DaemonFiles } from './daemonFiles.js';
 import type { DaemonFront, DaemonInterfaces, DaemonParts } from './daemonInterfaces.js';
-import { Dispatcher, EntryRequests, RemoteRequests, type CallerFront } from './entry/index.js';
-import { ExecuteServer, GroupHolder } from './holder/index.js';
+import {
+  Dispatcher,
+  EntryRequests,
+  ReaderRequests,
+  RemoteRequests,
+  type CallerFront,
+} from './entry/index.js';
+import { ExecuteServer, exchangePositions, GroupHolder } from './holder/index.js';
 import { ControlRoute, LeaseTask } from './lease/index.js';
 import { Mesh } from './mesh/index.js';
 import {
@@ -60,6 +66,7 @@
   private readonly lease: LeaseTask;
   private readonly holder: GroupHolder;
   private readonly rates: RateTask;
+  private readonly readers: ReaderRequests;
   private readonly dispatcher: Dispatcher;
   private readonly requests: EntryRequests;
   private readonly operators: OperatorServer;
@@ -107,10 +114,15 @@
       lease.renewSoon(),
     );
     new ExecuteServer(mesh, this.holder, timer);
-    const remote = new RemoteRequests(mesh, timer, ({ group, lease: wanted }) =>
-      records.isGroupHolder(group, wanted),
+    exchangePositions(mesh, this.holder);
+    const remote = new RemoteRequests(mesh, timer, ({ group, instance, lease: wanted }) =>
+      instance === undefined
+        ? records.isGroupHolder(group, wanted)
+        : records.getReader(group, instance)?.holder?.lease === wanted,
     );
-    this.dispatcher = new Dispatcher(ids, timer, records, lease, this.holder, remote);
+    const { holder } = this;
+    this.readers = new ReaderRequests({ domain, timer, records, lease, holder, remote, mesh });
+    this.dispatcher = new Dispatcher(ids, timer, records, lease, holder, remote, this.readers);
     this.requests = this.createRequests();
     const parts = this.createParts();
     this.callers = options.interfaces.createCallers(parts);
@@ -180,7 +192,11 @@
       this.callers === undefined || (this.callers.count === 0 && timer.now() >= noticedMs);
     await this.waitUntil(hasNoCallers, endMs);
     this.callers?.close();
-    await this.waitUntil(() => this.holder.count === 0 && this.rates.count === 0, endMs);
+    // Control replaces the readers of a host that stops; without control they end here.
+    this.holder.readers.drain();
+    const hasNothing = (): boolean =>
+      this.holder.count === 0 && this.holder.readers.count === 0 && this.rates.count === 0;
+    await this.waitUntil(hasNothing, endMs);
     // Requests that are still on their way here are refused as not run, not lost.
     await this.waitUntil(() => false, Math.min(endMs, timer.now() + LATE_REQUEST_MS));
     this.holder.stop();
@@ -237,11 +253,11 @@
   }
 
   private createRequests(): EntryRequests {
-    const { ids, records, lease, rates, dispatcher, holder, mesh, metrics } = this;
+    const { ids, records, lease, rates, dispatcher, readers, holder, mesh, metrics } = this;
     const { timer } = this.options;
     const log = this.requestLog;
-    const entry = { ids, timer, records, lease, rates, dispatcher, holder, mesh, metrics, log };
-    return new EntryRequests(entry);
+    const shared = { ids, timer, records, lease, rates, holder, mesh, metrics, log };
+    return new EntryRequests({ ...shared, dispatcher, readers });
   }
 
   private createParts(): DaemonParts {
--- a/src/daemon/entry/dispatchedRequest.ts
+++ b/src/daemon/entry/dispatchedRequest.ts
@@ -1,4 +1,5 @@
 import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
+import type { InstanceId } from '../../common/ids/index.js';
 import { mayRetry } from '../../decisions/routing/index.js';
 import {
   createRefusedOutcome,
@@ -39,6 +40,12 @@
   retryAtMs = 0;
   /** The last refusal, shown when no attempt succeeds before the deadline. */
   lastFault: Fault | undefined;
+  /** The replica whose reader it was last sent to. */
+  reader: InstanceId | undefined;
+  /** Why that reader did not run it. */
+  readerFault: Fault | undefined;
+  /** A reader did not run it: the holder is to. */
+  hasTriedReader = false;
   private running: RunningRequest | undefined;
   /** Why an attempt to write ended that may have been run. */
   private doubt: RequestOutcome['fault'];
@@ -77,6 +84,19 @@
     this.receiver.finish(this.admitDoubt(outcome));
   }
 
+  /** The caller wants no answer any more, or cancelled the request. */
+  get isCancelled(): boolean {
+    return this.cancelled;
+  }
+
+  /** A reader did not run it, and nothing is left of the attempt. */
+  readerFailed(fault: Fault | undefined): void {
+    this.hasTriedReader = true;
+    this.readerFault = fault;
+    this.running = undefined;
+    this.places.waitForHolder(this);
+  }
+
   consume(consumed: number): void {
     this.running?.consume(consumed);
   }
@@ -161,6 +181,12 @@
     this.dispatched.abandon();
   }
 
+  /** The replica whose reader the request was last sent to, and why that did not run it. */
+  get reader(): { readonly instance: InstanceId; readonly fault: Fault | undefined } | undefined {
+    const { reader, readerFault } = this.dispatched;
+    return reader === undefined ? undefined : { instance: reader, fault: readerFault };
+  }
+
   /** Takes a request back that waits for a holder, with why it waited; undefined when it does not. */
   withdraw(): Fault | undefined {
     return this.dispatched.withdraw();
--- a/src/daemon/entry/dispatcher.ts
+++ b/src/daemon/entry/dispatcher.ts
@@ -1,6 +1,7 @@
 import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
 import { AdaptiveTick, type TimerService } from '../../common/timer/index.js';
 import type { DaemonRecords, Holder } from '../../decisions/control/index.js';
+import type { ReaderCandidate } from '../../decisions/routing/index.js';
 import type { GroupHolder, HolderLease } from '../holder/index.js';
 import {
   createRefusedOutcome,
@@ -10,6 +11,7 @@
   type RunningRequest,
 } from '../requests/index.js';
 import { DispatchHandle, DispatchedRequest, type DispatchPlaces } from './dispatchedRequest.js';
+import type { ReaderRequests } from './readerRequests.js';
 import type { RemoteRequests } from './remoteRequests.js';
 
 const BUSY_TICK_MS = 10;
@@ -30,6 +32,7 @@
     private readonly lease: HolderLease,
     private readonly holder: GroupHolder,
     private readonly remote: RemoteRequests,
+    private readonly readers: ReaderRequests,
   ) {
     this.ticks = new AdaptiveTick(timer, BUSY_TICK_MS, IDLE_TICK_MS, (nowMs) => {
       this.tick(nowMs);
@@ -84,20 +87,48 @@
       dispatched.finish(createRefusedOutcome(this.createWaitFault(dispatched)));
       return;
     }
+    const reader = this.lease.isValid() ? this.readers.find(dispatched) : undefined;
+    if (reader !== undefined) {
+      this.sendToReader(reader, dispatched, nowMs);
+      return;
+    }
     const holder = this.findHolder(dispatched.draft);
     if (holder === undefined) {
       this.waitForHolder(dispatched);
       return;
     }
-    const request: ExecuteRequest = {
-      ...dispatched.draft,
-      id: this.ids.next(),
-      lease: holder.lease,
-      remainingMs: dispatched.deadlineMs - nowMs,
-    };
+    const request = this.createRequest(dispatched, holder, nowMs);
     dispatched.started(this.send(holder, request, dispatched));
   }
 
+  private sendToReader(
+    reader: ReaderCandidate,
+    dispatched: DispatchedRequest,
+    nowMs: number,
+  ): void {
+    const { instance } = reader;
+    const request = { ...this.createRequest(dispatched, reader.holder, nowMs), instance };
+    const running = this.readers.send(reader, request, dispatched, () => {
+      // The reader of this host may refuse it before it is known to have been sent.
+      queueMicrotask(() => {
+        if (this.waiting.has(dispatched)) {
+          this.place(dispatched);
+        }
+      });
+    });
+    if (!this.waiting.has(dispatched)) {
+      dispatched.started(running);
+    }
+  }
+
+  private createRequest(
+    { draft, deadlineMs }: DispatchedRequest,
+    { lease }: Holder,
+    nowMs: number,
+  ): ExecuteRequest {
+    return { ...draft, id: this.ids.next(), lease, remainingMs: deadlineMs - nowMs };
+  }
+
   private findHolder(draft: RequestDraft): Holder | undefined {
     if (!this.lease.isValid()) {
       return undefined;
--- a/src/daemon/entry/entryRequests.test.ts
+++ b/src/daemon/entry/entryRequests.test.ts
@@ -2,6 +2,7 @@
 import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
 import {
   toAccountId,
+  toFailureDomain,
   toGroupId,
   toHostId,
   toIncarnation,
@@ -29,6 +30,7 @@
 } from '../requests/index.js';
 import { Dispatcher, type RequestDraft } from './dispatcher.js';
 import { EntryRequests, OPEN_ACCOUNT } from './entryRequests.js';
+import { ReaderRequests } from './readerRequests.js';
 import type { RemoteRequests } from './remoteRequests.js';
 
 const TARGET_MS = 200;
@@ -98,11 +100,13 @@
         return undefined;
       },
     } as unknown as RemoteRequests;
+    const mesh = {} as unknown as Mesh;
+    const domain = toFailureDomain('north');
+    const readers = new ReaderRequests({ domain, timer, records, lease, holder, remote, mesh });
     this.requests = new EntryRequests({
-      ...{ ids, timer, records, lease, holder },
+      ...{ ids, timer, records, lease, holder, mesh, readers },
       rates: this.rates as unknown as RateTask,
-      dispatcher: new Dispatcher(ids, timer, records, lease, holder, remote),
-      mesh: {} as unknown as Mesh,
+      dispatcher: new Dispatcher(ids, timer, records, lease, holder, remote, readers),
       metrics: new Metrics(),
       log: new RequestLog(new Logger('error', {}, () => undefined), timer),
     });
--- a/src/daemon/entry/entryRequests.ts
+++ b/src/daemon/entry/entryRequests.ts
@@ -20,6 +20,7 @@
 import { CallerRequests } from './callerRequests.js';
 import type { DispatchHandle } from './dispatchedRequest.js';
 import type { Dispatcher, RequestDraft } from './dispatcher.js';
+import type { ReaderRequests } from './readerRequests.js';
 import { LeaseWait } from './leaseWait.js';
 
 /** Part of the wanted latency that a request may wait for tokens; beyond it, a refusal serves better. */
@@ -48,6 +49,7 @@
   readonly lease: HolderLease;
   readonly rates: RateTask;
   readonly dispatcher: Dispatcher;
+  readonly readers: ReaderRequests;
   readonly holder: GroupHolder;
   readonly mesh: Mesh;
   readonly metrics: Metrics;
@@ -88,6 +90,9 @@
   }
 
   override abortTransaction(group: GroupId, transaction: string): void {
+    if (this.context.readers.abortTransaction(group, transaction)) {
+      return;
+    }
     const holder = this.context.records.getGroupAssignment(group)?.holder;
     if (holder === undefined) {
       return;
@@ -230,6 +235,7 @@
   private log(outcome: RequestOutcome): void {
     const { draft, context, arrivedMs, admittedMs, deadlineMs, id } = this;
     const { records, lease, log, timer } = context;
+    const reader = this.running?.reader;
     const nowMs = timer.now();
     const totalMs = nowMs - arrivedMs;
     const isLate = totalMs > (draft.targetMs ?? Infinity);
@@ -242,6 +248,9 @@
       ...{ revision: records.revision, leaseLeftMs: round(lease.leftMs) },
       tokensMs: round((admittedMs ?? nowMs) - arrivedMs),
       holder: records.getGroupAssignment(draft.group)?.holder?.host,
+      ...(reader === undefined
+        ? {}
+        : { reader: reader.instance, readerRefusal: reader.fault?.message }),
       ...{ onReplica, waitMs: round(waitMs), serviceMs: round(serviceMs) },
       ...{ totalMs: round(totalMs), deadlineLeftMs: round(deadlineMs - nowMs) },
       ...(fault === undefined
--- /dev/null
+++ b/src/daemon/entry/readerRequests.ts
@@ -0,0 +1,168 @@
+import type { FailureDomain, GroupId, InstanceId } from '../../common/ids/index.js';
+import type { TimerService } from '../../common/timer/index.js';
+import type { DaemonRecords } from '../../decisions/control/index.js';
+import {
+  ReaderChoice,
+  type ReaderCandidate,
+  type ReadRequirement,
+} from '../../decisions/routing/index.js';
+import { isServedPrimary, type GroupHolder, type HolderLease } from '../holder/index.js';
+import { MeshKind, type Mesh } from '../mesh/index.js';
+import {
+  RequestKind,
+  type ExecuteRequest,
+  type RequestOutcome,
+  type RunningRequest,
+} from '../requests/index.js';
+import type { DispatchedRequest } from './dispatchedRequest.js';
+import type { RequestDraft } from './dispatcher.js';
+import { ReaderAttempt } from './readerAttempt.js';
+import type { RemoteRequests } from './remoteRequests.js';
+
+/** Part of the time left that a read waits for its reader; the rest is the holder's. */
+const READER_SHARE = 0.5;
+
+/** What sending to readers needs of the daemon. */
+export interface ReaderContext {
+  readonly domain: FailureDomain;
+  readonly timer: TimerService;
+  readonly records: DaemonRecords;
+  readonly lease: HolderLease;
+  readonly holder: GroupHolder;
+  readonly remote: RemoteRequests;
+  readonly mesh: Mesh;
+}
+
+/** Requests of this daemon's callers that readers of replicas run. */
+export class ReaderRequests {
+  private readonly choices = new Map<GroupId, ReaderChoice>();
+  /** Where each open transaction of this daemon's callers is that a reader holds. */
+  private readonly open = new Map<string, ReaderCandidate>();
+
+  constructor(private readonly context: ReaderContext) {}
+
+  /** The reader that is to run a request; undefined when its group's holder is. */
+  find({ draft, hasTriedReader }: DispatchedRequest): ReaderCandidate | undefined {
+    if (draft.transaction !== undefined) {
+      return this.open.get(draft.transaction);
+    }
+    const mayRead = isOpeningRead(draft) && ReaderChoice.isReadable(getRequirement(draft));
+    if (hasTriedReader || !mayRead) {
+      return undefined;
+    }
+    const candidates = this.getCandidates(draft.group);
+    return candidates.length === 0
+      ? undefined
+      : this.getChoice(draft.group).choose(candidates, this.context.timer.now());
+  }
+
+  /** Sends a request to a reader; `fallBack` is called when the holder is to run it instead. */
+  send(
+    reader: ReaderCandidate,
+    request: ExecuteRequest,
+    dispatched: DispatchedRequest,
+    fallBack: () => void,
+  ): RunningRequest | undefined {
+    const { timer, lease, holder, remote } = this.context;
+    const choice = this.getChoice(request.group);
+    choice.started(reader.instance);
+    const attempt = new ReaderAttempt(dispatched, {
+      ended: (outcome) => {
+        choice.ended(reader.instance);
+        this.noteTransaction(reader, request, outcome);
+        dispatched.finish(outcome);
+      },
+      fellBack: (fault, isSuspect) => {
+        choice.ended(reader.instance);
+        if (isSuspect) {
+          choice.failed(reader.instance, timer.now());
+        }
+        dispatched.readerFailed(fault);
+        fallBack();
+      },
+    });
+    dispatched.reader = reader.instance;
+    dispatched.hasTriedReader = true;
+    const running =
+      reader.holder.lease === lease.id
+        ? holder.execute(request, attempt)
+        : remote.send(reader.holder.address, request, attempt);
+    const isOpening = request.transaction === undefined;
+    const limitMs = isOpening ? request.remainingMs * READER_SHARE : request.remainingMs;
+    const cancelLimit = isOpening
+      ? timer.once(limitMs, () => attempt.limitReached())
+      : () => undefined;
+    attempt.started(running, cancelLimit);
+    return running;
+  }
+
+  /** Has a reader roll a transaction back; false when none holds it. */
+  abortTransaction(group: GroupId, transaction: string): boolean {
+    const reader = this.open.get(transaction);
+    if (reader === undefined) {
+      return false;
+    }
+    this.open.delete(transaction);
+    const { holder, mesh, lease } = this.context;
+    if (reader.holder.lease === lease.id) {
+      holder.abortTransaction(group, transaction);
+    } else {
+      const kind = MeshKind.AbortTransaction;
+      mesh.send(reader.holder.address, { kind, group, transaction });
+    }
+    return true;
+  }
+
+  private noteTransaction(
+    reader: ReaderCandidate,
+    { transaction }: ExecuteRequest,
+    outcome: RequestOutcome,
+  ): void {
+    if (outcome.transaction !== undefined) {
+      this.open.set(outcome.transaction, reader);
+    } else if (transaction !== undefined) {
+      this.open.delete(transaction);
+    }
+  }
+
+  private getCandidates(group: GroupId): readonly ReaderCandidate[] {
+    const { records, lease } = this.context;
+    const primary = records.getPrimary(group);
+    const candidates: ReaderCandidate[] = [];
+    for (const { instance, domain } of records.getInstances(group)) {
+      const reader = records.getReader(group, instance)?.holder;
+      const isReplica = !isServedPrimary(primary, instance);
+      if (reader !== undefined && isReplica && this.isInService(group, instance, domain)) {
+        candidates.push({ instance, domain, holder: reader, isOwn: reader.lease === lease.id });
+      }
+    }
+    return candidates;
+  }
+
+  private isInService(group: GroupId, instance: InstanceId, domain: FailureDomain): boolean {
+    const { records } = this.context;
+    return records.isInService(domain) && !records.isLeaving(group, instance);
+  }
+
+  private getChoice(group: GroupId): ReaderChoice {
+    const known = this.choices.get(group);
+    if (known !== undefined) {
+      return known;
+    }
+    const created = new ReaderChoice(this.context.domain);
+    this.choices.set(group, created);
+    return created;
+  }
+}
+
+function isOpeningRead({ kind, readOnly }: RequestDraft): boolean {
+  return kind === RequestKind.Read || (kind === RequestKind.Begin && readOnly === true);
+}
+
+function getRequirement({
+  session,
+  maximumStalenessMs,
+  latest = false,
+}: RequestDraft): ReadRequirement {
+  return { session, maximumStalenessMs, latest };
+}
--- a/src/daemon/entry/remoteRequest.ts
+++ b/src/daemon/entry/remoteRequest.ts
@@ -41,6 +41,12 @@
     super();
   }
 
+  /** A read without an answer that a reader was sent: the holder may run it at once. */
+  get isLeftToHolder(): boolean {
+    const { instance, transaction } = this.request;
+    return instance !== undefined && transaction === undefined && this.received === 0;
+  }
+
   /** Sends the request, or asks again for the rest of its answer. */
   send(nowMs: number): void {
     this.attempts += 1;
--- a/src/daemon/entry/remoteRequests.ts
+++ b/src/daemon/entry/remoteRequests.ts
@@ -73,11 +73,15 @@
     const ageMs = nowMs - firstSentMs;
     if (ageMs > request.remainingMs + ANSWER_GRACE_MS) {
       remote.giveUp('no answer came before the deadline');
-    } else if (lostMs !== undefined && (!isHolding || ageMs > RESEND_LIMIT_MS)) {
+    } else if (
+      lostMs !== undefined &&
+      (!isHolding || ageMs > RESEND_LIMIT_MS || remote.isLeftToHolder)
+    ) {
       remote.giveUp('the link to the holder was lost');
     } else if (lostMs !== undefined && nowMs - lostMs >= RESEND_INTERVAL_MS) {
       remote.send(nowMs);
-    } else if (!isHolding) {
+    } else if (!isHolding && request.instance === undefined) {
+      // A reader that was replaced ends what it began.
       this.checkMoved(remote, nowMs);
     }
   }
--- /dev/null
+++ b/src/daemon/holder/exchangePositions.ts
@@ -0,0 +1,23 @@
+import { toLogPosition, toTerm } from '../../common/ids/index.js';
+import { MeshKind, type Mesh } from '../mesh/index.js';
+import type { GroupHolder } from './groupHolder.js';
+
+/** Carries readers' questions for acknowledged positions to holders, and the answers back. */
+export function exchangePositions(mesh: Mesh, holder: GroupHolder): void {
+  holder.readers.onAsk = ({ address, lease }, group, sequence) => {
+    mesh.send(address, { kind: MeshKind.PositionQuestion, group, lease, sequence });
+  };
+  mesh.receive(MeshKind.PositionQuestion, ({ link, message }) => {
+    const { group, lease, sequence } = message;
+    const acknowledged = holder.getAcknowledged(group, lease);
+    if (acknowledged !== undefined) {
+      link.send({ kind: MeshKind.PositionAnswer, group, sequence, ...acknowledged });
+    }
+  });
+  mesh.receive(MeshKind.PositionAnswer, ({ message }) => {
+    const { group, sequence } = message;
+    const term = toTerm(message.term);
+    const position = toLogPosition(message.position);
+    holder.readers.positionAnswered(group, sequence, { term, position });
+  });
+}
--- a/src/daemon/holder/groupHolder.ts
+++ b/src/daemon/holder/groupHolder.ts
@@ -15,7 +15,9 @@
   type RunningRequest,
 } from '../requests/index.js';
 import { HeldGroup } from './heldGroup.js';
+import type { SessionPosition } from '../../decisions/sessions/index.js';
 import type { HolderContext } from './holderContext.js';
+import { Readers } from './readers.js';
 
 const BUSY_TICK_MS = 5;
 const IDLE_TICK_MS = 100;
@@ -27,8 +29,11 @@
   private readonly released = new Map<GroupId, Revision>();
   private lease: LeaseId | undefined;
   private readonly ticks: AdaptiveTick;
+  /** The replicas of groups held elsewhere that this daemon reads. */
+  readonly readers: Readers;
 
   constructor(private readonly context: HolderContext) {
+    this.readers = new Readers(context);
     this.ticks = new AdaptiveTick(context.timer, BUSY_TICK_MS, IDLE_TICK_MS, (nowMs) => {
       this.tick(nowMs);
       return this.isBusy;
@@ -43,12 +48,13 @@
   /** What operators are to know of the instances of held groups. */
   getReadings(): readonly InstanceReading[] {
     const nowMs = this.context.timer.now();
-    return [...this.groups.values()].flatMap((group) => group.getReadings(nowMs));
+    const held = [...this.groups.values()].flatMap((group) => group.getReadings(nowMs));
+    return [...held, ...this.readers.getReadings(nowMs)];
   }
 
   /** Connections to backend servers. */
   get connectionCount(): number {
-    let count = 0;
+    let count = this.readers.connectionCount;
     for (const group of this.groups.values()) {
       count += group.connectionCount;
     }
@@ -67,7 +73,8 @@
 
   /** Runs a request, or returns undefined after refusing it as not run. */
   execute(request: ExecuteRequest, receiver: ResponseReceiver): RunningRequest | undefined {
-    const group = this.groups.get(request.group);
+    const group =
+      request.instance === undefined ? this.groups.get(request.group) : this.readers.find(request);
     if (!this.context.lease.isValid()) {
       this.refuse(request, receiver, Diagnostics.LeaseExpired);
       return undefined;
@@ -83,10 +90,12 @@
   /** Rolls a transaction back whose caller is gone. */
   abortTransaction(group: GroupId, transaction: string): void {
     this.groups.get(group)?.abortTransaction(transaction);
+    this.readers.abortTransaction(group, transaction);
   }
 
   /** Rolls back the transactions of a daemon that is gone. */
   abortOwned(owner: Incarnation): void {
+    this.readers.abortOwned(owner);
     for (const group of this.groups.values()) {
       group.abortOwned(owner);
     }
@@ -105,6 +114,13 @@
     for (const group of this.groups.values()) {
       group.recordsChanged();
     }
+    this.readers.recordsChanged(this.lease);
+  }
+
+  /** How far writes of a group were acknowledged, as of this moment; undefined when another may know more. */
+  getAcknowledged(group: GroupId, lease: LeaseId): SessionPosition | undefined {
+    const isHolding = this.context.lease.isValid() && lease === this.context.lease.id;
+    return isHolding ? this.groups.get(group)?.acknowledged : undefined;
   }
 
   /** What the control leader is to know of the held groups. */
@@ -121,13 +137,14 @@
 
   /** Gives all groups up at once. */
   stop(): void {
+    this.readers.stop();
     for (const id of [...this.groups.keys()]) {
       this.remove(id);
     }
   }
 
   private get isBusy(): boolean {
-    return [...this.groups.values()].some((group) => group.isBusy);
+    return this.readers.isBusy || [...this.groups.values()].some((group) => group.isBusy);
   }
 
   private updateGroup(id: GroupId): void {
@@ -153,6 +170,7 @@
 
   private tick(nowMs: number): void {
     this.checkLease();
+    this.readers.tick(nowMs);
     for (const [id, group] of this.groups) {
       group.tick(nowMs);
       if (group.isDrained) {
@@ -177,6 +195,7 @@
     if (current === this.lease) {
       return;
     }
+    this.readers.stop();
     for (const id of [...this.groups.keys()]) {
       this.remove(id);
     }
--- /dev/null
+++ b/src/daemon/holder/groupReaders.ts
@@ -0,0 +1,176 @@
+import { Diagnostics } from '../../common/diagnostics/index.js';
+import type { GroupId, Incarnation, InstanceId, LeaseId, Term } from '../../common/ids/index.js';
+import type { InstanceReading } from '../../common/metrics/index.js';
+import {
+  getServedTimeline,
+  type Holder,
+  type InstanceRecord,
+} from '../../decisions/control/index.js';
+import { PositionFeed } from '../../decisions/routing/index.js';
+import type { SessionPosition } from '../../decisions/sessions/index.js';
+import type { HolderContext } from './holderContext.js';
+import { isServedPrimary, ReplicaReader } from './replicaReader.js';
+
+/** Asks the holder of a group for its acknowledged position. */
+export type PositionAsker = (holder: Holder, group: GroupId, sequence: number) => void;
+
+/** The replicas of one group that this daemon reads, and what it knows of the group's writes. */
+export class GroupReaders {
+  private readonly feed = new PositionFeed();
+  private readonly readers = new Map<InstanceId, ReplicaReader>();
+  /** Readers that end what they began. */
+  private readonly leaving = new Set<ReplicaReader>();
+  private term: Term | undefined;
+  private timeline: Term | undefined;
+
+  constructor(
+    private readonly group: GroupId,
+    private readonly context: HolderContext,
+    private readonly askPosition: PositionAsker,
+  ) {}
+
+  /** Replicas that are read here, also those that are being given up. */
+  get count(): number {
+    return this.readers.size + this.leaving.size;
+  }
+
+  get connectionCount(): number {
+    return [...this.all].reduce((sum, { connectionCount }) => sum + connectionCount, 0);
+  }
+
+  get isBusy(): boolean {
+    return [...this.all].some(({ isBusy }) => isBusy);
+  }
+
+  getReadings(nowMs: number): readonly InstanceReading[] {
+    return [...this.readers.values()].map((reader) => reader.getReading(nowMs));
+  }
+
+  /** The reader that runs a request: the one that has its transaction open, or the replica's present one. */
+  find(instance: InstanceId, transaction: string | undefined): ReplicaReader | undefined {
+    const holding = [...this.leaving].find((each) => each.hasOpen(transaction));
+    return holding ?? this.readers.get(instance);
+  }
+
+  abortTransaction(id: string): void {
+    for (const reader of this.all) {
+      reader.abortTransaction(id);
+    }
+  }
+
+  abortOwned(owner: Incarnation): void {
+    for (const reader of this.all) {
+      reader.abortOwned(owner);
+    }
+  }
+
+  /** Takes on what control says under a lease of this daemon. */
+  recordsChanged(lease: LeaseId | undefined): void {
+    const { records } = this.context;
+    const primary = records.getPrimary(this.group);
+    const timeline = primary && getServedTimeline(primary);
+    const isOtherTimeline = timeline !== this.timeline;
+    this.feed.setTimeline(timeline);
+    if (primary?.term !== this.term) {
+      this.feed.forget();
+    }
+    this.term = primary?.term;
+    this.timeline = timeline;
+    for (const record of records.getInstances(this.group)) {
+      this.update(record, lease);
+    }
+    const present = new Set(records.getInstances(this.group).map(({ instance }) => instance));
+    for (const id of [...this.readers.keys()].filter((each) => !present.has(each))) {
+      this.giveUp(id);
+    }
+    for (const reader of this.all) {
+      reader.recordsChanged(isOtherTimeline);
+    }
+  }
+
+  /** Takes an answer of the holder. */
+  positionAnswered(sequence: number, acknowledged: SessionPosition): void {
+    this.feed.answered(sequence, acknowledged);
+  }
+
+  /** Takes no new reads; what runs ends. */
+  drain(): void {
+    for (const id of [...this.readers.keys()]) {
+      this.giveUp(id);
+    }
+  }
+
+  /** Gives all up at once. */
+  stop(): void {
+    this.drain();
+    for (const reader of this.leaving) {
+      reader.stop();
+    }
+    this.leaving.clear();
+  }
+
+  tick(nowMs: number): void {
+    for (const reader of this.all) {
+      reader.tick(nowMs);
+    }
+    for (const reader of [...this.leaving]) {
+      if (reader.isDrained) {
+        this.leaving.delete(reader);
+        reader.stop();
+      }
+    }
+  }
+
+  private get all(): Iterable<ReplicaReader> {
+    return [...this.readers.values(), ...this.leaving];
+  }
+
+  private update(record: InstanceRecord, lease: LeaseId | undefined): void {
+    const { records, logger } = this.context;
+    const { group, instance } = record;
+    const known = this.readers.get(instance);
+    const holder = records.getReader(group, instance)?.holder;
+    const isOwn = holder !== undefined && holder.lease === lease;
+    if (!isOwn || isServedPrimary(records.getPrimary(group), instance)) {
+      this.giveUp(instance);
+      return;
+    }
+    if (known !== undefined && !isSameInstance(known.record, record)) {
+      this.giveUp(instance);
+    } else if (known !== undefined) {
+      return;
+    }
+    const created = new ReplicaReader(record, this.context, this.feed, () => this.ask());
+    this.readers.set(instance, created);
+    logger.report(Diagnostics.ReaderStarted, { instance, group }, { step: 'reader.take' });
+  }
+
+  private giveUp(instance: InstanceId): void {
+    const reader = this.readers.get(instance);
+    if (reader === undefined) {
+      return;
+    }
+    this.readers.delete(instance);
+    this.leaving.add(reader);
+    reader.drain();
+    const { group, context } = this;
+    context.logger.report(Diagnostics.ReaderEnded, { instance, group }, { step: 'reader.release' });
+  }
+
+  private ask(): void {
+    const holder = this.context.records.getGroupAssignment(this.group)?.holder;
+    const sequence = holder && this.feed.ask(this.context.timer.now());
+    if (holder !== undefined && sequence !== undefined) {
+      this.askPosition(holder, this.group, sequence);
+    }
+  }
+}
+
+function isSameInstance(left: InstanceRecord, right: InstanceRecord): boolean {
+  return (
+    left.address === right.address &&
+    left.slots === right.slots &&
+    left.startedMs === right.startedMs &&
+    left.connectionLimit === right.connectionLimit
+  );
+}
--- a/src/daemon/holder/groupRequests.ts
+++ b/src/daemon/holder/groupRequests.ts
@@ -11,7 +11,6 @@
   type RunningRequest,
 } from '../requests/index.js';
 import { GroupTransactions } from './groupTransactions.js';
-import type { GroupWrites } from './groupWrites.js';
 import type { HeldInstance } from './heldInstance.js';
 import { HeldRequest, type HeldRequestOwner } from './heldRequest.js';
 import { createLostOutcome } from './createLostOutcome.js';
@@ -22,6 +21,7 @@
 import { HeldRequestHandle } from './heldRequestHandle.js';
 import type { HolderContext } from './holderContext.js';
 import { ReadMoves, type MovedReads, type ReadPlaces } from './readMoves.js';
+import type { RequestWrites } from './requestWrites.js';
 
 /** What the requests of a group need of it. */
 export interface RequestPlaces extends ReadPlaces {
@@ -49,7 +49,7 @@
   constructor(
     private readonly context: HolderContext,
     private readonly places: RequestPlaces,
-    private readonly writes: GroupWrites,
+    private readonly writes: RequestWrites,
   ) {
     this.transactions = new GroupTransactions(context.timer);
     this.moves = new ReadMoves(context.timer, places, this);
--- a/src/daemon/holder/heldGroup.ts
+++ b/src/daemon/holder/heldGroup.ts
@@ -89,6 +89,11 @@
     return count;
   }
 
+  /** The furthest position acknowledged to callers; absent until it is known. */
+  get acknowledged(): SessionPosition | undefined {
+    return this.writes.acknowledged;
+  }
+
   /** The primary's term; 0 while there is none. */
   get term(): Term {
     return this.writes.primary?.term ?? toTerm(0);
@@ -115,6 +120,7 @@
       }
     }
     this.dropGone();
+    this.yieldReplicas();
     if (primary?.term !== previousTerm || this.writes.timeline !== previousTimeline) {
       this.primaryMoved(previousTimeline);
     }
@@ -317,6 +323,18 @@
     created.start();
   }
 
+  /** Leaves reads of replicas that have readers to these. */
+  private yieldReplicas(): void {
+    const { records } = this.context;
+    for (const instance of this.instances.values()) {
+      const hasReader = records.getReader(this.group, instance.id)?.holder !== undefined;
+      const isYielded = hasReader && instance.id !== this.writes.primary?.instance;
+      if (instance.setYielded(isYielded)) {
+        this.requests.requeue(instance);
+      }
+    }
+  }
+
   private get isSurveying(): boolean {
     const { primary, isFenced } = this.writes;
     return isFenced || primary?.phase !== PrimaryPhase.Serving;
--- a/src/daemon/holder/heldInstance.ts
+++ b/src/daemon/holder/heldInstance.ts
@@ -66,6 +66,7 @@
   private positionMs = 0;
   private lastSilenceMs: number | undefined;
   private lastDeadMs: number | undefined;
+  private isYielded = false;
 
   constructor(
     readonly record: InstanceRecord,
@@ -113,6 +114,20 @@
     this.pool.warm(NO_ACCOUNT);
   }
 
+  /** Leaves reads of the instance to its reader, or takes them back; true when that is a change. */
+  setYielded(isYielded: boolean): boolean {
+    if (isYielded === this.isYielded) {
+      return false;
+    }
+    this.isYielded = isYielded;
+    if (isYielded) {
+      this.pool.closeIdle();
+    } else {
+      this.pool.warm(NO_ACCOUNT);
+    }
+    return true;
+  }
+
   stop(fault: Fault): void {
     this.monitor.stop();
     this.pool.close(fault);
@@ -130,7 +145,8 @@
       load: this.queue.runningCount + this.queue.waitingCount,
       latencyMs: this.latencyMs,
       reachable: this.monitor.health.isReachable,
-      inService: records.isInService(domain) && !records.isLeaving(group, instance),
+      inService:
+        !this.isYielded && records.isInService(domain) && !records.isLeaving(group, instance),
       position,
       ageMs:
         position === undefined
--- a/src/daemon/holder/heldRequest.ts
+++ b/src/daemon/holder/heldRequest.ts
@@ -64,6 +64,8 @@
   primaryBefore: SessionPosition | undefined;
   /** What decided its last routing, for logs. */
   routing: RequestRouting | undefined;
+  /** Age of what its reader knew of acknowledged writes, in milliseconds; absent at holders. */
+  feedAgeMs: number | undefined;
   /** How often it was moved from one instance's queue to another's. */
   moves = 0;
   /** Attempts that a backend server declined. */
--- a/src/daemon/holder/logHeldRequest.ts
+++ b/src/daemon/holder/logHeldRequest.ts
@@ -27,6 +27,7 @@
     position: format(held.routing?.position),
     positionAgeMs: round(held.routing?.ageMs),
     load: held.routing?.load,
+    ...(request.instance === undefined ? {} : { reader: true, feedAgeMs: round(held.feedAgeMs) }),
     waitMs: round(waitMs),
     serviceMs: round(startedMs === undefined ? undefined : (held.endedMs ?? nowMs) - startedMs),
     ...(fault === undefined
--- a/src/daemon/holder/recordHeldRequest.ts
+++ b/src/daemon/holder/recordHeldRequest.ts
@@ -7,6 +7,9 @@
 export function recordHeldRequest(held: HeldRequest, { metrics, timer }: HolderContext): void {
   const { request, fault, startedMs, arrivedMs, instance } = held;
   const waitMs = (startedMs ?? timer.now()) - arrivedMs;
+  if (request.instance !== undefined && fault === undefined) {
+    metrics.recordReaderRead();
+  }
   metrics.recordRequest(instance?.id, getRequestClass(request.kind), fault?.code, waitMs);
 }
 
--- /dev/null
+++ b/src/daemon/holder/replicaReader.ts
@@ -0,0 +1,286 @@
+import {
+  assertInvariant,
+  createFault,
+  Diagnostics,
+  Execution,
+  type Fault,
+} from '../../common/diagnostics/index.js';
+import type { Incarnation, InstanceId, RequestId } from '../../common/ids/index.js';
+import type { InstanceReading } from '../../common/metrics/index.js';
+import type { GroupPrimary, InstanceRecord } from '../../decisions/control/index.js';
+import {
+  getReaderMinimum,
+  PositionClock,
+  ReaderRefusal,
+  RouteKind,
+  type PositionFeed,
+  type ReaderMinimum,
+  type RouteDecision,
+} from '../../decisions/routing/index.js';
+import type { SessionPosition } from '../../decisions/sessions/index.js';
+import {
+  createRefusedOutcome,
+  RequestKind,
+  type ExecuteRequest,
+  type ResponseReceiver,
+  type RunningRequest,
+} from '../requests/index.js';
+import type { ProbeAnswer } from '../backend/index.js';
+import { GroupRequests, type RequestPlaces } from './groupRequests.js';
+import { HeldInstance, type HeldInstanceListener } from './heldInstance.js';
+import { createUnknownOutcome, type HeldRequest } from './heldRequest.js';
+import type { HolderContext } from './holderContext.js';
+
+const DEFAULT_TRANSACTION_LIMIT_MS = 30_000;
+
+/** The reads of one replica that this daemon runs: its slots and connections. */
+export class ReplicaReader implements HeldInstanceListener, RequestPlaces {
+  private readonly instance: HeldInstance;
+  private readonly requests: GroupRequests;
+  private draining = false;
+  /** The read that may start at this moment, with what the replica must hold for it. */
+  private granted: { readonly held: HeldRequest; readonly minimum: SessionPosition } | undefined;
+
+  constructor(
+    readonly record: InstanceRecord,
+    private readonly context: HolderContext,
+    private readonly feed: PositionFeed,
+    /** A read needs a position of the holder. */
+    private readonly ask: () => void,
+  ) {
+    const { group } = record;
+    const limit = context.records.getGroup(group);
+    const connectionLimit = Math.min(
+      limit?.connectionLimit ?? record.connectionLimit,
+      record.connectionLimit,
+    );
+    this.instance = new HeldInstance(
+      { ...record, connectionLimit },
+      limit?.transactionLimitMs ?? DEFAULT_TRANSACTION_LIMIT_MS,
+      context,
+      this,
+      new PositionClock(),
+      false,
+    );
+    const writes = { primaryPosition: undefined, acknowledged: undefined, confirm: failWrite };
+    this.requests = new GroupRequests(context, this, writes);
+    this.instance.start();
+  }
+
+  get id(): InstanceId {
+    return this.record.instance;
+  }
+
+  /** It takes no new requests, and what ran in it has ended. */
+  get isDrained(): boolean {
+    return this.draining && this.requests.isIdle;
+  }
+
+  get isBusy(): boolean {
+    return this.draining || !this.requests.isIdle;
+  }
+
+  /** Whether a transaction is open here. */
+  hasOpen(transaction: string | undefined): boolean {
+    return transaction !== undefined && this.requests.transactions.get(transaction) !== undefined;
+  }
+
+  get connectionCount(): number {
+    return this.instance.pool.size;
+  }
+
+  /** What operators are to know of the instance. */
+  getReading(nowMs: number): InstanceReading {
+    return this.instance.getReading(nowMs);
+  }
+
+  /** Runs a read, or the next request of a transaction that is open here. */
+  execute(request: ExecuteRequest, receiver: ResponseReceiver): RunningRequest | undefined {
+    if (request.transaction === undefined && !isRead(request)) {
+      const fault = createReaderFault(this.id, ReaderRefusal.Unsupported);
+      receiver.finish(createRefusedOutcome(fault));
+      return undefined;
+    }
+    if (request.maximumStalenessMs !== undefined && !this.draining) {
+      this.ask();
+    }
+    return this.requests.execute(request, receiver);
+  }
+
+  abortTransaction(id: string): void {
+    this.requests.transactions.abort(id);
+  }
+
+  abortOwned(owner: Incarnation): void {
+    this.requests.transactions.abortOwned(owner);
+  }
+
+  /** What control says has changed: open transactions do not outlive the history that they read. */
+  recordsChanged(isOtherTimeline: boolean): void {
+    if (isOtherTimeline) {
+      this.abortAll();
+    }
+    this.requests.retryWaiting();
+  }
+
+  /** Takes no new requests; what has not started is refused as not run, what has ends. */
+  drain(): void {
+    if (!this.draining) {
+      this.draining = true;
+      this.requests.close(createReaderFault(this.id, ReaderRefusal.Moved));
+    }
+  }
+
+  /** Gives the replica up at once. */
+  stop(): void {
+    this.drain();
+    this.instance.stop(createReaderFault(this.id, ReaderRefusal.Moved));
+    this.requests.failRemaining(createUnknownOutcome('reader.stop', this.id));
+  }
+
+  tick(nowMs: number): void {
+    this.instance.tick(nowMs);
+    this.requests.tick(nowMs);
+  }
+
+  route(held: HeldRequest): RouteDecision {
+    const { refusal } = this.judge(held);
+    if (refusal === undefined) {
+      return { kind: RouteKind.Instance, instance: this.id, isPrimary: false };
+    }
+    this.context.metrics.recordReaderRefusal(refusal);
+    return { kind: RouteKind.Refuse, fault: createReaderFault(this.id, refusal) };
+  }
+
+  getInstance(id: InstanceId): HeldInstance | undefined {
+    return id === this.id ? this.instance : undefined;
+  }
+
+  getInstances(): Iterable<HeldInstance> {
+    return [this.instance];
+  }
+
+  isPrimary(): boolean {
+    return false;
+  }
+
+  hasRoomForRead(): boolean {
+    return false;
+  }
+
+  mayStart(held: HeldRequest): boolean {
+    const known = this.judge(held);
+    this.granted = known.refusal === undefined ? { held, minimum: known.minimum } : undefined;
+    return this.granted !== undefined;
+  }
+
+  getMinimum(held: HeldRequest): SessionPosition {
+    assertInvariant(
+      this.granted?.held === held,
+      'a read starts with the minimum it was let start with',
+    );
+    return this.granted.minimum;
+  }
+
+  standingSeen(instance: HeldInstance, standing: ProbeAnswer, sentMs: number): void {
+    instance.noteStanding(standing, sentMs);
+  }
+
+  leadLost(): void {
+    // A replica leads nothing: what it declines is answered to the caller.
+  }
+
+  requestEnded(): void {
+    // Whether it is drained is looked at with the next tick.
+  }
+
+  slotGranted(instance: HeldInstance, id: RequestId): void {
+    this.requests.slotGranted(instance, id);
+  }
+
+  slotRefused(_instance: HeldInstance, id: RequestId, fault: Fault): void {
+    this.requests.slotRefused(id, fault);
+  }
+
+  transactionOverdue(_instance: HeldInstance, id: RequestId): void {
+    this.requests.transactions.abort(id);
+  }
+
+  probeAnswered(): void {
+    this.requests.retryWaiting();
+  }
+
+  connectionCondemned(): void {
+    // Nothing here depends on the position that the monitor saw last.
+  }
+
+  instanceLost({ id, record, pool }: HeldInstance): void {
+    const context = { step: 'reader.instance', peer: record.address };
+    const values = { reason: `instance ${id} is unreachable` };
+    pool.reset(createFault(Diagnostics.BackendUnreachable, values, context));
+    this.requests.retryWaiting();
+  }
+
+  private judge(held: HeldRequest): ReaderMinimum {
+    const { records, timer } = this.context;
+    const refusal = this.getRefusal(held);
+    if (refusal !== undefined) {
+      return { refusal };
+    }
+    const { session, maximumStalenessMs, latest = false } = held.request;
+    const requirement = { session, maximumStalenessMs, latest };
+    const primary = records.getPrimary(this.record.group);
+    const nowMs = timer.now();
+    held.feedAgeMs = this.feed.getAgeMs(nowMs);
+    return getReaderMinimum(requirement, primary, this.feed, nowMs);
+  }
+
+  private getRefusal({ avoidsReplicas }: HeldRequest): ReaderRefusal | undefined {
+    const { records, lease, protocol } = this.context;
+    const { group, domain, instance } = this.record;
+    if (!lease.isValid() || this.draining) {
+      return ReaderRefusal.Moved;
+    }
+    if (isServedPrimary(records.getPrimary(group), instance)) {
+      return ReaderRefusal.Primary;
+    }
+    if (!records.isInService(domain) || records.isLeaving(group, instance)) {
+      return ReaderRefusal.OutOfService;
+    }
+    if (avoidsReplicas) {
+      return ReaderRefusal.Behind;
+    }
+    if (!protocol.checksMinimum) {
+      return ReaderRefusal.Unsupported;
+    }
+    return this.instance.monitor.health.isReachable ? undefined : ReaderRefusal.Unreachable;
+  }
+
+  private abortAll(): void {
+    const { transactions } = this.requests;
+    for (const transaction of transactions.getOpenOn(this.id)) {
+      transactions.abort(transaction.id);
+    }
+  }
+}
+
+/** Whether an instance is the primary, or was or will be while one is being promoted. */
+export function isServedPrimary(primary: GroupPrimary | undefined, instance: InstanceId): boolean {
+  return primary?.instance === instance || primary?.base?.instance === instance;
+}
+
+function isRead({ kind, readOnly }: ExecuteRequest): boolean {
+  return kind === RequestKind.Read || (kind === RequestKind.Begin && readOnly === true);
+}
+
+/** A replica commits nothing that a caller could be told of. */
+function failWrite(held: HeldRequest): void {
+  held.fail(createUnknownOutcome('reader.commit', held.instance?.id), {
+    nowMs: held.endedMs ?? held.arrivedMs,
+  });
+}
+
+function createReaderFault(instance: InstanceId, reason: ReaderRefusal): Fault {
+  const context = { step: 'reader.route', peer: instance, execution: Execution.NotRun };
+  return createFault(Diagnostics.ReaderRefused, { instance, reason }, context);
+}
--- a/src/daemon/mesh/meshKind.ts
+++ b/src/daemon/mesh/meshKind.ts
@@ -17,4 +17,6 @@
   Consensus,
   ControlCall,
   ControlAnswer,
+  PositionQuestion,
+  PositionAnswer,
 }
--- a/src/daemon/mesh/meshMessage.ts
+++ b/src/daemon/mesh/meshMessage.ts
@@ -1,4 +1,12 @@
-import type { GroupId, HostId, Incarnation, RequestId } from '../../common/ids/index.js';
+import type {
+  GroupId,
+  HostId,
+  Incarnation,
+  LeaseId,
+  LogPosition,
+  RequestId,
+  Term,
+} from '../../common/ids/index.js';
 import type { LeaseGrant, LeaseRenewal, RecordUpdate } from '../../decisions/control/index.js';
 import type { ExecuteRequest } from '../requests/executeRequest.js';
 import type { RequestOutcome } from '../requests/requestOutcome.js';
@@ -126,6 +134,24 @@
   readonly content?: unknown;
 }
 
+/** A reader asks the holder of a group how far writes were acknowledged. */
+export interface PositionQuestion {
+  readonly kind: MeshKind.PositionQuestion;
+  readonly group: GroupId;
+  /** The holder's lease that the sender believes in force. */
+  readonly lease: LeaseId;
+  readonly sequence: number;
+}
+
+/** Every write of the group that was acknowledged before the question came is at or below the position. */
+export interface PositionAnswer {
+  readonly kind: MeshKind.PositionAnswer;
+  readonly group: GroupId;
+  readonly sequence: number;
+  readonly term: Term;
+  readonly position: LogPosition;
+}
+
 /** Everything that daemons send to one another. */
 export type MeshMessage =
   | Hello
@@ -143,4 +169,6 @@
   | UpdateEnvelope
   | ConsensusEnvelope
   | ControlCall
-  | ControlAnswer;
+  | ControlAnswer
+  | PositionQuestion
+  | PositionAnswer;
--- a/src/daemon/mesh/messageShape.ts
+++ b/src/daemon/mesh/messageShape.ts
@@ -75,6 +75,8 @@
   },
   [MeshKind.ControlCall]: { id: Text, content: { kind: Text } },
   [MeshKind.ControlAnswer]: { id: Text },
+  [MeshKind.PositionQuestion]: { group: Text, lease: Text, sequence: Count },
+  [MeshKind.PositionAnswer]: { group: Text, sequence: Count, term: Count, position: Count },
 };
 
 /** Finds the first field of a message that is absent or of a wrong type. */
--- a/src/daemon/requests/executeRequest.ts
+++ b/src/daemon/requests/executeRequest.ts
@@ -1,4 +1,4 @@
-import type { AccountId, GroupId, LeaseId, RequestId } from '../../common/ids/index.js';
+import type { AccountId, GroupId, InstanceId, LeaseId, RequestId } from '../../common/ids/index.js';
 import type { SessionPosition } from '../../decisions/sessions/index.js';
 import type { PreparedStatement } from './preparedStatement.js';
 import type { RequestKind } from './requestKind.js';
@@ -14,7 +14,9 @@
   /** Unique over the sender's incarnation; the same when the request is sent again. */
   readonly id: RequestId;
   readonly group: GroupId;
-  /** The holder's lease that the sender believes in force. */
+  /** The replica whose reader is to run it; absent: the group's holder is. */
+  readonly instance?: InstanceId;
+  /** The lease of the holder or reader that the sender believes in force. */
   readonly lease: LeaseId;
   readonly account: AccountId;
   readonly kind: RequestKind;
--- /dev/null
+++ b/src/decisions/routing/positionFeed.ts
@@ -0,0 +1,81 @@
+import type { LogPosition, Term } from '../../common/ids/index.js';
+import type { SessionPosition } from '../sessions/index.js';
+import { PositionClock } from './positionClock.js';
+
+/** Time between two questions to a holder while reads come, in milliseconds. */
+export const QUESTION_INTERVAL_MS = 200;
+
+/** Answers to older questions are not waited for. */
+const MAXIMUM_QUESTIONS = 16;
+
+/** A question that is not answered yet. */
+interface Question {
+  readonly sequence: number;
+  readonly sentMs: number;
+}
+
+/**
+ * What a reader knows of its group's acknowledged writes, from asking the holder. An answer counts for the
+ * time at which its question was sent: every write acknowledged before then is in it, however late it comes.
+ */
+export class PositionFeed {
+  private readonly clock = new PositionClock();
+  private questions: Question[] = [];
+  private sequence = 0;
+  private timeline: Term | undefined;
+  private lastSentMs: number | undefined;
+  private freshMs: number | undefined;
+
+  /** Takes on the timeline that the group serves; what is known of another one is void. */
+  setTimeline(timeline: Term | undefined): void {
+    if (timeline !== this.timeline) {
+      this.timeline = timeline;
+      this.forget();
+    }
+  }
+
+  /** Forgets all that was answered, and takes no answer to what was asked, as after a change of primary. */
+  forget(): void {
+    this.clock.reset();
+    this.questions = [];
+    this.freshMs = undefined;
+    this.lastSentMs = undefined;
+  }
+
+  /** A read needs a position: the number of the question to send now; undefined while one was sent lately. */
+  ask(nowMs: number): number | undefined {
+    if (this.lastSentMs !== undefined && nowMs - this.lastSentMs < QUESTION_INTERVAL_MS) {
+      return undefined;
+    }
+    this.lastSentMs = nowMs;
+    this.sequence += 1;
+    this.questions = [
+      ...this.questions.slice(-MAXIMUM_QUESTIONS),
+      { sequence: this.sequence, sentMs: nowMs },
+    ];
+    return this.sequence;
+  }
+
+  /** Takes an answer; false when it says nothing: to no open question, older than another, or of another timeline. */
+  answered(sequence: number, acknowledged: SessionPosition): boolean {
+    const question = this.questions.find((each) => each.sequence === sequence);
+    if (question === undefined || acknowledged.term !== this.timeline) {
+      return false;
+    }
+    this.questions = this.questions.filter((each) => each.sequence > sequence);
+    this.clock.record(acknowledged.position, question.sentMs);
+    this.freshMs = question.sentMs;
+    return true;
+  }
+
+  /** A position that holds every write acknowledged before a time; undefined when none that is young enough is known. */
+  getPositionAt(timeMs: number): LogPosition | undefined {
+    const { freshMs } = this;
+    return freshMs === undefined || freshMs < timeMs ? undefined : this.clock.getPositionAt(timeMs);
+  }
+
+  /** Time since the question was sent that was answered last, in milliseconds; undefined without one. */
+  getAgeMs(nowMs: number): number | undefined {
+    return this.freshMs === undefined ? undefined : nowMs - this.freshMs;
+  }
+}
--- a/src/decisions/routing/readMinimum.ts
+++ b/src/decisions/routing/readMinimum.ts
@@ -38,7 +38,7 @@
 }
 
 /** A position of an earlier term is held by everything that is on the present one. */
-function toTimeline(session: SessionPosition, primary: GroupPrimary): SessionPosition {
+export function toTimeline(session: SessionPosition, primary: GroupPrimary): SessionPosition {
   const term = getServedTimeline(primary) ?? session.term;
   const start = primary.history.at(-1)?.position ?? toLogPosition(0);
   return session.term < term ? { term, position: start } : session;
--- /dev/null
+++ b/src/decisions/routing/readerStaleness.test.ts
@@ -0,0 +1,253 @@
+import * as fc from 'fast-check';
+import { expect, test } from 'vitest';
+import {
+  toGroupId,
+  toInstanceId,
+  toLogPosition,
+  toRevision,
+  toTerm,
+} from '../../common/ids/index.js';
+import {
+  getServedTimeline,
+  PrimaryPhase,
+  type GroupPrimary,
+  type TermEnd,
+} from '../control/groupPrimary.js';
+import { RecordKind } from '../control/recordKind.js';
+import type { SessionPosition } from '../sessions/index.js';
+import { PositionFeed } from './positionFeed.js';
+import { getReaderMinimum } from './readerMinimum.js';
+
+const SEED = 20261205;
+const RUNS = 1500;
+
+enum StepKind {
+  Acknowledge,
+  Ask,
+  Deliver,
+  Pause,
+  Promote,
+  MoveHolder,
+  LearnRecords,
+  Read,
+}
+
+interface Step {
+  readonly kind: StepKind;
+  readonly afterMs: number;
+  readonly pick: number;
+}
+
+interface Acknowledged extends SessionPosition {
+  readonly atMs: number;
+  /** A promotion rolled it back after all. */
+  isLost: boolean;
+}
+
+interface Question {
+  readonly sequence: number;
+  answer: SessionPosition | undefined;
+}
+
+/** A broken variant takes an answer as of its receipt. */
+type FeedSource = new () => PositionFeed;
+
+/** Dates answers by their receipt instead of by their question. */
+class LateFeed extends PositionFeed {
+  nowMs = 0;
+  private receivedMs: number | undefined;
+  private received: SessionPosition | undefined;
+
+  override answered(sequence: number, acknowledged: SessionPosition): boolean {
+    const isTaken = super.answered(sequence, acknowledged);
+    if (isTaken) {
+      this.received = acknowledged;
+      this.receivedMs = this.nowMs;
+    }
+    return isTaken;
+  }
+
+  override getPositionAt(timeMs: number): SessionPosition['position'] | undefined {
+    return (this.receivedMs ?? -1) >= timeMs ? this.received?.position : undefined;
+  }
+}
+
+/** Takes the last answer whatever its age. */
+class OldFeed extends PositionFeed {
+  private received: SessionPosition | undefined;
+
+  override answered(sequence: number, acknowledged: SessionPosition): boolean {
+    const isTaken = super.answered(sequence, acknowledged);
+    this.received = isTaken ? acknowledged : this.received;
+    return isTaken;
+  }
+
+  override getPositionAt(): SessionPosition['position'] | undefined {
+    return this.received?.position;
+  }
+}
+
+/** A group with its holder and a reader that hears of everything late. */
+class Model {
+  readonly feed: PositionFeed;
+  refused = 0;
+  served = 0;
+  private nowMs = 0;
+  private term = 1;
+  private length = 0;
+  private history: TermEnd[] = [];
+  private readonly acknowledged: Acknowledged[] = [];
+  private questions: Question[] = [];
+  private known: GroupPrimary;
+
+  constructor(private readonly createFeed: FeedSource) {
+    this.feed = new this.createFeed();
+    this.known = this.createPrimary();
+    this.learn();
+  }
+
+  run({ kind, afterMs, pick }: Step): void {
+    this.nowMs += afterMs;
+    switch (kind) {
+      case StepKind.Acknowledge:
+        this.length += 1;
+        this.acknowledged.push({ ...this.position, atMs: this.nowMs, isLost: false });
+        break;
+      case StepKind.Ask: {
+        const sequence = this.feed.ask(this.nowMs);
+        if (sequence !== undefined) {
+          // The holder answers at any time after, or never.
+          this.questions.push({ sequence, answer: undefined });
+        }
+        break;
+      }
+      case StepKind.Deliver:
+        this.deliver(pick);
+        break;
+      case StepKind.Pause:
+        this.nowMs += afterMs * 20;
+        break;
+      case StepKind.Promote:
+        this.promote(pick);
+        break;
+      case StepKind.MoveHolder:
+        // Questions to the earlier holder are never answered by it, but answers under way still come.
+        this.questions = this.questions.filter(({ answer }) => answer !== undefined);
+        break;
+      case StepKind.LearnRecords:
+        this.learn();
+        break;
+      case StepKind.Read:
+        this.read(pick);
+    }
+  }
+
+  /** The holder answers a question now, or an answer that it gave earlier comes now. */
+  private deliver(pick: number): void {
+    const question = this.questions[pick % Math.max(1, this.questions.length)];
+    if (question === undefined) {
+      return;
+    }
+    if (question.answer === undefined) {
+      question.answer = this.position;
+      return;
+    }
+    if (this.feed instanceof LateFeed) {
+      this.feed.nowMs = this.nowMs;
+    }
+    this.feed.answered(question.sequence, question.answer);
+    this.questions = this.questions.filter((each) => each !== question);
+  }
+
+  private promote(pick: number): void {
+    const start = this.history.at(-1)?.position ?? 0;
+    const dropped = Math.min(this.length - start, pick % 3);
+    this.length -= dropped;
+    for (const commit of this.acknowledged) {
+      commit.isLost ||= commit.term === this.term && commit.position > this.length;
+    }
+    this.history = [
+      ...this.history,
+      { term: toTerm(this.term), position: toLogPosition(this.length) },
+    ];
+    this.term += 1;
+  }
+
+  private learn(): void {
+    const isOther = this.known.term !== this.term;
+    this.known = this.createPrimary();
+    this.feed.setTimeline(getServedTimeline(this.known));
+    if (isOther) {
+      this.feed.forget();
+    }
+  }
+
+  private read(pick: number): void {
+    const maximumStalenessMs = 200 + (pick % 5) * 300;
+    const kept = this.acknowledged.filter(({ isLost }) => !isLost);
+    const own = pick % 2 === 0 ? undefined : kept[pick % Math.max(1, kept.length)];
+    const session = own && { term: own.term, position: own.position };
+    const requirement = { session, maximumStalenessMs };
+    const found = getReaderMinimum(requirement, this.known, this.feed, this.nowMs);
+    if (found.refusal !== undefined) {
+      this.refused += 1;
+      return;
+    }
+    this.served += 1;
+    const needed = kept.filter(({ atMs }) => atMs < this.nowMs - maximumStalenessMs);
+    for (const commit of own === undefined ? needed : [...needed, own]) {
+      // Positions count on over terms, and a log that holds one of a term holds what it began with.
+      expect(found.minimum.position).toBeGreaterThanOrEqual(commit.position);
+      expect(found.minimum.term).toBeGreaterThanOrEqual(commit.term);
+    }
+  }
+
+  private get position(): SessionPosition {
+    return { term: toTerm(this.term), position: toLogPosition(this.length) };
+  }
+
+  private createPrimary(): GroupPrimary {
+    return {
+      ...{ kind: RecordKind.Primary, group: toGroupId('g'), instance: toInstanceId('i') },
+      ...{ phase: PrimaryPhase.Serving, since: toRevision(1), term: toTerm(this.term) },
+      history: this.history,
+    };
+  }
+}
+
+const steps = fc.array(
+  fc.record({
+    kind: fc.constantFrom(
+      ...[StepKind.Acknowledge, StepKind.Acknowledge, StepKind.Ask, StepKind.Ask, StepKind.Deliver],
+      ...[StepKind.Deliver, StepKind.Deliver, StepKind.Deliver, StepKind.Pause, StepKind.Promote],
+      ...[StepKind.MoveHolder, StepKind.LearnRecords, StepKind.Read, StepKind.Read, StepKind.Read],
+    ),
+    afterMs: fc.nat(80),
+    pick: fc.nat(1000),
+  }),
+  { minLength: 20, maxLength: 120 },
+);
+
+function createProperty(createFeed: FeedSource, counts = { served: 0, refused: 0 }) {
+  return fc.property(steps, (each) => {
+    const model = new Model(createFeed);
+    each.forEach((step) => model.run(step));
+    counts.served += model.served;
+    counts.refused += model.refused;
+  });
+}
+
+test('a read by a reader needs every write that was acknowledged its bound before, and those of its session', () => {
+  const counts = { served: 0, refused: 0 };
+  fc.assert(createProperty(PositionFeed, counts), { seed: SEED, numRuns: RUNS });
+  expect(counts.served).toBeGreaterThan(RUNS);
+  expect(counts.refused).toBeGreaterThan(RUNS);
+});
+
+test.each([
+  ['dates an answer by its receipt', LateFeed],
+  ['takes an answer of any age', OldFeed],
+])('the random test finds a reader that %s', (_name, createFeed) => {
+  const result = fc.check(createProperty(createFeed), { seed: SEED, numRuns: RUNS });
+  expect(result.failed).toBe(true);
+});
