Readers: every kind of mesh message is known to the codec; reason in the line of a request

Cause: the frame codec knew kinds up to ControlAnswer by its name, so that positions asked for ended the link as invalid frames and every bounded read was refused for want of a fresh position. Now it knows the kinds of the enum.

--- a/src/daemon/holder/logHeldRequest.ts
+++ b/src/daemon/holder/logHeldRequest.ts
@@ -32,7 +32,10 @@
     serviceMs: round(startedMs === undefined ? undefined : (held.endedMs ?? nowMs) - startedMs),
     ...(fault === undefined
       ? {}
-      : { execution: fault.execution, step: fault.step, peer: fault.peer }),
+      : {
+          ...{ execution: fault.execution, step: fault.step, peer: fault.peer },
+          reason: fault.values.reason,
+        }),
   }));
 }
 
--- a/src/daemon/mesh/frameCodec.ts
+++ b/src/daemon/mesh/frameCodec.ts
@@ -5,7 +5,7 @@
 import { findWrongField } from './messageShape.js';
 import type { MeshMessage } from './meshMessage.js';
 
-const HIGHEST_KIND: number = MeshKind.ControlAnswer;
+const KINDS: ReadonlySet<unknown> = new Set(Object.values(MeshKind));
 
 /**
  * Encodes and decodes the frames of one link. The names of a message's fields are sent once a link
@@ -44,8 +44,7 @@
   if (typeof content !== 'object' || content === null || !('kind' in content)) {
     return false;
   }
-  const { kind } = content;
-  return Number.isInteger(kind) && (kind as number) >= 1 && (kind as number) <= HIGHEST_KIND;
+  return Number.isInteger(content.kind) && KINDS.has(content.kind);
 }
 
 function invalidFrame(reason: string, peer: string): Fault {
--- a/src/decisions/routing/readerStaleness.test.ts
+++ b/src/decisions/routing/readerStaleness.test.ts
@@ -225,7 +225,7 @@
     afterMs: fc.nat(80),
     pick: fc.nat(1000),
   }),
-  { minLength: 20, maxLength: 120 },
+  { minLength: 60, maxLength: 200 },
 );
 
 function createProperty(createFeed: FeedSource, counts = { served: 0, refused: 0 }) {
