--- a/src/daemon/holder/logHeldRequest.ts
+++ b/src/daemon/holder/logHeldRequest.ts
@@ -27,11 +27,15 @@
     position: format(held.routing?.position),
     positionAgeMs: round(held.routing?.ageMs),
     load: held.routing?.load,
+    ...(request.instance === undefined ? {} : { reader: true, feedAgeMs: round(held.feedAgeMs) }),
     waitMs: round(waitMs),
     serviceMs: round(startedMs === undefined ? undefined : (held.endedMs ?? nowMs) - startedMs),
     ...(fault === undefined
       ? {}
-      : { execution: fault.execution, step: fault.step, peer: fault.peer }),
+      : {
+          ...{ execution: fault.execution, step: fault.step, peer: fault.peer },
+          reason: fault.values.reason,
+        }),
   }));
 }
 
