A reader forgets positions that it learnt before its process stood still

Found by reading: the steady clock does not count a suspension, so that an answer from before it looks young afterwards, and a read of bounded age may miss commits that were acknowledged during it, where the lease is renewed before its loss was seen. Change: the feed is emptied when the timer service suspects another suspension. positionFeed.test.ts; without the call the method does not exist, so that the test can't pass.

--- a/src/daemon/holder/replicaReader.ts
+++ b/src/daemon/holder/replicaReader.ts
@@ -231,6 +231,7 @@
     const requirement = { session, maximumStalenessMs, latest };
     const primary = records.getPrimary(this.record.group);
     const nowMs = timer.now();
+    this.feed.setSuspensions(timer.suspensions);
     held.feedAgeMs = this.feed.getAgeMs(nowMs);
     return getReaderMinimum(requirement, primary, this.feed, nowMs);
   }
--- /dev/null
+++ b/src/decisions/routing/positionFeed.test.ts
@@ -0,0 +1,20 @@
+import { expect, test } from 'vitest';
+import { toLogPosition, toTerm } from '../../common/ids/index.js';
+import { PositionFeed } from './positionFeed.js';
+
+const TERM = toTerm(3);
+
+test('what was asked or answered before a suspension counts for no read after it', () => {
+  const feed = new PositionFeed();
+  feed.setTimeline(TERM);
+  const first = feed.ask(1000) ?? 0;
+  expect(feed.answered(first, { term: TERM, position: toLogPosition(7) })).toBe(true);
+  const second = feed.ask(1300) ?? 0;
+  expect(feed.getPositionAt(900)).toBe(7);
+  feed.setSuspensions(1);
+  expect(feed.getPositionAt(900)).toBeUndefined();
+  expect(feed.answered(second, { term: TERM, position: toLogPosition(8) })).toBe(false);
+  const third = feed.ask(1301) ?? 0;
+  expect(feed.answered(third, { term: TERM, position: toLogPosition(9) })).toBe(true);
+  expect(feed.getPositionAt(1200)).toBe(9);
+});
--- a/src/decisions/routing/positionFeed.ts
+++ b/src/decisions/routing/positionFeed.ts
@@ -25,6 +25,7 @@
   private timeline: Term | undefined;
   private lastSentMs: number | undefined;
   private freshMs: number | undefined;
+  private suspensions = 0;
 
   /** Takes on the timeline that the group serves; what is known of another one is void. */
   setTimeline(timeline: Term | undefined): void {
@@ -34,6 +35,14 @@
     }
   }
 
+  /** Takes on how often this process may have stood still: what was known before is older than it seems. */
+  setSuspensions(suspensions: number): void {
+    if (suspensions !== this.suspensions) {
+      this.suspensions = suspensions;
+      this.forget();
+    }
+  }
+
   /** Forgets all that was answered, and takes no answer to what was asked, as after a change of primary. */
   forget(): void {
     this.clock.reset();
