A stopping entry host refuses callers that are starting, and those that wait to be accepted

Seen, by test: a caller of the PostgreSQL gateway whose whole start had arrived and was unread when its host was told to stop was reset (ECONNRESET), and so was one that waited to be accepted: `drain()` destroyed starting sockets and closed the listener at once.

Change: starting callers are refused with 57P01, "not run". The listener is closed after two turns of the event loop (`readArrived`), in which connections that wait are accepted, and refused. One that comes between that and the close of the listener is still reset by the kernel.

--- a/src/daemon/gateway/callerServer.ts
+++ b/src/daemon/gateway/callerServer.ts
@@ -2,6 +2,7 @@
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
 import type { Logger } from '../../common/logging/index.js';
 import { splitAddress } from '../../common/settings/index.js';
+import { readArrived } from '../../common/tasks/index.js';
 import type { AuthenticatedCaller } from './authenticatedCaller.js';
 import { CallerSession } from './callerSession.js';
 import { CallerFront } from '../entry/index.js';
@@ -40,7 +41,7 @@
   private readonly server: Server;
   private readonly cancelKeys = new CancelKeys();
   private readonly sessions = new Set<CallerSession>();
-  private readonly starting = new Set<Socket>();
+  private readonly starting = new Set<CallerStartup>();
   private draining = false;
   private boundPort = 0;
 
@@ -82,9 +83,9 @@
 
   override drain(): void {
     this.draining = true;
-    this.server.close();
-    for (const socket of this.starting) {
-      socket.destroy();
+    void this.stopListening();
+    for (const startup of [...this.starting]) {
+      startup.refuse(this.createDrainFault());
     }
     for (const session of [...this.sessions]) {
       session.setDraining(this.getDrainReason());
@@ -99,8 +100,13 @@
     }
   }
 
+  /** Connections that wait to be accepted would be reset, with what their callers sent. */
+  private async stopListening(): Promise<void> {
+    await readArrived();
+    this.server.close();
+  }
+
   private accept(socket: Socket): void {
-    this.starting.add(socket);
     socket.on('error', () => socket.destroy());
     const cancelTimeout = this.context.timer.once(AUTHENTICATION_TIMEOUT_MS, () => {
       const fault = createFault(Diagnostics.AuthenticationTimeout, {}, { step: 'caller.start' });
@@ -108,14 +114,14 @@
     });
     const finish = (): void => {
       cancelTimeout();
-      this.starting.delete(socket);
+      this.starting.delete(startup);
     };
     socket.once('close', finish);
     const { access, timer } = this.context;
-    const startup = { access, cancelKeys: this.cancelKeys, tls: this.options.tls, timer };
-    new CallerStartup(
+    const needed = { access, cancelKeys: this.cancelKeys, tls: this.options.tls, timer };
+    const startup = new CallerStartup(
       socket,
-      startup,
+      needed,
       (caller) => {
         finish();
         this.begin(caller);
@@ -125,6 +131,10 @@
         this.reportRefused(fault, socket);
       },
     );
+    this.starting.add(startup);
+    if (this.draining) {
+      startup.refuse(this.createDrainFault());
+    }
   }
 
   private begin(caller: AuthenticatedCaller): void {
@@ -153,9 +163,11 @@
   }
 
   private getDrainReason(): Fault | undefined {
-    return this.draining
-      ? createFault(Diagnostics.ShuttingDown, {}, { step: 'caller.drain' })
-      : this.context.access.findDrainReason();
+    return this.draining ? this.createDrainFault() : this.context.access.findDrainReason();
+  }
+
+  private createDrainFault(): Fault {
+    return createFault(Diagnostics.ShuttingDown, {}, { step: 'caller.drain' });
   }
 
   private reportRefused(fault: Fault, socket: Socket): void {
--- a/src/daemon/gateway/callerStartup.ts
+++ b/src/daemon/gateway/callerStartup.ts
@@ -57,6 +57,14 @@
     );
   }
 
+  /** Tells the caller why it is not served, and ends its connection. */
+  refuse(fault: Fault): void {
+    this.detach(() => {
+      endSocket(this.socket, this.context.timer, encodeError(fault, Severity.Fatal));
+      this.onRefused(fault);
+    });
+  }
+
   private createOptions(): PostgresConnectionOptions {
     const { tls } = this.context;
     const noKey = new ArrayBuffer(0);
@@ -124,13 +132,6 @@
     this.detach((received) => this.onAuthenticated({ ...caller, received }));
   }
 
-  private refuse(fault: Fault): void {
-    this.detach(() => {
-      endSocket(this.socket, this.context.timer, encodeError(fault, Severity.Fatal));
-      this.onRefused(fault);
-    });
-  }
-
   /** Ends the library's part; the socket is free once what it wrote is out. */
   private detach(then: (received: Buffer) => void): void {
     if (this.ended) {
