Requests of operators, instances and the balancer that have arrived are answered when a host stops

Seen, by test, for the control and the readiness interface and the operators' one: a request that was unread on a kept connection when its server stopped was reset, as such a connection counts as idle; so was one on a connection that waited to be accepted. At the control interface an order under way was cut as well (`forceCloseConnections: true`): its sender can't tell whether it counts and sends it again.

Change: `StoppingServer`, used by all three: from the stop on each answer ends its connection; two turns of the event loop later, when what had arrived is read and accepted, idle connections are closed, and requests under way get 500 ms (control, readiness; the process has to end in time) or 5 s as before (operators).

--- a/src/daemon/operators/createHttpServer.ts
+++ b/src/daemon/operators/createHttpServer.ts
@@ -43,7 +43,6 @@
     clientErrorHandler: (cause, socket) => refuseConnection(logger, cause, socket),
   });
   server.server.maxConnections = MAXIMUM_CONNECTIONS;
-  closeAfterAnswers(server);
   server.setErrorHandler(sendFault);
   server.setNotFoundHandler((request, reply) => {
     const subject = `${request.method} ${request.url.slice(0, MAXIMUM_SHOWN_PATH_LENGTH)}`;
@@ -53,21 +52,6 @@
   return server;
 }
 
-/** Once the server is closing, ends each connection with its answer rather than keep it alive. */
-function closeAfterAnswers(server: FastifyInstance): void {
-  let isClosing = false;
-  server.addHook('preClose', (done) => {
-    isClosing = true;
-    done();
-  });
-  server.addHook('onSend', (_request, reply, payload, done) => {
-    if (isClosing) {
-      reply.header('connection', 'close');
-    }
-    done(null, payload);
-  });
-}
-
 function refuseConnection(logger: Logger, cause: NodeJS.ErrnoException, socket: Socket): void {
   if (cause.code === 'ECONNRESET' || socket.destroyed) {
     return;
--- a/src/daemon/operators/index.ts
+++ b/src/daemon/operators/index.ts
@@ -7,3 +7,4 @@
 export * from './announcementBody.js';
 export * from './operatorServerOptions.js';
 export * from './operatorServer.js';
+export * from './stoppingServer.js';
--- a/tests/platform/oddEntries.test.ts
+++ b/tests/platform/oddEntries.test.ts
@@ -34,6 +34,7 @@
     control,
     readiness: new SettableReadiness(),
     logger,
+    timer: new SystemTimerService(),
   });
   await front.start();
 });
