Requests that are unread on a link when a holder stops are refused, not lost

Seen, by test: a request that had arrived on a link of the mesh and was unread when the mesh closed was read while the link was closing. It was handled, but nothing goes out over such a link any more: the holder's refusal was dropped, and the entry host, which only saw the link end, had to call a write unknown that was never run. (Reasoned from remoteRequest.ts for writes: the test looks at the lost answer.)

Evidence: src/daemon/mesh/unreadAtClose.test.ts failed before. src/daemon/mesh and src/daemon/lease: 25 passed.

--- a/src/daemon/mesh/mesh.ts
+++ b/src/daemon/mesh/mesh.ts
@@ -6,7 +6,7 @@
 import { Diagnostics, type Fault } from '../../common/diagnostics/index.js';
 import type { MeshTraffic } from '../../common/metrics/index.js';
 import type { Logger } from '../../common/logging/index.js';
-import { Mailbox } from '../../common/tasks/index.js';
+import { Mailbox, readArrived } from '../../common/tasks/index.js';
 import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
 import { formatAddress, isPeerAddress, splitAddress } from '../../common/settings/index.js';
 import { MeshKind } from './meshKind.js';
@@ -134,8 +134,10 @@
     return false;
   }
 
-  /** Stops to listen, and closes all links once what was sent has arrived. */
+  /** Stops to listen, and closes all links once what had come is answered and what was sent has arrived. */
   async close(): Promise<void> {
+    // Over a link that is being closed no answer goes out any more, not even a refusal.
+    await readArrived();
     this.isClosing = true;
     const closed = new Promise<void>((resolve) => {
       this.web.close(() => resolve());
