A change of an instance's limits cuts no request under way

Seen, by test with a whole fleet: a write that an instance worked on when a configuration with another `maxConns` came into force ended UNKNOWN, though nothing had happened to it: the holder replaced the instance by a new one of itself and closed all connections. A heartbeat with another number of slots, also one of another writer, did the same.

Change: limits of the same life of an instance are taken on in place: slots of the queue (running requests are not touched) and the pool's limit (what is above it is closed once it idles). Another address or start still means other connections.

--- a/src/daemon/backend/connectionPool.ts
+++ b/src/daemon/backend/connectionPool.ts
@@ -49,7 +49,7 @@
   constructor(
     private readonly target: BackendTarget,
     private readonly protocol: BackendProtocol,
-    private readonly limits: PoolLimits,
+    private limits: PoolLimits,
     private readonly timer: TimerService,
   ) {
     this.stopHeartbeats = timer.subscribe(HEARTBEAT_INTERVAL_MS, (nowMs) => this.check(nowMs));
@@ -60,6 +60,15 @@
     return this.open.size + this.openingCount;
   }
 
+  /** Changes the limits; connections above them are closed once they are given back. */
+  setLimits(limits: PoolLimits): void {
+    this.limits = limits;
+    while (this.size > limits.maximumConnections && this.idle.length > 0) {
+      this.idle.shift()?.connection.close();
+    }
+    this.openMissing();
+  }
+
   /** Gives the waiter an idle connection or opens one. */
   acquire(waiter: ConnectionWaiter): void {
     const connection = this.takeIdle(waiter.account);
@@ -80,7 +89,8 @@
 
   /** Takes a connection back; one that is worn or unclean is closed. */
   release(connection: BackendLink, reusable: boolean): void {
-    if (this.closed || !reusable || connection.isWorn) {
+    const isTooMany = this.size > this.limits.maximumConnections;
+    if (this.closed || !reusable || connection.isWorn || isTooMany) {
       connection.close();
       return;
     }
--- a/src/daemon/holder/heldGroup.ts
+++ b/src/daemon/holder/heldGroup.ts
@@ -290,15 +290,16 @@
     const known = this.instances.get(record.instance);
     const limit = this.context.records.getGroup(this.group)?.connectionLimit;
     const connectionLimit = Math.min(limit ?? record.connectionLimit, record.connectionLimit);
-    const isSame =
-      known?.record.address === record.address &&
-      known.record.slots === record.slots &&
-      known.record.startedMs === record.startedMs &&
-      known.record.connectionLimit === connectionLimit;
+    const isSameLife =
+      known?.record.address === record.address && known.record.startedMs === record.startedMs;
     const limitMs =
       this.context.records.getGroup(this.group)?.transactionLimitMs ?? DEFAULT_TRANSACTION_LIMIT_MS;
-    if (isSame) {
+    if (isSameLife) {
       known.queue.setTransactionLimit(limitMs);
+      const { slots } = known.record;
+      if (slots !== record.slots || known.record.connectionLimit !== connectionLimit) {
+        known.resize({ ...record, connectionLimit });
+      }
       return;
     }
     if (known !== undefined) {
--- a/src/daemon/holder/heldInstance.ts
+++ b/src/daemon/holder/heldInstance.ts
@@ -14,7 +14,12 @@
   type InstanceView,
 } from '../../decisions/routing/index.js';
 import type { SessionPosition } from '../../decisions/sessions/index.js';
-import { ConnectionPool, type BackendTarget, type ProbeAnswer } from '../backend/index.js';
+import {
+  ConnectionPool,
+  type BackendTarget,
+  type PoolLimits,
+  type ProbeAnswer,
+} from '../backend/index.js';
 import type { RequestRouting } from './heldRequest.js';
 import type { HolderContext } from './holderContext.js';
 import { InstanceMonitor, type MonitorListener } from './instanceMonitor.js';
@@ -68,34 +73,50 @@
   private lastDeadMs: number | undefined;
 
   constructor(
-    readonly record: InstanceRecord,
+    private present: InstanceRecord,
     transactionLimitMs: number,
     private readonly context: HolderContext,
     private readonly listener: HeldInstanceListener,
     private readonly clock: PositionClock,
     expectsPrimary: boolean,
   ) {
+    const { record } = this;
     this.queue = new InstanceQueue({ slots: record.slots, limits: { transactionLimitMs } });
-    const limits = {
-      maximumConnections: this.maximumConnections,
-      warmConnections: Math.min(record.slots, this.maximumConnections),
-      openTimeoutMs: OPEN_TIMEOUT_MS,
-    };
     const { protocol, timer } = context;
     const target: BackendTarget = {
       address: record.address,
       group: record.group,
       instance: record.instance,
     };
-    this.pool = new ConnectionPool(target, protocol, limits, timer);
+    this.pool = new ConnectionPool(target, protocol, this.poolLimits, timer);
     this.pool.onCondemned = () => this.noteSilence();
     this.monitor = new InstanceMonitor(target, protocol, timer, this, expectsPrimary);
   }
 
+  /** What control says of it. */
+  get record(): InstanceRecord {
+    return this.present;
+  }
+
   get id(): InstanceId {
     return this.record.instance;
   }
 
+  /** Takes on other limits of the same life; what runs and its connections are not touched. */
+  resize(record: InstanceRecord): void {
+    this.present = record;
+    this.pool.setLimits(this.poolLimits);
+    this.apply(this.queue.setSlots(record.slots, this.context.timer.now()));
+  }
+
+  private get poolLimits(): PoolLimits {
+    return {
+      maximumConnections: this.maximumConnections,
+      warmConnections: Math.min(this.record.slots, this.maximumConnections),
+      openTimeoutMs: OPEN_TIMEOUT_MS,
+    };
+  }
+
   /** Connections for requests: a part is left to the next holder, should this one be lost in the dark. */
   private get maximumConnections(): number {
     const { connectionLimit } = this.record;
