--- a/src/common/timer/index.ts
+++ b/src/common/timer/index.ts
@@ -1,4 +1,3 @@
-export * from './afterPendingInput.js';
 export * from './adaptiveTick.js';
 export * from './timerService.js';
 export * from './suspensionDetector.js';
