A stopping gateway goes on to accept callers, to tell them why they are refused

Cause: the listener was closed two turns of the event loop after the stop began; callers that connected meanwhile, told by the others' refusals to connect again, were reset in the accept queue. Change: it listens until the last caller is gone, refuses each with a reason, and callers that start count as callers.

--- a/src/daemon/gateway/callerServer.ts
+++ b/src/daemon/gateway/callerServer.ts
@@ -56,7 +56,7 @@
   }
 
   override get count(): number {
-    return this.sessions.size;
+    return this.sessions.size + this.starting.size;
   }
 
   override get port(): number {
@@ -83,7 +83,6 @@
 
   override drain(): void {
     this.draining = true;
-    void this.stopListening();
     for (const startup of [...this.starting]) {
       startup.refuse(this.createDrainFault());
     }
@@ -102,13 +101,14 @@
 
   override close(): void {
     this.drain();
+    void this.stopListening();
     const fault = createFault(Diagnostics.ShuttingDown, {}, { step: 'caller.close' });
     for (const session of [...this.sessions]) {
       session.fail(fault);
     }
   }
 
-  /** Connections that wait to be accepted would be reset, with what their callers sent. */
+  /** Connections that wait to be accepted would be reset, with what their callers sent: they are refused first. */
   private async stopListening(): Promise<void> {
     await readArrived();
     this.server.close();
