--- a/tests/platform/stoppingCallers.test.ts
+++ b/tests/platform/stoppingCallers.test.ts
@@ -1,11 +1,15 @@
 import fc from 'fast-check';
 import { afterEach, beforeEach, expect, test } from 'vitest';
-import { FrontHost, type RawCaller } from './stoppingCallers.js';
+import { FrontHost, holdLoop, type RawCaller } from './stoppingCallers.js';
 
 const SEED = 20261205;
 const BUSY = /^ERROR BUSY FP2003[^\r]*\r\n$/;
 const REFUSED = /^ERROR BUSY FP2003[^\r]*\r\nREADY I -\r\n$/;
 const ANSWERED = /^ROW row\r\nDONE signature\r\nREADY I -\r\n/;
+/** Longer than a caller that was told of the end is waited for. */
+const LEAVE_MS = 1200;
+/** Longer than what was cancelled has to be answered. */
+const CANCEL_MS = 300;
 
 let host: FrontHost;
 
@@ -121,6 +125,38 @@
   expect(host.requests.passed).toHaveLength(1);
 });
 
+test('a request that lies unread when the time to leave is over is refused before the end', async () => {
+  const caller = await host.open();
+  host.front.drain();
+  await host.until(() => caller.received !== '');
+  await host.turn(1);
+  caller.send('QUERY 1 PUT a b\r\n');
+  holdLoop(LEAVE_MS);
+  await host.until(() => caller.hasEnded);
+  expect(caller.received).toMatch(REFUSED);
+  expect(host.requests.passed).toEqual([]);
+});
+
+test('a request that lies unread when a cancelled one is cut is refused before the end', async () => {
+  host.requests.answersAtOnce = false;
+  const caller = await host.open();
+  caller.send('QUERY 1 FETCH a\r\n');
+  await host.until(() => host.requests.passed.length === 1);
+  host.front.drain();
+  host.front.close();
+  await host.turn(3);
+  host.requests.passed[0]?.answer();
+  await host.until(() => caller.isTold);
+  await host.turn(1);
+  caller.send('QUERY 2 PUT a b\r\n');
+  holdLoop(CANCEL_MS);
+  await host.until(() => caller.hasEnded);
+  const [answer = '', refusal = ''] = caller.received.split(/(?<=READY I -\r\n)/);
+  expect(answer).toMatch(ANSWERED);
+  expect(refusal).toMatch(REFUSED);
+  expect(host.requests.passed).toHaveLength(1);
+});
+
 /** Whole replies and refusals in what a caller was sent, without the farewell to an idle one. */
 function countReplies({ received }: RawCaller): number {
   return received.split('READY ').length - 1;
--- a/tests/platform/stoppingCallers.ts
+++ b/tests/platform/stoppingCallers.ts
@@ -21,6 +21,11 @@
 
 const TURNS = 200;
 
+/** Holds the event loop, as a host without a processor does. */
+export function holdLoop(durationMs: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, durationMs);
+}
+
 /** A request that the front passed on; the test says how it ends. */
 export class PassedRequest extends RunningRequest {
   isCancelled = false;
