A write that runs when its caller's session is ended is not called not run

Callers of the PostgreSQL gateway would see: FATAL with the detail "not run" for a write that was under way when its key was withdrawn or the grace time of a stop was over, though it may be kept. Cause: a fault says "not run" unless it says otherwise, and the fault that ends a session (`close()`, `recordsChanged()`, bytes that can't be read) was passed on as the answer to what runs. Ruled out: `finish()` and `setDraining()`, which wait until nothing runs; statements inside a transaction that don't commit, which is rolled back. Change: while a batch runs that may change data for good, the last error says "unknown".

--- a/src/daemon/gateway/callerSession.ts
+++ b/src/daemon/gateway/callerSession.ts
@@ -1,4 +1,4 @@
-import { Diagnostics, Execution, Fault } from '../../common/diagnostics/index.js';
+import { createFault, Diagnostics, Execution, Fault } from '../../common/diagnostics/index.js';
 import type { GroupId } from '../../common/ids/index.js';
 import { advanceSession } from '../../decisions/sessions/index.js';
 import {
@@ -36,6 +36,8 @@
   private lastStatus = TransactionStatus.Idle;
   /** The batch that runs ends the transaction. */
   private ending = false;
+  /** The batch that runs may change data for good. */
+  private committing = false;
   private transaction: string | undefined;
   /** The transaction was lost; the caller has not ended it yet. */
   private failed = false;
@@ -127,10 +129,11 @@
     }
   }
 
-  /** Ends the session with a last error. */
+  /** Ends the session with a last error, which answers what runs too. */
   fail(fault: Fault): void {
     if (!this.ended) {
-      this.writer.end(encodeError(fault, Severity.Fatal));
+      const mayBeKept = this.busy && this.committing;
+      this.writer.end(encodeError(mayBeKept ? createUnknown(fault) : fault, Severity.Fatal));
       this.close();
     }
   }
@@ -236,6 +239,7 @@
     const deadlineMs = this.context.timer.now() + settings.statementTimeoutMs;
     this.busy = true;
     this.ending = draft.kind === RequestKind.End;
+    this.committing = draft.mayCommit;
     const receiver = new SessionReceiver(this.writer, (outcome) => this.answered(outcome));
     const running = this.context.requests.run(draft, batch.executed.length, deadlineMs, receiver);
     receiver.running = running;
@@ -303,6 +307,11 @@
   }
 }
 
+/** Why a session ends, to a caller whose statement may have been run. */
+function createUnknown({ diagnostic, values, step }: Fault): Fault {
+  return createFault(diagnostic, values, { step, execution: Execution.Unknown });
+}
+
 function isLeaseExpired({ diagnostic }: Fault): boolean {
   return diagnostic.code === Diagnostics.LeaseExpired.code;
 }
