--- a/tests/platform/signals.test.ts
+++ b/tests/platform/signals.test.ts
@@ -1,6 +1,8 @@
 import { spawn, spawnSync, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { open } from 'node:fs/promises';
+import { connect } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { afterEach, beforeEach, expect, test } from 'vitest';
@@ -9,6 +11,9 @@
 
 const PROGRAM = new URL('../../dist/platform/start.js', import.meta.url).pathname;
 
+/** After it the platform kills. */
+const GRACE_MS = 6000;
+
 let folder: string;
 let file: string;
 let text: string;
@@ -91,3 +96,19 @@
   writeFileSync(file, text);
   await waitFor(Diagnostics.DaemonStarted.code);
 });
+
+test('a process has ended when its grace time is over, whatever holds its stop up', async () => {
+  writeFileSync(file, text);
+  start();
+  await waitFor(Diagnostics.OperatorsListening.code);
+  const [, host = '', port = ''] = /interface listens on ([\d.]+):(\d+)/.exec(output) ?? [];
+  // A connection without a request keeps a server from closing.
+  const silent = connect({ host, port: Number(port) });
+  silent.on('error', () => undefined);
+  await once(silent, 'connect');
+  child.kill('SIGTERM');
+  const toldMs = performance.now();
+  expect(await ended).toBe(0);
+  expect(performance.now() - toldMs).toBeLessThan(GRACE_MS);
+  silent.destroy();
+});
