--- a/tests/platform/stoppingCallers.test.ts
+++ b/tests/platform/stoppingCallers.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
 import { afterEach, beforeEach, expect, test } from 'vitest';
+import { createFault, Diagnostics } from '../../src/common/diagnostics/index.js';
 import { FrontHost, holdLoop, type RawCaller } from './stoppingCallers.js';
 
 const SEED = 20261205;
@@ -157,6 +158,17 @@
   expect(host.requests.passed).toHaveLength(1);
 });
 
+test('a refused caller that keeps its connection open is reported once', async () => {
+  const refusal = createFault(Diagnostics.RouteUnknown, { database: 'x' }, { step: 'test' });
+  host.access.refusal = refusal;
+  const caller = await host.connect();
+  caller.send('CONNECT nowhere key\r\n');
+  await host.until(() => caller.received !== '');
+  host.front.recordsChanged();
+  host.front.recordsChanged();
+  expect(host.lines.filter((line) => line.includes('code=FP'))).toHaveLength(1);
+});
+
 /** Whole replies and refusals in what a caller was sent, without the farewell to an idle one. */
 function countReplies({ received }: RawCaller): number {
   return received.split('READY ').length - 1;
--- a/tests/platform/stoppingCallers.ts
+++ b/tests/platform/stoppingCallers.ts
@@ -1,5 +1,5 @@
 import { connect, type Socket } from 'node:net';
-import { ok, type Result } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
 import { LineForm } from '../../platform/lines/callerText.js';
 import { LineCallerFront } from '../../platform/lines/lineCallerFront.js';
 import { LINE_ENCODING } from '../../platform/lines/lineWord.js';
@@ -93,12 +93,16 @@
   }
 }
 
-/** Grants every caller the same route. */
+/** Grants every caller the same route, or none. */
 class OpenAccess {
   isKnown = true;
+  refusal: Fault | undefined;
   readonly revision: Revision = toRevision(1);
 
   tryGrant(): Result<SessionGrant, Fault> {
+    if (this.refusal !== undefined) {
+      return err(this.refusal);
+    }
     const route = { kind: SubjectKind.Route, route: 'r', group: toGroupId('g') };
     return ok({ account: toAccountId('mill'), route: route as unknown as RouteState });
   }
