A request given up while it waits for its acknowledgement leaves its connection alone

Callers would see: a write of unknown outcome, or a transaction lost, because another caller left, cancelled, or had its statement cancelled by a stopping entry host. Cause: a committed write that waits for a replica has given its connection back, but a cancel still went to that connection, and the line protocol cancels by closing it: what runs there by then is another request. Ruled out: the deadline (`endOverdue` looks at `endedMs`), flow control (`consume` does too). Change: what has run isn't cancelled any more; its answer comes with the acknowledgement or its deadline.

--- a/src/daemon/holder/groupRequests.test.ts
+++ b/src/daemon/holder/groupRequests.test.ts
@@ -8,13 +8,19 @@
   toLeaseId,
   toLogPosition,
   toRequestId,
+  toRevision,
   toTerm,
   type RequestId,
 } from '../../common/ids/index.js';
 import { Logger, RequestLog } from '../../common/logging/index.js';
 import { Metrics } from '../../common/metrics/index.js';
 import { ManualTimerService } from '../../common/timer/index.js';
-import { DaemonRecords, RecordKind, type InstanceRecord } from '../../decisions/control/index.js';
+import {
+  DaemonRecords,
+  PrimaryPhase,
+  RecordKind,
+  type InstanceRecord,
+} from '../../decisions/control/index.js';
 import { PositionClock, RouteKind } from '../../decisions/routing/index.js';
 import {
   BackendLink,
@@ -23,7 +29,12 @@
   type ProbeAnswer,
   type BackendExchange,
 } from '../backend/index.js';
-import { RequestKind, ResponseReceiver, type ExecuteRequest } from '../requests/index.js';
+import {
+  RequestKind,
+  ResponseReceiver,
+  TransactionStatus,
+  type ExecuteRequest,
+} from '../requests/index.js';
 import { GroupRequests, type RequestPlaces } from './groupRequests.js';
 import { GroupWrites } from './groupWrites.js';
 import { HeldInstance } from './heldInstance.js';
@@ -41,6 +52,7 @@
   override readonly isClosed = false;
   override readonly isWorn = false;
   running: BackendExchange | undefined;
+  cancels = 0;
 
   override run(exchange: BackendExchange): void {
     this.running = exchange;
@@ -55,6 +67,7 @@
   }
 
   override cancel(): void {
+    this.cancels += 1;
     this.close();
   }
 
@@ -66,9 +79,12 @@
 class ScriptedProtocol extends BackendProtocol {
   override readonly isPerAccount = false;
   override readonly checksMinimum = true;
+  readonly links: ScriptedLink[] = [];
 
   override open(): Promise<BackendLink> {
-    return Promise.resolve(new ScriptedLink());
+    const link = new ScriptedLink();
+    this.links.push(link);
+    return Promise.resolve(link);
   }
 
   override createProbe(): BackendProbe {
@@ -139,7 +155,8 @@
 
 /** Two replicas with one slot each; reads go to the first while fewer than two wait or run there. */
 async function createReplicas() {
-  const context = createContext();
+  const protocol = new ScriptedProtocol();
+  const context = { ...createContext(), protocol };
   const silent = () => undefined;
   const listener = {
     slotGranted: (instance: HeldInstance, id: RequestId) => requests.slotGranted(instance, id),
@@ -171,7 +188,8 @@
     ...{ standingSeen: silent, leadLost: silent, requestEnded: silent },
   };
   const owner = { getReplicaCount: () => 2, setUrgent: silent };
-  const requests = new GroupRequests(context, places, new GroupWrites(GROUP, context, owner));
+  const writes = new GroupWrites(GROUP, context, owner);
+  const requests = new GroupRequests(context, places, writes);
   for (const { pool } of [first, second]) {
     pool.warm(ACCOUNT);
   }
@@ -180,7 +198,7 @@
     isSecondBehind = false;
     requests.retryWaiting();
   };
-  return { first, second, requests, catchUp };
+  return { first, second, requests, writes, links: protocol.links, catchUp };
 }
 
 test('a queued read goes to a free slot once, though it would be routed back from there', async () => {
@@ -202,3 +220,22 @@
   catchUp();
   expect([first.queue.waitingCount, second.queue.runningCount]).toEqual([1, 0]);
 });
+
+test('a write given up while it waits for a replica leaves the request on its connection alone', async () => {
+  const { requests, writes, links } = await createReplicas();
+  const position = { term: toTerm(1), position: toLogPosition(5) };
+  writes.setPrimary({
+    ...{ kind: RecordKind.Primary, group: GROUP, instance: toInstanceId('first') },
+    ...{ term: toTerm(1), phase: PrimaryPhase.Serving, since: toRevision(1), history: [] },
+  });
+  const write = { ...createRequest('w1'), kind: RequestKind.Write, mayCommit: true };
+  const running = requests.execute({ ...write, idempotent: false }, new IgnoringReceiver());
+  const [link] = links;
+  const standing = { ...position, isPrimary: true, received: undefined };
+  link?.running?.ran({ status: TransactionStatus.Idle, failed: false, standing });
+  requests.execute(createRequest('r2'), new IgnoringReceiver());
+  expect(link?.running?.request.id).toBe('r2');
+  running.cancel();
+  running.abandon();
+  expect(link?.cancels).toBe(0);
+});
--- a/src/daemon/holder/groupRequests.ts
+++ b/src/daemon/holder/groupRequests.ts
@@ -316,7 +316,8 @@
   }
 
   private cancel(held: HeldRequest): void {
-    if (held.finished) {
+    // One that has run waits for its acknowledgement; its connection may run another one.
+    if (held.finished || held.endedMs !== undefined) {
       return;
     }
     if (held.startedMs !== undefined) {
