A write that leaves a transaction open may have been kept, and is not called not run

Cause: the fault "a transaction opened inside a statement" says "not run" by default, though the request has run: what comes before the transaction, which is rolled back, may have been committed (a batch of the PostgreSQL gateway whose BEGIN the classifier doesn't see). Change: it says "unknown" where the request may commit.

--- a/src/daemon/holder/groupRequests.test.ts
+++ b/src/daemon/holder/groupRequests.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest';
-import { assertInvariant } from '../../common/diagnostics/index.js';
+import { assertInvariant, Execution } from '../../common/diagnostics/index.js';
 import {
   toAccountId,
   toFailureDomain,
@@ -34,6 +34,7 @@
   ResponseReceiver,
   TransactionStatus,
   type ExecuteRequest,
+  type RequestOutcome,
 } from '../requests/index.js';
 import { GroupRequests, type RequestPlaces } from './groupRequests.js';
 import { GroupWrites } from './groupWrites.js';
@@ -121,6 +122,18 @@
   }
 }
 
+class OutcomeReceiver extends ResponseReceiver {
+  outcome: RequestOutcome | undefined;
+
+  override accept(): void {
+    // Only the end is looked at.
+  }
+
+  override finish(outcome: RequestOutcome): void {
+    this.outcome = outcome;
+  }
+}
+
 class EndlessLease extends HolderLease {
   override readonly id = toLeaseId('l');
   override readonly leftMs = 1000;
@@ -239,3 +252,12 @@
   running.abandon();
   expect(link?.cancels).toBe(0);
 });
+
+test('a write after which a transaction is open may have been kept, and is not called not run', async () => {
+  const { requests, links } = await createReplicas();
+  const write = { ...createRequest('w1'), kind: RequestKind.Write, mayCommit: true };
+  const receiver = new OutcomeReceiver();
+  requests.execute({ ...write, idempotent: false }, receiver);
+  links[0]?.running?.ran({ status: TransactionStatus.Open, failed: false });
+  expect(receiver.outcome?.fault?.execution).toBe(Execution.Unknown);
+});
--- a/src/daemon/holder/groupTransactions.ts
+++ b/src/daemon/holder/groupTransactions.ts
@@ -144,7 +144,9 @@
     held.instance?.complete(held.request.id);
     held.status = TransactionStatus.Idle;
     const feature = 'a transaction opened inside a statement';
-    const context = { step: 'holder.transaction' };
+    // What comes before the transaction that is rolled back may have been committed.
+    const execution = held.request.mayCommit ? Execution.Unknown : Execution.NotRun;
+    const context = { step: 'holder.transaction', execution };
     held.fail(
       createFault(Diagnostics.FeatureNotSupported, { feature }, context),
       this.getDetails(),
