--- a/tests/platform/stoppingCallers.ts
+++ b/tests/platform/stoppingCallers.ts
@@ -1,5 +1,5 @@
 import { connect, type Socket } from 'node:net';
-import { ok, type Result } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
 import { LineForm } from '../../platform/lines/callerText.js';
 import { LineCallerFront } from '../../platform/lines/lineCallerFront.js';
 import { LINE_ENCODING } from '../../platform/lines/lineWord.js';
@@ -21,6 +21,11 @@
 
 const TURNS = 200;
 
+/** Holds the event loop, as a host without a processor does. */
+export function holdLoop(durationMs: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, durationMs);
+}
+
 /** A request that the front passed on; the test says how it ends. */
 export class PassedRequest extends RunningRequest {
   isCancelled = false;
@@ -88,12 +93,16 @@
   }
 }
 
-/** Grants every caller the same route. */
+/** Grants every caller the same route, or none. */
 class OpenAccess {
   isKnown = true;
+  refusal: Fault | undefined;
   readonly revision: Revision = toRevision(1);
 
   tryGrant(): Result<SessionGrant, Fault> {
+    if (this.refusal !== undefined) {
+      return err(this.refusal);
+    }
     const route = { kind: SubjectKind.Route, route: 'r', group: toGroupId('g') };
     return ok({ account: toAccountId('mill'), route: route as unknown as RouteState });
   }
