Rates: a planned move hands the account's tokens over

Cause: the bucket of the new holder began empty after each move, though the old holder reports a release only once every grant is over and knows what is left. Now the tokens left go with the release through the control log to the holder that is named next, which uses them once, also when its lease is in doubt meanwhile. A lost holder still leaves nothing. Ruled out: too low a rate, as the account is served at the same rate before and after the stops.

New tests: 2 of 3 in heldAccounts and 1 in controlState fail on the old code; the third guards against using tokens twice.

--- a/bench/experiment/tokenFleet.ts
+++ b/bench/experiment/tokenFleet.ts
@@ -43,6 +43,8 @@
   private readonly limits = new Map<AccountId, AccountLimit>();
   private readonly indexOf = new Map<HostId, number>();
   private readonly costs = new Map<RequestId, number>();
+  /** Tokens that went with a release, until the next holder is named. */
+  private readonly handedOver = new Map<AccountId, number>();
 
   constructor(
     readonly loop: EventLoop,
@@ -158,13 +160,16 @@
 
   private takeOver(account: AccountId, assignment: FleetAssignment): void {
     const { daemon, lease } = assignment;
+    const tokens = this.handedOver.get(account) ?? 0;
+    this.handedOver.delete(account);
     this.whenAwake(daemon, () => {
       const limit = this.limits.get(account);
       const isPresent = this.control.getAssignment(account) === assignment;
       if (isPresent && daemon.lease === lease && limit !== undefined) {
         const leaseEndMs = daemon.getLeaseEndMs();
         const assignedMs = this.localNow(daemon);
-        const options = { account, lease: lease.id, limit, assignedMs, leaseEndMs };
+        const held = { account, lease: lease.id, limit, tokens };
+        const options = { ...held, assignedMs, leaseEndMs };
         daemon.buckets.set(account, this.factory.createBucket(options));
       }
     });
@@ -202,6 +207,7 @@
     bucket.setLeaseEnd(daemon.getLeaseEndMs());
     this.performBucket(daemon, bucket.tick(nowMs));
     if (this.getBucket(bucket.account) === bucket && bucket.release(nowMs)) {
+      this.handedOver.set(bucket.account, Math.max(0, bucket.getAvailable()));
       this.control.release(bucket.account);
     }
   }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -87,6 +87,7 @@
       reports: this.holder.getReports(),
       releasedGroups: this.holder.releasedGroups,
       releasedAccounts: this.rates.releasedAccounts,
+      releasedTokens: this.rates.releasedTokens,
       stopping: this.stopping || !settings.roles.includes('entry'),
       ...(this.control === undefined ? {} : this.getMembership(this.control)),
     }));
--- a/src/daemon/lease/leaseTask.ts
+++ b/src/daemon/lease/leaseTask.ts
@@ -49,6 +49,7 @@
   readonly reports: readonly GroupReport[];
   readonly releasedGroups: readonly GroupId[];
   readonly releasedAccounts: readonly AccountId[];
+  readonly releasedTokens?: Readonly<Record<AccountId, number>>;
   readonly stopping: boolean;
   /** This host as a member of the control quorum, when it is to be admitted by itself. */
   readonly member?: ControlMember;
--- a/src/daemon/rates/heldAccounts.test.ts
+++ b/src/daemon/rates/heldAccounts.test.ts
@@ -12,6 +12,7 @@
 import {
   DaemonRecords,
   RecordKind,
+  type AccountAssignment,
   type ControlRecordValue,
 } from '../../decisions/control/index.js';
 import {
@@ -57,11 +58,16 @@
     return this.apply({ kind: RecordKind.Subject, ticket, state }, nowMs);
   }
 
-  assign(draining: boolean, nowMs: number, to: LeaseId = lease): BucketOutput[] {
+  assign(
+    draining: boolean,
+    nowMs: number,
+    to: LeaseId = lease,
+    handedOver: Pick<AccountAssignment, 'tokens'> = {},
+  ): BucketOutput[] {
     const holder = { host, lease: to, address: 'a' };
     const since = toRevision(1);
     const kind = RecordKind.AccountHolder as const;
-    return this.apply({ kind, account: mill, holder, since, draining }, nowMs);
+    return this.apply({ kind, account: mill, holder, since, draining, ...handedOver }, nowMs);
   }
 
   request(sequence: number, nowMs: number, settled: readonly Settlement[] = []): TokenGrant[] {
@@ -174,3 +180,31 @@
     expect.stringMatching(/tokens_returned_total\{account="mill"\} 1$/),
   ]);
 });
+
+test('an account that moves in plan takes its tokens along', () => {
+  const daemon = createDaemon();
+  daemon.assign(false, 0);
+  daemon.assign(true, 100);
+  daemon.held.tick(100);
+  const { [mill]: tokens = 0 } = daemon.held.releasedTokens;
+  expect(tokens).toBeCloseTo(10, 0);
+  const next = createDaemon();
+  next.assign(false, 100, lease, { tokens });
+  expect(next.request(1, 101)).toMatchObject([{ sequence: 1 }]);
+});
+
+test('tokens that were handed over are used once, also when the lease was in doubt meanwhile', () => {
+  const daemon = createDaemon();
+  daemon.assign(false, 0, lease, { tokens: 10 });
+  daemon.lease.leftMs = 0;
+  daemon.held.tick(1);
+  daemon.lease.leftMs = 1000;
+  daemon.assign(false, 2, lease, { tokens: 10 });
+  expect(daemon.request(1, 3)).toEqual([]);
+});
+
+test('a host that is told to go before it granted anything hands on what it was given', () => {
+  const daemon = createDaemon();
+  daemon.assign(true, 0, lease, { tokens: 10 });
+  expect(daemon.held.releasedTokens).toEqual({ [mill]: 10 });
+});
--- a/src/daemon/rates/heldAccounts.ts
+++ b/src/daemon/rates/heldAccounts.ts
@@ -1,4 +1,4 @@
-import type { AccountId, LeaseId } from '../../common/ids/index.js';
+import type { AccountId, LeaseId, Revision } from '../../common/ids/index.js';
 import type { Metrics } from '../../common/metrics/index.js';
 import type { AccountAssignment, DaemonRecords } from '../../decisions/control/index.js';
 import {
@@ -14,7 +14,10 @@
 /** The accounts whose rate is handed out here, under the present lease. */
 export class HeldAccounts {
   private readonly buckets = new Map<AccountId, RateBucket>();
-  private readonly released = new Set<AccountId>();
+  /** Accounts given up, with the tokens that were left. */
+  private readonly released = new Map<AccountId, number>();
+  /** The assignment that each account's last bucket here was for: its tokens may be used once. */
+  private readonly opened = new Map<AccountId, Revision>();
   private readonly early = new EarlyRequests();
   private lease: LeaseId | undefined;
 
@@ -32,7 +35,12 @@
 
   /** Accounts given up under the present lease. */
   get releasedAccounts(): readonly AccountId[] {
-    return [...this.released];
+    return [...this.released.keys()];
+  }
+
+  /** Tokens that were left in the buckets of the accounts given up. */
+  get releasedTokens(): Readonly<Record<AccountId, number>> {
+    return Object.fromEntries(this.released);
   }
 
   /** Takes on an account's limit and assignment. */
@@ -83,7 +91,7 @@
       bucket.setLeaseEnd(leaseEndMs);
       outputs.push(...this.record(bucket, bucket.tick(nowMs)));
       if (bucket.release(nowMs)) {
-        this.giveUp(account);
+        this.giveUp(account, Math.max(0, bucket.getAvailable()));
       }
     }
     return outputs;
@@ -94,7 +102,7 @@
     const bucket = this.buckets.get(account);
     if (draining && bucket === undefined) {
       // Nothing was granted under this lease, so nothing has to run out.
-      this.giveUp(account);
+      this.giveUp(account, this.takeTokens(assignment));
       return [];
     }
     const state = this.records.getAccount(account);
@@ -103,7 +111,7 @@
     }
     const limit = { rate: state.rate, burst: state.burst };
     return bucket === undefined
-      ? this.take(account, lease, limit, nowMs)
+      ? this.take(assignment, lease, limit, nowMs)
       : this.change(bucket, limit, draining, nowMs);
   }
 
@@ -120,22 +128,32 @@
   }
 
   private take(
-    account: AccountId,
+    assignment: AccountAssignment,
     lease: LeaseId,
     limit: AccountLimit,
     nowMs: number,
   ): BucketOutput[] {
     const leaseEndMs = nowMs + this.daemonLease.leftMs;
-    const bucket = new RateBucket({ account, lease, limit, assignedMs: nowMs, leaseEndMs });
+    const { account } = assignment;
+    const tokens = this.takeTokens(assignment);
+    const held = { account, lease, limit, tokens };
+    const bucket = new RateBucket({ ...held, assignedMs: nowMs, leaseEndMs });
     this.buckets.set(account, bucket);
     return this.early
       .take(account, nowMs)
       .flatMap((message) => this.record(bucket, bucket.receive(message, nowMs)));
   }
 
-  private giveUp(account: AccountId): void {
+  /** A lease that was in doubt for a moment finds its assignments again: their tokens are gone by then. */
+  private takeTokens({ account, since, tokens = 0 }: AccountAssignment): number {
+    const isFirst = this.opened.get(account) !== since;
+    this.opened.set(account, since);
+    return isFirst ? tokens : 0;
+  }
+
+  private giveUp(account: AccountId, tokens: number): void {
     this.buckets.delete(account);
-    this.released.add(account);
+    this.released.set(account, tokens);
     this.reportNow();
   }
 
--- a/src/daemon/rates/rateTask.ts
+++ b/src/daemon/rates/rateTask.ts
@@ -74,6 +74,11 @@
     return this.held.releasedAccounts;
   }
 
+  /** Tokens that were left in the buckets of the accounts given up. */
+  get releasedTokens(): Readonly<Record<AccountId, number>> {
+    return this.held.releasedTokens;
+  }
+
   /** Admits a request, perhaps after a wait. */
   admit(request: AdmissionRequest, callback: AdmissionCallback): void {
     this.noteUse();
--- a/src/decisions/control/accountAssignment.ts
+++ b/src/decisions/control/accountAssignment.ts
@@ -10,4 +10,6 @@
   /** Revision at which the holder was assigned; the release's when there is none. */
   readonly since: Revision;
   readonly draining: boolean;
+  /** Tokens that the holder before handed over with its release, for this holder alone. */
+  readonly tokens?: number;
 }
--- a/src/decisions/control/assignmentBook.ts
+++ b/src/decisions/control/assignmentBook.ts
@@ -3,7 +3,7 @@
 import type { AccountAssignment } from './accountAssignment.js';
 import type { RetireLease } from './command.js';
 import type { Assignment } from './assignment.js';
-import type { AssignmentCommand } from './assignmentCommand.js';
+import type { AssignmentCommand, ReleaseAccount, ReleaseGroup } from './assignmentCommand.js';
 import { CommandKind } from './commandKind.js';
 import type { GroupAssignment } from './groupAssignment.js';
 import type { Holder } from './holder.js';
@@ -114,7 +114,7 @@
     if (this.retired.has(holder.lease)) {
       return false;
     }
-    this.records.set({ ...empty, holder, since: revision }, revision);
+    this.records.set({ ...empty, ...getTokens(present), holder, since: revision }, revision);
     this.index(name, holder);
     return true;
   }
@@ -130,14 +130,15 @@
 
   private release(
     name: string,
-    command: { readonly lease: LeaseId; readonly expected: Revision },
+    command: ReleaseGroup | ReleaseAccount,
     revision: Revision,
   ): boolean {
     const present = this.find(name);
     if (present?.holder?.lease !== command.lease || !this.isAt(name, command.expected)) {
       return false;
     }
-    this.free(name, present, revision);
+    const tokens = command.kind === CommandKind.ReleaseAccount ? command.tokens : undefined;
+    this.free(name, present, revision, tokens);
     return true;
   }
 
@@ -160,13 +161,14 @@
     return names.length > 0;
   }
 
-  private free(name: string, present: Assignment, revision: Revision): void {
+  private free(name: string, present: Assignment, revision: Revision, tokens?: number): void {
     const lease = present.holder?.lease;
     const empty =
       present.kind === RecordKind.GroupHolder
         ? createGroup(present.group)
         : createAccount(present.account);
-    this.records.set({ ...empty, since: revision }, revision);
+    const left = tokens === undefined ? {} : { tokens };
+    this.records.set({ ...empty, ...left, since: revision }, revision);
     if (lease !== undefined) {
       this.unindex(name, lease);
     }
@@ -198,6 +200,12 @@
   }
 }
 
+function getTokens(present: Assignment | undefined): { readonly tokens?: number } {
+  return present?.kind === RecordKind.AccountHolder && present.tokens !== undefined
+    ? { tokens: present.tokens }
+    : {};
+}
+
 function getName(assignment: Assignment): string {
   return assignment.kind === RecordKind.GroupHolder
     ? getGroupHolderRecordName(assignment.group)
--- a/src/decisions/control/assignmentCommand.ts
+++ b/src/decisions/control/assignmentCommand.ts
@@ -48,6 +48,8 @@
   readonly account: AccountId;
   readonly lease: LeaseId;
   readonly expected: Revision;
+  /** Tokens left in its bucket, which nobody can use any more; none when left out. */
+  readonly tokens?: number;
 }
 
 /** A command that changes who holds a resource. */
--- a/src/decisions/control/controlState.test.ts
+++ b/src/decisions/control/controlState.test.ts
@@ -2,6 +2,7 @@
 import { pack, unpack } from 'msgpackr';
 import { expect, test } from 'vitest';
 import {
+  toAccountId,
   toFailureDomain,
   toHostId,
   toGroupId,
@@ -15,6 +16,7 @@
 } from '../../common/ids/index.js';
 import { Diagnostics } from '../../common/diagnostics/index.js';
 import { getCanonicalContent, SubjectKind, type Ticket } from '../tickets/index.js';
+import type { Holder } from './holder.js';
 import {
   CommandKind,
   ControlState,
@@ -26,6 +28,7 @@
   type ControlSnapshot,
   type TicketAnswer,
 } from './index.js';
+import { getAccountHolderRecordName } from './recordNames.js';
 
 const SEED = 20261204;
 
@@ -209,6 +212,29 @@
   expect(log.apply(late)).toMatchObject({ refusal: Diagnostics.CommandOutdated.code });
 });
 
+test('tokens of a released account go to the next holder, and no further', () => {
+  const log = new Log();
+  const account = toAccountId('mill');
+  const [first, second] = ['l1', 'l2'].map((lease) => ({
+    ...{ host: toHostId('h'), lease: toLeaseId(lease), address: 'x' },
+  })) as [Holder, Holder];
+  const assign = (holder: Holder) => {
+    const expected = log.state.getRecordRevision(getAccountHolderRecordName(account));
+    return log.apply({ kind: CommandKind.AssignAccount, account, holder, expected });
+  };
+  assign(first);
+  const release = {
+    ...({ kind: CommandKind.ReleaseAccount, account, lease: first.lease, tokens: 7 } as const),
+    expected: log.revision,
+  };
+  expect(log.apply(release).changed).toBe(true);
+  expect(assign(second).changed).toBe(true);
+  expect(log.state.getAccountAssignment(account)).toMatchObject({ holder: second, tokens: 7 });
+  log.apply({ kind: CommandKind.RetireLease, lease: second.lease });
+  assign({ ...first, lease: toLeaseId('l3') });
+  expect(log.state.getAccountAssignment(account)?.tokens).toBeUndefined();
+});
+
 test('a promotion is refused when the holder or the term has changed meanwhile', () => {
   const log = new Log();
   const group = toGroupId('g');
--- a/src/decisions/control/leader/renewalIntake.ts
+++ b/src/decisions/control/leader/renewalIntake.ts
@@ -1,5 +1,5 @@
 import { Diagnostics } from '../../../common/diagnostics/index.js';
-import type { LeaseId } from '../../../common/ids/index.js';
+import type { AccountId, LeaseId } from '../../../common/ids/index.js';
 import { RenewalOutcome } from '../../leases/daemonLeases.js';
 import { InstanceRole, type Announcement } from '../announcement.js';
 import type { Assignment } from '../assignment.js';
@@ -226,7 +226,9 @@
       if (this.speaksFor(renewal, state.getAccountAssignment(account))) {
         const name = getAccountHolderRecordName(account);
         const expected = state.getRecordRevision(name);
-        const command = { kind: CommandKind.ReleaseAccount, account, lease, expected } as const;
+        const tokens = getReleasedTokens(renewal, account);
+        const kind = CommandKind.ReleaseAccount;
+        const command = { kind, account, lease, expected, tokens } as const;
         outbox.propose(name, command, nowMs);
       }
     }
@@ -240,3 +242,9 @@
     );
   }
 }
+
+/** What a daemon reports comes over the mesh: anything but a number of tokens counts as none. */
+function getReleasedTokens({ releasedTokens }: LeaseRenewal, account: AccountId): number {
+  const tokens: unknown = releasedTokens?.[account];
+  return typeof tokens === 'number' && tokens > 0 && Number.isFinite(tokens) ? tokens : 0;
+}
--- a/src/decisions/control/leaseRenewal.ts
+++ b/src/decisions/control/leaseRenewal.ts
@@ -35,6 +35,8 @@
   /** Resources that the daemon gave up: it acts on them no more. */
   readonly releasedGroups: readonly GroupId[];
   readonly releasedAccounts: readonly AccountId[];
+  /** Tokens left in the buckets of released accounts; none where left out. */
+  readonly releasedTokens?: Readonly<Record<AccountId, number>>;
   /** The daemon takes no resources and gives up those it has: it is stopping or no entry host. */
   readonly stopping: boolean;
   /** The sender as a member of the control quorum, when it is to be admitted by itself. */
--- a/src/decisions/limits/rateBucket.ts
+++ b/src/decisions/limits/rateBucket.ts
@@ -27,7 +27,7 @@
 /**
  * The bucket of one account at the account's holder. It hands out the account's rate in small
  * grants, none of which outlives the holder's lease or the release of the account. It therefore
- * starts at once, and empty: every grant of an earlier holder is over.
+ * starts at once, with what an earlier holder handed over: every grant of that one is over.
  */
 export class RateBucket {
   readonly account: AccountId;
@@ -51,7 +51,7 @@
     this.lease = options.lease;
     this.limit = options.limit;
     this.leaseEndMs = options.leaseEndMs;
-    this.pool = this.createPool(options.limit, options.assignedMs);
+    this.pool = this.createPool(options.limit, options.assignedMs, options.tokens);
     this.sweptMs = options.assignedMs;
     this.startedMs = options.assignedMs;
   }
@@ -140,9 +140,9 @@
     return Math.min(this.leaseEndMs, this.drainEndMs);
   }
 
-  /** Creates the pool that is empty at `startMs`. */
-  protected createPool(limit: AccountLimit, startMs: number): TokenPool {
-    return new TokenPool(limit, startMs);
+  /** Creates the pool that has these tokens at `startMs`. */
+  protected createPool(limit: AccountLimit, startMs: number, tokens?: number): TokenPool {
+    return new TokenPool(limit, startMs, tokens);
   }
 
   /** Closes a grant once; later settlements of it change nothing. */
--- a/src/decisions/limits/rateBucketOptions.ts
+++ b/src/decisions/limits/rateBucketOptions.ts
@@ -11,4 +11,6 @@
   readonly assignedMs: number;
   /** When the lease ends, by this daemon's clock; see `RateBucket.setLeaseEnd`. */
   readonly leaseEndMs: number;
+  /** Tokens that the holder before handed over; none when left out. */
+  readonly tokens?: number;
 }
--- a/src/decisions/limits/tokenPool.ts
+++ b/src/decisions/limits/tokenPool.ts
@@ -13,12 +13,14 @@
   protected outstanding = 0;
   protected refilledMs: number;
 
-  /** Starts empty; refills from `startMs` on. */
+  /** Starts with tokens that an earlier holder handed over; refills from `startMs` on. */
   constructor(
     protected limit: AccountLimit,
     startMs: number,
+    tokens = 0,
   ) {
     this.refilledMs = startMs;
+    this.available = Math.min(tokens, limit.burst);
   }
 
   /** Tokens that can be granted now; negative while a lowered burst is exceeded. */
