Holder: single statements go on while a group that moves waits for its transactions

Cause: a holder that is told to give a group up refused everything at once (FP3011) and then waited for the open transactions of other callers, 81 to 1412 ms, 545 to 698 on the mean. Nobody served the group meanwhile, and each refused request was sent to it again every 10 ms over the mesh, to a host that had no processor time left. Now it opens no more transactions, serves single statements until none is open, and takes nothing new only then; entry hosts keep new transactions for the next holder and don't ask one that gives up. Ruled out: the time until control names the next holder (17 to 74 ms) and until it takes the group (17 to 230 ms).

Tests: one of a group's requests, one of the dispatcher; both fail on the old code.

--- a/src/daemon/entry/dispatcher.ts
+++ b/src/daemon/entry/dispatcher.ts
@@ -4,6 +4,7 @@
 import type { GroupHolder, HolderLease } from '../holder/index.js';
 import {
   createRefusedOutcome,
+  RequestKind,
   type ExecuteRequest,
   type RequestIds,
   type ResponseReceiver,
@@ -102,7 +103,10 @@
     if (!this.lease.isValid()) {
       return undefined;
     }
-    return this.records.getGroupAssignment(draft.group)?.holder;
+    const assignment = this.records.getGroupAssignment(draft.group);
+    // A holder that gives the group up opens no more transactions: asking it again and again only loads it.
+    const isRefused = assignment?.draining === true && draft.kind === RequestKind.Begin;
+    return isRefused ? undefined : assignment?.holder;
   }
 
   private send(
--- a/src/daemon/entry/entryRequests.test.ts
+++ b/src/daemon/entry/entryRequests.test.ts
@@ -86,6 +86,7 @@
   readonly records = new DaemonRecords();
   /** Attempts that were sent to holders elsewhere. */
   readonly sent: ResponseReceiver[] = [];
+  private revision = 0;
 
   constructor() {
     const { timer, lease } = this;
@@ -116,11 +117,12 @@
   }
 
   /** Another host holds the group of the requests. */
-  assign(): void {
+  assign(draining = false): void {
     const { group } = PATIENT_DRAFT;
     const holder = { host: toHostId('other'), lease: toLeaseId('other.1'), address: 'other' };
-    const value = { kind: RecordKind.GroupHolder, group, holder, draining: false } as const;
-    const revision = toRevision(1);
+    const value = { kind: RecordKind.GroupHolder, group, holder, draining } as const;
+    this.revision += 1;
+    const revision = toRevision(this.revision);
     const name = getGroupHolderRecordName(group);
     this.records.applyRecords([{ name, revision, value: { ...value, since: revision } }], revision);
   }
@@ -238,3 +240,16 @@
   expect(host.sent).toHaveLength(2);
   expect(receiver.outcome?.fault?.execution).toBe(Execution.Unknown);
 });
+
+test('a holder that gives a group up is not asked for new transactions, and for all else', () => {
+  const host = new EntryHost();
+  host.assign(true);
+  host.run({ account: OPEN_ACCOUNT, kind: RequestKind.Begin });
+  host.timer.advance(TARGET_MS);
+  expect(host.sent).toHaveLength(0);
+  host.run({ account: OPEN_ACCOUNT });
+  expect(host.sent).toHaveLength(1);
+  host.assign();
+  host.timer.advance(TARGET_MS);
+  expect(host.sent).toHaveLength(2);
+});
--- a/src/daemon/holder/groupRequests.test.ts
+++ b/src/daemon/holder/groupRequests.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest';
-import { assertInvariant } from '../../common/diagnostics/index.js';
+import { assertInvariant, createFault, Diagnostics } from '../../common/diagnostics/index.js';
 import {
   toAccountId,
   toFailureDomain,
@@ -23,7 +23,12 @@
   type ProbeAnswer,
   type BackendExchange,
 } from '../backend/index.js';
-import { RequestKind, ResponseReceiver, type ExecuteRequest } from '../requests/index.js';
+import {
+  RequestKind,
+  ResponseReceiver,
+  type ExecuteRequest,
+  type RequestOutcome,
+} from '../requests/index.js';
 import { GroupRequests, type RequestPlaces } from './groupRequests.js';
 import { GroupWrites } from './groupWrites.js';
 import { HeldInstance } from './heldInstance.js';
@@ -105,6 +110,22 @@
   }
 }
 
+class KeepingReceiver extends ResponseReceiver {
+  outcome: RequestOutcome | undefined;
+
+  get code(): number | undefined {
+    return this.outcome?.fault?.code;
+  }
+
+  override accept(): void {
+    // The answers aren't looked at.
+  }
+
+  override finish(outcome: RequestOutcome): void {
+    this.outcome = outcome;
+  }
+}
+
 class EndlessLease extends HolderLease {
   override readonly id = toLeaseId('l');
   override readonly leftMs = 1000;
@@ -202,3 +223,20 @@
   catchUp();
   expect([first.queue.waitingCount, second.queue.runningCount]).toEqual([1, 0]);
 });
+
+test('single statements go on while the transactions of a group that moves come to their end', async () => {
+  const { requests } = await createReplicas();
+  const moved = createFault(Diagnostics.HolderMoved, { group: GROUP }, { step: 'holder.group' });
+  const begin = { ...createRequest('b1'), kind: RequestKind.Begin, idempotent: false };
+  const [read, late] = [new KeepingReceiver(), new KeepingReceiver()];
+  requests.execute(begin, new IgnoringReceiver());
+  expect(requests.get(begin.id)?.startedMs).toBeDefined();
+  requests.closeAfterTransactions(moved);
+  requests.execute(createRequest('r1'), read);
+  requests.execute({ ...begin, id: toRequestId('b2') }, late);
+  expect([read.code, late.code]).toEqual([undefined, Diagnostics.HolderMoved.code]);
+  requests.get(begin.id)?.fail(moved, { nowMs: 1 });
+  requests.tick(2);
+  expect(read.code).toBe(Diagnostics.HolderMoved.code);
+  expect(requests.isIdle).toBe(true);
+});
--- a/src/daemon/holder/groupRequests.ts
+++ b/src/daemon/holder/groupRequests.ts
@@ -44,6 +44,8 @@
   private readonly requests = new Map<RequestId, HeldRequest>();
   private readonly waiting = new Set<HeldRequest>();
   private closingFault: Fault | undefined;
+  /** Why no more transactions are opened. */
+  private openingFault: Fault | undefined;
   private readonly moves: ReadMoves;
 
   constructor(
@@ -90,15 +92,17 @@
     return new HeldRequestHandle(held, () => this.cancel(held));
   }
 
+  /** Opens no more transactions and closes once none is open; single statements go on until then. */
+  closeAfterTransactions(fault: Fault): void {
+    this.openingFault = fault;
+    this.refuseUnstarted(fault, ({ kind }) => kind === RequestKind.Begin);
+    this.closeWhenQuiet();
+  }
+
   /** Takes no new requests; what has not started is refused as not run. */
   close(fault: Fault): void {
     this.closingFault = fault;
-    for (const held of [...this.requests.values()]) {
-      if (held.startedMs === undefined && held.request.transaction === undefined) {
-        held.instance?.cancel(held.request.id);
-        this.failNotRun(held, fault);
-      }
-    }
+    this.refuseUnstarted(fault, ({ transaction }) => transaction === undefined);
   }
 
   /** Ends every request that is left, as after all connections were closed. */
@@ -128,6 +132,7 @@
 
   /** Refuses what has waited beyond its deadline and ends what runs beyond it. */
   tick(nowMs: number): void {
+    this.closeWhenQuiet();
     for (const held of [...this.requests.values()]) {
       endOverdue(held, nowMs);
     }
@@ -234,8 +239,10 @@
     if (held.finished) {
       return;
     }
-    if (this.closingFault !== undefined) {
-      this.failNotRun(held, this.closingFault);
+    const isOpening = held.request.kind === RequestKind.Begin;
+    const fault = this.closingFault ?? (isOpening ? this.openingFault : undefined);
+    if (fault !== undefined) {
+      this.failNotRun(held, fault);
       return;
     }
     const decision = this.places.route(held);
@@ -297,6 +304,27 @@
     }
   }
 
+  private closeWhenQuiet(): void {
+    if (this.openingFault === undefined || this.closingFault !== undefined) {
+      return;
+    }
+    const isOpening = [...this.requests.values()].some(
+      ({ request, startedMs }) => request.kind === RequestKind.Begin && startedMs !== undefined,
+    );
+    if (this.transactions.count === 0 && !isOpening) {
+      this.close(this.openingFault);
+    }
+  }
+
+  private refuseUnstarted(fault: Fault, isMeant: (request: ExecuteRequest) => boolean): void {
+    for (const held of [...this.requests.values()]) {
+      if (held.startedMs === undefined && isMeant(held.request)) {
+        held.instance?.cancel(held.request.id);
+        this.failNotRun(held, fault);
+      }
+    }
+  }
+
   private releaseAfter(held: HeldRequest): void {
     const { connection, instance, request } = held;
     const opener = this.transactions.get(request.transaction ?? '')?.id ?? request.id;
--- a/src/daemon/holder/heldGroup.ts
+++ b/src/daemon/holder/heldGroup.ts
@@ -123,15 +123,16 @@
     this.move.check(this.writes.primary);
   }
 
-  /** Takes no new requests; what has not started is refused as not run. */
+  /** Opens no more transactions, and takes no requests once none is open: nobody else serves them meanwhile. */
   drain(): void {
     this.draining = true;
-    this.requests.close(this.createMovedFault());
+    this.requests.closeAfterTransactions(this.createMovedFault());
   }
 
   /** Gives the group up at once: closes every connection. */
   stop(): void {
-    this.drain();
+    this.draining = true;
+    this.requests.close(this.createMovedFault());
     this.writes.stop();
     for (const instance of this.instances.values()) {
       instance.stop(this.createMovedFault());
