--- a/src/daemon/holder/groupRequests.test.ts
+++ b/src/daemon/holder/groupRequests.test.ts
@@ -1,5 +1,10 @@
 import { expect, test } from 'vitest';
-import { assertInvariant, Execution } from '../../common/diagnostics/index.js';
+import {
+  assertInvariant,
+  createFault,
+  Diagnostics,
+  Execution,
+} from '../../common/diagnostics/index.js';
 import {
   toAccountId,
   toFailureDomain,
@@ -125,6 +130,10 @@
 class OutcomeReceiver extends ResponseReceiver {
   outcome: RequestOutcome | undefined;
 
+  get code(): number | undefined {
+    return this.outcome?.fault?.code;
+  }
+
   override accept(): void {
     // Only the end is looked at.
   }
@@ -261,3 +270,20 @@
   links[0]?.running?.ran({ status: TransactionStatus.Open, failed: false });
   expect(receiver.outcome?.fault?.execution).toBe(Execution.Unknown);
 });
+
+test('single statements go on while the transactions of a group that moves come to their end', async () => {
+  const { requests } = await createReplicas();
+  const moved = createFault(Diagnostics.HolderMoved, { group: GROUP }, { step: 'holder.group' });
+  const begin = { ...createRequest('b1'), kind: RequestKind.Begin, idempotent: false };
+  const [read, late] = [new OutcomeReceiver(), new OutcomeReceiver()];
+  requests.execute(begin, new IgnoringReceiver());
+  expect(requests.get(begin.id)?.startedMs).toBeDefined();
+  requests.closeAfterTransactions(moved);
+  requests.execute(createRequest('r1'), read);
+  requests.execute({ ...begin, id: toRequestId('b2') }, late);
+  expect([read.code, late.code]).toEqual([undefined, Diagnostics.HolderMoved.code]);
+  requests.get(begin.id)?.fail(moved, { nowMs: 1 });
+  requests.tick(2);
+  expect(read.code).toBe(Diagnostics.HolderMoved.code);
+  expect(requests.isIdle).toBe(true);
+});
--- a/src/decisions/control/assignmentBook.ts
+++ b/src/decisions/control/assignmentBook.ts
@@ -3,7 +3,12 @@
 import type { AccountAssignment } from './accountAssignment.js';
 import type { RetireLease } from './command.js';
 import type { Assignment } from './assignment.js';
-import type { AssignmentCommand, AssignReader } from './assignmentCommand.js';
+import type {
+  AssignmentCommand,
+  AssignReader,
+  ReleaseAccount,
+  ReleaseGroup,
+} from './assignmentCommand.js';
 import { CommandKind } from './commandKind.js';
 import type { ControlRecordValue } from './controlRecord.js';
 import type { GroupAssignment } from './groupAssignment.js';
@@ -133,7 +138,7 @@
     if (this.retired.has(holder.lease)) {
       return false;
     }
-    this.set({ ...empty, holder, since: revision }, revision);
+    this.set({ ...empty, ...getTokens(present), holder, since: revision }, revision);
     return true;
   }
 
@@ -170,14 +175,15 @@
 
   private release(
     name: string,
-    command: { readonly lease: LeaseId; readonly expected: Revision },
+    command: ReleaseGroup | ReleaseAccount,
     revision: Revision,
   ): boolean {
     const present = this.find(name);
     if (present?.holder?.lease !== command.lease || !this.isAt(name, command.expected)) {
       return false;
     }
-    this.free(present, revision);
+    const tokens = command.kind === CommandKind.ReleaseAccount ? command.tokens : undefined;
+    this.free(present, revision, tokens);
     return true;
   }
 
@@ -200,9 +206,10 @@
     return names.length > 0;
   }
 
-  private free(present: Assignment, revision: Revision): void {
+  private free(present: Assignment, revision: Revision, tokens?: number): void {
     this.unindex(present);
-    this.records.set({ ...createEmpty(present), since: revision }, revision);
+    const left = tokens === undefined ? {} : { tokens };
+    this.records.set({ ...createEmpty(present), ...left, since: revision }, revision);
   }
 
   private set(assignment: Assignment, revision: Revision): void {
@@ -280,6 +287,12 @@
   return { kind: RecordKind.InstanceReader, group, instance, since: toRevision(0) };
 }
 
+function getTokens(present: Assignment | undefined): { readonly tokens?: number } {
+  return present?.kind === RecordKind.AccountHolder && present.tokens !== undefined
+    ? { tokens: present.tokens }
+    : {};
+}
+
 function createGroup(group: GroupId): GroupAssignment {
   return { kind: RecordKind.GroupHolder, group, draining: false, since: toRevision(0) };
 }
--- a/src/decisions/control/assignmentCommand.ts
+++ b/src/decisions/control/assignmentCommand.ts
@@ -48,6 +48,8 @@
   readonly account: AccountId;
   readonly lease: LeaseId;
   readonly expected: Revision;
+  /** Tokens left in its bucket, which nobody can use any more; none when left out. */
+  readonly tokens?: number;
 }
 
 /** Gives a replica's reads to a daemon's lease in place of the present one, or back to the holder. */
--- a/src/decisions/control/leader/renewalIntake.ts
+++ b/src/decisions/control/leader/renewalIntake.ts
@@ -1,5 +1,5 @@
 import { Diagnostics } from '../../../common/diagnostics/index.js';
-import type { GroupId, LeaseId } from '../../../common/ids/index.js';
+import type { AccountId, GroupId, LeaseId } from '../../../common/ids/index.js';
 import { RenewalOutcome } from '../../leases/daemonLeases.js';
 import { InstanceRole, type Announcement } from '../announcement.js';
 import type { Assignment } from '../assignment.js';
@@ -253,7 +253,9 @@
       if (this.speaksFor(renewal, state.getAccountAssignment(account))) {
         const name = getAccountHolderRecordName(account);
         const expected = state.getRecordRevision(name);
-        const command = { kind: CommandKind.ReleaseAccount, account, lease, expected } as const;
+        const tokens = getReleasedTokens(renewal, account);
+        const kind = CommandKind.ReleaseAccount;
+        const command = { kind, account, lease, expected, tokens } as const;
         outbox.propose(name, command, nowMs);
       }
     }
@@ -272,3 +274,9 @@
 function isOfLife(departure: Departure, { instance, startedMs }: InstanceRecord): boolean {
   return departure.instance === instance && (departure.startedMs ?? Infinity) >= (startedMs ?? 0);
 }
+
+/** What a daemon reports comes over the mesh: anything but a number of tokens counts as none. */
+function getReleasedTokens({ releasedTokens }: LeaseRenewal, account: AccountId): number {
+  const tokens: unknown = releasedTokens?.[account];
+  return typeof tokens === 'number' && tokens > 0 && Number.isFinite(tokens) ? tokens : 0;
+}
