--- /dev/null
+++ b/src/daemon/holder/replicaReader.test.ts
@@ -0,0 +1,431 @@
+import { expect, test } from 'vitest';
+import { Diagnostics, Execution } from '../../common/diagnostics/index.js';
+import {
+  toAccountId,
+  toFailureDomain,
+  toGroupId,
+  toHostId,
+  toInstanceId,
+  toLeaseId,
+  toLogPosition,
+  toRequestId,
+  toRevision,
+  toTerm,
+} from '../../common/ids/index.js';
+import { Logger, RequestLog } from '../../common/logging/index.js';
+import { Metrics } from '../../common/metrics/index.js';
+import { ManualTimerService } from '../../common/timer/index.js';
+import {
+  DaemonRecords,
+  getRecordName,
+  PrimaryPhase,
+  RecordKind,
+  type ControlRecordValue,
+} from '../../decisions/control/index.js';
+import type { SessionPosition } from '../../decisions/sessions/index.js';
+import {
+  BackendLink,
+  BackendProbe,
+  BackendProtocol,
+  BackendRefusal,
+  type BackendExchange,
+  type ProbeAnswer,
+} from '../backend/index.js';
+import {
+  RequestKind,
+  ResponseReceiver,
+  TransactionStatus,
+  type ExecuteRequest,
+  type RequestOutcome,
+} from '../requests/index.js';
+import { SeededRandom } from '../seededRandom.js';
+import { GroupHolder } from './groupHolder.js';
+import { HolderLease } from './holderLease.js';
+
+const GROUP = toGroupId('ledger');
+const REPLICA = toInstanceId('replica');
+const LEASE = toLeaseId('reader.1');
+const STALENESS_MS = 1500;
+
+/** A connection that keeps what it is to run. */
+class KeepingLink extends BackendLink {
+  override readonly account = undefined;
+  override readonly openedMs = 0;
+  override isClosed = false;
+  override readonly isWorn = false;
+  running: BackendExchange | undefined;
+
+  override run(exchange: BackendExchange): void {
+    this.running = exchange;
+  }
+
+  override heartbeat(onAnswer: () => void): void {
+    onAnswer();
+  }
+
+  override setPaused(): void {
+    // Nothing is read.
+  }
+
+  override cancel(): void {
+    this.close();
+  }
+
+  override close(): void {
+    this.isClosed = true;
+    this.onClosed?.();
+  }
+
+  answer(status = TransactionStatus.Idle): void {
+    const { running } = this;
+    this.running = undefined;
+    running?.ran({ status, failed: false, standing: { ...STANDING } });
+  }
+}
+
+const STANDING: ProbeAnswer = {
+  ...{ isPrimary: undefined, received: undefined },
+  ...{ term: toTerm(1), position: toLogPosition(9) },
+};
+
+class KeepingProtocol extends BackendProtocol {
+  override readonly isPerAccount = false;
+  readonly links: KeepingLink[] = [];
+
+  constructor(override readonly checksMinimum = true) {
+    super();
+  }
+
+  override open(): Promise<BackendLink> {
+    const link = new KeepingLink();
+    this.links.push(link);
+    return Promise.resolve(link);
+  }
+
+  override createProbe(): BackendProbe {
+    return new AnsweringProbe();
+  }
+
+  get running(): readonly KeepingLink[] {
+    return this.links.filter(({ running }) => running !== undefined);
+  }
+
+  get minimums(): readonly (SessionPosition | undefined)[] {
+    return this.running.map(({ running }) => running?.minimum);
+  }
+}
+
+class AnsweringProbe extends BackendProbe {
+  override open(): Promise<boolean> {
+    return Promise.resolve(true);
+  }
+
+  override ask(): Promise<ProbeAnswer> {
+    return Promise.resolve(STANDING);
+  }
+
+  override close(): void {
+    // Nothing is held.
+  }
+}
+
+class SetLease extends HolderLease {
+  override readonly id = LEASE;
+  override readonly leftMs = 1000;
+  valid = true;
+
+  override isValid(): boolean {
+    return this.valid;
+  }
+}
+
+class KeepingReceiver extends ResponseReceiver {
+  outcome: RequestOutcome | undefined;
+
+  override accept(): void {
+    // The bytes aren't looked at.
+  }
+
+  override finish(outcome: RequestOutcome): void {
+    this.outcome = outcome;
+  }
+
+  get refusal(): unknown {
+    const { fault } = this.outcome ?? {};
+    return fault && [fault.code, fault.values.reason, fault.execution];
+  }
+}
+
+/** A daemon that reads a replica of a group held elsewhere. */
+class ReaderHost {
+  readonly timer = new ManualTimerService();
+  readonly lease = new SetLease();
+  readonly records = new DaemonRecords();
+  readonly holder: GroupHolder;
+  /** Numbers of the questions that were sent to the group's holder. */
+  readonly asked: number[] = [];
+  private revision = 0;
+  private count = 0;
+
+  private constructor(readonly protocol: KeepingProtocol) {
+    const { timer, lease, records } = this;
+    const logger = new Logger('error', {}, () => undefined);
+    this.holder = new GroupHolder({
+      ...{ timer, lease, records, logger, protocol, log: new RequestLog(logger, timer) },
+      domain: toFailureDomain('a'),
+      random: new SeededRandom(1),
+      metrics: new Metrics().instances,
+      reportNow: () => undefined,
+    });
+    this.holder.readers.onAsk = (_holder, _group, sequence) => this.asked.push(sequence);
+  }
+
+  static async create(protocol = new KeepingProtocol()): Promise<ReaderHost> {
+    const host = new ReaderHost(protocol);
+    host.set({
+      ...{ kind: RecordKind.Instance, group: GROUP, instance: REPLICA, address: 'replica' },
+      ...{ domain: toFailureDomain('a'), platform: 'p', slots: 2, connectionLimit: 8 },
+    });
+    host.setPrimary('primary');
+    const other = { host: toHostId('holder'), lease: toLeaseId('holder.1'), address: 'holder' };
+    const since = toRevision(1);
+    host.set({ kind: RecordKind.GroupHolder, group: GROUP, holder: other, since, draining: false });
+    host.setReader(LEASE);
+    await host.settle();
+    return host;
+  }
+
+  set(value: ControlRecordValue): void {
+    this.revision += 1;
+    const revision = toRevision(this.revision);
+    this.records.applyRecords([{ name: getRecordName(value), revision, value }], revision);
+    this.holder.recordsChanged();
+  }
+
+  setReader(lease = toLeaseId('other.1')): void {
+    const holder = { host: toHostId('reader'), lease, address: 'reader' };
+    const since = toRevision(1);
+    this.set({ kind: RecordKind.InstanceReader, group: GROUP, instance: REPLICA, holder, since });
+  }
+
+  setPrimary(instance: string, term = 1): void {
+    this.set({
+      ...{ kind: RecordKind.Primary, group: GROUP, instance: toInstanceId(instance) },
+      ...{ phase: PrimaryPhase.Serving, since: toRevision(1), term: toTerm(term), history: [] },
+    });
+  }
+
+  /** Lets answers of connections and probes come, and what follows from them. */
+  async settle(): Promise<void> {
+    for (let round = 0; round < 10; round += 1) {
+      await Promise.resolve();
+      this.timer.advance(1);
+    }
+    this.timer.advance(5);
+    await Promise.resolve();
+  }
+
+  answer(position: number, sequence = this.asked.at(-1) ?? 0, term = 1): void {
+    const acknowledged = { term: toTerm(term), position: toLogPosition(position) };
+    this.holder.readers.positionAnswered(GROUP, sequence, acknowledged);
+  }
+
+  run(fields: Partial<ExecuteRequest> = {}): KeepingReceiver {
+    return this.runUnbounded({ maximumStalenessMs: STALENESS_MS, ...fields });
+  }
+
+  /** Runs a read whose route bounds no age. */
+  runUnbounded(fields: Partial<ExecuteRequest>): KeepingReceiver {
+    this.count += 1;
+    const receiver = new KeepingReceiver();
+    const request: ExecuteRequest = {
+      ...{ id: toRequestId(`r-${this.count}`), group: GROUP, instance: REPLICA, lease: LEASE },
+      ...{ account: toAccountId('mill'), kind: RequestKind.Read, idempotent: true },
+      ...{ mayCommit: false, remainingMs: 2000, closesConnection: false, costClass: 'read' },
+      ...{ prepared: [], payload: new Uint8Array() },
+      ...fields,
+    };
+    this.holder.execute(request, receiver);
+    return receiver;
+  }
+
+  /** Has the reader know a position. */
+  async learn(position: number): Promise<void> {
+    this.timer.advance(250);
+    this.run();
+    this.answer(position);
+    await this.settle();
+  }
+}
+
+function refused(reason: string): unknown {
+  return [Diagnostics.ReaderRefused.code, reason, Execution.NotRun];
+}
+
+test('without a young position a bounded read is refused as not run, and the holder is asked once', async () => {
+  const host = await ReaderHost.create();
+  const first = host.run();
+  const second = host.run();
+  expect([first.refusal, second.refusal]).toEqual([
+    refused('no-fresh-position'),
+    refused('no-fresh-position'),
+  ]);
+  expect(host.asked).toEqual([1]);
+});
+
+test('a read carries the position that was acknowledged when the holder was asked', async () => {
+  const host = await ReaderHost.create();
+  await host.learn(7);
+  const read = host.run();
+  await host.settle();
+  expect(host.protocol.minimums).toEqual([{ term: 1, position: 7 }]);
+  host.protocol.running[0]?.answer();
+  expect(read.outcome).toMatchObject({ onReplica: true, position: { term: 1, position: 9 } });
+});
+
+test('an answer that comes late counts for the time at which the holder was asked', async () => {
+  const host = await ReaderHost.create();
+  host.run();
+  host.timer.advance(STALENESS_MS + 100);
+  host.answer(7, 1);
+  expect(host.run().refusal).toEqual(refused('no-fresh-position'));
+});
+
+test('a read that waited for a slot until its position was too old does not start', async () => {
+  const host = await ReaderHost.create();
+  await host.learn(7);
+  const busy = [host.run(), host.run()];
+  const waiting = host.run();
+  await host.settle();
+  expect(host.protocol.running).toHaveLength(2);
+  host.timer.advance(STALENESS_MS + 50);
+  host.protocol.running[0]?.answer();
+  host.timer.advance(20);
+  expect(busy[0]?.outcome?.fault).toBeUndefined();
+  expect(waiting.refusal).toEqual(refused('no-fresh-position'));
+});
+
+test("a session's own position is asked for besides, and alone where the route bounds no age", async () => {
+  const host = await ReaderHost.create();
+  await host.learn(7);
+  const session = { term: toTerm(1), position: toLogPosition(8) };
+  host.run({ session });
+  host.runUnbounded({ session });
+  await host.settle();
+  expect(host.protocol.minimums).toEqual([session, session]);
+  const future = { term: toTerm(2), position: toLogPosition(1) };
+  expect(host.run({ session: future }).refusal).toEqual(refused('session-unknown'));
+});
+
+test('another primary makes what was known void', async () => {
+  const host = await ReaderHost.create();
+  await host.learn(7);
+  host.timer.advance(250);
+  host.run();
+  host.setPrimary('third', 2);
+  host.answer(7);
+  expect(host.run().refusal).toEqual(refused('no-fresh-position'));
+});
+
+test('a replica that lacks the position leaves the read to the holder', async () => {
+  const host = await ReaderHost.create();
+  await host.learn(7);
+  const read = host.run();
+  await host.settle();
+  host.protocol.running[0]?.running?.declined(BackendRefusal.Behind, TransactionStatus.Idle);
+  host.timer.advance(20);
+  expect(read.refusal).toEqual(refused('behind'));
+});
+
+test('a transaction that only reads stays on one connection', async () => {
+  const host = await ReaderHost.create();
+  await host.learn(7);
+  const begin = host.run({ kind: RequestKind.Begin, readOnly: true });
+  await host.settle();
+  const [link] = host.protocol.running;
+  expect(link?.running?.minimum).toEqual({ term: 1, position: 7 });
+  link?.answer(TransactionStatus.Open);
+  const { transaction } = begin.outcome ?? {};
+  expect(transaction).toBeDefined();
+  const inside = { readOnly: true, ...(transaction === undefined ? {} : { transaction }) };
+  host.run({ ...inside, kind: RequestKind.Inside });
+  await host.settle();
+  expect(host.protocol.running).toEqual([link]);
+  link?.answer(TransactionStatus.Open);
+  const end = host.run({ ...inside, kind: RequestKind.End });
+  await host.settle();
+  expect(host.protocol.running).toEqual([link]);
+  link?.answer();
+  expect(end.outcome?.fault).toBeUndefined();
+});
+
+test('a reader that is replaced answers what runs, ends open transactions and refuses the rest as not run', async () => {
+  const host = await ReaderHost.create();
+  await host.learn(7);
+  const begin = host.run({ kind: RequestKind.Begin, readOnly: true });
+  await host.settle();
+  host.protocol.running[0]?.answer(TransactionStatus.Open);
+  const running = host.run();
+  await host.settle();
+  host.setReader();
+  const moved = host.run();
+  expect(moved.outcome?.fault).toMatchObject({ execution: Execution.NotRun });
+  host.protocol.running[0]?.answer();
+  expect(running.outcome?.fault).toBeUndefined();
+  host.timer.advance(100);
+  expect(host.holder.readers.count).toBe(1);
+  const { transaction = '' } = begin.outcome ?? {};
+  const end = host.run({ kind: RequestKind.End, readOnly: true, transaction });
+  await host.settle();
+  host.protocol.running[0]?.answer();
+  expect(end.outcome?.fault).toBeUndefined();
+  host.timer.advance(100);
+  expect([host.holder.readers.count, host.holder.connectionCount]).toEqual([0, 0]);
+});
+
+test('a replica that becomes primary is read no more', async () => {
+  const host = await ReaderHost.create();
+  await host.learn(7);
+  host.setPrimary(REPLICA, 2);
+  host.timer.advance(100);
+  expect(host.run().outcome?.fault?.execution).toBe(Execution.NotRun);
+  expect(host.holder.readers.count).toBe(0);
+});
+
+test('writes and reads of the latest are not run by a reader', async () => {
+  const host = await ReaderHost.create();
+  await host.learn(7);
+  const write = host.run({ kind: RequestKind.Write, mayCommit: true });
+  const latest = host.run({ latest: true });
+  expect([write.refusal, latest.refusal]).toEqual([refused('unsupported'), refused('unsupported')]);
+});
+
+test('where the instance does not check what it holds, its reader refuses', async () => {
+  const host = await ReaderHost.create(new KeepingProtocol(false));
+  await host.learn(7);
+  expect(host.run().refusal).toEqual(refused('unsupported'));
+});
+
+test('a reader without a lease runs nothing', async () => {
+  const host = await ReaderHost.create();
+  await host.learn(7);
+  host.lease.valid = false;
+  const read = host.run();
+  expect(read.outcome?.fault).toMatchObject({ execution: Execution.NotRun });
+  host.timer.advance(100);
+  expect(host.holder.readers.count).toBe(0);
+});
+
+test('both slots of a replica are kept busy while reads wait', async () => {
+  const host = await ReaderHost.create();
+  await host.learn(7);
+  const reads = Array.from({ length: 6 }, () => host.run());
+  await host.settle();
+  for (let round = 0; round < 3; round += 1) {
+    expect(host.protocol.running).toHaveLength(2);
+    host.protocol.running.forEach((link) => link.answer());
+    await host.settle();
+  }
+  expect(reads.filter(({ outcome }) => outcome?.fault === undefined)).toHaveLength(6);
+  expect(reads.every(({ outcome }) => outcome !== undefined)).toBe(true);
+});
