--- /dev/null
+++ b/src/decisions/control/placement/spareHosts.test.ts
@@ -0,0 +1,72 @@
+import * as fc from 'fast-check';
+import { expect, test } from 'vitest';
+import { toFailureDomain, toHostId } from '../../../common/ids/index.js';
+import { READERS_PER_HOST, SpareHosts } from './index.js';
+
+const SEED = 20261205;
+const HOSTS = 6;
+const DOMAINS = 3;
+
+const steps = fc.array(
+  fc.record({
+    kind: fc.constantFrom('add', 'remove', 'group', 'reader', 'clear'),
+    host: fc.nat(HOSTS - 1),
+    key: fc.nat(7),
+    isPlaced: fc.boolean(),
+  }),
+  { maxLength: 80 },
+);
+
+function getDomain(host: number) {
+  return toFailureDomain(`d${host % DOMAINS}`);
+}
+
+/** The fewest readers of a host that may be given one, and the hosts that have so few. */
+function findLeast(hosts: Set<number>, groups: Map<number, number>, readers: Map<number, number>) {
+  const count = (host: number) => [...readers.values()].filter((each) => each === host).length;
+  const spare = [...hosts].filter(
+    (host) => ![...groups.values()].includes(host) && count(host) < READERS_PER_HOST,
+  );
+  const least = Math.min(...spare.map(count));
+  return { spare, least: spare.filter((host) => count(host) === least) };
+}
+
+test('a spare host holds no group, has the fewest readers and is near where one of them is', () => {
+  const property = fc.property(steps, (sequence) => {
+    const spareHosts = new SpareHosts();
+    const hosts = new Set<number>();
+    const groups = new Map<number, number>();
+    const readers = new Map<number, number>();
+    for (const { kind, host, key, isPlaced } of sequence) {
+      const id = toHostId(`h${host}`);
+      if (kind === 'add') {
+        spareHosts.addHost(id, getDomain(host));
+        hosts.add(host);
+      } else if (kind === 'remove') {
+        spareHosts.removeHost(id);
+        hosts.delete(host);
+      } else if (kind === 'clear') {
+        spareHosts.clear();
+        groups.clear();
+        readers.clear();
+      } else {
+        const places = kind === 'group' ? groups : readers;
+        const place = kind === 'group' ? 'placeGroup' : 'placeReader';
+        spareHosts[place](`k${key}`, isPlaced ? id : undefined);
+        places.delete(key);
+        if (isPlaced) {
+          places.set(key, host);
+        }
+      }
+      const { spare, least } = findLeast(hosts, groups, readers);
+      expect(spareHosts.size).toBe(spare.length);
+      for (let domain = 0; domain < DOMAINS; domain++) {
+        const near = least.filter((each) => each % DOMAINS === domain);
+        const expected = (near.length > 0 ? near : least).map((each) => `h${each}`);
+        const chosen = spareHosts.choose(getDomain(domain));
+        expect(expected.length === 0 ? [undefined] : expected).toContain(chosen);
+      }
+    }
+  });
+  fc.assert(property, { seed: SEED, numRuns: 200 });
+});
