Test: a stop at any moment of a transaction refuses only what was not committed

A random test over the stages of a stop, the moments between them and answers that never come: each statement gets a whole reply, and none that is refused is a commit that was passed on.

--- a/tests/platform/stoppingCallers.test.ts
+++ b/tests/platform/stoppingCallers.test.ts
@@ -213,3 +213,62 @@
     { seed: SEED, numRuns: 60 },
   );
 });
+
+/** Sends a statement and waits for its reply; the host behind may never answer it. */
+async function ask(fresh: FrontHost, caller: RawCaller, text: string, mayAnswer: boolean) {
+  const { passed } = fresh.requests;
+  const known = passed.length;
+  caller.take();
+  caller.send(`QUERY 1 ${text}\r\n`);
+  await fresh.until(() => passed.length > known || caller.received !== '' || caller.hasEnded);
+  if (mayAnswer) {
+    passed[known]?.answer();
+  }
+  await fresh.until(() => caller.received.includes('READY ') || caller.hasEnded);
+  return caller.received;
+}
+
+test('a stop at any moment of a transaction refuses only what was not committed', async () => {
+  const stage = fc.constantFrom('drain' as const, 'finish' as const);
+  const plan = fc.record({
+    ...{ atStatement: fc.nat({ max: 2 }), turns: fc.nat({ max: 4 }), answers: fc.boolean() },
+    ...{ stages: fc.array(stage, { maxLength: 2 }), between: fc.nat({ max: 3 }) },
+  });
+  const seen = new Set<string>();
+  await fc.assert(
+    fc.asyncProperty(plan, async ({ atStatement, turns, answers, stages, between }) => {
+      const fresh = new FrontHost();
+      await fresh.front.listen();
+      fresh.requests.answersAtOnce = false;
+      const caller = await fresh.open();
+      const stop = async (): Promise<void> => {
+        await fresh.turn(turns);
+        for (const each of [...stages, 'close' as const]) {
+          fresh.front[each]();
+          await fresh.turn(between);
+        }
+      };
+      for (const [index, text] of ['BEGIN', 'PUT a b', 'COMMIT'].entries()) {
+        const isStopped = index === atStatement;
+        const [reply] = await Promise.all([
+          ask(fresh, caller, text, answers || !isStopped),
+          isStopped ? stop() : undefined,
+        ]);
+        expect(reply).toMatch(/READY [ITE] /);
+        const [, code = 'DONE'] = /^ERROR (\w+)/.exec(reply) ?? [];
+        seen.add(`${text} ${code}`);
+        const commits = fresh.requests.passed.filter(({ draft }) => draft.mayCommit);
+        expect(['BUSY', 'ABORTED'].includes(code) && commits.length > 0).toBe(false);
+        if (reply.includes('ERROR')) {
+          break;
+        }
+      }
+      caller.socket.destroy();
+      fresh.close();
+    }),
+    { seed: SEED, numRuns: 60 },
+  );
+  for (const each of ['PUT a b ABORTED', 'COMMIT DONE', 'COMMIT UNKNOWN']) {
+    expect(seen).toContain(each);
+  }
+});
