A stopping entry host of the PostgreSQL gateway listens until it closes

Change: while it drains a host goes on to accept and refuses with 57P01, "not run"; the listener is closed at the end, when the callers are gone.

--- a/src/daemon/gateway/callerServer.ts
+++ b/src/daemon/gateway/callerServer.ts
@@ -83,7 +83,6 @@
 
   override drain(): void {
     this.draining = true;
-    void this.stopListening();
     for (const startup of [...this.starting]) {
       startup.refuse(this.createDrainFault());
     }
@@ -94,13 +93,14 @@
 
   override close(): void {
     this.drain();
+    void this.stopListening();
     const fault = createFault(Diagnostics.ShuttingDown, {}, { step: 'caller.close' });
     for (const session of [...this.sessions]) {
       session.fail(fault);
     }
   }
 
-  /** Connections that wait to be accepted would be reset, with what their callers sent. */
+  /** Until the end callers are refused with a reason: connections that wait to be accepted would be reset. */
   private async stopListening(): Promise<void> {
     await readArrived();
     this.server.close();
