--- a/src/daemon/gateway/callerServer.ts
+++ b/src/daemon/gateway/callerServer.ts
@@ -108,7 +108,7 @@
     }
   }
 
-  /** Connections that wait to be accepted would be reset, with what their callers sent: they are refused first. */
+  /** Until the end callers are refused with a reason: connections that wait to be accepted would be reset. */
   private async stopListening(): Promise<void> {
     await readArrived();
     this.server.close();
