--- a/tests/platform/narrowLinks.test.ts
+++ b/tests/platform/narrowLinks.test.ts
@@ -10,7 +10,7 @@
 const PAUSE_MS = 20;
 const KEY = 'key-mill';
 const DATABASES = ['session-ledger1', 'bounded-ledger1'];
-/** One host that carries all reads has 0.36 of the bytes here, what hosts send at rest included; each of two has half. */
+/** One host that carries all reads has 0.51 of the bytes here, what hosts send at rest included; each of two has half. */
 const LARGEST_SHARE = 0.28;
 
 let fleet: LocalLineFleet;
