--- a/tests/callers/meshFuzz.test.ts
+++ b/tests/callers/meshFuzz.test.ts
@@ -122,7 +122,14 @@
 
 test('a lease renewal is refused when the rate of the link in it is no count', () => {
   const renewal = {
-    ...{ host: 'h', incarnation: 'h1', lease: 'l', domain: 'd', address: '10.0.0.1:7560', sequence: 1 },
+    ...{
+      host: 'h',
+      incarnation: 'h1',
+      lease: 'l',
+      domain: 'd',
+      address: '10.0.0.1:7560',
+      sequence: 1,
+    },
     ...{ answered: 0, sinceAnsweredMs: 0, revision: 0, announcements: [], reports: [] },
     ...{ releasedGroups: [], releasedAccounts: [], stopping: false },
   };
