A process whose start fails ends, and does not stay without the part that failed

Cause: a failed start only set the exit code. The mesh listened already and kept the process alive without its log: it took links and was restarted by nobody. Ruled out: an election that does not end (core-1 and core-2 asked for a leader the whole time; core-3 took part in none, its log ends with the fault and links).

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -72,9 +72,9 @@
   process.stdout.write(`ready ${daemon.operatorAddress}\n`);
 }
 
+/** Ends at once: parts that have begun would keep the process alive without the one that failed. */
 function endWith(status: number, message: string): void {
-  process.stderr.write(`${message}\n`);
-  process.exitCode = status;
+  process.stderr.write(`${message}\n`, () => process.exit(status));
 }
 
 main().catch((error: unknown) => {
--- a/tests/platform/signals.test.ts
+++ b/tests/platform/signals.test.ts
@@ -112,3 +112,11 @@
   expect(performance.now() - toldMs).toBeLessThan(GRACE_MS);
   silent.destroy();
 });
+
+test('a process whose disk fails at its start ends, and does not stay without a part of itself', async () => {
+  writeFileSync(file, text);
+  // A file where the folder of the log is to be fails like a disk does.
+  writeFileSync(join(folder, 'data'), '');
+  start();
+  expect(await ended).toBe(1);
+});
