Promotion: count logs of leaving and departed replicas until another has them

The leader first said that no candidate had every write, and 3.6 s later took one that had not. Cause: where the primary itself acknowledges (syncReplicas), a replica that is leaving counts for the acknowledgement until it ends. Either way the furthest position fell to that of the replicas that remained, and the minimum of it and what a holder reports became too low. Change: leaving replicas are left out only where the holder waits for replicas, and only from the revision at which every holder knows of it. A log that left or was emptied during the term makes the furthest position unknown until it is covered: the holder observed on a remaining replica what the primary had after the loss (LogCoverage), reports it, and the leader records it, so it outlives both. This also ends the wait after a replica's restart. FP6025 names the positions that decided, FP6028 those of a promotion.

--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -213,7 +213,14 @@
     6024,
     'Promotion of "{instance}" in group "{group}" to term {term} is abandoned: {reason}.',
   ),
-  PromotionWaits: warning(6025, 'Group "{group}" has no candidate for promotion: {reason}.'),
+  PromotionWaits: warning(
+    6025,
+    'Group "{group}" has no candidate for promotion: {reason} ({positions}).',
+  ),
+  PromotionDecided: message(
+    6028,
+    'Group "{group}" needs position {required} and "{instance}" has it: {reason} ({positions}).',
+  ),
   MoveBegan: message(6026, 'The primary of group "{group}" is moved from "{instance}".'),
   ForeignPrimary: warning(
     6027,
--- a/src/daemon/holder/heldGroup.ts
+++ b/src/daemon/holder/heldGroup.ts
@@ -16,6 +16,7 @@
 import {
   getMinimumPosition,
   GroupRouter,
+  LogCoverage,
   NearReplica,
   PositionHistory,
   type GroupView,
@@ -48,6 +49,7 @@
   private readonly requests: GroupRequests;
   private readonly router: GroupRouter;
   private readonly positionHistory = new PositionHistory();
+  private readonly coverage = new LogCoverage();
   private draining = false;
   private readonly move: PlannedMove;
 
@@ -120,6 +122,7 @@
       }
     }
     this.removeMissingInstances();
+    this.verifyLogs();
     this.delegateReads();
     if (primary?.term !== previousTerm || this.writes.timeline !== previousTimeline) {
       this.primaryChanged(previousTimeline);
@@ -171,7 +174,9 @@
 
   /** Returns the report on the group for the control leader. */
   getReport(): GroupReport {
-    return createReport(this.group, this.writes, this.instances.values());
+    const report = createReport(this.group, this.writes, this.instances.values());
+    const isNeeded = this.context.records.getUncoveredLogs(this.group).length > 0;
+    return isNeeded ? { ...report, coveredRevision: this.coverage.revision } : report;
   }
 
   getReplicaCount(): number {
@@ -260,6 +265,7 @@
 
   probeAnswered(instance: HeldInstance, answer: ProbeAnswer, sentMs: number): void {
     this.recordState(instance, answer, sentMs);
+    this.recordCoverage(instance, answer, sentMs);
     if (answer.received !== undefined && this.needsFullProbes) {
       this.context.reportNow();
     }
@@ -282,6 +288,20 @@
     }
   }
 
+  private recordCoverage(instance: HeldInstance, answer: ProbeAnswer, sentMs: number): void {
+    const { primary, timeline } = this.writes;
+    if (answer.term !== timeline || primary?.phase === PrimaryPhase.Promoting) {
+      return;
+    }
+    if (instance.id !== primary?.instance) {
+      if (!this.context.records.isLeaving(this.group, instance.id)) {
+        this.coverage.recordReplica(answer.position, sentMs);
+      }
+    } else if (answer.isPrimary !== false) {
+      this.coverage.recordPrimary(answer.position, sentMs);
+    }
+  }
+
   probeFailed(instance: HeldInstance): void {
     this.writes.forgetReplica(instance.id);
   }
@@ -328,6 +348,14 @@
     created.start();
   }
 
+  /** Verifies that no acknowledged write was only on an instance that left or restarted. */
+  private verifyLogs(): void {
+    const { records, timer } = this.context;
+    for (const { revision } of records.getUncoveredLogs(this.group)) {
+      this.coverage.verify(revision, records.revision, timer.now());
+    }
+  }
+
   /** Stops routing reads to replicas that have a reader, and resumes it for those without one. */
   private delegateReads(): void {
     const { records } = this.context;
@@ -378,6 +406,8 @@
   private primaryChanged(previousTimeline: Term | undefined): void {
     const isOtherTimeline = this.writes.timeline !== previousTimeline;
     if (isOtherTimeline) {
+      this.coverage.reset();
+      this.verifyLogs();
       this.positionHistory.reset();
     }
     for (const instance of this.instances.values()) {
--- a/src/decisions/control/controlState.ts
+++ b/src/decisions/control/controlState.ts
@@ -105,10 +105,14 @@
     return this.tickets.isAccepted(number);
   }
 
-  getInstances(group: GroupId): readonly InstanceRecord[] {
+  override getInstances(group: GroupId): readonly InstanceRecord[] {
     return this.index.getInstances(group);
   }
 
+  override getDepartedInstances(group: GroupId): readonly InstanceRecord[] {
+    return this.index.getDepartedInstances(group);
+  }
+
   /** Returns the groups with at least one registered instance. */
   getGroups(): readonly GroupId[] {
     return this.index.getGroups();
@@ -142,7 +146,7 @@
   }
 
   /** Returns the revision of a record; 0 when there is none. */
-  getRecordRevision(name: string): Revision {
+  override getRecordRevision(name: string): Revision {
     return this.records.get(name)?.revision ?? toRevision(0);
   }
 
@@ -203,8 +207,17 @@
     const present = this.getInstance(instance.group, instance.instance);
     const hasRestarted =
       present?.startedMs !== undefined && present.startedMs !== instance.startedMs;
-    const restarted = hasRestarted ? revision : present?.restarted;
-    this.set(restarted === undefined ? instance : { ...instance, restarted }, revision);
+    const { covered, restarted: known = present?.restarted, ...record } = instance;
+    const isCovered = covered === true && !hasRestarted;
+    const restarted = hasRestarted ? revision : known;
+    this.set(
+      {
+        ...record,
+        ...(restarted === undefined || isCovered ? {} : { restarted }),
+        ...(isCovered && instance.gone === true ? { covered } : {}),
+      },
+      revision,
+    );
     return toAnswer(true);
   }
 
--- a/src/decisions/control/daemonRecords.ts
+++ b/src/decisions/control/daemonRecords.ts
@@ -44,14 +44,18 @@
   }
 
   /** Returns the revision at which a record last changed; 0 when there is none. */
-  getRecordRevision(name: string): Revision {
+  override getRecordRevision(name: string): Revision {
     return this.records.get(name)?.revision ?? toRevision(0);
   }
 
-  getInstances(group: GroupId): readonly InstanceRecord[] {
+  override getInstances(group: GroupId): readonly InstanceRecord[] {
     return this.index.getInstances(group);
   }
 
+  override getDepartedInstances(group: GroupId): readonly InstanceRecord[] {
+    return this.index.getDepartedInstances(group);
+  }
+
   /** Returns the groups with at least one registered instance. */
   getGroups(): readonly GroupId[] {
     return this.index.getGroups();
--- a/src/decisions/control/groupReport.ts
+++ b/src/decisions/control/groupReport.ts
@@ -1,4 +1,4 @@
-import type { GroupId, InstanceId, LogPosition, Term } from '../../common/ids/index.js';
+import type { GroupId, InstanceId, LogPosition, Revision, Term } from '../../common/ids/index.js';
 
 /** State of one instance as observed by the group's holder over its own connections. */
 export interface InstanceObservation {
@@ -26,6 +26,11 @@
    * acknowledged one; 0 when it acknowledged none or can't determine the position.
    */
   readonly confirmed: LogPosition;
+  /**
+   * Revision up to which the logs of instances that left or restarted are covered: all that they had
+   * received was observed on an instance that is not leaving. Absent while none has to be covered.
+   */
+  readonly coveredRevision?: Revision;
   /**
    * Observations of the group's instances; once a term is fenced, only those made after the fence.
    */
--- a/src/decisions/control/instanceRecord.ts
+++ b/src/decisions/control/instanceRecord.ts
@@ -23,4 +23,9 @@
   readonly startedMs?: number;
   /** Revision at which control registered a restart; the log from before it may be lost. */
   readonly restarted?: Revision;
+  /**
+   * Whether everything that the gone instance had received was observed on another instance after
+   * it was registered as gone.
+   */
+  readonly covered?: boolean;
 }
--- a/src/decisions/control/leader/createGroupView.ts
+++ b/src/decisions/control/leader/createGroupView.ts
@@ -1,9 +1,17 @@
 import { toRevision, type GroupId, type Revision } from '../../../common/ids/index.js';
-import type { AnnouncedPoint, GroupView, HolderView, InstanceView } from '../../promotion/index.js';
+import type {
+  AnnouncedPoint,
+  DepartedView,
+  GroupView,
+  HolderView,
+  InstanceView,
+} from '../../promotion/index.js';
 import { getServedTerm } from '../../promotion/index.js';
+import type { ControlState } from '../controlState.js';
 import type { GroupAssignment } from '../groupAssignment.js';
 import type { GroupPrimary } from '../groupPrimary.js';
 import type { InstanceRecord } from '../instanceRecord.js';
+import { getInstanceRecordName } from '../recordNames.js';
 import type { GroupTracker, ReceivedAnnouncement } from './groupTracker.js';
 import { getTracker, type LeaderContext } from './leaderContext.js';
 
@@ -21,6 +29,7 @@
     leaderSinceMs: sinceMs,
     acknowledgement: state.getAcknowledgement(group),
     instances: state.getInstances(group).map((each) => createInstanceView(context, tracker, each)),
+    departed: createDepartedViews(state, group),
     failedInstances: tracker.failedInstances,
     unheldSinceMs: tracker.unheldSinceMs,
     firstSeenMs: tracker.firstSeenMs,
@@ -66,13 +75,34 @@
     domain: record.domain,
     inService: context.state.isInService(record.domain),
     leaving: context.state.isLeaving(record.group, record.instance),
-    leavingRevision: context.state.getLeavingRevision(record.group, record.instance),
+    leavingRevision: getLeavingRevision(context.state, record),
     restartedRevision: getRestartedRevision(context, record, received),
     announced: received && createAnnouncedPoint(received),
     observed: tracker.sightings.get(record.instance),
   };
 }
 
+function createDepartedViews(state: ControlState, group: GroupId): readonly DepartedView[] {
+  return state.getDepartedInstances(group).map(({ instance }) => ({
+    instance,
+    revision: state.getRecordRevision(getInstanceRecordName(group, instance)),
+  }));
+}
+
+/**
+ * Revision since which an instance is recorded as leaving, by a ticket or else by the last change of
+ * its own record.
+ */
+function getLeavingRevision(state: ControlState, record: InstanceRecord): Revision {
+  const { group, instance, leaving } = record;
+  if (state.isLeavingByTicket(group, instance)) {
+    return state.getLeavingRevision(group, instance);
+  }
+  return leaving === true
+    ? state.getRecordRevision(getInstanceRecordName(group, instance))
+    : toRevision(0);
+}
+
 /**
  * Revision of an instance's last restart. An announced restart that is not recorded yet counts as
  * the next revision, since its record is committed only later.
--- a/src/decisions/control/leader/groupDecisions.ts
+++ b/src/decisions/control/leader/groupDecisions.ts
@@ -1,6 +1,7 @@
 import { Diagnostics } from '../../../common/diagnostics/index.js';
 import { toTerm, type GroupId } from '../../../common/ids/index.js';
 import {
+  describePositions,
   PromotionStep,
   type CompleteDecision,
   type GroupView,
@@ -72,7 +73,8 @@
     const { group } = view;
     const { reason } = decision;
     if (decision.isBlocked && tracker.blockedReason !== reason) {
-      this.context.outbox.log(Diagnostics.PromotionWaits, { group, reason });
+      const positions = describePositions(view);
+      this.context.outbox.log(Diagnostics.PromotionWaits, { group, reason, positions });
     }
     tracker.blockedReason = decision.isBlocked ? reason : undefined;
   }
@@ -97,6 +99,9 @@
     const { group, nowMs, primary, holder } = view;
     const { term, instance, required, reason } = decision;
     this.logPreviousPrimary(view, reason);
+    const positions = describePositions(view);
+    const decided = { group, instance, required, reason, positions };
+    this.context.outbox.log(Diagnostics.PromotionDecided, decided);
     const command = {
       kind: CommandKind.BeginPromotion,
       group,
--- a/src/decisions/control/leader/renewalHandler.ts
+++ b/src/decisions/control/leader/renewalHandler.ts
@@ -243,6 +243,7 @@
       if (this.isFromHolder(renewal, assignment)) {
         const tracker = getTracker(this.context, report.group);
         tracker.recordReport(report, renewal.lease, nowMs);
+        this.recordCoveredLogs(report, nowMs);
         if (this.isPrimaryInDoubt(report)) {
           groupQueue.add(report.group);
         }
@@ -250,6 +251,23 @@
     }
   }
 
+  /**
+   * Records the logs that a holder found to be covered, so that a promotion under a later holder or
+   * leader need not wait for them.
+   */
+  private recordCoveredLogs({ group, coveredRevision }: GroupReport, nowMs: number): void {
+    const { state, outbox } = this.context;
+    for (const { instance, revision } of state.getUncoveredLogs(group)) {
+      const record = state.getInstance(group, instance);
+      if (record !== undefined && revision <= (coveredRevision ?? 0)) {
+        const name = getInstanceRecordName(group, instance);
+        const expected = state.getRecordRevision(name);
+        const kind = CommandKind.RegisterInstance;
+        outbox.propose(name, { kind, instance: { ...record, covered: true }, expected }, nowMs);
+      }
+    }
+  }
+
   /**
    * Whether a holder fenced the present term or can't reach the primary, or the primary is not
    * recorded, or its promotion has taken effect.
--- a/src/decisions/control/recordIndex.ts
+++ b/src/decisions/control/recordIndex.ts
@@ -10,6 +10,8 @@
  */
 export class RecordIndex {
   private readonly instances = new Map<GroupId, Map<string, InstanceRecord>>();
+  /** Gone instances whose logs were not observed on another instance since. */
+  private readonly departed = new Map<GroupId, Map<string, InstanceRecord>>();
   private readonly subjects = new Set<string>();
   private readonly accounts = new Set<AccountId>();
   /** Client accounts of the configuration in force. */
@@ -18,13 +20,9 @@
   /** Adds the value of a new or changed record. */
   add(value: ControlRecordValue): void {
     if (value.kind === RecordKind.Instance) {
-      const group = this.instances.get(value.group) ?? new Map<string, InstanceRecord>();
-      if (value.gone === true) {
-        group.delete(value.instance);
-      } else {
-        group.set(value.instance, value);
-      }
-      this.instances.set(value.group, group);
+      const isGone = value.gone === true;
+      update(this.instances, value, !isGone);
+      update(this.departed, value, isGone && value.covered !== true);
     } else if (value.kind === RecordKind.Subject) {
       this.addSubject(value.state);
     }
@@ -40,6 +38,11 @@
     return [...(this.instances.get(group)?.values() ?? [])];
   }
 
+  /** Returns the gone instances of a group whose logs were not observed on another instance since. */
+  getDepartedInstances(group: GroupId): InstanceRecord[] {
+    return [...(this.departed.get(group)?.values() ?? [])];
+  }
+
   /** Returns the groups with at least one registered instance. */
   getGroups(): GroupId[] {
     return [...this.instances].filter(([, group]) => group.size > 0).map(([id]) => id);
@@ -53,6 +56,7 @@
 
   clear(): void {
     this.instances.clear();
+    this.departed.clear();
     this.accounts.clear();
     this.configuredAccounts = [];
     this.subjects.clear();
@@ -67,3 +71,18 @@
     }
   }
 }
+
+/** Adds an instance to the index, or removes it. */
+function update(
+  index: Map<GroupId, Map<string, InstanceRecord>>,
+  record: InstanceRecord,
+  isIncluded: boolean,
+): void {
+  const group = index.get(record.group) ?? new Map<string, InstanceRecord>();
+  if (isIncluded) {
+    group.set(record.instance, record);
+  } else {
+    group.delete(record.instance);
+  }
+  index.set(record.group, group);
+}
--- a/src/decisions/control/recordLookup.ts
+++ b/src/decisions/control/recordLookup.ts
@@ -4,6 +4,7 @@
   GroupId,
   InstanceId,
   LeaseId,
+  Revision,
 } from '../../common/ids/index.js';
 import {
   Acknowledgement,
@@ -32,6 +33,13 @@
 } from './recordNames.js';
 import type { SubjectInForce } from './subjectInForce.js';
 
+/** An instance whose log up to a revision may hold acknowledged writes that no other instance has. */
+export interface UncoveredLog {
+  readonly instance: InstanceId;
+  /** Revision at which it left or restarted. */
+  readonly revision: Revision;
+}
+
 /** Typed lookups in a copy of the replicated records. */
 export abstract class RecordLookup {
   private configuration: ConfigurationIndex | undefined;
@@ -85,9 +93,15 @@
 
   /** Whether a ticket or the backend server's own announcement marks it as leaving. */
   isLeaving(group: GroupId, instance: InstanceId): boolean {
+    return (
+      this.isLeavingByTicket(group, instance) || this.getInstance(group, instance)?.leaving === true
+    );
+  }
+
+  /** Whether a ticket marks a backend server as leaving. */
+  isLeavingByTicket(group: GroupId, instance: InstanceId): boolean {
     const subject = `${SubjectKind.BackendServer}/${group}/${instance}`;
-    const isLeavingByTicket = this.getState(SubjectKind.BackendServer, subject)?.leaving ?? false;
-    return isLeavingByTicket || this.getInstance(group, instance)?.leaving === true;
+    return this.getState(SubjectKind.BackendServer, subject)?.leaving ?? false;
   }
 
   /** Returns the target members of the control quorum. */
@@ -126,6 +140,30 @@
     return this.getAccountAssignment(account)?.holder?.lease === lease;
   }
 
+  /**
+   * Returns the instances of a group whose earlier logs may hold acknowledged writes that no other
+   * instance has, each with the revision at which it left or restarted.
+   */
+  getUncoveredLogs(group: GroupId): readonly UncoveredLog[] {
+    const departed = this.getDepartedInstances(group).map(({ instance }) => ({
+      instance,
+      revision: this.getRecordRevision(getInstanceRecordName(group, instance)),
+    }));
+    const restarted = this.getInstances(group).flatMap(({ instance, restarted: revision }) =>
+      revision === undefined ? [] : [{ instance, revision }],
+    );
+    return [...departed, ...restarted];
+  }
+
+  /** Returns the instances of a group in the order of their registration. */
+  abstract getInstances(group: GroupId): readonly InstanceRecord[];
+
+  /** Returns the gone instances of a group whose logs were not observed on another instance since. */
+  abstract getDepartedInstances(group: GroupId): readonly InstanceRecord[];
+
+  /** Returns the revision at which a record last changed; 0 when there is none. */
+  abstract getRecordRevision(name: string): Revision;
+
   /** Returns the value of the record of that name. */
   protected abstract findValue(name: string): ControlRecordValue | undefined;
 
--- a/src/decisions/promotion/groupView.ts
+++ b/src/decisions/promotion/groupView.ts
@@ -4,6 +4,7 @@
   InstanceId,
   LeaseId,
   LogPosition,
+  Revision,
   Term,
 } from '../../common/ids/index.js';
 import type { GroupPrimary } from '../control/groupPrimary.js';
@@ -27,6 +28,13 @@
   readonly confirmed: LogPosition;
 }
 
+/** An instance that is gone together with its log. */
+export interface DepartedView {
+  readonly instance: InstanceId;
+  /** Revision at which it was registered as gone. */
+  readonly revision: Revision;
+}
+
 /** A promotion order to the platform that has not succeeded yet. */
 export interface PromotionOrder {
   readonly term: Term;
@@ -47,6 +55,8 @@
   readonly acknowledgement: Acknowledgement;
   readonly primary: GroupPrimary | undefined;
   readonly instances: readonly InstanceView[];
+  /** Instances that are gone and whose logs were not observed on another instance since. */
+  readonly departed: readonly DepartedView[];
   readonly holder: HolderView | undefined;
   /** Since when the group has no holder, as far as this leader knows. */
   readonly unheldSinceMs: number | undefined;
--- a/src/decisions/promotion/index.ts
+++ b/src/decisions/promotion/index.ts
@@ -6,3 +6,4 @@
 export * from './logPoints.js';
 export * from './fence.js';
 export * from './promotionRules.js';
+export * from './describePositions.js';
--- a/src/decisions/promotion/instanceView.ts
+++ b/src/decisions/promotion/instanceView.ts
@@ -35,11 +35,14 @@
   readonly domain: FailureDomain;
   /** Whether its failure domain accepts new work. */
   readonly inService: boolean;
-  /** Whether a ticket marks it as leaving. */
+  /** Whether a ticket or its own announcement marks it as leaving. */
   readonly leaving: boolean;
-  /** Revision of that ticket; 0 without such a ticket. */
+  /** Revision since which every holder knows that it is leaving; 0 when it is not leaving. */
   readonly leavingRevision: Revision;
-  /** Revision at which it was last known to have restarted; 0 when it never did. */
+  /**
+   * Revision of its last restart after which its earlier log was not observed on another instance; 0
+   * when there is none.
+   */
   readonly restartedRevision: Revision;
   readonly announced: AnnouncedPoint | undefined;
   readonly observed: ObservedPoint | undefined;
--- a/src/decisions/promotion/promotionRules.test.ts
+++ b/src/decisions/promotion/promotionRules.test.ts
@@ -78,6 +78,7 @@
     leaderSinceMs: 0,
     acknowledgement: Acknowledgement.Replica,
     primary: createPrimary(),
+    departed: [],
     instances,
     ...{ holder: undefined, unheldSinceMs: FENCE_MS, firstSeenMs: 0, servingSinceMs: 0 },
     ...{ movingSinceMs: undefined, moveAbandonedMs: undefined, order: undefined },
--- a/src/decisions/promotion/promotionRules.ts
+++ b/src/decisions/promotion/promotionRules.ts
@@ -69,12 +69,18 @@
     return toLogPosition(Math.max(view.holder?.confirmed ?? 0, highest));
   }
 
-  /** The furthest position of the other instances, once all of them are known after the fence. */
+  /**
+   * The furthest position of the other instances, once all of them are known after the fence;
+   * undefined also when one has left during the term and its log is not covered by another.
+   */
   private findFurthestOther(
     view: GroupView,
     primary: GroupPrimary,
     fence: Fence,
   ): LogPosition | undefined {
+    if (view.departed.some(({ revision }) => revision > primary.since)) {
+      return undefined;
+    }
     let furthest = getServedStart(primary);
     for (const instance of view.instances) {
       const point = getPointAfterFence(instance, fence, this.settings);
@@ -82,7 +88,7 @@
         continue;
       }
       const isUnknown = point === undefined || this.mayHaveLostLog(primary, instance);
-      if (isUnknown && !this.isExcludedFromAcknowledgements(primary, instance)) {
+      if (isUnknown && !this.isExcludedFromAcknowledgements(view, primary, instance)) {
         return undefined;
       }
       if (point !== undefined && point.term === getServedTimeline(primary)) {
@@ -285,10 +291,19 @@
 
   /**
    * Whether the instance was not counted for the acknowledgement of any write of the term, because
-   * every holder of the group under the term knows that the instance is leaving.
+   * every holder of the group under the term knows that the instance is leaving. A primary that
+   * acknowledges by itself counts leaving instances too.
    */
-  protected isExcludedFromAcknowledgements(primary: GroupPrimary, instance: InstanceView): boolean {
-    return instance.leaving && instance.leavingRevision < primary.since;
+  protected isExcludedFromAcknowledgements(
+    { acknowledgement }: GroupView,
+    primary: GroupPrimary,
+    instance: InstanceView,
+  ): boolean {
+    return (
+      acknowledgement !== Acknowledgement.Synchronous &&
+      instance.leaving &&
+      instance.leavingRevision < primary.since
+    );
   }
 
   /**
--- a/src/decisions/promotion/timelines.test.ts
+++ b/src/decisions/promotion/timelines.test.ts
@@ -100,7 +100,7 @@
       confirmed: toLogPosition(80),
     },
     ...{ unheldSinceMs: undefined, firstSeenMs: 0, servingSinceMs: 0, movingSinceMs: undefined },
-    ...{ moveAbandonedMs: undefined, order: undefined, failedInstances: [] },
+    ...{ moveAbandonedMs: undefined, order: undefined, failedInstances: [], departed: [] },
   };
 }
 
--- a/src/decisions/routing/index.ts
+++ b/src/decisions/routing/index.ts
@@ -1,4 +1,5 @@
 export * from './guaranteedPosition.js';
+export * from './logCoverage.js';
 export * from './statementKind.js';
 export * from './statement.js';
 export * from './classifyStatement.js';
