Orders to a platform without fencing: acknowledge only what an ordered instance has

Seen: both Aros sheets set fencing = false; nothing read the setting. An order without an answer may then be carried out after newer ones, and no fence stops it. Cause: the holder acknowledged a write once any replica had it, also while an order to another instance was unanswered. Carried out late, that order makes an instance lead that lacks acknowledged writes. Change: such an order is recorded with its promotion before it is sent, until it is settled: answered, its instance gone, or 60 s old. Meanwhile a write is acknowledged only once that instance was observed to have it on the primary's timeline, so it is whole whenever it leads and the write was committed before. A leader orders only under a confirmed leadership, so tokens never fall. Nothing changes on a write's way while nothing is unsettled.

--- a/bench/lines/linePlan.ts
+++ b/bench/lines/linePlan.ts
@@ -26,6 +26,8 @@
   readonly platform: string;
   /** Rate of each host's link, in megabits a second; absent where hosts are not told. */
   readonly linkMbps?: number;
+  /** Whether hosts are told that the platform checks fencing tokens; default true. */
+  readonly hasFencedOrders?: boolean;
 }
 
 const DOMAINS = ['north-a', 'north-b', 'north-c'];
@@ -42,11 +44,14 @@
   readonly isProxied?: boolean;
   /** What each host is told of its link; absent: nothing. */
   readonly linkMbps?: number;
+  /** Whether hosts are told that the platform checks fencing tokens; default true. */
+  readonly hasFencedOrders?: boolean;
 }
 
 /** Plans a fleet on free ports of loopback addresses. */
 export async function createLinePlan(size: LinePlanSize): Promise<LinePlan> {
   const { controls, entries, groups, network, isProxied = false, linkMbps } = size;
+  const { hasFencedOrders = true } = size;
   const daemons: PlannedLineDaemon[] = [];
   for (let index = 0; index < controls + entries; index += 1) {
     const ip = `127.${network}.0.${index + 1}`;
@@ -80,7 +85,8 @@
   const platformIp = `127.${network}.3.1`;
   const [platformPort = 0] = await findFreePorts(platformIp, 1);
   const platform = `${platformIp}:${platformPort}`;
-  return { daemons, instances, platform, ...(linkMbps === undefined ? {} : { linkMbps }) };
+  const link = linkMbps === undefined ? {} : { linkMbps };
+  return { daemons, instances, platform, hasFencedOrders, ...link };
 }
 
 /** Text of a daemon's settings file, as the platform writes it. */
@@ -112,6 +118,7 @@
     ...(plan.linkMbps === undefined ? [] : [`linkMbps = ${plan.linkMbps}`]),
     '[bounds]',
     'graceS = 6',
+    `fencing = ${String(plan.hasFencedOrders ?? true)}`,
     '[cloudApi]',
     `addr = "${plan.platform}"`,
     '[mesh]',
--- a/bench/lines/localLineFleet.ts
+++ b/bench/lines/localLineFleet.ts
@@ -31,7 +31,7 @@
   readonly groups: LineGroup[] = [];
   readonly lines: string[] = [];
   private readonly daemons = new Map<string, Daemon>();
-  private platform: LinePlatform | undefined;
+  platform: LinePlatform | undefined;
 
   constructor(
     readonly plan: LinePlan,
@@ -157,7 +157,8 @@
   private async startGroups(): Promise<void> {
     const services = [...new Set(this.plan.instances.map(({ service }) => service))];
     for (const service of services) {
-      const options = { slots: 4, connectionLimit: 16, promoteMs: 100 };
+      const checksTokens = this.plan.hasFencedOrders !== false;
+      const options = { slots: 4, connectionLimit: 16, promoteMs: 100, checksTokens };
       const times = { workMs: this.workMs, lagMs: this.lagMs };
       const group = new LineGroup({ service, ...options, ...times }, this.timer);
       for (const each of this.plan.instances.filter((planned) => planned.service === service)) {
--- a/src/daemon/control/controlHost.ts
+++ b/src/daemon/control/controlHost.ts
@@ -281,12 +281,19 @@
   private promote(order: Promote): void {
     const { group, instance, term } = order;
     const result = { kind: ControlInputKind.PromotionResult, group, instance, term } as const;
+    // A deposed leader must not send an order after one of its successor.
+    if (!this.isLeadershipConfirmed() || !this.member.isLeaseValid()) {
+      this.handleInput({ ...result, ok: true, isSettled: true });
+      return;
+    }
     void this.options.platform.promote(order).match(
-      ({ position }) =>
-        this.handleInput({ ...result, ok: true, ...(position === undefined ? {} : { position }) }),
+      ({ position, isSettled }) => {
+        const known = position === undefined ? {} : { position };
+        this.handleInput({ ...result, ok: true, isSettled, ...known });
+      },
       (fault) => {
         this.options.logger.reportFault(fault, { term });
-        this.handleInput({ ...result, ok: false });
+        this.handleInput({ ...result, ok: false, isSettled: true });
       },
     );
   }
--- a/src/daemon/control/httpPlatform.ts
+++ b/src/daemon/control/httpPlatform.ts
@@ -24,7 +24,7 @@
     const answered = this.post(order.platform, JSON.stringify({ group, instance, term }));
     const position = answered.then((text) => {
       const answer = answerSchema.parse(JSON.parse(text));
-      return { position: toLogPosition(answer.position) };
+      return { position: toLogPosition(answer.position), isSettled: true };
     });
     return ResultAsync.fromPromise(position, (cause) =>
       createFault(
--- a/src/daemon/control/platform.ts
+++ b/src/daemon/control/platform.ts
@@ -16,6 +16,8 @@
    * Log position of the instance at its promotion; absent if it has to be read from the instance.
    */
   readonly position?: LogPosition;
+  /** Whether the order was answered, so that it will not be carried out after later ones. */
+  readonly isSettled: boolean;
 }
 
 /** Platform that runs the database instances. */
--- a/src/daemon/holder/groupWrites.ts
+++ b/src/daemon/holder/groupWrites.ts
@@ -54,6 +54,8 @@
   primary: GroupPrimary | undefined;
   private readonly confirmations = new WriteConfirmations();
   private readonly requests = new Map<PendingWrite['id'], HeldRequest>();
+  /** Instances other than the primary that an unsettled order may still promote. */
+  private required: readonly InstanceId[] = [];
 
   constructor(
     private readonly group: GroupId,
@@ -92,6 +94,26 @@
     if (primary.phase === PrimaryPhase.Serving) {
       this.settleEarlierTerms(primary);
     }
+    this.updateRequirement();
+  }
+
+  /** Applies changed records to which instances must have a write before it is acknowledged. */
+  updateRequirement(): void {
+    const { primary, context, group } = this;
+    const present = new Set(context.records.getInstances(group).map(({ instance }) => instance));
+    this.required = (primary?.unsettled ?? [])
+      .map(({ instance }) => instance)
+      .filter((instance) => instance !== primary?.instance && present.has(instance));
+    const needsReplica = this.needsReplica();
+    const requirement = { needsReplica, instances: this.required };
+    for (const write of this.confirmations.setRequirement(requirement)) {
+      this.settle(write);
+    }
+  }
+
+  /** Whether a leaving instance must have each write, as an order may still promote it. */
+  isRequired(instance: InstanceId): boolean {
+    return this.required.includes(instance);
   }
 
   /** Permanently stops acknowledging writes of the primary's term. */
@@ -122,7 +144,8 @@
     }
     const position = { term: written.term, position: written.position };
     const write = { id: request.request.id, position, deadlineMs: request.deadlineMs };
-    if (!this.needsReplica() || this.confirmations.add(write)) {
+    this.updateRequirement();
+    if (this.confirmations.add(write)) {
       this.acknowledge(request, position);
       return;
     }
@@ -131,8 +154,9 @@
   }
 
   /** Records a replica's position and completes the writes that it confirms. */
-  recordReplicaPosition(instance: InstanceId, position: SessionPosition): void {
-    for (const write of this.confirmations.recordReplicaPosition(instance, position)) {
+  recordReplicaPosition(instance: InstanceId, position: SessionPosition, isLeaving: boolean): void {
+    const confirmed = this.confirmations.recordReplicaPosition(instance, position, isLeaving);
+    for (const write of confirmed) {
       this.settle(write);
     }
     this.updateUrgency();
--- a/src/daemon/holder/heldGroup.ts
+++ b/src/daemon/holder/heldGroup.ts
@@ -122,6 +122,7 @@
       }
     }
     this.removeMissingInstances();
+    this.writes.updateRequirement();
     this.verifyLogs();
     this.delegateReads();
     if (primary?.term !== previousTerm || this.writes.timeline !== previousTimeline) {
@@ -277,8 +278,9 @@
     const position = { term: answer.term, position: answer.position };
     if (instance.id !== primary?.instance) {
       // A leaving replica confirms no writes, since control does not choose it as a primary.
-      if (!this.context.records.isLeaving(this.group, instance.id)) {
-        this.writes.recordReplicaPosition(instance.id, position);
+      const isLeaving = this.context.records.isLeaving(this.group, instance.id);
+      if (!isLeaving || this.writes.isRequired(instance.id)) {
+        this.writes.recordReplicaPosition(instance.id, position, isLeaving);
       }
     } else if (answer.isPrimary === false) {
       this.primaryRoleLost(instance);
--- a/src/decisions/control/commandKind.ts
+++ b/src/decisions/control/commandKind.ts
@@ -16,4 +16,5 @@
   BeginMove = 'begin-move',
   BeginPromotion = 'begin-promotion',
   CompletePromotion = 'complete-promotion',
+  SettleOrders = 'settle-orders',
 }
--- a/src/decisions/control/controlState.ts
+++ b/src/decisions/control/controlState.ts
@@ -81,6 +81,7 @@
       case CommandKind.BeginMove:
       case CommandKind.BeginPromotion:
       case CommandKind.CompletePromotion:
+      case CommandKind.SettleOrders:
         return toAnswer(this.primaries.apply(command, revision));
       default:
         return toAnswer(this.assignments.apply(command, revision));
--- a/src/decisions/control/groupPrimary.ts
+++ b/src/decisions/control/groupPrimary.ts
@@ -36,6 +36,15 @@
   readonly required: LogPosition;
 }
 
+/**
+ * An order to promote an instance that the platform may still carry out, also after later orders.
+ * Until it is settled, writes are acknowledged only once that instance has received them.
+ */
+export interface UnsettledOrder {
+  readonly term: Term;
+  readonly instance: InstanceId;
+}
+
 /** Primary of a group, as decided by the control leader. */
 export interface GroupPrimary {
   readonly kind: RecordKind.Primary;
@@ -52,6 +61,8 @@
   readonly phase: PrimaryPhase;
   /** Revision at which the term started serving; 0 before that. */
   readonly since: Revision;
+  /** Orders that may still be carried out, where the platform does not check fencing tokens. */
+  readonly unsettled?: readonly UnsettledOrder[];
   /** Present only while promoting. */
   readonly base?: PromotionBase;
   /**
--- a/src/decisions/control/leader/commandKey.ts
+++ b/src/decisions/control/leader/commandKey.ts
@@ -36,6 +36,7 @@
     case CommandKind.BeginMove:
     case CommandKind.BeginPromotion:
     case CommandKind.CompletePromotion:
+    case CommandKind.SettleOrders:
       return getPrimaryRecordName(command.group);
   }
 }
--- a/src/decisions/control/leader/controlInput.ts
+++ b/src/decisions/control/leader/controlInput.ts
@@ -60,6 +60,8 @@
   readonly term: Term;
   readonly instance: InstanceId;
   readonly ok: boolean;
+  /** Whether this order will not be carried out later; a refused one never will. */
+  readonly isSettled: boolean;
   /** Position of the instance when it was promoted; absent if it is not known yet. */
   readonly position?: LogPosition;
 }
--- a/src/decisions/control/leader/controlLeader.ts
+++ b/src/decisions/control/leader/controlLeader.ts
@@ -182,6 +182,10 @@
     if (primary?.term !== term || primary.instance !== instance || tracker.order?.term !== term) {
       return;
     }
+    if (result.isSettled) {
+      const { unsettledCount } = tracker.order;
+      tracker.order = { ...tracker.order, unsettledCount: unsettledCount - 1 };
+    }
     if (result.ok && position === undefined) {
       groupQueue.add(group);
     } else if (result.ok && position !== undefined) {
--- a/src/decisions/control/leader/groupDecisions.ts
+++ b/src/decisions/control/leader/groupDecisions.ts
@@ -1,5 +1,5 @@
 import { Diagnostics } from '../../../common/diagnostics/index.js';
-import { toTerm, type GroupId } from '../../../common/ids/index.js';
+import { toTerm, type GroupId, type Term } from '../../../common/ids/index.js';
 import {
   describePositions,
   PromotionStep,
@@ -12,28 +12,35 @@
 } from '../../promotion/index.js';
 import { CommandKind } from '../commandKind.js';
 import { PrimaryPhase } from '../groupPrimary.js';
+import type { CompletePromotion } from '../primaryCommand.js';
 import { getPrimaryRecordName } from '../recordNames.js';
 import { ControlOutputKind } from './controlOutput.js';
 import { createGroupView } from './createGroupView.js';
 import type { GroupPlacement } from './groupPlacement.js';
 import { getTracker, type LeaderContext } from './leaderContext.js';
+import { OrderSettlement } from './orderSettlement.js';
 import type { ReaderPlacement } from './readerPlacement.js';
 
 const NO_TERM = toTerm(0);
 
 /** Decides on one group at a time: its primary, its holder, then the readers of its replicas. */
 export class GroupDecisions {
+  private readonly orders: OrderSettlement;
+
   constructor(
     private readonly context: LeaderContext,
     private readonly rules: PromotionRules,
     private readonly placement: GroupPlacement,
     private readonly readers: ReaderPlacement,
-  ) {}
+  ) {
+    this.orders = new OrderSettlement(context);
+  }
 
   /** Proposes the next changes of a group; true if the group must be processed again. */
   decide(group: GroupId, nowMs: number): boolean {
     const view = createGroupView(this.context, group, nowMs);
-    const isPrimaryPending = this.decidePrimary(view);
+    const isOrderPending = this.settleOrders(view);
+    const isPrimaryPending = this.decidePrimary(view) || isOrderPending;
     const isHolderPending = this.placement.decide(view);
     return this.readers.decide(group, nowMs) || isHolderPending || isPrimaryPending;
   }
@@ -110,17 +117,32 @@
       required,
       leader: this.context.host,
       expectedTerm: primary?.term ?? NO_TERM,
+      ...createSettlement(this.orders.getSettledTerms(view)),
+      ...(this.context.settings.promotion.hasFencedOrders ? {} : { mayRunLate: true }),
       ...(holder === undefined ? {} : { expectedLease: holder.lease }),
     } as const;
+    getTracker(this.context, group).begunTerm = term;
     this.context.outbox.propose(getPrimaryRecordName(group), command, nowMs);
   }
 
+  /** Ends the wait for orders that will not be carried out any more; true while there is one. */
+  private settleOrders(view: GroupView): boolean {
+    const { group, nowMs } = view;
+    const settles = this.orders.getExpiredTerms(view);
+    if (settles.length > 0) {
+      const command = { kind: CommandKind.SettleOrders, group, settles } as const;
+      this.context.outbox.propose(getPrimaryRecordName(group), command, nowMs);
+    }
+    return (view.primary?.unsettled ?? []).length > 0;
+  }
+
   private complete(view: GroupView, { timeline, position }: CompleteDecision): void {
     const { group, nowMs, primary } = view;
     if (primary !== undefined) {
       const { term } = primary;
       const kind = CommandKind.CompletePromotion;
-      const command = { kind, group, term, timeline, position } as const;
+      const settlement = createSettlement(this.orders.getSettledTerms(view));
+      const command = { kind, group, term, timeline, position, ...settlement } as const;
       this.context.outbox.propose(getPrimaryRecordName(group), command, nowMs);
     }
   }
@@ -149,10 +171,16 @@
     const { term, instance } = primary;
     const previous = tracker.order?.term === term ? tracker.order : undefined;
     const firstMs = previous?.firstMs ?? nowMs;
-    tracker.order = { term, firstMs, lastMs: nowMs, failed: previous?.failed ?? false };
+    const unsettledCount = (previous?.unsettledCount ?? 0) + 1;
+    const failed = previous?.failed ?? false;
+    tracker.order = { term, firstMs, lastMs: nowMs, failed, unsettledCount };
     tracker.orderedInstance = instance;
     const { platform } = record;
     const output = { kind: ControlOutputKind.Promote, group, instance, term, platform } as const;
     this.context.outbox.add(output);
   }
 }
+
+function createSettlement(terms: readonly Term[]): Pick<CompletePromotion, 'settles'> {
+  return terms.length === 0 ? {} : { settles: terms };
+}
--- a/src/decisions/control/leader/groupTracker.ts
+++ b/src/decisions/control/leader/groupTracker.ts
@@ -4,6 +4,7 @@
   type HostId,
   type InstanceId,
   type LeaseId,
+  type Term,
 } from '../../../common/ids/index.js';
 import type { PromotionOrder, ObservedPoint } from '../../promotion/index.js';
 import type { Announcement } from '../announcement.js';
@@ -49,6 +50,10 @@
   movingInstance: InstanceId | undefined;
   moveAbandonedMs: number | undefined;
   order: PromotionOrder | undefined;
+  /** Term of the last promotion that this leader proposed. */
+  begunTerm: Term | undefined;
+  /** When this leader first knew of each order that may still be carried out, by its term. */
+  readonly orderSinceMs = new Map<Term, number>();
   /** Instance of the last promotion order. */
   orderedInstance: InstanceId | undefined;
   failedInstances: InstanceId[] = [];
--- a/src/decisions/control/primaryCommand.ts
+++ b/src/decisions/control/primaryCommand.ts
@@ -42,6 +42,10 @@
   readonly expectedLease?: LeaseId;
   /** Control leader that issued the command. */
   readonly leader?: HostId;
+  /** Whether an order of this promotion may be carried out after orders of later ones. */
+  readonly mayRunLate?: boolean;
+  /** Terms whose orders will not be carried out any more. */
+  readonly settles?: readonly Term[];
 }
 
 /** Puts the promoted instance into service; the earlier term ended at `position`. */
@@ -53,7 +57,17 @@
   readonly timeline?: Term;
   /** Log position of the instance at its promotion. */
   readonly position: LogPosition;
+  /** Terms whose orders will not be carried out any more. */
+  readonly settles?: readonly Term[];
+}
+
+/** Ends the wait for orders that will not be carried out any more. */
+export interface SettleOrders {
+  readonly kind: CommandKind.SettleOrders;
+  readonly group: GroupId;
+  readonly settles: readonly Term[];
 }
 
 /** A command that changes a group's primary. */
-export type PrimaryCommand = RecordPrimary | BeginMove | BeginPromotion | CompletePromotion;
+export type PrimaryCommand =
+  RecordPrimary | BeginMove | BeginPromotion | CompletePromotion | SettleOrders;
--- a/src/decisions/control/primaryRegistry.ts
+++ b/src/decisions/control/primaryRegistry.ts
@@ -6,6 +6,7 @@
   PrimaryPhase,
   type GroupPrimary,
   type PromotionBase,
+  type UnsettledOrder,
 } from './groupPrimary.js';
 import type {
   BeginMove,
@@ -13,6 +14,7 @@
   CompletePromotion,
   PrimaryCommand,
   RecordPrimary,
+  SettleOrders,
 } from './primaryCommand.js';
 import { RecordKind } from './recordKind.js';
 import { getGroupHolderRecordName, getPrimaryRecordName } from './recordNames.js';
@@ -48,6 +50,8 @@
         return this.beginPromotion(command, present);
       case CommandKind.CompletePromotion:
         return completePromotion(command, present, revision);
+      case CommandKind.SettleOrders:
+        return settleOrders(command, present);
     }
   }
 
@@ -68,6 +72,7 @@
       phase: PrimaryPhase.Promoting,
       since: toRevision(0),
       ...(command.leader === undefined ? {} : { decidedBy: command.leader }),
+      ...createUnsettled([...getUnsettled(present, command.settles), ...createOrders(command)]),
       base: createBase(command, present),
       history: present?.history ?? [],
     };
@@ -136,7 +141,36 @@
     instance,
     phase: PrimaryPhase.Serving,
     since: revision,
+    ...createUnsettled(getUnsettled(present, command.settles)),
     history,
   };
   return timeline === undefined ? served : { ...served, timeline };
 }
+
+function settleOrders(
+  { settles }: SettleOrders,
+  present: GroupPrimary | undefined,
+): GroupPrimary | undefined {
+  if (present === undefined) {
+    return undefined;
+  }
+  const { unsettled = [], ...rest } = present;
+  const isChanged = unsettled.some(({ term }) => settles.includes(term));
+  return isChanged ? { ...rest, ...createUnsettled(getUnsettled(present, settles)) } : undefined;
+}
+
+function createOrders({ term, instance, mayRunLate }: BeginPromotion): UnsettledOrder[] {
+  return mayRunLate === true ? [{ term, instance }] : [];
+}
+
+/** The recorded orders of a group that are not among the settled terms. */
+function getUnsettled(
+  present: GroupPrimary | undefined,
+  settles: BeginPromotion['settles'] = [],
+): readonly UnsettledOrder[] {
+  return (present?.unsettled ?? []).filter(({ term }) => !settles.includes(term));
+}
+
+function createUnsettled(orders: readonly UnsettledOrder[]): Pick<GroupPrimary, 'unsettled'> {
+  return orders.length === 0 ? {} : { unsettled: orders };
+}
--- a/src/decisions/promotion/groupView.ts
+++ b/src/decisions/promotion/groupView.ts
@@ -42,6 +42,8 @@
   readonly lastMs: number;
   /** Whether the platform reported an order of this term as failed. */
   readonly failed: boolean;
+  /** Orders of this term that this leader sent and that may still be carried out. */
+  readonly unsettledCount: number;
 }
 
 /** The complete input for the choice of a group's primary. */
--- a/src/decisions/promotion/promotionRules.test.ts
+++ b/src/decisions/promotion/promotionRules.test.ts
@@ -223,7 +223,7 @@
   expect(rules.decide(createView(instances, { primary }))).toMatchObject({ step: 'order' });
   const order = (ageMs: number) => {
     const firstMs = NOW_MS - ageMs;
-    return { term: toTerm(6), firstMs, lastMs: NOW_MS - 10, failed: false };
+    return { term: toTerm(6), firstMs, lastMs: NOW_MS - 10, failed: false, unsettledCount: 1 };
   };
   const recent = createView(instances, { primary, order: order(100) });
   expect(rules.decide(recent)).toMatchObject({ step: 'wait' });
--- a/src/decisions/promotion/promotionSettings.ts
+++ b/src/decisions/promotion/promotionSettings.ts
@@ -20,6 +20,13 @@
    * Whether a new leader repeats an earlier leader's order; otherwise it decides under a new term.
    */
   readonly adoptsOrders: boolean;
+  /**
+   * Whether the platform refuses an order whose fencing token is below one that it has seen.
+   * Otherwise an order without an answer may be carried out after later ones.
+   */
+  readonly hasFencedOrders: boolean;
+  /** Longest time after which the platform still carries out an order that it did not answer. */
+  readonly orderLifetimeMs: number;
 }
 
 /** The default limits. */
@@ -33,4 +40,6 @@
   moveTimeoutMs: 2000,
   moveIntervalMs: 5000,
   adoptsOrders: true,
+  hasFencedOrders: true,
+  orderLifetimeMs: 60_000,
 };
--- a/src/decisions/routing/writeConfirmations.ts
+++ b/src/decisions/routing/writeConfirmations.ts
@@ -8,22 +8,36 @@
   readonly deadlineMs: number;
 }
 
-/** Committed writes that wait until a replica has reached their position. */
+/** The instances that must have received a write before it is acknowledged. */
+export interface ConfirmationRequirement {
+  /** Whether any replica that is not leaving must have it. */
+  readonly needsReplica: boolean;
+  /** Instances that must all have it. */
+  readonly instances: readonly InstanceId[];
+}
+
+/** Committed writes that wait until the required replicas have reached their position. */
 export class WriteConfirmations {
   private readonly pending = new Map<RequestId, PendingWrite>();
   private readonly reached = new Map<InstanceId, SessionPosition>();
+  private readonly leaving = new Set<InstanceId>();
+  private requirement: ConfirmationRequirement = { needsReplica: true, instances: [] };
 
   /** Whether any write is waiting. */
   get isWaiting(): boolean {
     return this.pending.size > 0;
   }
 
-  /** Adds a write; returns true, without adding it, if a replica has already reached it. */
+  /** Sets which instances must have a write; removes and returns the writes confirmed by it. */
+  setRequirement(requirement: ConfirmationRequirement): readonly PendingWrite[] {
+    this.requirement = requirement;
+    return this.takeWhere(({ position }) => this.isConfirmed(position));
+  }
+
+  /** Adds a write; returns true, without adding it, if it is already confirmed. */
   add(write: PendingWrite): boolean {
-    for (const position of this.reached.values()) {
-      if (contains(position, write.position)) {
-        return true;
-      }
+    if (this.isConfirmed(write.position)) {
+      return true;
     }
     this.pending.set(write.id, write);
     return false;
@@ -40,9 +54,20 @@
   }
 
   /** Records a replica's position; removes and returns the writes that it confirms. */
-  recordReplicaPosition(instance: InstanceId, position: SessionPosition): readonly PendingWrite[] {
+  recordReplicaPosition(
+    instance: InstanceId,
+    position: SessionPosition,
+    isLeaving = false,
+  ): readonly PendingWrite[] {
     this.reached.set(instance, position);
-    return this.takeWhere((write) => contains(position, write.position));
+    if (isLeaving) {
+      this.leaving.add(instance);
+    } else {
+      this.leaving.delete(instance);
+    }
+    return this.takeWhere(
+      (write) => contains(position, write.position) && this.isConfirmed(write.position),
+    );
   }
 
   /** Discards the position of a replica, as after its connections broke. */
@@ -61,6 +86,16 @@
     return this.takeWhere(() => true);
   }
 
+  private isConfirmed(position: SessionPosition): boolean {
+    const { needsReplica, instances } = this.requirement;
+    const hasReached = (instance: InstanceId): boolean => {
+      const reached = this.reached.get(instance);
+      return reached !== undefined && contains(reached, position);
+    };
+    const replicas = [...this.reached.keys()].filter((each) => !this.leaving.has(each));
+    return instances.every(hasReached) && (!needsReplica || replicas.some(hasReached));
+  }
+
   private takeWhere(isWanted: (write: PendingWrite) => boolean): readonly PendingWrite[] {
     const taken: PendingWrite[] = [];
     for (const write of this.pending.values()) {
--- a/standin/lines/lineGroup.ts
+++ b/standin/lines/lineGroup.ts
@@ -25,6 +25,8 @@
   readonly lagMs: number;
   /** Time from an order until the instance leads, in milliseconds. */
   readonly promoteMs: number;
+  /** Whether orders with an outdated fencing token are refused; default true. */
+  readonly checksTokens?: boolean;
 }
 
 /** A model of one database group of the platform: its log, its replication and its promotions. */
@@ -34,6 +36,8 @@
   readonly rolledBack: LineCommit[] = [];
   /** How often an acknowledged commit was not in the log of a promoted instance. */
   lostCommits = 0;
+  /** How often an order with an outdated token was carried out. */
+  lowerTokens = 0;
   private highestToken = 0;
 
   constructor(
@@ -74,10 +78,11 @@
   /** Takes an order; gives the status of its answer. */
   promote(id: string, token: number): number {
     const chosen = this.instances.find((each) => each.id === id);
-    if (token < this.highestToken || chosen?.isRunning !== true) {
+    if (this.isOutdated(token) || chosen?.isRunning !== true) {
       return 409;
     }
-    this.highestToken = token;
+    this.lowerTokens += token < this.highestToken ? 1 : 0;
+    this.highestToken = Math.max(token, this.highestToken);
     if (chosen.role !== 'primary') {
       this.timer.once(this.options.promoteMs, () => this.lead(chosen, token));
     }
@@ -92,8 +97,12 @@
     }
   }
 
+  private isOutdated(token: number): boolean {
+    return this.options.checksTokens !== false && token < this.highestToken;
+  }
+
   private lead(chosen: LineInstance, token: number): void {
-    if (token < this.highestToken || !chosen.isRunning || chosen.role === 'primary') {
+    if (this.isOutdated(token) || !chosen.isRunning || chosen.role === 'primary') {
       return;
     }
     const previous = this.primary;
--- a/standin/lines/linePlatform.ts
+++ b/standin/lines/linePlatform.ts
@@ -40,6 +40,11 @@
 
 /** The platform's side: takes promotion orders and has the instances send their heartbeats. */
 export class LinePlatform {
+  /**
+   * Time after which an order for an instance is carried out, without an answer; undefined to carry
+   * it out and answer at once.
+   */
+  getDelayMs: (instance: string) => number | undefined = () => undefined;
   private server: Server | undefined;
   private stopHeartbeats: Unsubscribe | undefined;
 
@@ -62,7 +67,13 @@
       request.on('end', () => {
         const { service, id } = JSON.parse(text) as { service: string; id: string };
         const group = this.groups.find(({ options }) => options.service === service);
-        response.statusCode = group?.promote(id, Number(request.headers['fence-token'])) ?? 404;
+        const token = Number(request.headers['fence-token']);
+        const delayMs = this.getDelayMs(id);
+        if (delayMs !== undefined) {
+          this.timer.once(delayMs, () => group?.promote(id, token));
+          return;
+        }
+        response.statusCode = group?.promote(id, token) ?? 404;
         response.end();
       });
     });
--- a/tests/platform/linkRate.test.ts
+++ b/tests/platform/linkRate.test.ts
@@ -17,7 +17,7 @@
     ...['node = "a"', 'ip = "127.0.0.1"', 'zone = "north"', 'internalPorts = [7000, 7009]'],
     ...['seeds = ["127.0.0.1:7010"]', 'heartbeatMs = 300', '[listen]'],
     ...['frontend = "127.0.0.1:7020"', '[limits]', 'maxFds = 4000', limits],
-    ...['[bounds]', 'graceS = 6', ''],
+    ...['[bounds]', 'graceS = 6', 'fencing = true', ''],
   ];
   writeFileSync(file, lines.join('\n'));
   return readPlatformSettings(file).settings.mesh.link_bytes_per_second;
--- a/tests/support/fleet/fakeFleet.ts
+++ b/tests/support/fleet/fakeFleet.ts
@@ -191,7 +191,7 @@
       this.network.send(instance, from, this.nowMs, () =>
         reply({
           kind: ControlInputKind.PromotionResult,
-          ...{ group, instance, term, ok: position !== undefined },
+          ...{ group, instance, term, ok: position !== undefined, isSettled: true },
           position: position ?? target.position,
         }),
       );
