--- a/src/decisions/control/leader/createGroupView.ts
+++ b/src/decisions/control/leader/createGroupView.ts
@@ -11,7 +11,7 @@
 import type { GroupAssignment } from '../groupAssignment.js';
 import type { GroupPrimary } from '../groupPrimary.js';
 import type { InstanceRecord } from '../instanceRecord.js';
-import { getInstanceRecordName } from '../recordNames.js';
+import { getInstanceRecordName, getPrimaryRecordName } from '../recordNames.js';
 import type { GroupTracker, ReceivedAnnouncement } from './groupTracker.js';
 import { getTracker, type LeaderContext } from './leaderContext.js';
 
@@ -38,6 +38,7 @@
     moveAbandonedMs: tracker.moveAbandonedMs,
     order: tracker.order,
     primary,
+    primaryRevision: state.getRecordRevision(getPrimaryRecordName(group)),
     holder,
   };
 }
--- a/src/decisions/promotion/groupView.ts
+++ b/src/decisions/promotion/groupView.ts
@@ -56,6 +56,8 @@
   readonly leaderSinceMs: number;
   readonly acknowledgement: Acknowledgement;
   readonly primary: GroupPrimary | undefined;
+  /** Revision at which the primary's record last changed; 0 when there is none. */
+  readonly primaryRevision: Revision;
   readonly instances: readonly InstanceView[];
   /** Instances that are gone and whose logs were not observed on another instance since. */
   readonly departed: readonly DepartedView[];
--- a/src/decisions/promotion/promotionRules.ts
+++ b/src/decisions/promotion/promotionRules.ts
@@ -176,15 +176,21 @@
     if (!this.settings.adoptsOrders && primary.decidedBy !== view.leader) {
       return this.supersedePromotion(view, primary);
     }
-    if (order?.term !== primary.term) {
-      return { step: PromotionStep.Order };
-    }
-    const isTimedOut = nowMs - order.firstMs >= this.settings.promotionTimeoutMs;
-    const next = order.failed || isTimedOut ? this.findAlternative(view, primary) : undefined;
+    const required = primary.base?.required ?? toLogPosition(0);
+    const isOrdered = order?.term === primary.term;
+    const isTimedOut = isOrdered && nowMs - order.firstMs >= this.settings.promotionTimeoutMs;
+    const hasLostLog = lacksRequired(view, findInstance(view, primary), required);
+    const mustReplace = hasLostLog || isTimedOut || (isOrdered && order.failed);
+    const next = mustReplace ? this.findAlternative(view, primary) : undefined;
     if (next !== undefined) {
-      const required = primary.base?.required ?? toLogPosition(0);
       return this.createPromotion(view, next, required, 'the promotion failed or timed out');
     }
+    if (hasLostLog) {
+      return createBlockedWait('the instance to promote lost its log');
+    }
+    if (!isOrdered) {
+      return { step: PromotionStep.Order };
+    }
     return nowMs - order.lastMs >= this.settings.orderIntervalMs
       ? { step: PromotionStep.Order }
       : createWait('the platform has not answered');
@@ -328,12 +334,22 @@
     if (position < (view.holder?.confirmed ?? 0)) {
       return false;
     }
+    if (!this.mayHaveLostLog(primary, own)) {
+      return true;
+    }
     const timeline = getServedTimeline(primary);
     const isAhead = (point: MeasuredPoint | undefined): boolean =>
       point !== undefined && point.term === timeline && point.position > position;
-    return (
-      !this.mayHaveLostLog(primary, own) || !view.instances.map(getFurthestPoint).some(isAhead)
-    );
+    const isEmpty = position <= getServedStart(primary);
+    const isProven = !isEmpty || this.hasRequired(view, primary, position);
+    return isProven && !view.instances.map(getFurthestPoint).some(isAhead);
+  }
+
+  /** Whether a position is known to cover every acknowledged write. */
+  private hasRequired(view: GroupView, primary: GroupPrimary, position: LogPosition): boolean {
+    const fence = this.findFence(view, primary.term);
+    const required = fence && this.getRequired(view, primary, fence);
+    return required !== undefined && position >= required;
   }
 
   private createPromotion(
@@ -384,3 +400,18 @@
 function findInstance(view: GroupView, primary: GroupPrimary): InstanceView | undefined {
   return view.instances.find((each) => each.instance === primary.instance);
 }
+
+/**
+ * Whether the instance to promote may lack a position that it had when it was chosen: it was observed
+ * behind it, or it restarted since then and was not observed to have it again.
+ */
+function lacksRequired(
+  view: GroupView,
+  instance: InstanceView | undefined,
+  required: LogPosition,
+): boolean {
+  const point = instance && getFurthestPoint(instance);
+  const isKnown = point !== undefined && point.term > 0;
+  const hasRestarted = instance !== undefined && instance.restartedRevision > view.primaryRevision;
+  return isKnown ? point.position < required : hasRestarted;
+}
