Promotions in turn: at most ten of a group a minute

Change: a leader begins at most ten promotions of a group in 60 s, then waits; FP6029 says so. Test: departedReplica.test.ts promotes a group thirty times in a row; ten are begun.

--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -217,6 +217,10 @@
     6025,
     'Group "{group}" has no candidate for promotion: {reason} ({positions}).',
   ),
+  PromotionsPaused: warning(
+    6029,
+    'Group "{group}" was promoted {count} times in {seconds} s; the next promotion waits.',
+  ),
   PromotionDecided: message(
     6028,
     'Group "{group}" needs position {required} and "{instance}" has it: {reason} ({positions}).',
--- a/src/decisions/control/leader/departedReplica.test.ts
+++ b/src/decisions/control/leader/departedReplica.test.ts
@@ -20,6 +20,7 @@
   type GroupReport,
   type InstanceObservation,
 } from '../index.js';
+import { DEFAULT_PROMOTION_SETTINGS } from '../../promotion/index.js';
 import { ControlInputKind, ControlLeader, ControlOutputKind, type ControlInput } from './index.js';
 
 const GROUP = toGroupId('g');
@@ -120,8 +121,9 @@
   report: Partial<GroupReport>,
   leaving: readonly string[] = [],
   departures: readonly string[] = [],
+  steps = 40,
 ): void {
-  for (let step = 0; step < 40; step += 1) {
+  for (let step = 0; step < steps; step += 1) {
     nowMs += STEP_MS;
     sequence += 1;
     handle({
@@ -177,3 +179,12 @@
   renew({ fencedTerm, sightings: [observe('p', undefined), observe('a', 100)] }, [], ['b']);
   expect(promoted).toEqual(['a']);
 });
+
+test('a group that is promoted again and again waits between promotions', () => {
+  const { maximumPromotions } = DEFAULT_PROMOTION_SETTINGS;
+  const sightings = [observe('p', undefined), observe('a', 100), observe('b', 100)];
+  for (let round = 0; round < 3 * maximumPromotions; round += 1) {
+    renew({ fencedTerm: toTerm(round + 1), sightings }, [], [], 20);
+  }
+  expect(promoted).toHaveLength(maximumPromotions);
+});
--- a/src/decisions/control/leader/groupDecisions.ts
+++ b/src/decisions/control/leader/groupDecisions.ts
@@ -22,6 +22,7 @@
 import type { ReaderPlacement } from './readerPlacement.js';
 
 const NO_TERM = toTerm(0);
+const MS_PER_SECOND = 1000;
 
 /** Decides on one group at a time: its primary, its holder, then the readers of its replicas. */
 export class GroupDecisions {
@@ -105,6 +106,9 @@
   private promote(view: GroupView, decision: PromoteDecision): void {
     const { group, nowMs, primary, holder } = view;
     const { term, instance, required, reason } = decision;
+    if (this.isPaused(view)) {
+      return;
+    }
     this.logPreviousPrimary(view, reason);
     const positions = describePositions(view);
     const decided = { group, instance, required, reason, positions };
@@ -125,6 +129,30 @@
     this.context.outbox.propose(getPrimaryRecordName(group), command, nowMs);
   }
 
+  /**
+   * Whether a group was promoted so often that something else is wrong with it, such as instances that
+   * start empty again and again: further promotions then come at a bounded rate.
+   */
+  private isPaused({ group, nowMs }: GroupView): boolean {
+    const { maximumPromotions, promotionWindowMs } = this.context.settings.promotion;
+    const tracker = getTracker(this.context, group);
+    tracker.promotionTimes = tracker.promotionTimes.filter(
+      (atMs) => nowMs - atMs < promotionWindowMs,
+    );
+    const count = tracker.promotionTimes.length;
+    if (count < maximumPromotions) {
+      tracker.promotionTimes.push(nowMs);
+      tracker.isPaused = false;
+      return false;
+    }
+    if (!tracker.isPaused) {
+      tracker.isPaused = true;
+      const values = { group, count, seconds: promotionWindowMs / MS_PER_SECOND };
+      this.context.outbox.log(Diagnostics.PromotionsPaused, values);
+    }
+    return true;
+  }
+
   /** Ends the wait for orders that will not be carried out any more; true while there is one. */
   private settleOrders(view: GroupView): boolean {
     const { group, nowMs } = view;
--- a/src/decisions/control/leader/groupTracker.ts
+++ b/src/decisions/control/leader/groupTracker.ts
@@ -56,6 +56,10 @@
   readonly orderSinceMs = new Map<Term, number>();
   /** Instance of the last promotion order. */
   orderedInstance: InstanceId | undefined;
+  /** When this leader began the group's last promotions. */
+  promotionTimes: number[] = [];
+  /** Whether a promotion waits because there were too many. */
+  isPaused = false;
   failedInstances: InstanceId[] = [];
   blockedReason: string | undefined;
   /** Host that held the group but could not reach its instances or keep its lease. */
--- a/src/decisions/promotion/promotionSettings.ts
+++ b/src/decisions/promotion/promotionSettings.ts
@@ -27,6 +27,9 @@
   readonly hasFencedOrders: boolean;
   /** Longest time after which the platform still carries out an order that it did not answer. */
   readonly orderLifetimeMs: number;
+  /** Maximum number of promotions of one group that a leader begins in `promotionWindowMs`. */
+  readonly maximumPromotions: number;
+  readonly promotionWindowMs: number;
 }
 
 /** The default limits. */
@@ -42,4 +45,6 @@
   adoptsOrders: true,
   hasFencedOrders: true,
   orderLifetimeMs: 60_000,
+  maximumPromotions: 10,
+  promotionWindowMs: 60_000,
 };
