--- a/bench/promotion/promotionModel.ts
+++ b/bench/promotion/promotionModel.ts
@@ -220,7 +220,7 @@
     const leader = instances[getPrimaryIndex(world)];
     if (isObserved(leader, primary)) {
       add('the holder observes the primary', (next) => {
-        if (next.holder !== undefined && next.holder.acknowledged === 0) {
+        if (next.holder?.acknowledged === 0) {
           next.holder.acknowledged = leader.log.length;
         }
       });
