--- a/src/decisions/tickets/parseTicket.ts
+++ b/src/decisions/tickets/parseTicket.ts
@@ -69,7 +69,7 @@
 
 function replaceRoutes(ticket: Ticket, routes: readonly RouteState[]): Ticket {
   const subjects = ticket.subjects.map((subject) => ({ ...subject, routes }));
-  return { ...ticket, subjects } as Ticket;
+  return { ...ticket, subjects };
 }
 
 function createRouteFault(place: string, expected: string): Fault {
