Search for the control leader: one link at a time, kept for an election

Cause: a host that knew no leader yet was left at once for the next one, although it names the leader as soon as it knows one; slow answers were taken for lost hosts after 100 ms, when all hosts are slow; all began with the same seed. Change: a leaderless host is kept for 500 ms, longer than an election; each further host that does not answer gets twice the time, up to 800 ms; the search begins with any of the known hosts. A daemon with a valid lease gives its leader up after 250 ms as before. The soak's control hosts now name the leader to daemons that asked before, as the real ones do.

--- a/bench/soak/quorumControl.ts
+++ b/bench/soak/quorumControl.ts
@@ -47,6 +47,8 @@
   readonly simulation: Simulation;
   readonly tickets: TicketClient;
   private readonly seats = new Map<SimulatedHost, ControlSeat>();
+  /** Daemons that asked a control host while it knew no leader. */
+  private readonly leaderWaiters = new WeakMap<ControlSeat, Map<FakeDaemon, ControlRoute>>();
   private readonly routes = new Map<FakeDaemon, ControlRoute>();
   leaderships = 0;
   restores = 0;
@@ -170,6 +172,9 @@
   leadershipChanged(host: SimulatedHost, output: LeadershipChangedOutput): void {
     const seat = this.getSeat(host);
     seat.leadershipChanged(output);
+    if (output.leader !== undefined) {
+      this.later(host, () => this.notifyWaiters(seat));
+    }
     if (output.role === Role.Leader) {
       this.leaderships++;
       this.later(host, () => seat.beginLeading(output.term));
@@ -227,12 +232,11 @@
   ): void {
     const { network } = this.fleet;
     if (!seat.isLeading) {
-      const known = this.simulation.hosts.find(
-        (host) => host.identity === seat.host.member?.leader,
-      );
-      network.send(seat.name, daemon.host, this.fleet.nowMs, () =>
-        route.redirected(known === undefined ? undefined : `c${known.number}`),
-      );
+      const leader = this.findLeaderName(seat);
+      if (leader === undefined) {
+        this.addWaiter(seat, daemon, route);
+      }
+      network.send(seat.name, daemon.host, this.fleet.nowMs, () => route.redirected(leader));
       return;
     }
     seat.renew(renewal, (grant) => {
@@ -241,6 +245,30 @@
     });
   }
 
+  private findLeaderName(seat: ControlSeat): string | undefined {
+    const known = this.simulation.hosts.find((host) => host.identity === seat.host.member?.leader);
+    return known === undefined ? undefined : `c${known.number}`;
+  }
+
+  private addWaiter(seat: ControlSeat, daemon: FakeDaemon, route: ControlRoute): void {
+    const waiters = this.leaderWaiters.get(seat) ?? new Map<FakeDaemon, ControlRoute>();
+    waiters.set(daemon, route);
+    this.leaderWaiters.set(seat, waiters);
+  }
+
+  /** Names the leader to the daemons that asked the host while it knew none. */
+  private notifyWaiters(seat: ControlSeat): void {
+    const leader = this.findLeaderName(seat);
+    for (const [daemon, route] of leader === undefined
+      ? []
+      : (this.leaderWaiters.get(seat) ?? [])) {
+      this.fleet.network.send(seat.name, daemon.host, this.fleet.nowMs, () =>
+        route.redirected(leader),
+      );
+      this.leaderWaiters.delete(seat);
+    }
+  }
+
   private getRoute(daemon: FakeDaemon): ControlRoute {
     const names = this.simulation.hosts.map((host) => `c${host.number}`);
     const route = this.routes.get(daemon) ?? new ControlRoute(() => names);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -36,6 +36,8 @@
 const FRAME_OVERHEAD_BYTES = 65_536;
 const DEFAULT_MESSAGE_BYTES = 33_554_432;
 const SNAPSHOT_BYTES = 67_108_864;
+/** At least the number of control members, to begin the search for the leader with any of them. */
+const MAXIMUM_MEMBERS = 1000;
 const METRICS_INTERVAL_MS = 1000;
 const DELAYED_REQUEST_MS = 300;
 const DRAIN_CHECK_MS = 20;
@@ -97,7 +99,7 @@
     this.ids = new RequestIds(this.incarnation);
     this.requestLog = new RequestLog(logger, timer);
     this.mesh = this.createMesh();
-    const route = new ControlRoute(() => this.getControlAddresses());
+    const route = this.createRoute();
     const { incarnation, mesh, records, ids } = this;
     const { link_bytes_per_second: linkBytesPerSecond } = settings.mesh;
     const link = linkBytesPerSecond === undefined ? {} : { linkBytesPerSecond };
@@ -289,7 +291,7 @@
     const { settings, files, timer, logger } = this.options;
     const { ids, records, lease, mesh, metrics, requests } = this;
     const log = this.requestLog;
-    const route = new ControlRoute(() => this.getControlAddresses());
+    const route = this.createRoute();
     const control = new MeshControlClient(mesh, route, ids, timer, lease, () =>
       this.control?.findConfiguration(),
     );
@@ -326,6 +328,11 @@
     });
   }
 
+  private createRoute(): ControlRoute {
+    const first = Math.floor(this.options.random.next() * MAXIMUM_MEMBERS);
+    return new ControlRoute(() => this.getControlAddresses(), first);
+  }
+
   private getControlAddresses(): readonly string[] {
     const inForce = this.records.getControlMembers()?.members ?? [];
     const addresses = [...inForce, ...this.members].map(({ address }) => address);
--- a/src/daemon/lease/leaseTask.ts
+++ b/src/daemon/lease/leaseTask.ts
@@ -40,8 +40,6 @@
  * has to be renewed.
  */
 const VALID_CHECK_INTERVAL_MS = RENEWAL_INTERVAL_MS / 2;
-/** Time without an answer after which a daemon without a lease tries the next control host. */
-const SEARCH_TIMEOUT_MS = 100;
 /** Minimum time between two renewals. */
 const RENEWAL_SPACING_MS = 5;
 /** Time for which a departure is repeated: longer than a change of the control leader takes. */
@@ -125,7 +123,7 @@
       if (message.leader !== undefined) {
         this.backoff.recordNamedLeader(message.leader);
       }
-      // If no leader is known, the next check tries again: each control host that received a
+      // If no leader is known, a later check tries again: each control host that received a
       // renewal reports the leader once it knows one, and renewals at the speed of the network
       // would delay its election.
       if (this.route.redirected(message.leader)) {
@@ -228,7 +226,7 @@
   private renew(): void {
     const nowMs = this.timer.now();
     const isValid = this.isValid();
-    const address = this.route.choose(nowMs, isValid ? undefined : SEARCH_TIMEOUT_MS);
+    const address = isValid ? this.route.choose(nowMs) : this.route.search(nowMs);
     if (!isValid && !this.backoff.canAttempt(address, nowMs)) {
       return;
     }
