Placement: move a group whose holder reaches the primary but no replica

Cause: a holder on the primary's side of the cut reaches it, and it says that it leads, so nothing was in doubt; but it completes no write, as it waits for a replica (syncReplicas) that it cannot reach. The holder sees that it reaches no replica itself. Change: after 500 ms of that, while replicas announce themselves, the group moves to another host, at most every 3 s. If that one does not reach the primary it fences the term, and a replica is promoted with all that was acknowledged. Load it answers: a primary parted from its replicas together with some hosts. Test: synchronousGroup.test.ts (moves; stays for a moment's loss and while a replica is reached).

--- a/bench/promotion/createModelView.ts
+++ b/bench/promotion/createModelView.ts
@@ -49,6 +49,7 @@
       ? { term: primary.term, firstMs, lastMs: firstMs, failed: false, unsettledCount: 1 }
       : undefined,
     failedInstances: [],
+    isolatedSinceMs: undefined,
     primaryRevision: toRevision(world.primaryRevision),
   };
 }
--- a/src/decisions/control/leader/controlSettings.ts
+++ b/src/decisions/control/leader/controlSettings.ts
@@ -16,6 +16,13 @@
   readonly slowStartMs: number;
   /** Time between moves of groups from loaded to idle hosts. */
   readonly rebalanceIntervalMs: number;
+  /**
+   * Time for which a holder has to reach its primary but no replica before the group moves to another
+   * host.
+   */
+  readonly isolationMs: number;
+  /** Minimum time between two such moves of a group. */
+  readonly isolationIntervalMs: number;
   /** Maximum number of groups and accounts processed in one tick. */
   readonly decisionsPerTick: number;
   /** Maximum number of groups and accounts processed after any other input. */
@@ -30,6 +37,8 @@
   fleetSettleMs: 300,
   slowStartMs: 30_000,
   rebalanceIntervalMs: 1000,
+  isolationMs: 500,
+  isolationIntervalMs: 3000,
   decisionsPerTick: 512,
   decisionsPerInput: 64,
 };
--- a/src/decisions/control/leader/createGroupView.ts
+++ b/src/decisions/control/leader/createGroupView.ts
@@ -35,6 +35,7 @@
     firstSeenMs: tracker.firstSeenMs,
     servingSinceMs: tracker.servingSinceMs,
     movingSinceMs: tracker.movingSinceMs,
+    isolatedSinceMs: tracker.isolatedSinceMs,
     moveAbandonedMs: tracker.moveAbandonedMs,
     order: tracker.order,
     primary,
--- a/src/decisions/control/leader/groupPlacement.ts
+++ b/src/decisions/control/leader/groupPlacement.ts
@@ -1,6 +1,12 @@
 import { Diagnostics } from '../../../common/diagnostics/index.js';
 import type { FailureDomain } from '../../../common/ids/index.js';
-import { isAnnouncedPrimary, type GroupView } from '../../promotion/index.js';
+import {
+  isAnnouncedPrimary,
+  isAnnouncing,
+  type GroupView,
+  type InstanceView,
+} from '../../promotion/index.js';
+import { Acknowledgement } from '../../tickets/index.js';
 import { CommandKind } from '../commandKind.js';
 import { PrimaryPhase } from '../groupPrimary.js';
 import type { Holder } from '../holder.js';
@@ -31,9 +37,37 @@
       this.proposeDrain(view, name, assignment.holder);
       return true;
     }
+    if (this.isIsolated(view)) {
+      const tracker = getTracker(this.context, view.group);
+      tracker.avoidedHost = assignment.holder.host;
+      tracker.isolationMovedMs = view.nowMs;
+      this.proposeDrain(view, name, assignment.holder);
+      return true;
+    }
     return this.mustRelease(assignment.holder) && this.drain(view, name, assignment.holder);
   }
 
+  /**
+   * Whether a group should move to a host that may reach its replicas: its primary acknowledges only
+   * what a replica has, replicas are alive, and the holder has reached none of them for some time.
+   */
+  private isIsolated(view: GroupView): boolean {
+    const { group, nowMs, primary, isolatedSinceMs, acknowledgement } = view;
+    const { isolationMs, isolationIntervalMs, promotion } = this.context.settings;
+    const { isolationMovedMs } = getTracker(this.context, group);
+    const isAlive = (each: InstanceView): boolean =>
+      each.instance !== primary?.instance && !each.leaving && isAnnouncing(view, each, promotion);
+    return (
+      acknowledgement === Acknowledgement.Synchronous &&
+      primary?.phase === PrimaryPhase.Serving &&
+      isolatedSinceMs !== undefined &&
+      nowMs - isolatedSinceMs >= isolationMs &&
+      nowMs - isolationMovedMs >= isolationIntervalMs &&
+      this.context.groupPlacement.hostCount > 1 &&
+      view.instances.some(isAlive)
+    );
+  }
+
   /**
    * Whether a recorded holder still holds the group: until its release or retirement is committed.
    */
--- a/src/decisions/control/leader/groupTracker.ts
+++ b/src/decisions/control/leader/groupTracker.ts
@@ -62,6 +62,10 @@
   isPaused = false;
   failedInstances: InstanceId[] = [];
   blockedReason: string | undefined;
+  /** Since when the present holder reports that it reaches the primary but none of the replicas. */
+  isolatedSinceMs: number | undefined;
+  /** When the group was last moved for that reason. */
+  isolationMovedMs = -Infinity;
   /** Host that held the group but could not reach its instances or keep its lease. */
   avoidedHost: HostId | undefined;
 
@@ -121,6 +125,11 @@
     }
   }
 
+  /** Records whether the holder reaches the primary but none of the replicas. */
+  recordIsolation(isIsolated: boolean, nowMs: number): void {
+    this.isolatedSinceMs = isIsolated ? (this.isolatedSinceMs ?? nowMs) : undefined;
+  }
+
   /** Discards the report of a holder that no longer holds the group. */
   clearReport(): void {
     this.reporter = undefined;
@@ -128,6 +137,7 @@
     this.fencedAtMs = undefined;
     this.acknowledged = toLogPosition(0);
     this.confirmed = toLogPosition(0);
+    this.isolatedSinceMs = undefined;
     this.sightings.clear();
   }
 }
--- a/src/decisions/control/leader/renewalHandler.ts
+++ b/src/decisions/control/leader/renewalHandler.ts
@@ -244,7 +244,9 @@
         const tracker = getTracker(this.context, report.group);
         tracker.recordReport(report, renewal.lease, nowMs);
         this.recordCoveredLogs(report, nowMs);
-        if (this.isPrimaryInDoubt(report)) {
+        const isIsolated = this.isPrimaryIsolated(report);
+        tracker.recordIsolation(isIsolated, nowMs);
+        if (isIsolated || this.isPrimaryInDoubt(report)) {
           groupQueue.add(report.group);
         }
       }
@@ -282,6 +284,19 @@
     return report.fencedTerm >= primary.term || observation?.reachable === false || isPromoted;
   }
 
+  /**
+   * Whether a holder reaches the primary but none of its replicas: both may be cut off from them, so
+   * that a primary which waits for a replica completes no write.
+   */
+  private isPrimaryIsolated({ group, sightings }: GroupReport): boolean {
+    const primary = this.context.state.getPrimary(group);
+    const others = sightings.filter(({ instance }) => instance !== primary?.instance);
+    const own = sightings.find(({ instance }) => instance === primary?.instance);
+    return (
+      own?.reachable === true && others.length > 0 && others.every(({ reachable }) => !reachable)
+    );
+  }
+
   private processReleases(renewal: LeaseRenewal, nowMs: number): void {
     const { state, outbox } = this.context;
     const { lease } = renewal;
--- a/src/decisions/control/leader/departedReplica.test.ts
+++ b/src/decisions/control/leader/synchronousGroup.test.ts
@@ -34,6 +34,7 @@
 let state: ControlState;
 let leader: ControlLeader;
 let promoted: string[];
+let hostSequence = 0;
 
 /** A group whose primary acknowledges by itself, taken over in mid-term by `edge-1`. */
 beforeEach(() => {
@@ -152,6 +153,26 @@
   }
 }
 
+/** Has another host, which holds nothing, renew its lease. */
+function addHost(name: string): void {
+  hostSequence += 1;
+  handle({
+    kind: ControlInputKind.Renewal,
+    mayGrant: true,
+    renewal: {
+      ...{ host: toHostId(name), incarnation: toIncarnation(name), lease: toLeaseId(`${name}.1`) },
+      ...{ domain: toFailureDomain('south'), address: name, stopping: false },
+      ...{ sequence: hostSequence, answered: hostSequence - 1, sinceAnsweredMs: STEP_MS },
+      revision: toRevision(revision),
+      ...{ releasedGroups: [], releasedAccounts: [], announcements: [], reports: [] },
+    },
+  });
+}
+
+function isDraining(): boolean | undefined {
+  return state.getGroupAssignment(GROUP)?.draining;
+}
+
 const fencedTerm = toTerm(1);
 
 test('a replica that is leaving counts for what the primary acknowledged', () => {
@@ -188,3 +209,24 @@
   }
   expect(promoted).toHaveLength(maximumPromotions);
 });
+
+test('a group whose holder reaches the primary alone moves once another host is there', () => {
+  const alone = [observe('p', 100), observe('a', undefined), observe('b', undefined)];
+  renew({ sightings: alone });
+  expect(isDraining()).toBe(false);
+  addHost('edge-2');
+  renew({ sightings: alone }, [], [], 2);
+  expect(isDraining()).toBe(true);
+});
+
+test('a group does not move for a moment without replicas, nor while the holder reaches one', () => {
+  addHost('edge-2');
+  const alone = [observe('p', 100), observe('a', undefined), observe('b', undefined)];
+  const reached = [observe('p', 100), observe('a', 90), observe('b', undefined)];
+  for (let round = 0; round < 5; round += 1) {
+    renew({ sightings: alone }, [], [], 8);
+    addHost('edge-2');
+    renew({ sightings: reached }, [], [], 8);
+  }
+  expect(isDraining()).toBe(false);
+});
--- a/src/decisions/promotion/groupView.ts
+++ b/src/decisions/promotion/groupView.ts
@@ -70,6 +70,8 @@
   readonly servingSinceMs: number | undefined;
   /** When this leader first observed the present planned move. */
   readonly movingSinceMs: number | undefined;
+  /** Since when the holder reports that it reaches the primary but none of the replicas. */
+  readonly isolatedSinceMs: number | undefined;
   /** When this leader last abandoned a planned move. */
   readonly moveAbandonedMs: number | undefined;
   readonly order: PromotionOrder | undefined;
--- a/src/decisions/promotion/promotionRules.test.ts
+++ b/src/decisions/promotion/promotionRules.test.ts
@@ -79,6 +79,7 @@
     acknowledgement: Acknowledgement.Replica,
     primary: createPrimary(),
     departed: [],
+    isolatedSinceMs: undefined,
     primaryRevision: toRevision(0),
     instances,
     ...{ holder: undefined, unheldSinceMs: FENCE_MS, firstSeenMs: 0, servingSinceMs: 0 },
--- a/src/decisions/promotion/timelines.test.ts
+++ b/src/decisions/promotion/timelines.test.ts
@@ -102,6 +102,7 @@
     ...{ unheldSinceMs: undefined, firstSeenMs: 0, servingSinceMs: 0, movingSinceMs: undefined },
     ...{ moveAbandonedMs: undefined, order: undefined, failedInstances: [], departed: [] },
     primaryRevision: toRevision(0),
+    isolatedSinceMs: undefined,
   };
 }
 
