Held writes: left to the later term that decides them

Found while reading the diff: a write that was held when its term was fenced counted as confirmed as soon as a replica reached its position, or as nothing was required any more; at that moment a promotion is under way, so that it ended as unknown although the new term often has it. Change: held writes are confirmed by no replica; the next term or their deadline decides.

--- a/src/decisions/routing/writeConfirmations.ts
+++ b/src/decisions/routing/writeConfirmations.ts
@@ -19,6 +19,8 @@
 /** Committed writes that wait until the required replicas have reached their position. */
 export class WriteConfirmations {
   private readonly pending = new Map<RequestId, PendingWrite>();
+  /** Pending writes that no replica's position confirms any more. */
+  private readonly held = new Set<RequestId>();
   private readonly reached = new Map<InstanceId, SessionPosition>();
   private readonly leaving = new Set<InstanceId>();
   private requirement: ConfirmationRequirement = { needsReplica: true, instances: [] };
@@ -31,7 +33,7 @@
   /** Sets which instances must have a write; removes and returns the writes confirmed by it. */
   setRequirement(requirement: ConfirmationRequirement): readonly PendingWrite[] {
     this.requirement = requirement;
-    return this.takeWhere(({ position }) => this.isConfirmed(position));
+    return this.takeWhere(({ id, position }) => !this.held.has(id) && this.isConfirmed(position));
   }
 
   /** Adds a write; returns true, without adding it, if it is already confirmed. */
@@ -43,9 +45,13 @@
     return false;
   }
 
-  /** Adds a write without confirming it, until a later term decides its outcome. */
+  /**
+   * Adds a write whose outcome a later term decides. Replicas' positions don't confirm it: it may not
+   * be part of that term's history.
+   */
   hold(write: PendingWrite): void {
     this.pending.set(write.id, write);
+    this.held.add(write.id);
   }
 
   /** Removes and returns the writes of terms before the given one. */
@@ -66,7 +72,8 @@
       this.leaving.delete(instance);
     }
     return this.takeWhere(
-      (write) => contains(position, write.position) && this.isConfirmed(write.position),
+      ({ id, position: written }) =>
+        !this.held.has(id) && contains(position, written) && this.isConfirmed(written),
     );
   }
 
@@ -102,6 +109,7 @@
       if (isWanted(write)) {
         taken.push(write);
         this.pending.delete(write.id);
+        this.held.delete(write.id);
       }
     }
     return taken;
