--- a/bench/promotion/promotionModel.ts
+++ b/bench/promotion/promotionModel.ts
@@ -1,5 +1,5 @@
 import { toLogPosition, toRevision, toTerm } from '../../src/common/ids/index.js';
-import { PrimaryPhase, RecordKind, type GroupPrimary } from '../../src/decisions/control/index.js';
+import { PrimaryPhase, RecordKind } from '../../src/decisions/control/index.js';
 import {
   DEFAULT_PROMOTION_SETTINGS,
   PromotionRules,
@@ -7,6 +7,16 @@
   type PromotionDecision,
 } from '../../src/decisions/promotion/index.js';
 import { createModelView, getInstanceId, GROUP, LEADER } from './createModelView.js';
+import {
+  canFollow,
+  findLeader,
+  follow,
+  getPrimaryIndex,
+  getSubsets,
+  hasEveryWrite,
+  isObserved,
+  removeUnsettled,
+} from './modelInstances.js';
 import {
   copyWorld,
   type ModelInstance,
@@ -336,61 +346,4 @@
   }
 }
 
-/** Whether each acknowledged write is on some instance; otherwise no decision can keep it. */
-function hasEveryWrite({ instances, acknowledged }: PromotionWorld): boolean {
-  return acknowledged.every((entry) => instances.some(({ log }) => log.includes(entry)));
-}
-
 type StepAdder = (name: string, change: (next: PromotionWorld) => void) => void;
-
-function getPrimaryIndex({ instances, primary }: PromotionWorld): number {
-  return instances.findIndex((_, index) => getInstanceId(index) === primary.instance);
-}
-
-const LOST_INSTANCE = { isRunning: false, isReachable: false, isPrimary: false, timeline: 0 };
-
-/** Whether the holder can observe an instance as the recorded primary. */
-function isObserved(
-  instance: ModelInstance | undefined,
-  { timeline }: GroupPrimary,
-): instance is ModelInstance {
-  const { isRunning, isReachable, isPrimary, timeline: own } = instance ?? LOST_INSTANCE;
-  return isRunning && isReachable && isPrimary && own === timeline;
-}
-
-/** The running primary of the newest timeline. */
-function findLeader({ instances }: PromotionWorld): ModelInstance | undefined {
-  const leaders = instances.filter(({ isPrimary, isRunning }) => isPrimary && isRunning);
-  return leaders.sort((left, right) => right.timeline - left.timeline)[0];
-}
-
-function canFollow(instance: ModelInstance, leader: ModelInstance): boolean {
-  return (
-    instance !== leader &&
-    instance.isRunning &&
-    !instance.isPrimary &&
-    instance.timeline <= leader.timeline
-  );
-}
-
-function follow(instance: ModelInstance | undefined, leader: ModelInstance | undefined): void {
-  if (instance !== undefined && leader !== undefined && canFollow(instance, leader)) {
-    instance.log = [...leader.log];
-    instance.timeline = leader.timeline;
-  }
-}
-
-function removeUnsettled(world: PromotionWorld, term: number): void {
-  const isLate = world.lateOrders.some((each) => each.term === term);
-  const { unsettled, ...rest } = world.primary;
-  const kept = (unsettled ?? []).filter((each) => isLate || each.term !== term);
-  world.primary = kept.length === 0 ? rest : { ...rest, unsettled: kept };
-}
-
-function getSubsets(items: readonly number[]): number[][] {
-  const subsets = items.reduce<number[][]>(
-    (known, item) => [...known, ...known.map((each) => [...each, item])],
-    [[]],
-  );
-  return subsets.filter((each) => each.length > 0);
-}
