lateOrders test: hold back whichever replica is ordered first

The test chose the instance whose order comes late before the failure and waited until it led; the leader orders the first replica whose log point it learns, which under load was the other one (trace: FP6028 names i-3, the test waited for i-2).

--- a/tests/platform/lateOrders.test.ts
+++ b/tests/platform/lateOrders.test.ts
@@ -1,6 +1,7 @@
 import { afterAll, beforeAll, expect, test } from 'vitest';
 import { createLinePlan } from '../../bench/lines/linePlan.js';
 import { LocalLineFleet } from '../../bench/lines/localLineFleet.js';
+import type { LineInstance } from '../../standin/lines/index.js';
 
 const KEY = 'key-mill';
 const LATEST = 'latest-ledger1';
@@ -29,16 +30,27 @@
 test('an order carried out late by a platform without fencing loses no acknowledged write', async () => {
   const group = fleet.getGroup();
   const { primary: first } = group;
-  const late = group.instances.find((each) => each !== first);
-  if (first === undefined || late === undefined || fleet.platform === undefined) {
-    throw new Error('the group has no replica');
+  if (first === undefined || fleet.platform === undefined) {
+    throw new Error('the group has no primary');
   }
+  // Whichever replica answers first is ordered first.
+  let late: LineInstance | undefined;
+  fleet.platform.getDelayMs = (id) => {
+    if (late === undefined) {
+      late = group.instances.find((each) => each.id === id);
+      if (late !== undefined) {
+        late.isDeaf = true;
+      }
+    }
+    return late?.id === id ? LATE_MS : undefined;
+  };
   expect(await write('before')).toBe(true);
-  fleet.platform.getDelayMs = (id) => (id === late.id ? LATE_MS : undefined);
   await fleet.sleep(100);
-  late.isDeaf = true;
   await first.stop();
   await fleet.waitFor(() => group.primary !== first && group.primary !== undefined);
+  if (late === undefined) {
+    throw new Error('no promotion was ordered');
+  }
   expect(group.primary).not.toBe(late);
   await first.start();
   let acknowledged = 'before';
