Operators' interface: create its routes at the first request

Ten seconds after its start each host loaded the HTTP library of an interface that is hardly ever asked: 69 ms of processor time in one piece. After a loss of power all hosts do so at once.

The port is now bound at the start by the runtime's own server, with the same limits; the library is loaded by the first request. The delay is gone. The new test counts calls of the library: one for a host never asked before, none now.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -177,17 +177,7 @@
       this.control.start();
     }
     this.lease.start();
-    const { operatorsDelayMs } = this.options.interfaces;
-    if (operatorsDelayMs === 0) {
-      await this.startOperators();
-    } else {
-      timer.once(operatorsDelayMs, () => {
-        // If the daemon is stopped soon after its start, the interface may be closed already.
-        if (!this.stopping) {
-          void this.startOperators().catch(onFatal);
-        }
-      });
-    }
+    await this.startOperators();
     await this.callers?.listen();
     for (const frontend of this.frontends) {
       await frontend.start();
--- a/src/daemon/daemonInterfaces.ts
+++ b/src/daemon/daemonInterfaces.ts
@@ -44,10 +44,6 @@
   abstract readonly isReadyOnlyInService: boolean;
   /** Time for which new callers may still connect after the daemon reported itself not ready. */
   abstract readonly stopNoticeMs: number;
-  /**
-   * Delay after the start until the operators' interface listens, so that callers are served first.
-   */
-  abstract readonly operatorsDelayMs: number;
   abstract createBackend(settings: Settings, files: DaemonFiles): BackendProtocol;
   abstract createPlatform(settings: Settings, timer: TimerService): Platform;
   /** Creates the interface for callers; undefined if the daemon serves none. */
--- a/src/daemon/operators/createHttpServer.ts
+++ b/src/daemon/operators/createHttpServer.ts
@@ -1,3 +1,4 @@
+import { createServer, type Server } from 'node:http';
 import type { Socket } from 'node:net';
 import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify';
 import { createFault, Diagnostics } from '../../common/diagnostics/index.js';
@@ -16,8 +17,23 @@
 const MAXIMUM_SHOWN_PATH_LENGTH = 200;
 const MAXIMUM_CONNECTIONS = 4_096;
 
-/** Creates an HTTP server that limits its input and answers all faults in one JSON format. */
-export function createHttpServer(logger: Logger, requestTimeoutMs: number): FastifyInstance {
+/** Creates an HTTP server that limits its input, without routes. */
+export function createHttpServer(logger: Logger, requestTimeoutMs: number): Server {
+  const server = createServer({
+    requestTimeout: requestTimeoutMs,
+    headersTimeout: requestTimeoutMs,
+    keepAliveTimeout: IDLE_TIMEOUT_MS,
+    connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+  });
+  server.maxConnections = MAXIMUM_CONNECTIONS;
+  server.on('clientError', (cause: NodeJS.ErrnoException, socket: Socket) =>
+    refuseConnection(logger, cause, socket),
+  );
+  return server;
+}
+
+/** Creates the routing of requests to a server, which answers all faults in one JSON format. */
+export function createRouting(logger: Logger, server: Server): FastifyInstance {
   const sendFault = (
     cause: unknown,
     request: FastifyRequest,
@@ -27,29 +43,22 @@
     logger.reportFault(fault, { request: request.id });
     return sendAnswer(reply, createFaultAnswer(fault));
   };
-  const server = Fastify({
+  const routing = Fastify({
+    serverFactory: () => server,
     bodyLimit: MAXIMUM_BODY_BYTES,
-    requestTimeout: requestTimeoutMs,
-    keepAliveTimeout: IDLE_TIMEOUT_MS,
-    http: {
-      headersTimeout: requestTimeoutMs,
-      connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
-    },
     routerOptions: { maxParamLength: MAXIMUM_PATH_PARAMETER_LENGTH },
-    forceCloseConnections: 'idle',
     frameworkErrors: (cause, request, reply) => {
       sendFault(cause, request, reply);
     },
-    clientErrorHandler: (cause, socket) => refuseConnection(logger, cause, socket),
+    clientErrorHandler: () => undefined,
   });
-  server.server.maxConnections = MAXIMUM_CONNECTIONS;
-  server.setErrorHandler(sendFault);
-  server.setNotFoundHandler((request, reply) => {
+  routing.setErrorHandler(sendFault);
+  routing.setNotFoundHandler((request, reply) => {
     const subject = `${request.method} ${request.url.slice(0, MAXIMUM_SHOWN_PATH_LENGTH)}`;
     const fault = createFault(Diagnostics.NotFound, { subject }, { step: 'http.route' });
     return sendAnswer(reply, createFaultAnswer(fault));
   });
-  return server;
+  return routing;
 }
 
 function refuseConnection(logger: Logger, cause: NodeJS.ErrnoException, socket: Socket): void {
--- a/src/daemon/operators/gracefulShutdown.ts
+++ b/src/daemon/operators/gracefulShutdown.ts
@@ -1,3 +1,4 @@
+import type { Server } from 'node:http';
 import type { FastifyInstance } from 'fastify';
 import { waitForPendingInput } from '../../common/tasks/index.js';
 import type { TimerService } from '../../common/timer/index.js';
@@ -11,12 +12,15 @@
   private isStopping = false;
 
   constructor(
-    private readonly server: FastifyInstance,
+    private readonly server: Server,
     private readonly timer: TimerService,
     /** Time that running requests have to finish, in milliseconds. */
     private readonly limitMs: number,
-  ) {
-    server.addHook('onSend', (_request, reply, payload, done) => {
+  ) {}
+
+  /** Lets the answers of a routing close their connections once the server stops. */
+  addRouting(routing: FastifyInstance): void {
+    routing.addHook('onSend', (_request, reply, payload, done) => {
       if (this.isStopping) {
         reply.header('connection', 'close');
       }
@@ -27,9 +31,12 @@
   /** Stops listening and waits for running requests, at most for the time limit. */
   async stop(): Promise<void> {
     this.isStopping = true;
-    const cancel = this.timer.once(this.limitMs, () => this.server.server.closeAllConnections());
+    if (!this.server.listening) {
+      return;
+    }
+    const cancel = this.timer.once(this.limitMs, () => this.server.closeAllConnections());
     await waitForPendingInput();
-    await this.server.close();
+    await new Promise<void>((resolve) => this.server.close(() => resolve()));
     cancel();
   }
 }
--- a/src/daemon/operators/operatorServer.test.ts
+++ b/src/daemon/operators/operatorServer.test.ts
@@ -1,9 +1,15 @@
+import Fastify from 'fastify';
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
 import { createFault, Diagnostics, Execution } from '../../common/diagnostics/index.js';
 import { MemoryControlClient } from '../../../tests/support/memoryControlClient.js';
 import { OperatorHost } from '../../../tests/support/operatorHost.js';
 import { BearerTokens } from './index.js';
 
+vi.mock('fastify', async (importOriginal) => {
+  const original = await importOriginal<typeof import('fastify')>();
+  return { ...original, default: vi.fn(original.default) };
+});
+
 const TICKET = {
   number: 5,
   subjects: [{ kind: 'failure-domain', domain: 'adigrat', inService: false }],
@@ -54,6 +60,17 @@
   return { status: answer.status, body: isJson ? JSON.parse(text) : text, headers: answer.headers };
 }
 
+test('a host that is never asked does not run the library of the routes', async () => {
+  const created = vi.mocked(Fastify);
+  created.mockClear();
+  const unasked = await new OperatorHost(control, {}).start();
+  expect(created).toHaveBeenCalledTimes(0);
+  const answers = await Promise.all([1, 2].map(() => fetch(`${unasked.url}/healthz`)));
+  expect(answers.map(({ status }) => status)).toEqual([200, 200]);
+  expect(created).toHaveBeenCalledTimes(1);
+  await unasked.close();
+});
+
 test('an accepted ticket can be resent and read back, and is reported in force', async () => {
   const first = await request('POST', '/tickets', TICKET);
   const second = await request('POST', '/tickets', TICKET);
--- a/src/daemon/operators/operatorServer.ts
+++ b/src/daemon/operators/operatorServer.ts
@@ -1,37 +1,50 @@
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { FastifyInstance, FastifyRequest } from 'fastify';
 import { ResultAsync } from 'neverthrow';
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
 import { formatAddress, splitAddress, type Address } from '../../common/settings/index.js';
 import type { BearerTokens } from './bearerTokens.js';
-import { createHttpServer, REQUEST_TIMEOUT_MS } from './createHttpServer.js';
+import { createHttpServer, createRouting, REQUEST_TIMEOUT_MS } from './createHttpServer.js';
 import { createFaultAnswer, sendAnswer, type HttpAnswer } from './httpAnswer.js';
 import { HttpStatus } from './httpStatus.js';
 import { OperatorRequests } from './operatorRequests.js';
 import type { OperatorServerOptions } from './operatorServerOptions.js';
 import { GracefulShutdown } from './gracefulShutdown.js';
+import { createRequestFault } from './requestFault.js';
 
 const CLOSE_LIMIT_MS = 5_000;
 
 /** The HTTP interface of one daemon: operators, announcements, metrics and health. */
 export class OperatorServer {
-  private readonly server: FastifyInstance;
+  private readonly server: Server;
   private readonly stopping: GracefulShutdown;
   private readonly requests: OperatorRequests;
+  private routing: Promise<FastifyInstance> | undefined;
 
   constructor(private readonly options: OperatorServerOptions) {
     this.requests = new OperatorRequests(options.control, options.parseTicket);
     const timeoutMs = options.requestTimeoutMs ?? REQUEST_TIMEOUT_MS;
     this.server = createHttpServer(options.logger, timeoutMs);
+    this.server.on('request', (request, response) => {
+      this.handle(request, response).catch((cause: unknown) => {
+        options.logger.reportFault(createRequestFault(cause, request.socket.remoteAddress ?? ''));
+        response.destroy();
+      });
+    });
     this.stopping = new GracefulShutdown(this.server, options.timer, CLOSE_LIMIT_MS);
-    this.addOpenRoutes();
-    this.addProtectedRoutes(options.operatorTokens, (scope) => this.addOperatorRoutes(scope));
-    this.addProtectedRoutes(options.announcerTokens, (scope) => this.addAnnouncerRoutes(scope));
   }
 
   /** Binds the configured address; returns the address that was bound. */
   start(): ResultAsync<Address, Fault> {
     const listen = this.options.listen;
-    const bound = this.server.listen(splitAddress(listen)).then(() => this.reportListening());
+    const { host, port } = splitAddress(listen);
+    const bound = new Promise<Address>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.off('error', reject);
+        resolve(this.reportListening());
+      });
+    });
     return ResultAsync.fromPromise(bound, (cause) =>
       createFault(
         Diagnostics.RequestFailed,
@@ -46,26 +59,51 @@
     return this.stopping.stop();
   }
 
-  private addOpenRoutes(): void {
+  /**
+   * Creates the routes at the first request: loading their library blocks the event loop for longer
+   * than a lease renewal of a small host can wait, and most hosts are never asked.
+   */
+  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.routing ??= this.createRouting();
+    (await this.routing).routing(request, response);
+  }
+
+  private async createRouting(): Promise<FastifyInstance> {
+    const { options } = this;
+    const routing = createRouting(options.logger, this.server);
+    this.stopping.addRouting(routing);
+    this.addOpenRoutes(routing);
+    this.addProtectedRoutes(routing, options.operatorTokens, (scope) =>
+      this.addOperatorRoutes(scope),
+    );
+    this.addProtectedRoutes(routing, options.announcerTokens, (scope) =>
+      this.addAnnouncerRoutes(scope),
+    );
+    await routing.ready();
+    return routing;
+  }
+
+  private addOpenRoutes(routing: FastifyInstance): void {
     const { metrics, readiness } = this.options;
-    this.server.get('/healthz', (_request, reply) => reply.send({ status: 'running' }));
-    this.server.get('/readyz', (_request, reply) => {
+    routing.get('/healthz', (_request, reply) => reply.send({ status: 'running' }));
+    routing.get('/readyz', (_request, reply) => {
       const report = readiness.read();
       const isReady = report.hasLease && report.hasCurrentConfiguration && report.isInService;
       const status = isReady ? HttpStatus.Ok : HttpStatus.ServiceUnavailable;
       return reply.status(status).send({ isReady, ...report });
     });
-    this.server.get('/metrics', async (_request, reply) => {
+    routing.get('/metrics', async (_request, reply) => {
       const page = await metrics.format();
       return reply.type(metrics.registry.contentType).send(page);
     });
   }
 
   private addProtectedRoutes(
+    routing: FastifyInstance,
     tokens: BearerTokens | undefined,
     addRoutes: (scope: FastifyInstance) => void,
   ): void {
-    this.server.register((scope, _options, done) => {
+    routing.register((scope, _options, done) => {
       scope.addHook('onRequest', (request, reply, next) => {
         if (tokens === undefined || tokens.isAuthorized(request.headers.authorization)) {
           next();
@@ -134,7 +172,7 @@
   }
 
   private getBoundAddress(): Address {
-    const bound = this.server.server.address();
+    const bound = this.server.address();
     return bound === null || typeof bound === 'string'
       ? splitAddress(this.options.listen)
       : { host: bound.address, port: bound.port };
--- a/src/daemon/postgresInterfaces.ts
+++ b/src/daemon/postgresInterfaces.ts
@@ -20,7 +20,6 @@
   override readonly consensus = defaultConsensusSettings;
   override readonly isReadyOnlyInService = true;
   override readonly stopNoticeMs = 0;
-  override readonly operatorsDelayMs = 0;
 
   override createBackend(settings: Settings, files: DaemonFiles): BackendProtocol {
     return new PostgresProtocol({
