--- a/src/decisions/sessions/index.ts
+++ b/src/decisions/sessions/index.ts
@@ -1,3 +1,4 @@
+export * from './admissionWait.js';
 export * from './sessionPosition.js';
 export * from './positionStatus.js';
 export * from './tokenSigner.js';
