Sessions: a host without a lease for a second ends its idle sessions

Idle sessions are told and ended, as at a stop; their callers connect again, to hosts that can serve them. Running statements and open transactions stay. An election is shorter than the second. The new test fails before the change (no refusal on the idle session).

--- a/src/daemon/sessions/statementSession.ts
+++ b/src/daemon/sessions/statementSession.ts
@@ -96,6 +96,14 @@
     this.endWhenIdle();
   }
 
+  /** Ends the session if no statement is running or waiting and no transaction is open. */
+  endIfIdle(fault: Fault): void {
+    const isIdle = !this.busy && this.waiting.length === 0 && !this.ended;
+    if (isIdle && this.status === TransactionStatus.Idle) {
+      this.endIdle(fault);
+    }
+  }
+
   /** Ends the session and its transaction after the running statement; starts no further one. */
   finish(): void {
     this.draining = true;
--- a/src/decisions/sessions/admissionWait.test.ts
+++ b/src/decisions/sessions/admissionWait.test.ts
@@ -30,3 +30,14 @@
   expect(wait.isOver(3000, 3050)).toBe(false);
   expect(wait.isOver(3000, 3100)).toBe(true);
 });
+
+test('idle sessions end only on a host that could admit callers and has not for a second', () => {
+  const wait = new AdmissionWait();
+  wait.record(false, 0);
+  expect(wait.endsIdleSessions(10_000)).toBe(false);
+  wait.record(true, 10_000);
+  wait.record(false, 11_000);
+  expect([11_999, 12_000].map((nowMs) => wait.endsIdleSessions(nowMs))).toEqual([false, true]);
+  wait.record(true, 12_500);
+  expect(wait.endsIdleSessions(13_000)).toBe(false);
+});
--- a/src/decisions/sessions/admissionWait.ts
+++ b/src/decisions/sessions/admissionWait.ts
@@ -5,6 +5,12 @@
 const FIRST_ADMISSION_WAIT_MS = 1500;
 /** Time after which a host that could admit callers, and no longer can, refuses them. */
 const LOST_ADMISSION_WAIT_MS = 100;
+/**
+ * Time after which a host that can no longer admit callers ends idle sessions: longer than an
+ * election, after which the lease returns.
+ */
+const IDLE_SESSION_WAIT_MS = 1000;
+
 /** Limits how long new callers wait while their host can't admit them. */
 export class AdmissionWait {
   private lostMs: number | undefined;
@@ -26,4 +32,9 @@
       ? nowMs - arrivedMs > FIRST_ADMISSION_WAIT_MS
       : nowMs - lostMs >= LOST_ADMISSION_WAIT_MS;
   }
+
+  /** Whether the host has been unable to admit callers for so long that idle ones are to leave it. */
+  endsIdleSessions(nowMs: number): boolean {
+    return this.lostMs !== undefined && nowMs - this.lostMs >= IDLE_SESSION_WAIT_MS;
+  }
 }
--- a/tests/platform/admission.test.ts
+++ b/tests/platform/admission.test.ts
@@ -44,3 +44,25 @@
   await host.until(() => caller.received !== '');
   expect(caller.received).toBe('READY I -\r\n');
 });
+
+test('a host without a lease ends idle sessions after a while, and no others', async () => {
+  const idle = await host.open();
+  const inTransaction = await host.open();
+  inTransaction.send('QUERY 1 BEGIN\r\n');
+  await host.until(() => inTransaction.received.endsWith('READY T -\r\n'));
+  host.requests.answersAtOnce = false;
+  const running = await host.open();
+  running.send('QUERY 2 PUT a b\r\n');
+  await host.until(() => host.requests.passed.length === 1);
+  [idle, inTransaction, running].map((caller) => caller.take());
+  host.access.hasConfiguration = false;
+  await sleep(NOTICE_MS);
+  expect(idle.received).toBe('');
+  await host.until(() => idle.received !== '');
+  expect(idle.received).toMatch(/^ERROR BUSY FP3005[^\r]*\r\n$/);
+  await host.until(() => idle.hasEnded);
+  expect([inTransaction.received, running.received]).toEqual(['', '']);
+  host.requests.passed[0]?.answer();
+  await host.until(() => running.received !== '');
+  expect(running.received).toMatch(/^ROW row\r\n/);
+});
