Tokens: prefetch only for a steady demand, let settled grants run out while there are enough

After a single request the demand estimate said two requests a second, and the entry host requested a spare token again and again for two seconds: each expired after 300 ms and was returned.

A second estimate over 2 s decides whether to prefetch, from 1.5 requests a second or where demand exceeds the rate. Where requests are rare and the bucket is half full, used tokens are not reported: the holder counts them as used when their grant expires, so the bound stays as strict.

--- a/bench/experiment/tokenFleet.test.ts
+++ b/bench/experiment/tokenFleet.test.ts
@@ -130,6 +130,21 @@
   expect(findExcess(run.fleet.admissions, [{ fromMs: 0, limit }])).toBeUndefined();
 });
 
+test('requests that are rare at each of many daemons cost two messages each', () => {
+  const run = createFleet(40);
+  const limit = { rate: 100, burst: 100 };
+  run.fleet.setLimit(mill, limit);
+  run.fleet.assign(mill, 0);
+  run.loop.runUntil(1000);
+  const before = run.network.sentCount;
+  const getSent = load(run, 20, 21_000, () => 1 + Math.floor(run.random.next() * 39));
+  run.loop.runUntil(25_000);
+  expect(run.tally.refusals).toBe(0);
+  expect(run.tally.waits.length).toBe(getSent());
+  expect((run.network.sentCount - before) / getSent()).toBeLessThan(2.5);
+  expect(findExcess(run.fleet.admissions, [{ fromMs: 0, limit }])).toBeUndefined();
+});
+
 test('a lost holder costs its lease, and refuses nothing', () => {
   const run = createFleet(6);
   run.fleet.setLimit(mill, { rate: 100, burst: 20 });
--- a/src/decisions/limits/accountLimiter.ts
+++ b/src/decisions/limits/accountLimiter.ts
@@ -7,13 +7,15 @@
 import { DemandEstimate } from './demandEstimate.js';
 import { type EntryOutput, LimiterOutputKind } from './limiterOutput.js';
 import {
+  DEMAND_WINDOW_MS,
   MAXIMUM_LEAD_MS,
   MAXIMUM_WAITING,
+  PREFETCH_DEMAND,
   PREFETCH_HORIZON_MS,
   PREFETCH_MARGIN_MS,
-  RESERVE_DEMAND,
   SCARCITY_HORIZON_MS,
   SCARCITY_VALIDITY_MS,
+  STEADY_DEMAND_WINDOW_MS,
   ACTIVITY_WINDOW_MS,
 } from './limitTiming.js';
 import type { TokenGrant } from './tokenGrant.js';
@@ -31,7 +33,8 @@
 export class AccountLimiter {
   readonly counts: AdmissionCounts = createAdmissionCounts();
   private readonly stock = new TokenStock();
-  private readonly demand = new DemandEstimate();
+  private readonly demand = new DemandEstimate(DEMAND_WINDOW_MS);
+  private readonly steadyDemand = new DemandEstimate(STEADY_DEMAND_WINDOW_MS);
   private readonly waiting = new Fifo<WaitingRequest>();
   private readonly exchange: TokenExchange;
   private waitingCost = 0;
@@ -97,6 +100,7 @@
   ): WaitingRequest | undefined {
     this.closeExpired(nowMs);
     this.demand.record(request.cost, nowMs);
+    this.steadyDemand.record(request.cost, nowMs);
     this.lastRequestMs = nowMs;
     const waiting = createWaitingRequest(request, nowMs);
     if (this.waitingCount === 0 && this.stock.getRemaining() >= request.cost) {
@@ -167,12 +171,13 @@
     this.closeExpired(nowMs);
     this.admitWaiting(nowMs, outputs);
     this.requestTokens(nowMs, outputs);
-    // Settlements of used tokens are sent with the next request. Unused tokens are reported
+    // Settlements of used tokens are sent with the next request; while the holder has enough tokens,
+    // it may as well count them as used when their grant expires. Unused tokens are reported
     // immediately, since the holder counts them as used if their settlement is delayed.
-    if (
-      this.exchange.hasUnreportedSettlements &&
-      (this.hasUnreportedReturns || !this.exchange.isAwaitingGrant)
-    ) {
+    this.exchange.dropExpiredSettlements(nowMs);
+    const isDue =
+      this.hasUnreportedReturns || (!this.exchange.isAwaitingGrant && !this.isPlentiful(nowMs));
+    if (this.exchange.hasUnreportedSettlements && isDue) {
       this.sendReturn(nowMs, outputs);
     }
   }
@@ -204,6 +209,19 @@
     return this.isContended && !this.isStarting && isRecent && hasFewTokens;
   }
 
+  /** Whether tokens are requested before they are needed. */
+  private isPrefetching(nowMs: number): boolean {
+    return this.isContended || this.steadyDemand.getRate(nowMs) >= PREFETCH_DEMAND;
+  }
+
+  /**
+   * Whether the holder need not be told of used tokens: requests are rare here, and the last grant
+   * left at least half of the burst.
+   */
+  private isPlentiful(nowMs: number): boolean {
+    return !this.isPrefetching(nowMs) && this.available >= this.limit.burst / 2;
+  }
+
   private refuseEarly(waiting: WaitingRequest, nowMs: number, outputs: EntryOutput[]): boolean {
     const { cost } = waiting.request;
     if (cost > this.limit.burst) {
@@ -297,18 +315,20 @@
       return;
     }
     const demand = this.demand.getRate(nowMs);
-    const reserve = demand >= RESERVE_DEMAND ? 1 : 0;
+    const prefetches = this.isPrefetching(nowMs);
+    const reserve = prefetches ? 1 : 0;
     const leadMs = Math.min(
       2 * this.exchange.getRoundTripMs() + PREFETCH_MARGIN_MS,
       MAXIMUM_LEAD_MS,
     );
     const usable = this.stock.getRemainingAt(nowMs + leadMs);
-    const isLow = usable < (demand * leadMs) / 1000 + reserve;
+    const isLow = prefetches && usable < (demand * leadMs) / 1000 + reserve;
     if ((urgent === 0 && !isLow) || !this.exchange.canRequest(urgent, nowMs)) {
       return;
     }
     const horizonMs = Math.max(PREFETCH_HORIZON_MS, 2 * leadMs);
-    const target = urgent + (demand * horizonMs) / 1000 + reserve;
+    const prefetch = prefetches ? (demand * horizonMs) / 1000 + reserve : 0;
+    const target = urgent + prefetch;
     const wanted = Math.ceil(target - usable);
     if (wanted > 0) {
       const head = this.getFirst()?.request.cost ?? 0;
--- a/src/decisions/limits/demandEstimate.ts
+++ b/src/decisions/limits/demandEstimate.ts
@@ -1,13 +1,14 @@
-import { DEMAND_WINDOW_MS } from './limitTiming.js';
-
 /** An exponentially weighted estimate of an account's demand at one entry daemon. */
 export class DemandEstimate {
   private ratePerMs = 0;
   private updatedMs = 0;
 
+  /** `windowMs`: time constant of the estimate. */
+  constructor(private readonly windowMs: number) {}
+
   /** Counts a request. */
   record(cost: number, nowMs: number): void {
-    this.ratePerMs = this.getDecayedRate(nowMs) + cost / DEMAND_WINDOW_MS;
+    this.ratePerMs = this.getDecayedRate(nowMs) + cost / this.windowMs;
     this.updatedMs = nowMs;
   }
 
@@ -17,6 +18,6 @@
   }
 
   private getDecayedRate(nowMs: number): number {
-    return this.ratePerMs * Math.exp((this.updatedMs - nowMs) / DEMAND_WINDOW_MS);
+    return this.ratePerMs * Math.exp((this.updatedMs - nowMs) / this.windowMs);
   }
 }
--- a/src/decisions/limits/limitTiming.ts
+++ b/src/decisions/limits/limitTiming.ts
@@ -31,8 +31,14 @@
 /** Upper bound on the time whose demand is kept in stock, for any round-trip time. */
 export const MAXIMUM_LEAD_MS = GRANT_VALIDITY_MS / 2;
 
-/** Demand, in tokens per second, from which one spare token is kept in stock. */
-export const RESERVE_DEMAND = 1;
+/**
+ * Steady demand, in tokens per second, from which tokens are prefetched and one spare token is kept
+ * in stock. Below it most prefetched tokens would expire unused, at three messages each.
+ */
+export const PREFETCH_DEMAND = 1.5;
+
+/** Time constant of the steady demand: several requests are needed to reach `PREFETCH_DEMAND`. */
+export const STEADY_DEMAND_WINDOW_MS = 2000;
 
 /**
  * Longest time for which a new bucket, which may have started empty, counts as starting. Callers
--- a/src/decisions/limits/tokenExchange.ts
+++ b/src/decisions/limits/tokenExchange.ts
@@ -96,6 +96,15 @@
     }
   }
 
+  /** Drops settlements of grants that the holder has closed by itself. */
+  dropExpiredSettlements(nowMs: number): void {
+    if (this.settlements.length > 0) {
+      this.settlements = this.settlements.filter(
+        (settlement) => nowMs - settlement.closedMs < GRANT_EXPIRY_MS,
+      );
+    }
+  }
+
   /**
    * Whether a request may be sent now: none is unanswered, the unanswered one has timed out, or it
    * only prefetches while callers wait now.
@@ -158,9 +167,7 @@
   }
 
   private collectSettlements(sequence: number | undefined, nowMs: number): Settlement[] {
-    this.settlements = this.settlements.filter(
-      (settlement) => nowMs - settlement.closedMs < GRANT_EXPIRY_MS,
-    );
+    this.dropExpiredSettlements(nowMs);
     return this.settlements.map((settlement) => {
       settlement.wasSent = true;
       settlement.sentWith ??= sequence;
