Leases: an answer brings the missing records and counts once they are applied

The leader granted nothing to a daemon that lacked a change older than 500 ms. Each renewal was out of date when it was read and was sent again at once.

The answer carries the records that are missing, and the daemon applies them before it extends its lease: it now extends it only if it has applied everything up to the answer's revision. So the leader can grant at once, also the first renewal of a new process, and a change is in force on each daemon within one lease length (1515 ms) instead of 500 ms more; the fleet's invariant checks that. A daemon that has not applied a change 2 s after its commit is still granted nothing, so that what it holds goes elsewhere.

Tests: 'a busy leader grants leases while changes are committed' fails before (no daemon of 6 has a lease).

--- a/src/daemon/lease/leaseTask.ts
+++ b/src/daemon/lease/leaseTask.ts
@@ -273,7 +273,7 @@
       since === undefined
         ? this.records.applyRecords(records, revision)
         : this.records.applyUpdate({ since, revision, records });
-    const effect = this.lease.receiveGrant(grant, nowMs);
+    const effect = this.lease.receiveGrant(grant, this.records.revision, nowMs);
     if (grant.lease === this.lease.id) {
       if (effect === GrantEffect.Extended) {
         this.confirmedSuspensions =
@@ -287,7 +287,7 @@
       this.lease = this.createLease();
       this.renewSoon();
     } else if (effect === GrantEffect.Refused && changed.length > 0) {
-      // The control leader grants the lease only after these records are reported as applied.
+      // An answer with all records that were missing extends the lease.
       this.renewSoon();
     }
   }
--- a/src/decisions/control/leader/returningFleet.test.ts
+++ b/src/decisions/control/leader/returningFleet.test.ts
@@ -1,6 +1,10 @@
 import { expect, test } from 'vitest';
+import { toFailureDomain, toTicketNumber } from '../../../common/ids/index.js';
+import { SubjectKind } from '../../tickets/index.js';
+import type { LeaseRenewal } from '../index.js';
 import {
   DEFAULT_FLEET_OPTIONS,
+  FakeControl,
   FakeFleet,
   type FakeDaemon,
 } from '../../../../tests/support/fleet/index.js';
@@ -40,3 +44,45 @@
     expect(delayed.map(({ host }) => host)).toContain(fleet.getHolder(lostGroup).host);
   }
 });
+
+/** Time for which renewals wait at a busy leader before it processes them. */
+const QUEUE_MS = 700;
+const CHANGE_INTERVAL_MS = 50;
+
+/** Control whose leader is so busy that renewals wait in its sockets. */
+class BusyControl extends FakeControl {
+  private waiting: { atMs: number; daemon: FakeDaemon; renewal: LeaseRenewal }[] = [];
+
+  constructor(private readonly served: FakeFleet) {
+    super(served);
+  }
+
+  override sendRenewal(daemon: FakeDaemon, renewal: LeaseRenewal): void {
+    this.waiting.push({ atMs: this.served.nowMs + QUEUE_MS, daemon, renewal });
+  }
+
+  override step(): void {
+    const { nowMs } = this.served;
+    const due = this.waiting.filter(({ atMs }) => atMs <= nowMs);
+    this.waiting = this.waiting.filter(({ atMs }) => atMs > nowMs);
+    due.forEach(({ daemon, renewal }) => super.sendRenewal(daemon, renewal));
+    super.step();
+  }
+}
+
+test('a busy leader grants leases while changes are committed, however long renewals wait', () => {
+  const createControl = (fleet: FakeFleet): BusyControl => new BusyControl(fleet);
+  const fleet = new FakeFleet({ ...DEFAULT_FLEET_OPTIONS, createControl });
+  fleet.run(2000);
+  fleet.daemons.forEach((daemon) => {
+    daemon.kill();
+    daemon.restart();
+  });
+  const state = { kind: SubjectKind.FailureDomain, domain: toFailureDomain('d0') } as const;
+  for (let number = 1; number * CHANGE_INTERVAL_MS < 4 * QUEUE_MS; number += 1) {
+    const inService = number % 2 === 0;
+    fleet.submit({ number: toTicketNumber(number), subjects: [{ ...state, inService }] });
+    fleet.run(CHANGE_INTERVAL_MS);
+  }
+  expect(fleet.daemons.map((daemon) => daemon.isServing())).not.toContain(false);
+});
--- a/src/decisions/leases/daemonLeases.ts
+++ b/src/decisions/leases/daemonLeases.ts
@@ -23,9 +23,9 @@
 }
 
 /**
- * The leader's table of daemon leases, in memory only. A renewal is granted when the daemon has
- * applied every change that was committed at least `applyTimeoutMs` before the renewal arrived, so
- * that a change is in force on each daemon with a lease within that time plus one lease length.
+ * The leader's table of daemon leases, in memory only. Each answer brings the records that the daemon
+ * lacks, which it applies before the lease counts. A daemon that has not applied a change
+ * `applyTimeoutMs` after its commit is granted nothing more.
  */
 export class DaemonLeases {
   /** Ordered by expiry, since every grant has the same length. */
@@ -45,8 +45,8 @@
     this.byHost.clear();
     this.expired.clear();
     this.answers.clear();
-    this.commits = [];
-    this.requiredRevision = revision;
+    this.commits = [{ revision, atMs: nowMs }];
+    this.requiredRevision = toRevision(0);
     this.waitUntilMs = nowMs + this.getWaitMs();
     for (const lease of assigned) {
       this.leases.set(lease.lease, { ...lease, expiryMs: this.waitUntilMs, isLive: false });
--- a/src/decisions/leases/heldLease.ts
+++ b/src/decisions/leases/heldLease.ts
@@ -1,4 +1,4 @@
-import type { LeaseId } from '../../common/ids/index.js';
+import type { LeaseId, Revision } from '../../common/ids/index.js';
 import type { LeaseGrant } from '../control/leaseGrant.js';
 import type { RenewalStart } from './renewalStart.js';
 
@@ -39,8 +39,12 @@
     return { sequence, answered, sinceAnsweredMs: nowMs - answeredAtMs };
   }
 
-  /** Processes an answer to a renewal. */
-  receiveGrant(grant: LeaseGrant, nowMs: number): GrantEffect {
+  /**
+   * Processes an answer to a renewal. `applied`: revision of the daemon's records, after those of the
+   * answer were applied. The lease is extended only if they contain every change committed before the
+   * answer, so that no daemon with a lease lacks a change for longer than one length.
+   */
+  receiveGrant(grant: LeaseGrant, applied: Revision, nowMs: number): GrantEffect {
     if (grant.lease !== this.id || this.isOver(nowMs)) {
       return GrantEffect.Ignored;
     }
@@ -54,7 +58,9 @@
       return GrantEffect.Ignored;
     }
     this.sentAtMs.delete(grant.sequence);
-    return grant.lengthMs > 0 ? this.extend(sentAtMs, grant, nowMs) : GrantEffect.Refused;
+    return grant.lengthMs > 0 && this.isCurrent(grant, applied)
+      ? this.extend(sentAtMs, grant, nowMs)
+      : GrantEffect.Refused;
   }
 
   /** Whether the daemon may act on what it holds under this lease. */
@@ -83,6 +89,11 @@
     this.ended = true;
   }
 
+  /** Whether the daemon has applied every change committed before an answer. */
+  protected isCurrent(grant: LeaseGrant, applied: Revision): boolean {
+    return applied >= grant.revision;
+  }
+
   /** The time from which a grant counts. */
   protected getStartMs(sentAtMs: number, receivedAtMs: number): number {
     return Math.min(sentAtMs, receivedAtMs);
--- a/src/decisions/leases/leaseTerms.ts
+++ b/src/decisions/leases/leaseTerms.ts
@@ -4,7 +4,10 @@
   readonly lengthMs: number;
   /** Largest relative difference between the rates of two hosts' clocks. */
   readonly driftBound: number;
-  /** Time after a commit by which a daemon that renews must have applied it, in milliseconds. */
+  /**
+   * Time after a commit from which a daemon that has still not applied it is granted nothing more, so
+   * that what it holds goes to another daemon. Longer than renewals wait at a busy leader.
+   */
   readonly applyTimeoutMs: number;
 }
 
@@ -12,7 +15,7 @@
 export const DEFAULT_LEASE_TERMS: LeaseTerms = {
   lengthMs: 1500,
   driftBound: 0.01,
-  applyTimeoutMs: 500,
+  applyTimeoutMs: 2000,
 };
 
 /**
@@ -24,5 +27,5 @@
 
 /** Time after its commit by which a change is in force on every daemon with a lease. */
 export function getInForceBoundMs(terms: LeaseTerms): number {
-  return terms.applyTimeoutMs + getGranterLengthMs(terms);
+  return getGranterLengthMs(terms);
 }
