Control leader: find a host's earlier leases by the host

Each renewal looked at one holder of every lease of the fleet, to find earlier leases of its sender: the cost of a renewal grew with the number of hosts, that of all renewals with its square.

The registry keeps the leases of each host. The random test of the registry compares the index with all holders.

--- a/src/decisions/control/assignmentRegistry.ts
+++ b/src/decisions/control/assignmentRegistry.ts
@@ -1,4 +1,11 @@
-import type { AccountId, GroupId, InstanceId, LeaseId, Revision } from '../../common/ids/index.js';
+import type {
+  AccountId,
+  GroupId,
+  HostId,
+  InstanceId,
+  LeaseId,
+  Revision,
+} from '../../common/ids/index.js';
 import { toRevision } from '../../common/ids/index.js';
 import type { AccountAssignment } from './accountAssignment.js';
 import type { RetireLease } from './command.js';
@@ -33,6 +40,8 @@
   private readonly retired = new Set<LeaseId>();
   /** Names of the assignment records whose holder has the lease. */
   private readonly recordNamesByLease = new Map<LeaseId, Set<string>>();
+  /** Leases of each host that hold a resource. */
+  private readonly leasesByHost = new Map<HostId, Set<LeaseId>>();
   /** Names of the records of each group's current readers. */
   private readonly readerRecordNames = new Map<GroupId, Set<string>>();
 
@@ -84,15 +93,12 @@
 
   /** Returns one holder for each lease that holds a resource. */
   getHolders(): Holder[] {
-    const holders: Holder[] = [];
-    for (const names of this.recordNamesByLease.values()) {
-      const [name] = names;
-      const holder = name === undefined ? undefined : this.find(name)?.holder;
-      if (holder !== undefined) {
-        holders.push(holder);
-      }
-    }
-    return holders;
+    return this.findHolders(this.recordNamesByLease.keys());
+  }
+
+  /** Returns one holder for each lease of a host that holds a resource. */
+  getHoldersOf(host: HostId): Holder[] {
+    return this.findHolders(this.leasesByHost.get(host) ?? []);
   }
 
   /** Returns the assignments whose holder has the lease. */
@@ -112,6 +118,7 @@
   restore(retired: readonly LeaseId[]): void {
     this.retired.clear();
     this.recordNamesByLease.clear();
+    this.leasesByHost.clear();
     this.readerRecordNames.clear();
     for (const lease of retired) {
       this.retired.add(lease);
@@ -229,6 +236,7 @@
     }
     const name = getRecordName(assignment);
     addTo(this.recordNamesByLease, holder.lease, name);
+    addTo(this.leasesByHost, holder.host, holder.lease);
     if (assignment.kind === RecordKind.InstanceReader) {
       addTo(this.readerRecordNames, assignment.group, name);
     }
@@ -241,11 +249,26 @@
     }
     const name = getRecordName(assignment);
     removeFrom(this.recordNamesByLease, holder.lease, name);
+    if (!this.recordNamesByLease.has(holder.lease)) {
+      removeFrom(this.leasesByHost, holder.host, holder.lease);
+    }
     if (assignment.kind === RecordKind.InstanceReader) {
       removeFrom(this.readerRecordNames, assignment.group, name);
     }
   }
 
+  private findHolders(leases: Iterable<LeaseId>): Holder[] {
+    const holders: Holder[] = [];
+    for (const lease of leases) {
+      const [name] = this.recordNamesByLease.get(lease) ?? [];
+      const holder = name === undefined ? undefined : this.find(name)?.holder;
+      if (holder !== undefined) {
+        holders.push(holder);
+      }
+    }
+    return holders;
+  }
+
   private hasRevision(name: string, expected: Revision): boolean {
     return (this.records.get(name)?.revision ?? 0) === expected;
   }
@@ -263,16 +286,16 @@
   );
 }
 
-function addTo<Key>(index: Map<Key, Set<string>>, key: Key, name: string): void {
-  const names = index.get(key) ?? new Set<string>();
-  names.add(name);
-  index.set(key, names);
+function addTo<Key, Value>(index: Map<Key, Set<Value>>, key: Key, value: Value): void {
+  const values = index.get(key) ?? new Set<Value>();
+  values.add(value);
+  index.set(key, values);
 }
 
-function removeFrom<Key>(index: Map<Key, Set<string>>, key: Key, name: string): void {
-  const names = index.get(key);
-  names?.delete(name);
-  if (names?.size === 0) {
+function removeFrom<Key, Value>(index: Map<Key, Set<Value>>, key: Key, value: Value): void {
+  const values = index.get(key);
+  values?.delete(value);
+  if (values?.size === 0) {
     index.delete(key);
   }
 }
--- a/src/decisions/control/controlState.ts
+++ b/src/decisions/control/controlState.ts
@@ -8,6 +8,7 @@
   type LeaseId,
   type Revision,
   type TicketNumber,
+  type HostId,
 } from '../../common/ids/index.js';
 import { SubjectKind, type Ticket } from '../tickets/index.js';
 import type { Assignment } from './assignment.js';
@@ -143,6 +144,11 @@
     return this.assignments.getHolders();
   }
 
+  /** Returns one holder for each lease of a host that holds a resource. */
+  getHoldersOf(host: HostId): readonly Holder[] {
+    return this.assignments.getHoldersOf(host);
+  }
+
   /** Returns the assignments whose holder has the lease. */
   getAssignments(lease: LeaseId): readonly Assignment[] {
     return this.assignments.getAssignments(lease);
--- a/src/decisions/control/leader/renewalHandler.ts
+++ b/src/decisions/control/leader/renewalHandler.ts
@@ -56,8 +56,8 @@
     nowMs: number,
   ): void {
     const { state, outbox } = this.context;
-    for (const holder of state.getHolders()) {
-      const isOther = holder.lease !== lease && holder.host === host && holder.address === address;
+    for (const holder of state.getHoldersOf(host)) {
+      const isOther = holder.lease !== lease && holder.address === address;
       const isKnown =
         isOther && state.getAssignments(holder.lease).some(({ since }) => since <= revision);
       const command = { kind: CommandKind.RetireLease, lease: holder.lease } as const;
--- a/src/decisions/control/readerAssignment.test.ts
+++ b/src/decisions/control/readerAssignment.test.ts
@@ -224,6 +224,10 @@
       .map(({ lease }) => lease as string)
       .sort(),
   ).toEqual([...held.keys()].sort());
+  for (const { host } of log.state.getHolders()) {
+    const ofHost = log.state.getHolders().filter((each) => each.host === host);
+    expect(new Set(log.state.getHoldersOf(host))).toEqual(new Set(ofHost));
+  }
   for (const [lease, count] of held) {
     expect(log.state.getAssignments(toLeaseId(lease))).toHaveLength(count);
   }
