--- /dev/null
+++ b/review/eslint.config.js
@@ -0,0 +1,3 @@
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(...tseslint.configs.strict, ...tseslint.configs.stylistic);
