--- a/src/daemon/control/meshControlClient.ts
+++ b/src/daemon/control/meshControlClient.ts
@@ -11,6 +11,7 @@
 import type { TimerService } from '../../common/timer/index.js';
 import type {
   Announcement,
+  CommandAnswer,
   Departure,
   FleetStatus,
   SubjectStatus,
@@ -108,7 +109,7 @@
     return this.call({ kind: ControlCallKind.ReadStatus });
   }
 
-  override switchDomain(domain: FailureDomain, inService: boolean): Outcome<unknown> {
+  override switchDomain(domain: FailureDomain, inService: boolean): Outcome<CommandAnswer> {
     return this.call({ kind: ControlCallKind.SwitchDomain, domain, inService });
   }
 
--- a/src/daemon/operators/controlClient.ts
+++ b/src/daemon/operators/controlClient.ts
@@ -1,6 +1,7 @@
 import type { Outcome } from '../../common/result.js';
 import type {
   Announcement,
+  CommandAnswer,
   Departure,
   SubjectStatus,
   TicketAnswer,
@@ -22,7 +23,7 @@
   /** Reads the state of the fleet that the control leader has recorded. */
   abstract readStatus(): Outcome<FleetStatus>;
   /** Takes a failure domain out of service or puts it back; idempotent. */
-  abstract switchDomain(domain: FailureDomain, inService: boolean): Outcome<unknown>;
+  abstract switchDomain(domain: FailureDomain, inService: boolean): Outcome<CommandAnswer>;
   /** Forwards a backend server's report that it has left permanently. */
   abstract announceDeparture(departure: Departure): void;
   /** Accepts a backend server's announcement; sends the newest of each instance to the leader. */
--- a/src/decisions/control/controlState.ts
+++ b/src/decisions/control/controlState.ts
@@ -241,7 +241,7 @@
       const state = { kind: SubjectKind.FailureDomain, domain, inService } as const;
       this.set({ kind: RecordKind.Subject, ticket: NO_TICKET, state }, revision);
     }
-    return { changed };
+    return { changed, revision };
   }
 
   private setControlMembers(command: SetControlMembers, revision: Revision): CommandAnswer {
--- a/tests/support/memoryControlClient.ts
+++ b/tests/support/memoryControlClient.ts
@@ -10,6 +10,7 @@
 import {
   TicketRegistry,
   type Announcement,
+  type CommandAnswer,
   type Departure,
   type SubjectStatus,
   type TicketAnswer,
@@ -72,7 +73,7 @@
     this.announcements.push(announcement);
   }
 
-  override switchDomain(domain: FailureDomain): Outcome<unknown> {
+  override switchDomain(domain: FailureDomain): Outcome<CommandAnswer> {
     this.domains.push(domain);
     return this.answer(() => ({ changed: true }));
   }
