Failure domains: an order that was overtaken by a newer one has no effect

Seen by callers: the operator takes a domain out of service, back, and out again; each order is acknowledged.

Cause: the switch of a failure domain was the one command of the control log that expected no earlier state; the order of arrival in the log decided. Operators give these orders no number and send them again to other hosts after a second. So there are copies, and a copy that arrives late undid what was acknowledged after it.

Change: the host reads the revision of the domain's record through the leader's read barrier, then reads what its sockets hold, and goes on only if the caller still waits. The command expects that revision, and every accepted one sets the record, so that all copies of older orders are void at once, wherever they wait. Entries of earlier versions apply as they did.

Why this holds: a caller sends a newer order only after it was answered or has given up, that is, closed. A copy that reads the revision after a newer order was acknowledged finds its caller gone; one that read it before expects a revision that no longer is.

--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -254,6 +254,14 @@
   BodyTooLarge: refusal(8004, 'The body exceeds the limit of {limit} bytes.'),
   TicketRefused: refusal(8005, 'The ticket was refused: {reason}'),
   RequestFailed: error(8006, 'The request failed: {problem}'),
+  OrderAbandoned: refusal(
+    8010,
+    'The caller closed its connection before the order was carried out.',
+  ),
+  OrderSuperseded: refusal(
+    8011,
+    'Other orders for failure domain "{domain}" were carried out meanwhile.',
+  ),
   TicketAnswered: message(8007, 'Ticket {number} was {outcome}.'),
   AccessUnprotected: warning(
     8008,
--- a/src/daemon/control/controlCalls.ts
+++ b/src/daemon/control/controlCalls.ts
@@ -1,4 +1,4 @@
-import type { FailureDomain, TicketNumber } from '../../common/ids/index.js';
+import type { FailureDomain, Revision, TicketNumber } from '../../common/ids/index.js';
 import type { SubmitPackedTicket } from '../../decisions/control/index.js';
 import type { Ticket } from '../../decisions/tickets/index.js';
 
@@ -32,6 +32,8 @@
       readonly kind: ControlCallKind.SwitchDomain;
       readonly domain: FailureDomain;
       readonly inService: boolean;
+      /** Revision of the domain's record when the order was known to be current. */
+      readonly expected: Revision;
     };
 
 /** Answer to `ReadConfiguration`. */
--- a/src/daemon/control/controlHost.ts
+++ b/src/daemon/control/controlHost.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from 'neverthrow';
-import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
-import { toFailureDomain, toRevision, type HostId, type Revision } from '../../common/ids/index.js';
+import { Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import { toRevision, type HostId, type Revision } from '../../common/ids/index.js';
 import type { RandomSource } from '../../common/random.js';
 import type { TimerService, Unsubscribe } from '../../common/timer/index.js';
 import {
@@ -16,7 +16,6 @@
   ControlLeader,
   ControlOutputKind,
   dropInvalidEntries,
-  isName,
   type Command,
   type CommandAnswer,
   type ControlInput,
@@ -44,6 +43,7 @@
   type ConfigurationAnswer,
   type ControlCallContent,
 } from './controlCalls.js';
+import { DomainSwitches } from './domainSwitches.js';
 import type { MemberAddresses } from './memberAddresses.js';
 import {
   CONTROL_MEMBERS,
@@ -93,6 +93,7 @@
   private readonly pusher: RecordPusher;
   private readonly sentRecords = new SentRecords();
   private readonly submissions: TicketSubmissions;
+  private readonly domainSwitches: DomainSwitches;
   /** Revision that each daemon last reported as applied. */
   private readonly appliedRevisions = new Map<HostId, Revision>();
   /** Number of suspected suspensions when a quorum last confirmed that this host leads. */
@@ -109,7 +110,9 @@
     this.member = new QuorumMember(opened, storage, state, ids, timer, random, consensus, this);
     this.leader = new ControlLeader(state, { settings: options.control });
     this.membershipManager = new MembershipManager(this.member, options);
-    this.submissions = new TicketSubmissions(state, (command) => this.member.propose(command));
+    const propose = (command: Command) => this.member.propose(command);
+    this.submissions = new TicketSubmissions(state, propose);
+    this.domainSwitches = new DomainSwitches(state, propose);
     this.pusher = new RecordPusher(timer, (update) => this.sendUpdate(update));
     mesh.receive(MeshKind.Consensus, ({ link, message }) => {
       if (link.peer !== undefined) {
@@ -374,7 +377,7 @@
       return this.submissions.submit(content.ticket);
     }
     if (content.kind === ControlCallKind.SwitchDomain) {
-      return this.switchDomain(content.domain, content.inService);
+      return this.domainSwitches.submit(content);
     }
     const passed = await this.member.passBarrier();
     if (passed.isErr()) {
@@ -406,19 +409,6 @@
     return proposed.map(({ ticket }) => ticket);
   }
 
-  private switchDomain(domain: unknown, inService: unknown): Promise<Result<unknown, Fault>> {
-    if (typeof domain !== 'string' || !isName(domain)) {
-      const problem = 'the name of the failure domain is missing or invalid';
-      const fault = createFault(Diagnostics.RequestInvalid, { problem }, { step: 'control.call' });
-      return Promise.resolve(err(fault));
-    }
-    return this.member.propose({
-      kind: CommandKind.SwitchDomain,
-      domain: toFailureDomain(domain),
-      inService: inService === true,
-    });
-  }
-
   /** The configuration that this host has applied; undefined for none. */
   findConfiguration(): AppliedConfiguration | undefined {
     const { state } = this.options;
--- a/src/daemon/control/meshControlClient.ts
+++ b/src/daemon/control/meshControlClient.ts
@@ -4,6 +4,7 @@
   toTicketNumber,
   type FailureDomain,
   type RequestId,
+  type Revision,
   type TicketNumber,
 } from '../../common/ids/index.js';
 import type { Outcome } from '../../common/result.js';
@@ -109,8 +110,12 @@
     return this.call({ kind: ControlCallKind.ReadStatus });
   }
 
-  override switchDomain(domain: FailureDomain, inService: boolean): Outcome<CommandAnswer> {
-    return this.call({ kind: ControlCallKind.SwitchDomain, domain, inService });
+  override switchDomain(
+    domain: FailureDomain,
+    inService: boolean,
+    expected: Revision,
+  ): Outcome<CommandAnswer> {
+    return this.call({ kind: ControlCallKind.SwitchDomain, domain, inService, expected });
   }
 
   override announce(announcement: Announcement): void {
--- a/src/daemon/operators/controlClient.ts
+++ b/src/daemon/operators/controlClient.ts
@@ -7,7 +7,7 @@
   TicketAnswer,
 } from '../../decisions/control/index.js';
 import type { Ticket } from '../../decisions/tickets/index.js';
-import type { FailureDomain, TicketNumber } from '../../common/ids/index.js';
+import type { FailureDomain, Revision, TicketNumber } from '../../common/ids/index.js';
 import type { FleetStatus } from './fleetStatus.js';
 
 /** Sends requests of a daemon's HTTP interface to the control leader, on whichever host it runs. */
@@ -22,8 +22,16 @@
   abstract readConfigurationSource(): Outcome<string | undefined>;
   /** Reads the state of the fleet that the control leader has recorded. */
   abstract readStatus(): Outcome<FleetStatus>;
-  /** Takes a failure domain out of service or puts it back; idempotent. */
-  abstract switchDomain(domain: FailureDomain, inService: boolean): Outcome<CommandAnswer>;
+  /**
+   * Takes a failure domain out of service or puts it back if the domain's record still has the
+   * revision `expected`. May be sent several times, so that a refusal doesn't tell whether one of
+   * them was accepted.
+   */
+  abstract switchDomain(
+    domain: FailureDomain,
+    inService: boolean,
+    expected: Revision,
+  ): Outcome<CommandAnswer>;
   /** Forwards a backend server's report that it has left permanently. */
   abstract announceDeparture(departure: Departure): void;
   /** Accepts a backend server's announcement; sends the newest of each instance to the leader. */
--- a/src/daemon/operators/index.ts
+++ b/src/daemon/operators/index.ts
@@ -1,4 +1,5 @@
 export * from './controlClient.js';
+export * from './domainOrders.js';
 export * from './fleetStatus.js';
 export * from './readiness.js';
 export * from './faultBody.js';
--- a/src/decisions/control/command.ts
+++ b/src/decisions/control/command.ts
@@ -33,14 +33,16 @@
   readonly expected: Revision;
 }
 
-/**
- * Takes a failure domain out of service or back into service. Expects no earlier state: the latest
- * command in the log applies.
- */
+/** Takes a failure domain out of service or back into service. */
 export interface SwitchDomain {
   readonly kind: CommandKind.SwitchDomain;
   readonly domain: FailureDomain;
   readonly inService: boolean;
+  /**
+   * Revision of the domain's current record; 0 for none. Absent in entries of earlier versions,
+   * which apply in any case.
+   */
+  readonly expected?: Revision;
 }
 
 /** Sets the target members of the control quorum, as planned by the control leader. */
--- a/src/decisions/control/controlState.test.ts
+++ b/src/decisions/control/controlState.test.ts
@@ -274,3 +274,40 @@
   expect(records.map((record) => record.revision)).toEqual([2997, 2998, 2999, 3000]);
   expect(log.state.getRecordsSince(toRevision(0))).toHaveLength(7);
 });
+
+test('an order about a failure domain has no effect once another order or ticket was accepted', () => {
+  const log = new ControlLog();
+  const domain = toFailureDomain('a');
+  const subject = 'failure-domain/a';
+  const order = (inService: boolean, expected: Revision) =>
+    log.apply({ kind: CommandKind.SwitchDomain, domain, inService, expected });
+  const first = log.state.getSubjectRevision(subject);
+  expect(order(false, first)).toEqual({ changed: true, revision: 1 });
+  expect(order(true, first)).toMatchObject({ refusal: Diagnostics.CommandOutdated.code });
+  const second = log.state.getSubjectRevision(subject);
+  log.restart();
+  // An order that leaves the state as it is outdates the orders before it too.
+  expect(order(false, second)).toEqual({ changed: true, revision: 3 });
+  expect(order(true, second)).toMatchObject({ changed: false });
+  const third = log.state.getSubjectRevision(subject);
+  log.submit(createTicket(1, [['a', false]]));
+  expect(order(true, third)).toMatchObject({ changed: false });
+  expect(log.state.isInService(domain)).toBe(false);
+});
+
+test('an order that leaves a failure domain as a ticket set it keeps the ticket in force', () => {
+  const log = new ControlLog();
+  log.submit(createTicket(5, [['a', false]]));
+  const [domain, expected] = [toFailureDomain('a'), log.revision];
+  log.apply({ kind: CommandKind.SwitchDomain, domain, inService: false, expected });
+  expect(log.state.getSubject('failure-domain/a')?.ticket).toBe(5);
+});
+
+test('orders of earlier versions in the log apply as they did', () => {
+  const log = new ControlLog();
+  const domain = toFailureDomain('a');
+  const order = (inService: boolean) =>
+    log.apply({ kind: CommandKind.SwitchDomain, domain, inService }).changed;
+  expect([order(false), order(false), order(true)]).toEqual([true, false, true]);
+  expect(log.state.isInService(domain)).toBe(true);
+});
--- a/src/decisions/control/controlState.ts
+++ b/src/decisions/control/controlState.ts
@@ -10,7 +10,7 @@
   type TicketNumber,
   type HostId,
 } from '../../common/ids/index.js';
-import { SubjectKind, type Ticket } from '../tickets/index.js';
+import { getFailureDomainSubject, SubjectKind, type Ticket } from '../tickets/index.js';
 import type { Assignment } from './assignment.js';
 import { AssignmentRegistry } from './assignmentRegistry.js';
 import type { Command, SetControlMembers, SubmitTicket, SwitchDomain } from './command.js';
@@ -164,12 +164,17 @@
     return this.records.get(name)?.revision ?? toRevision(0);
   }
 
+  /** Returns the revision of the command that set a subject's state; 0 for none. */
+  getSubjectRevision(subject: string): Revision {
+    return this.getRecordRevision(getSubjectRecordName(subject));
+  }
+
   /**
    * Returns the revision of the ticket that sets whether a backend server is leaving; 0 for none.
    */
   getLeavingRevision(group: GroupId, instance: InstanceId): Revision {
     const subject = `${SubjectKind.BackendServer}/${group}/${instance}`;
-    return this.getRecordRevision(getSubjectRecordName(subject));
+    return this.getSubjectRevision(subject);
   }
 
   isRetired(lease: LeaseId): boolean {
@@ -235,18 +240,29 @@
     return toAnswer(true);
   }
 
-  private switchDomain({ domain, inService }: SwitchDomain, revision: Revision): CommandAnswer {
-    const changed = this.isInService(domain) !== inService;
-    if (changed) {
-      const state = { kind: SubjectKind.FailureDomain, domain, inService } as const;
-      this.set({ kind: RecordKind.Subject, ticket: NO_TICKET, state }, revision);
+  /**
+   * An accepted order sets the record even if the state stays the same, so that no earlier order
+   * that is still on its way is accepted after it.
+   */
+  private switchDomain(command: SwitchDomain, revision: Revision): CommandAnswer {
+    const { domain, inService, expected } = command;
+    const state = { kind: SubjectKind.FailureDomain, domain, inService } as const;
+    const subject = getFailureDomainSubject(domain);
+    if (expected !== undefined && this.getSubjectRevision(subject) !== expected) {
+      return toAnswer(false);
+    }
+    const isSame = this.isInService(domain) === inService;
+    if (expected === undefined && isSame) {
+      return { changed: false, revision };
     }
-    return { changed, revision };
+    const ticket = isSame ? this.getSubject(subject)?.ticket : undefined;
+    this.set({ kind: RecordKind.Subject, ticket: ticket ?? NO_TICKET, state }, revision);
+    return { changed: true, revision };
   }
 
   private setControlMembers(command: SetControlMembers, revision: Revision): CommandAnswer {
     const { members, expected } = command;
-    if (this.getRecordRevision(getSubjectRecordName(SubjectKind.ControlMembers)) !== expected) {
+    if (this.getSubjectRevision(SubjectKind.ControlMembers) !== expected) {
       return toAnswer(false);
     }
     const state = { kind: SubjectKind.ControlMembers, members } as const;
--- a/src/decisions/control/leader/fleetStatusReader.ts
+++ b/src/decisions/control/leader/fleetStatusReader.ts
@@ -56,7 +56,7 @@
     const isBehind = (lease: DaemonLease) => lease.revision < revision;
     const missing = lowest < revision ? live.filter(isBehind).map((lease) => lease.host) : [];
     const everywhere = isSettled && missing.length === 0;
-    return { subject, ticket: value.ticket, state: value.state, everywhere, missing };
+    return { subject, ticket: value.ticket, state: value.state, revision, everywhere, missing };
   }
 
   private getGroups(): GroupId[] {
--- a/src/decisions/control/recordLookup.ts
+++ b/src/decisions/control/recordLookup.ts
@@ -7,6 +7,7 @@
   Revision,
 } from '../../common/ids/index.js';
 import {
+  getFailureDomainSubject,
   Acknowledgement,
   ConfigurationIndex,
   SubjectKind,
@@ -87,7 +88,7 @@
 
   /** Whether a failure domain accepts new work; true when it was never set. */
   isInService(domain: FailureDomain): boolean {
-    const subject = `${SubjectKind.FailureDomain}/${domain}`;
+    const subject = getFailureDomainSubject(domain);
     return this.getState(SubjectKind.FailureDomain, subject)?.inService ?? true;
   }
 
--- a/src/decisions/control/subjectStatus.ts
+++ b/src/decisions/control/subjectStatus.ts
@@ -1,4 +1,4 @@
-import type { HostId, TicketNumber } from '../../common/ids/index.js';
+import type { HostId, Revision, TicketNumber } from '../../common/ids/index.js';
 import type { SubjectState } from '../tickets/index.js';
 
 /** Ticket and state in force on one subject, as read from the control quorum. */
@@ -6,6 +6,8 @@
   readonly subject: string;
   readonly ticket: TicketNumber;
   readonly state: SubjectState;
+  /** Revision of the command that set the state; absent if no command did. */
+  readonly revision?: Revision;
   /**
    * Whether every daemon with a valid lease has applied the state; false while leases of an earlier
    * leader may still last.
--- a/src/decisions/tickets/subjectState.ts
+++ b/src/decisions/tickets/subjectState.ts
@@ -1,3 +1,4 @@
+import type { FailureDomain } from '../../common/ids/index.js';
 import type { ConfigurationState } from './configurationState.js';
 import type { AccountState } from './accountState.js';
 import type { BackendServerState } from './backendServerState.js';
@@ -17,6 +18,11 @@
   | ControlMembersState
   | ConfigurationState;
 
+/** Returns the name of the subject that tells whether a failure domain is in service. */
+export function getFailureDomainSubject(domain: FailureDomain): string {
+  return `${SubjectKind.FailureDomain}/${domain}`;
+}
+
 /**
  * Returns the subject's name, such as `account/mill-7`; at most one state per name is in force at a
  * time.
@@ -30,7 +36,7 @@
     case SubjectKind.Route:
       return `route/${state.route}`;
     case SubjectKind.FailureDomain:
-      return `failure-domain/${state.domain}`;
+      return getFailureDomainSubject(state.domain);
     case SubjectKind.BackendServer:
       return `backend-server/${state.group}/${state.instance}`;
     case SubjectKind.ControlMembers:
--- /dev/null
+++ b/tests/platform/domainOrders.test.ts
@@ -0,0 +1,106 @@
+import { connect, type Socket } from 'node:net';
+import { afterEach, beforeEach, expect, test } from 'vitest';
+import { findFreePorts } from '../../bench/fleet/freePorts.js';
+import { ControlFront } from '../../platform/http/controlFront.js';
+import { toFailureDomain } from '../../src/common/ids/index.js';
+import { Logger } from '../../src/common/logging/index.js';
+import { SystemTimerService } from '../../src/common/timer/index.js';
+import { callControl } from '../../standin/lines/index.js';
+import { MemoryControlClient } from '../support/memoryControlClient.js';
+import { SettableReadiness } from '../support/operatorHost.js';
+
+const DOMAIN = toFailureDomain('north');
+const BEGIN = `/filbertpoint/Drain.Begin/${DOMAIN}`;
+const FINISH = `/filbertpoint/Drain.Finish/${DOMAIN}`;
+
+const timer = new SystemTimerService();
+let control: MemoryControlClient;
+let front: ControlFront;
+let address: string;
+let lines: string[];
+
+beforeEach(async () => {
+  control = new MemoryControlClient();
+  lines = [];
+  const [port = 0] = await findFreePorts('127.0.0.1', 1);
+  address = `127.0.0.1:${port}`;
+  const logger = new Logger('info', {}, (line) => lines.push(line));
+  const readiness = new SettableReadiness();
+  front = new ControlFront({ listen: address, control, readiness, logger, timer });
+  await front.start();
+});
+afterEach(() => front.stop());
+
+async function order(path: string): Promise<number> {
+  const { status } = await callControl(address, 'POST', path);
+  return status;
+}
+
+/** Connects and has the connection accepted, so that what is sent next can be closed at once. */
+async function openCaller(): Promise<Socket> {
+  const [host = '', port] = address.split(':');
+  const socket = connect(Number(port), host);
+  socket.write('GET /filbertpoint/Config.Fetch HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n');
+  await new Promise((resolve) => socket.once('data', resolve));
+  return socket;
+}
+
+function sendOrder(socket: Socket, path: string): void {
+  socket.write(`POST ${path} HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n`);
+}
+
+// Guards against an order that waits in the socket of a suspended host and undoes a newer one.
+test('an order whose caller left before it was read is not carried out', async () => {
+  const caller = await openCaller();
+  sendOrder(caller, FINISH);
+  caller.end();
+  // Nothing reads sockets until the loop is released: the order and the close arrive together.
+  const releaseMs = timer.now() + 100;
+  while (timer.now() < releaseMs);
+  await expect.poll(() => lines.join()).toContain('caller=gone');
+  expect(control.domains).toEqual([]);
+  expect(lines.join()).toContain('code=FP8010');
+});
+
+// Guards against a call to the control leader that is repeated for a caller that has left.
+test('an order that is delayed on its way does not undo a newer one', async () => {
+  expect(await order(BEGIN)).toBe(200);
+  let release: () => void = () => undefined;
+  control.switchGate = new Promise((resolve) => {
+    release = resolve;
+  });
+  const caller = await openCaller();
+  sendOrder(caller, FINISH);
+  await expect.poll(() => control.domains.length).toBe(2);
+  control.switchGate = undefined;
+  caller.destroy();
+  expect(await order(BEGIN)).toBe(200);
+  release();
+  await expect.poll(() => lines.join()).toContain('caller=gone');
+  expect(control.isInService(DOMAIN)).toBe(false);
+});
+
+test('orders are acknowledged again, and the latest one is in force', async () => {
+  for (const [path, isInService] of [
+    [BEGIN, false],
+    [BEGIN, false],
+    [FINISH, true],
+    [BEGIN, false],
+    [FINISH, true],
+  ] as const) {
+    expect(await order(path)).toBe(200);
+    expect(control.isInService(DOMAIN)).toBe(isInService);
+  }
+});
+
+test('orders sent at the same time are all acknowledged', async () => {
+  expect(await Promise.all([order(BEGIN), order(BEGIN), order(BEGIN)])).toEqual([200, 200, 200]);
+  expect(control.isInService(DOMAIN)).toBe(false);
+});
+
+test('the log line of an order tells whether its caller waited and where the log has it', async () => {
+  await order(BEGIN);
+  expect(lines.find((line) => line.includes('code=FP8007'))).toMatch(
+    /message="Ticket domain north out was acknowledged\." .*caller=waiting revision=1$/,
+  );
+});
--- a/tests/support/memoryControlClient.ts
+++ b/tests/support/memoryControlClient.ts
@@ -4,15 +4,20 @@
 import {
   toHostId,
   toRevision,
+  toTicketNumber,
   type FailureDomain,
+  type Revision,
   type TicketNumber,
 } from '../../src/common/ids/index.js';
 import {
+  CommandKind,
+  ControlState,
   TicketRegistry,
   type Announcement,
   type CommandAnswer,
   type Departure,
   type SubjectStatus,
+  type SwitchDomain,
   type TicketAnswer,
 } from '../../src/decisions/control/index.js';
 import { getSubjectName, SubjectKind, type Ticket } from '../../src/decisions/tickets/index.js';
@@ -30,6 +35,8 @@
   requests = 0;
   /** When set, answers wait for it. */
   gate: Promise<void> | undefined;
+  /** When set, orders about failure domains are carried out after it. */
+  switchGate: Promise<void> | undefined;
   status: FleetStatus = {
     leader: toHostId('a1'),
     controlTerm: 3,
@@ -39,6 +46,8 @@
     accounts: [],
   };
   private readonly register = new TicketRegistry();
+  private readonly state = new ControlState();
+  private revision = toRevision(0);
   private readonly readings = new Map<string, SubjectStatus>();
 
   override submitTicket(ticket: Ticket): Outcome<TicketAnswer> {
@@ -73,15 +82,42 @@
     this.announcements.push(announcement);
   }
 
-  override switchDomain(domain: FailureDomain): Outcome<CommandAnswer> {
+  override switchDomain(
+    domain: FailureDomain,
+    inService: boolean,
+    expected: Revision,
+  ): Outcome<CommandAnswer> {
     this.domains.push(domain);
-    return this.answer(() => ({ changed: true }));
+    const kind = CommandKind.SwitchDomain;
+    const carryOut = () => this.answer(() => this.apply({ kind, domain, inService, expected }));
+    const { switchGate } = this;
+    return switchGate === undefined
+      ? carryOut()
+      : ResultAsync.fromSafePromise(switchGate).andThen(carryOut);
+  }
+
+  /** Whether the orders carried out so far leave a failure domain in service. */
+  isInService(domain: FailureDomain): boolean {
+    return this.state.isInService(domain);
   }
 
   override announceDeparture(departure: Departure): void {
     this.departures.push(departure);
   }
 
+  private apply(command: SwitchDomain): CommandAnswer {
+    this.revision = toRevision(this.revision + 1);
+    const answer = this.state.apply(command, this.revision);
+    const { domain, inService } = command;
+    if (answer.refusal === undefined) {
+      const state = { kind: SubjectKind.FailureDomain, domain, inService } as const;
+      const subject = getSubjectName(state);
+      const status = { ticket: toTicketNumber(0), everywhere: true, missing: [] };
+      this.readings.set(subject, { ...status, subject, state, revision: this.revision });
+    }
+    return answer;
+  }
+
   private answer<Value>(compute: () => Value): Outcome<Value> {
     this.requests += 1;
     const { gate } = this;
