Control client: remember the leader that answered

Cause: MeshControlClient told its route of failures and redirections, not of answers. A call later than 250 ms after the last one counted the leader as failed and went to the next host in turn, at times the frozen one, for the whole second that the operator waits.

Change: an answer sets the route's leader.

Test: "calls go to the leader that answered the last one, however long ago that was" ran into its time limit before (the second call went to the silent host) and passes now.

--- a/src/daemon/control/meshControlClient.ts
+++ b/src/daemon/control/meshControlClient.ts
@@ -137,12 +137,12 @@
       const answer = await this.attempt(address, content);
       if (answer === undefined) {
         this.route.failed();
-      } else if (answer.fault === undefined) {
-        return ok(answer.content);
-      } else if (RETRIED_CODES.has(answer.fault.code)) {
+      } else if (answer.fault !== undefined && RETRIED_CODES.has(answer.fault.code)) {
         this.route.redirected(answer.leader);
       } else {
-        return err(createRefusal(answer.fault.message, address));
+        this.route.answered(answer.leader ?? address);
+        const { fault, content: result } = answer;
+        return fault === undefined ? ok(result) : err(createRefusal(fault.message, address));
       }
       await this.pause();
     }
