Control client: an order reaches a second control host while its caller waits

Cause: a call waited a second for the leader's answer before it went to the next control host, which is as long as the operator waits for the whole order. By then the caller had left, and the order is not carried out for a caller that has left.

Change: orders and the read before them wait 400 ms. A slow leader gets a second copy, which expects the same revision and so has no effect.

--- a/src/daemon/control/meshControlClient.test.ts
+++ b/src/daemon/control/meshControlClient.test.ts
@@ -1,5 +1,11 @@
 import { afterEach, beforeEach, expect, test } from 'vitest';
-import { toHostId, toIncarnation, toTicketNumber } from '../../common/ids/index.js';
+import {
+  toFailureDomain,
+  toHostId,
+  toIncarnation,
+  toRevision,
+  toTicketNumber,
+} from '../../common/ids/index.js';
 import { Logger } from '../../common/logging/index.js';
 import { Metrics } from '../../common/metrics/index.js';
 import { ManualTimerService, SystemTimerService } from '../../common/timer/index.js';
@@ -8,6 +14,10 @@
 import { RequestIds } from '../requests/index.js';
 import { MeshControlClient } from './meshControlClient.js';
 
+/** Time after which operators send an order to another host. */
+const CALLER_TIMEOUT_MS = 1000;
+const STEP_MS = 50;
+
 const timer = new SystemTimerService();
 const logger = new Logger('error', {}, () => undefined);
 const receiver = { announce: () => undefined, announceDeparture: () => undefined };
@@ -42,6 +52,14 @@
 });
 afterEach(() => Promise.all(meshes.map((mesh) => mesh.close())));
 
+/** Advances time in steps, between which promises are settled. */
+async function advance(durationMs: number): Promise<void> {
+  for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
+    clock.advance(STEP_MS);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
 /** Has the first control host answer calls as leader. */
 function answerAsLeader(): void {
   const leader = meshes[1];
@@ -60,3 +78,13 @@
   }
   expect(received).toEqual([3, 0]);
 });
+
+// Guards against orders that reach no host before their callers give up.
+test('an order is sent to a second host while its caller waits', async () => {
+  const order = client.switchDomain(toFailureDomain('north'), false, toRevision(0));
+  await expect.poll(() => received).toEqual([1, 0]);
+  await advance(CALLER_TIMEOUT_MS / 2);
+  await expect.poll(() => received).toEqual([1, 1]);
+  await advance(60_000);
+  expect((await order).isErr()).toBe(true);
+});
--- a/src/daemon/control/meshControlClient.ts
+++ b/src/daemon/control/meshControlClient.ts
@@ -32,9 +32,20 @@
 import { isPackedTicket, packTicketInSteps } from './ticketPacking.js';
 
 const ATTEMPT_TIMEOUT_MS = 1000;
+/**
+ * Time for an answer to an order or to the read before it. Callers wait a second, in which the call
+ * has to reach a second host; a repeated order has no effect.
+ */
+const ORDER_ATTEMPT_TIMEOUT_MS = 400;
 const CALL_TIMEOUT_MS = 6000;
 const RETRY_DELAY_MS = 50;
 
+/** Calls that belong to an operator's order about a failure domain. */
+const ORDER_KINDS: ReadonlySet<ControlCallKind> = new Set([
+  ControlCallKind.ReadInForce,
+  ControlCallKind.SwitchDomain,
+]);
+
 /** Codes of diagnostics after which a call is retried, possibly at another control host. */
 const RETRIED_CODES: ReadonlySet<number> = new Set([
   Diagnostics.NotControlLeader.code,
@@ -162,7 +173,10 @@
   ): Promise<ControlAnswer | undefined> {
     const id: RequestId = this.ids.next();
     return new Promise((resolve) => {
-      const cancel = this.timer.once(ATTEMPT_TIMEOUT_MS, () => {
+      const timeoutMs = ORDER_KINDS.has(content.kind)
+        ? ORDER_ATTEMPT_TIMEOUT_MS
+        : ATTEMPT_TIMEOUT_MS;
+      const cancel = this.timer.once(timeoutMs, () => {
         this.pending.answer(id, undefined);
       });
       this.pending.add(id, (answer) => {
