Heartbeats: an earlier one does not replace a later one that waits

A host keeps the newest heartbeat of each instance until the leader has it, but newest by arrival. A late heartbeat (earlier sequence or incarnation) replaced one that reports leaving, which the instance had been told was received; the leader then heard of it with the next heartbeat only.

Change: hosts compare as the leader does (isSentBefore, moved from groupTracker.ts).

Test: "an announcement that was sent before one that waits to be forwarded is dropped" failed before, passes now.

--- a/src/daemon/lease/recentAnnouncements.ts
+++ b/src/daemon/lease/recentAnnouncements.ts
@@ -1,4 +1,8 @@
-import type { Announcement, ForwardedAnnouncement } from '../../decisions/control/index.js';
+import {
+  isSentBefore,
+  type Announcement,
+  type ForwardedAnnouncement,
+} from '../../decisions/control/index.js';
 
 interface ReceivedAnnouncement {
   readonly announcement: Announcement;
@@ -19,10 +23,14 @@
 
   /**
    * Stores an announcement; returns whether it reports a change that control has to receive
-   * immediately.
+   * immediately. Drops one that was sent before an announcement that waits to be forwarded.
    */
   add(announcement: Announcement, nowMs: number): boolean {
     const key = `${announcement.group}/${announcement.instance}`;
+    const waiting = this.received.get(key);
+    if (waiting !== undefined && isSentBefore(announcement, waiting.announcement)) {
+      return false;
+    }
     const { role, leaving, startedMs } = announcement;
     const content = `${role} ${leaving} ${startedMs ?? ''}`;
     const isChanged = this.contents.get(key) !== content;
--- a/src/decisions/control/index.ts
+++ b/src/decisions/control/index.ts
@@ -8,6 +8,7 @@
 export * from './groupPrimary.js';
 export * from './controlRecord.js';
 export * from './announcement.js';
+export * from './announcementOrder.js';
 export * from './announcementSchema.js';
 export * from './forwardedAnnouncement.js';
 export * from './departure.js';
--- a/src/decisions/control/leader/groupTracker.ts
+++ b/src/decisions/control/leader/groupTracker.ts
@@ -8,6 +8,7 @@
 } from '../../../common/ids/index.js';
 import type { PromotionOrder, ObservedPoint } from '../../promotion/index.js';
 import type { Announcement } from '../announcement.js';
+import { isSentBefore } from '../announcementOrder.js';
 import type { GroupReport } from '../groupReport.js';
 import { LivenessDetector } from './livenessDetector.js';
 
@@ -77,12 +78,12 @@
     const { announcement, receivedAtMs: nowMs } = received;
     this.firstSeenMs ??= nowMs;
     const present = this.announcements.get(announcement.instance);
-    if (present !== undefined && isRegression(present.announcement, announcement)) {
+    if (present !== undefined && isSentBefore(announcement, present.announcement)) {
       if (nowMs - present.receivedAtMs < missingMs) {
         return AnnouncementEffect.Ignored;
       }
     }
-    const isReset = present === undefined || isRegression(present.announcement, announcement);
+    const isReset = present === undefined || isSentBefore(announcement, present.announcement);
     const knownFromMs = isReset ? -Infinity : present.earliestReceiptMs;
     const earliestReceiptMs = Math.max(received.earliestReceiptMs, knownFromMs);
     this.announcements.set(announcement.instance, { ...received, earliestReceiptMs });
@@ -142,17 +143,6 @@
   }
 }
 
-function isRegression(before: Announcement, after: Announcement): boolean {
-  const startedMs = (after.startedMs ?? 0) - (before.startedMs ?? 0);
-  const isEarlier = (after.sequence ?? 0) < (before.sequence ?? 0);
-  return (
-    startedMs < 0 ||
-    (startedMs === 0 && isEarlier) ||
-    after.term < before.term ||
-    (after.term === before.term && after.position < before.position)
-  );
-}
-
 function hasChanged(before: Announcement, after: Announcement): boolean {
   return (
     before.role !== after.role || before.term !== after.term || before.leaving !== after.leaving
