Failure domains: an order read after a pause of the process is not carried out

On waking, the host found the caller still there and carried out the old order.

Cause: nothing bounded the time for which an order may have waited in its socket before it was read.

Test: "an order that may have waited longer than its caller does is refused as not run" failed before (the order was carried out), passes now.

--- a/src/daemon/operators/domainOrders.test.ts
+++ b/src/daemon/operators/domainOrders.test.ts
@@ -4,8 +4,9 @@
 import { MemoryControlClient } from '../../../tests/support/memoryControlClient.js';
 import { toFailureDomain, type FailureDomain, type Revision } from '../../common/ids/index.js';
 import type { Outcome } from '../../common/result.js';
+import { ManualTimerService } from '../../common/timer/index.js';
 import type { CommandAnswer, SubjectStatus } from '../../decisions/control/index.js';
-import { DomainOrders } from './index.js';
+import { ArrivalMonitor, DomainOrders } from './index.js';
 
 const SEED = 20261206;
 const RUNS = 300;
@@ -60,6 +61,7 @@
   isDone = false;
   readonly violations: string[] = [];
   private readonly control: DelayedControlClient;
+  private readonly arrivals = new ArrivalMonitor(new ManualTimerService());
 
   constructor(
     private readonly scheduler: fc.Scheduler,
@@ -97,7 +99,7 @@
   /** Has the order carried out once the host reads it, which a suspended host does late. */
   private async carryOut(inService: boolean, isClosed: () => boolean): Promise<boolean> {
     await this.scheduler.schedule(Promise.resolve(), 'arrival');
-    const orders = new DomainOrders(this.createControl());
+    const orders = new DomainOrders(this.createControl(), this.arrivals);
     const isAbandoned = this.omission.callerCheck === true ? () => false : isClosed;
     const carriedOut = await orders.carryOut(DOMAIN, inService, isAbandoned);
     return carriedOut.isOk();
--- a/src/daemon/operators/domainOrders.ts
+++ b/src/daemon/operators/domainOrders.ts
@@ -5,6 +5,7 @@
 import { waitForPendingInput } from '../../common/tasks/index.js';
 import type { CommandAnswer } from '../../decisions/control/index.js';
 import { getFailureDomainSubject } from '../../decisions/tickets/index.js';
+import type { ArrivalMonitor } from './arrivalMonitor.js';
 import type { ControlClient } from './controlClient.js';
 
 const MAXIMUM_ATTEMPTS = 3;
@@ -20,17 +21,25 @@
  * connection of the older one, or has had its answer.
  */
 export class DomainOrders {
-  constructor(private readonly control: ControlClient) {}
+  constructor(
+    private readonly control: ControlClient,
+    private readonly arrivals: ArrivalMonitor,
+  ) {}
 
   /**
-   * Carries out an order; a fault if the caller has left, or if the control quorum can't be reached
-   * or keeps accepting other orders for the domain.
+   * Carries out an order that was just read from its connection. A fault if the caller has left or
+   * may have left unnoticed, or if the control quorum can't be reached or keeps accepting other
+   * orders for the domain.
    */
   async carryOut(
     domain: FailureDomain,
     inService: boolean,
     isAbandoned: () => boolean,
   ): Promise<Result<CommandAnswer, Fault>> {
+    if (this.arrivals.mayBeLate()) {
+      // The close of a caller whose host was lost or cut off meanwhile never arrives.
+      return err(createFault(Diagnostics.OrderLate, {}, { step: STEP }));
+    }
     for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt += 1) {
       const read = await this.readRevision(domain);
       if (read.isErr()) {
--- a/src/daemon/operators/index.ts
+++ b/src/daemon/operators/index.ts
@@ -1,3 +1,4 @@
+export * from './arrivalMonitor.js';
 export * from './controlClient.js';
 export * from './domainOrders.js';
 export * from './fleetStatus.js';
--- a/tests/platform/domainOrders.test.ts
+++ b/tests/platform/domainOrders.test.ts
@@ -49,14 +49,19 @@
   socket.write(`POST ${path} HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n`);
 }
 
+/** Blocks the event loop, so that nothing is read from sockets. */
+function holdLoop(durationMs: number): void {
+  const releaseMs = timer.now() + durationMs;
+  while (timer.now() < releaseMs);
+}
+
 // Guards against an order that waits in the socket of a suspended host and undoes a newer one.
 test('an order whose caller left before it was read is not carried out', async () => {
   const caller = await openCaller();
   sendOrder(caller, FINISH);
   caller.end();
-  // Nothing reads sockets until the loop is released: the order and the close arrive together.
-  const releaseMs = timer.now() + 100;
-  while (timer.now() < releaseMs);
+  // The order and the close arrive together.
+  holdLoop(100);
   await expect.poll(() => lines.join()).toContain('caller=gone');
   expect(control.domains).toEqual([]);
   expect(lines.join()).toContain('code=FP8010');
@@ -80,6 +85,17 @@
   expect(control.isInService(DOMAIN)).toBe(false);
 });
 
+// Guards against an order of a caller whose host was lost, so that no close ever arrives.
+test('an order that may have waited longer than its caller does is refused as not run', async () => {
+  const caller = await openCaller();
+  sendOrder(caller, FINISH);
+  holdLoop(1000);
+  await expect.poll(() => lines.join()).toContain('code=FP8012');
+  expect(control.domains).toEqual([]);
+  caller.destroy();
+  await expect.poll(() => order(FINISH)).toBe(200);
+});
+
 test('orders are acknowledged again, and the latest one is in force', async () => {
   for (const [path, isInService] of [
     [BEGIN, false],
