Fault soak: the last acknowledged order about a failure domain is in force

The soak took domains out and back, but nobody looked whether an older order had undone a newer one. DomainOperator sends the orders, keeps what was acknowledged and compares it with what is in force at the end.

--- a/bench/faults/faultFleet.ts
+++ b/bench/faults/faultFleet.ts
@@ -21,7 +21,7 @@
 import { DaemonProcess, type ProcessStart } from './daemonProcess.js';
 import type { HarmLog } from './harmLog.js';
 import type { HostHarm } from './harmedHost.js';
-import { LinkProxy } from './linkProxy.js';
+import { LinkProxy, type LinkFault } from './linkProxy.js';
 
 const HEARTBEAT_MS = 300;
 const GROUP = { slots: 4, connectionLimit: 16, workMs: 2, lagMs: 8, promoteMs: 200 };
@@ -208,6 +208,14 @@
     };
   }
 
+  /** Begins or ends a fault of the links between a daemon and all others. */
+  setLinkFault(daemon: PlannedLineDaemon, fault: LinkFault | undefined): void {
+    for (const { node, ip } of this.plan.daemons.filter((other) => other !== daemon)) {
+      this.proxies.get(daemon.node)?.setFault(ip, fault);
+      this.proxies.get(node)?.setFault(daemon.ip, fault);
+    }
+  }
+
   /** Removes what a stopped control host had stored. */
   wipe(node: string): void {
     rmSync(this.getDataFolder(node), { recursive: true, force: true });
--- a/bench/faults/faultPlayer.ts
+++ b/bench/faults/faultPlayer.ts
@@ -312,14 +312,9 @@
     lengthMs: number,
     withInstances: boolean,
   ): Promise<void> {
-    const { plan } = this.fleet;
-    const others = plan.daemons.filter((other) => other !== daemon);
-    const instances = withInstances ? plan.instances : [];
+    const instances = withInstances ? this.fleet.plan.instances : [];
     const set = (value: LinkFault | undefined): void => {
-      for (const { node, ip } of others) {
-        this.fleet.proxies.get(daemon.node)?.setFault(ip, value);
-        this.fleet.proxies.get(node)?.setFault(daemon.ip, value);
-      }
+      this.fleet.setLinkFault(daemon, value);
       instances.forEach(({ id }) => this.fleet.proxies.get(id)?.setFault(daemon.ip, value));
     };
     set(fault);
--- a/bench/faults/faultSoak.ts
+++ b/bench/faults/faultSoak.ts
@@ -1,11 +1,11 @@
 import { join } from 'node:path';
 import type { RandomSource } from '../../src/common/random.js';
 import { SystemTimerService } from '../../src/common/timer/index.js';
-import { callControl } from '../../standin/lines/index.js';
 import { createLinePlan } from '../lines/linePlan.js';
 import { BackendWatch } from './backendWatch.js';
 import { CallerCrowd } from './callerCrowd.js';
 import { CallerLedger } from './callerLedger.js';
+import { DomainOperator } from './domainOperator.js';
 import { FaultFleet } from './faultFleet.js';
 import { FaultPlayer } from './faultPlayer.js';
 import { drawSchedule } from './faultSchedule.js';
@@ -84,6 +84,7 @@
   private readonly absences: DomainAbsence[] = [];
   private readonly fleet: FaultFleet;
   private readonly operator: SoakOperator;
+  private readonly domains: DomainOperator;
   private readonly keyCaller: KeyCaller;
   private readonly player: FaultPlayer;
   private readonly starvation: StarvationWatch;
@@ -98,6 +99,7 @@
     const programs = { program, harm: join(build, 'bench/faults/harmedHost.js') };
     this.fleet = new FaultFleet(plan, programs, timer, harms, ledger, watch);
     this.operator = new SoakOperator(this.fleet, ledger, this.createRandom());
+    this.domains = new DomainOperator(this.fleet, ledger);
     this.keyCaller = new KeyCaller(this.fleet, ledger, harms);
     this.starvation = new StarvationWatch(timer, harms, () => [
       process.pid,
@@ -204,27 +206,17 @@
   }
 
   private async takeOut(domain: string, lengthMs: number): Promise<void> {
-    const isOut = await this.order(`Begin/${domain}`);
+    const isOut = await this.domains.order(domain, false);
     const fromMs = this.timer.now() + DOMAIN_LIMIT_MS;
     await this.fleet.sleep(lengthMs);
     if (isOut) {
       this.absences.push({ domain, fromMs, toMs: this.timer.now() });
     }
     await this.waitFor(`the return of ${domain}`, START_LIMIT_MS, () =>
-      this.order(`Finish/${domain}`),
+      this.domains.order(domain, true),
     );
   }
 
-  private async order(path: string): Promise<boolean> {
-    for (const { control = '' } of this.fleet.controls) {
-      const { status } = await callControl(control, 'POST', `/filbertpoint/Drain.${path}`);
-      if (status === 200) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   private async waitFor(
     what: string,
     limitMs: number,
@@ -243,6 +235,7 @@
   private async check(): Promise<void> {
     const { ledger, watch, harms, fleet, clients, operator, keyCaller } = this;
     await this.waitFor('a read of the configuration', START_LIMIT_MS, () => operator.read());
+    await this.waitFor('a read of the domains', START_LIMIT_MS, () => this.domains.check());
     ledger.violations.push(
       ...findWrongWrites(fleet.group, clients),
       ...findRequestsInDomains(this.absences, watch, ledger, (fromMs, toMs) =>
