Failure domains: an order that is older than its caller's patience is not carried out

A host that was cut off from the quorum read the revision for up to 6 s and then carried the order out for a caller that had not closed; a pause below 900 ms before the order was read did not count at all.

Change: an order has an age, the time since it was read and the longest time for which it may have waited before (ArrivalMonitor, the last pause of the process). Where the revision is not read within 900 ms, the answer is 503, not run (FP8012). From then on the expected revision guards.

Test: "an order that finds no quorum while its caller waits is refused as not run" failed before (it was carried out after a second), passes now.

--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -258,7 +258,7 @@
     8010,
     'The caller closed its connection before the order was carried out.',
   ),
-  OrderLate: refusal(8012, 'This process was paused; the order may have arrived long ago.'),
+  OrderLate: refusal(8012, 'The order may have arrived longer ago than its caller waits.'),
   OrderSuperseded: refusal(
     8011,
     'Other orders for failure domain "{domain}" were carried out meanwhile.',
--- a/src/daemon/operators/arrivalMonitor.test.ts
+++ b/src/daemon/operators/arrivalMonitor.test.ts
@@ -10,28 +10,36 @@
   monitor = new ArrivalMonitor(timer);
 });
 
-test('requests that are read after a pause may be late, and later ones are not', () => {
+test('requests that are read after a pause may have waited as long, and later ones have not', () => {
   // Without the periodic checks, time passes as in a process that is stopped.
   timer.advance(1000);
-  expect(monitor.mayBeLate()).toBe(true);
+  expect(monitor.getLongestWaitMs()).toBe(1000);
+  timer.advance(300);
+  expect(monitor.getLongestWaitMs()).toBe(1000);
+  monitor.start();
+  timer.advance(200);
+  expect(monitor.getLongestWaitMs()).toBe(0);
+});
+
+test('a longer pause counts in place of a shorter one, also shortly after it', () => {
+  timer.advance(200);
+  expect(monitor.getLongestWaitMs()).toBe(200);
   timer.advance(400);
-  expect(monitor.mayBeLate()).toBe(true);
-  timer.advance(100);
-  expect(monitor.mayBeLate()).toBe(false);
+  expect(monitor.getLongestWaitMs()).toBe(400);
 });
 
-test('a suspension that the clock does not count makes requests late', () => {
+test('a suspension that the clock does not count makes the wait unknown', () => {
   monitor.start();
   timer.suspensions += 1;
-  expect(monitor.mayBeLate()).toBe(true);
+  expect(monitor.getLongestWaitMs()).toBe(Infinity);
   timer.advance(500);
-  expect(monitor.mayBeLate()).toBe(false);
+  expect(monitor.getLongestWaitMs()).toBe(0);
 });
 
-test('no request is late in a process that keeps reading', () => {
+test('no request has waited in a process that keeps reading', () => {
   monitor.start();
   for (let step = 0; step < 100; step += 1) {
     timer.advance(61);
-    expect(monitor.mayBeLate()).toBe(false);
+    expect(monitor.getLongestWaitMs()).toBe(0);
   }
 });
--- a/src/daemon/operators/domainOrders.test.ts
+++ b/src/daemon/operators/domainOrders.test.ts
@@ -61,7 +61,8 @@
   isDone = false;
   readonly violations: string[] = [];
   private readonly control: DelayedControlClient;
-  private readonly arrivals = new ArrivalMonitor(new ManualTimerService());
+  private readonly timer = new ManualTimerService();
+  private readonly arrivals = new ArrivalMonitor(this.timer);
 
   constructor(
     private readonly scheduler: fc.Scheduler,
@@ -99,7 +100,7 @@
   /** Has the order carried out once the host reads it, which a suspended host does late. */
   private async carryOut(inService: boolean, isClosed: () => boolean): Promise<boolean> {
     await this.scheduler.schedule(Promise.resolve(), 'arrival');
-    const orders = new DomainOrders(this.createControl(), this.arrivals);
+    const orders = new DomainOrders(this.createControl(), this.arrivals, this.timer);
     const isAbandoned = this.omission.callerCheck === true ? () => false : isClosed;
     const carriedOut = await orders.carryOut(DOMAIN, inService, isAbandoned);
     return carriedOut.isOk();
--- a/src/daemon/operators/domainOrders.ts
+++ b/src/daemon/operators/domainOrders.ts
@@ -2,6 +2,7 @@
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
 import { toRevision, type FailureDomain, type Revision } from '../../common/ids/index.js';
 import type { Outcome } from '../../common/result.js';
+import type { TimerService } from '../../common/timer/index.js';
 import { waitForPendingInput } from '../../common/tasks/index.js';
 import type { CommandAnswer } from '../../decisions/control/index.js';
 import { getFailureDomainSubject } from '../../decisions/tickets/index.js';
@@ -9,6 +10,11 @@
 import type { ControlClient } from './controlClient.js';
 
 const MAXIMUM_ATTEMPTS = 3;
+/**
+ * Longest time from an order's arrival until its revision is read: less than the second after which
+ * its caller may have sent a newer order to another host.
+ */
+const MAXIMUM_AGE_MS = 900;
 const STEP = 'operators.order';
 
 /**
@@ -17,29 +23,27 @@
  * The orders have no number: an old one that waited in the socket of a suspended host, or that is
  * resent after a lost answer, looks like a new one. An order therefore only takes effect if its
  * caller still waited for it after the revision of the domain's record was read, and if no other
- * order has changed that revision since. A caller that sends a newer order has closed the
- * connection of the older one, or has had its answer.
+ * order has changed that revision since. A caller that sends a newer order has had the answer to
+ * the older one, or has waited a second for it; most have closed its connection by then.
  */
 export class DomainOrders {
   constructor(
     private readonly control: ControlClient,
     private readonly arrivals: ArrivalMonitor,
+    private readonly timer: TimerService,
   ) {}
 
   /**
    * Carries out an order that was just read from its connection. A fault if the caller has left or
-   * may have left unnoticed, or if the control quorum can't be reached or keeps accepting other
-   * orders for the domain.
+   * no longer waits, or if the control quorum can't be reached or keeps accepting other orders for
+   * the domain.
    */
   async carryOut(
     domain: FailureDomain,
     inService: boolean,
     isAbandoned: () => boolean,
   ): Promise<Result<CommandAnswer, Fault>> {
-    if (this.arrivals.mayBeLate()) {
-      // The close of a caller whose host was lost or cut off meanwhile never arrives.
-      return err(createFault(Diagnostics.OrderLate, {}, { step: STEP }));
-    }
+    const arrivedMs = this.timer.now() - this.arrivals.getLongestWaitMs();
     for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt += 1) {
       const read = await this.readRevision(domain);
       if (read.isErr()) {
@@ -50,6 +54,10 @@
       if (isAbandoned()) {
         return err(createFault(Diagnostics.OrderAbandoned, {}, { step: STEP }));
       }
+      if (this.timer.now() - arrivedMs > MAXIMUM_AGE_MS) {
+        // The close of a caller whose host was lost or cut off never arrives.
+        return err(createFault(Diagnostics.OrderLate, {}, { step: STEP }));
+      }
       const switched = await this.control.switchDomain(domain, inService, read.value);
       if (switched.isErr()) {
         return err(switched.error);
--- a/tests/platform/domainOrders.test.ts
+++ b/tests/platform/domainOrders.test.ts
@@ -96,6 +96,20 @@
   await expect.poll(() => order(FINISH)).toBe(200);
 });
 
+// Guards against an order that is repeated to the quorum for a caller that did not close.
+test('an order that finds no quorum while its caller waits is refused as not run', async () => {
+  const caller = await openCaller();
+  let open: () => void = () => undefined;
+  control.gate = new Promise((resolve) => {
+    open = resolve;
+  });
+  sendOrder(caller, FINISH);
+  timer.once(1000, open);
+  await expect.poll(() => lines.join(), { timeout: 5000 }).toContain('code=FP8012');
+  expect(control.domains).toEqual([]);
+  caller.destroy();
+});
+
 test('orders are acknowledged again, and the latest one is in force', async () => {
   for (const [path, isInService] of [
     [BEGIN, false],
