Control client: a read of all subjects keeps its longer time

Found by reading the change again: the 400 ms of orders also held for the read of everything in force, whose answer is large on a large fleet; the leader would have created it again for each attempt.

Test: "a read of all subjects waits longer for the host that creates its answer" failed before (a second host was asked), passes now.

--- a/src/daemon/control/meshControlClient.test.ts
+++ b/src/daemon/control/meshControlClient.test.ts
@@ -3,6 +3,7 @@
   toFailureDomain,
   toHostId,
   toIncarnation,
+  toRequestId,
   toRevision,
   toTicketNumber,
 } from '../../common/ids/index.js';
@@ -17,6 +18,7 @@
 /** Time after which operators send an order to another host. */
 const CALLER_TIMEOUT_MS = 1000;
 const STEP_MS = 50;
+const MARKER = toRequestId('marker');
 
 const timer = new SystemTimerService();
 const logger = new Logger('error', {}, () => undefined);
@@ -25,7 +27,8 @@
 let client: MeshControlClient;
 let clock: ManualTimerService;
 /** Number of calls that each of the two control hosts received. */
-let received: number[];
+let received: [number, number];
+let isMarked: boolean;
 
 function createMesh(host: string): Mesh {
   const options = {
@@ -40,9 +43,11 @@
   meshes = [own, ...controls];
   await Promise.all(meshes.map((mesh) => mesh.listen()));
   received = [0, 0];
+  isMarked = false;
   for (const [index, mesh] of controls.entries()) {
-    mesh.receive(MeshKind.ControlCall, () => {
-      received[index] = (received[index] ?? 0) + 1;
+    mesh.receive(MeshKind.ControlCall, ({ message }) => {
+      isMarked ||= message.id === MARKER;
+      received[index === 0 ? 0 : 1] += message.id === MARKER ? 0 : 1;
     });
   }
   clock = new ManualTimerService();
@@ -88,3 +93,17 @@
   await advance(60_000);
   expect((await order).isErr()).toBe(true);
 });
+
+test('a read of all subjects waits longer for the host that creates its answer', async () => {
+  const read = client.readInForce(undefined);
+  await expect.poll(() => received).toEqual([1, 0]);
+  await advance(CALLER_TIMEOUT_MS / 2);
+  // A link keeps the order of messages: a call sent before this one would have been received.
+  const [own, , second] = meshes;
+  const content = { kind: 'marker' };
+  own?.send(second?.address ?? '', { kind: MeshKind.ControlCall, id: MARKER, content });
+  await expect.poll(() => isMarked).toBe(true);
+  expect(received).toEqual([1, 0]);
+  await advance(60_000);
+  expect((await read).isErr()).toBe(true);
+});
--- a/src/daemon/control/meshControlClient.ts
+++ b/src/daemon/control/meshControlClient.ts
@@ -40,12 +40,6 @@
 const CALL_TIMEOUT_MS = 6000;
 const RETRY_DELAY_MS = 50;
 
-/** Calls that belong to an operator's order about a failure domain. */
-const ORDER_KINDS: ReadonlySet<ControlCallKind> = new Set([
-  ControlCallKind.ReadInForce,
-  ControlCallKind.SwitchDomain,
-]);
-
 /** Codes of diagnostics after which a call is retried, possibly at another control host. */
 const RETRIED_CODES: ReadonlySet<number> = new Set([
   Diagnostics.NotControlLeader.code,
@@ -173,9 +167,7 @@
   ): Promise<ControlAnswer | undefined> {
     const id: RequestId = this.ids.next();
     return new Promise((resolve) => {
-      const timeoutMs = ORDER_KINDS.has(content.kind)
-        ? ORDER_ATTEMPT_TIMEOUT_MS
-        : ATTEMPT_TIMEOUT_MS;
+      const timeoutMs = isOfOrder(content) ? ORDER_ATTEMPT_TIMEOUT_MS : ATTEMPT_TIMEOUT_MS;
       const cancel = this.timer.once(timeoutMs, () => {
         this.pending.answer(id, undefined);
       });
@@ -194,6 +186,18 @@
   }
 }
 
+/**
+ * Whether a call belongs to an operator's order about a failure domain. A read of all subjects does
+ * not: its answer is large, and the leader would create it again for each attempt.
+ */
+function isOfOrder(content: ControlCallContent): boolean {
+  const { kind } = content;
+  return (
+    kind === ControlCallKind.SwitchDomain ||
+    (kind === ControlCallKind.ReadInForce && content.subject !== undefined)
+  );
+}
+
 function createRefusal(reason: string, peer: string): Fault {
   return createFault(Diagnostics.ControlRefused, { reason }, { step: 'control.call', peer });
 }
