--- a/bench/faults/callerLedger.ts
+++ b/bench/faults/callerLedger.ts
@@ -1,5 +1,5 @@
 import type { LineReply } from '../../platform/lines/lineReply.js';
-import type { TimerService } from '../../src/common/timer/index.js';
+import type { TimerService, Unsubscribe } from '../../src/common/timer/index.js';
 import { TransactionStatus } from '../../src/daemon/requests/index.js';
 import type { HarmLog } from './harmLog.js';
 
@@ -46,18 +46,24 @@
   private readonly cuts: CutSession[] = [];
   private lastLookMs = -Infinity;
   private openUntilMs = -Infinity;
+  private readonly stopLooks: Unsubscribe;
 
   constructor(
     private readonly harms: HarmLog,
     private readonly timer: TimerService,
   ) {
-    timer.subscribe(LOOK_MS, (nowMs) => {
+    this.stopLooks = timer.subscribe(LOOK_MS, (nowMs) => {
       // Between two of these all sockets were looked at, also where this process had no processor.
       this.openUntilMs = this.lastLookMs;
       this.lastLookMs = nowMs;
     });
   }
 
+  /** Ends the periodic looks, which keep the process running. */
+  stop(): void {
+    this.stopLooks();
+  }
+
   asked(request: SoakRequest): void {
     this.requests.set(request.id, request);
   }
--- a/bench/faults/faultSoak.ts
+++ b/bench/faults/faultSoak.ts
@@ -121,6 +121,7 @@
       keeps = soak.ledger.violations.length > 0;
     } finally {
       soak.starvation.stop();
+      soak.ledger.stop();
       await soak.fleet.stop(keeps);
     }
     return soak.createResult(keeps);
--- a/bench/faults/staleOrders.test.ts
+++ b/bench/faults/staleOrders.test.ts
@@ -66,7 +66,10 @@
     return status === 200;
   });
 });
-afterEach(() => fleet.stop(ledger.violations.length > 0));
+afterEach(() => {
+  ledger.stop();
+  return fleet.stop(ledger.violations.length > 0);
+});
 
 async function waitFor(isTrue: () => Promise<boolean>): Promise<void> {
   const endMs = fleet.timer.now() + LIMIT_MS;
