--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -302,6 +302,16 @@
     return this.order('POST', '/filbertpoint/Config.Replace', JSON.stringify(manifest));
   }
 
+  /** The control machine that seems to lead: the last one whose process said so in its log. */
+  findLeader() {
+    const found = this.controls.map((daemon) => {
+      const log = readFileSync(join(this.folder, `${daemon.node}.log`), 'utf8');
+      const terms = [...log.matchAll(/code=FP8511 .*now leader.*term=(\d+)/g)].map(([, term]) => Number(term));
+      return { daemon, term: Math.max(0, ...terms) };
+    });
+    return found.reduce((best, each) => (each.term > best.term ? each : best)).daemon;
+  }
+
   /** Waits until each edge serves a write on a database. */
   async waitUntilServing(database, key) {
     for (const edge of this.edges) {
