--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,51 +1,42 @@
-// A zone is evacuated while clients are in the middle of read-only transactions.
+// A tenant has an API key with a letter beyond Latin-1; a client comes with another key.
 import { Client } from '../lib-2/client.mjs';
 import { createManifest, runCase, sleep } from '../lib-2/fleet.mjs';
 
-const CLIENTS = 12;
-const STATEMENTS = 10;
-const PAUSE_MS = 1500;
-const EVACUATE_MS = 5000;
+const APPLY_MS = 3000;
+/** No manifest ever holds it. */
+const FOREIGN_KEY = 'aifra-42';
 
 await runCase(import.meta.dirname, {}, async (fleet, hasTrouble, recorder) => {
-  await fleet.configure(createManifest(3));
+  const mill = { name: 'mill', apiKeys: ['millkey1'], priority: 1, ratePerS: 88, burst: 88 };
+  const own = hasTrouble ? 'šifra-42' : 'sifra-42';
+  await fleet.configure(createManifest(3, { tenants: [mill] }));
   await fleet.waitUntilServing('booking', 'millkey1');
-  await sleep(PAUSE_MS);
-  const clients = [];
-  for (let index = 0; index < CLIENTS; index += 1) {
-    const edge = fleet.edges[index % fleet.edges.length];
-    const options = { name: `client-${index + 1}`, record: recorder.add };
-    const { client } = await Client.open(edge.addresses.frontend, 'lookup', 'millkey1', options);
-    clients.push(client);
-  }
-  const askAll = (text) => Promise.all(clients.map((client) => client.query(text)));
-  await askAll('BEGIN FETCH');
-  await askAll('FETCH warm');
-  // A zone with an instance that runs such a transaction, and that doesn't lead.
-  const zone = fleet.service.runs.find(
-    (run) => run.text.startsWith('FETCH') && run.instance !== fleet.service.primary.id,
-  )?.zone;
-  if (zone === undefined) {
-    throw new Error('no replica runs a transaction');
-  }
-  let acknowledgedMs = Infinity;
-  if (hasTrouble) {
-    const { status } = await fleet.order('POST', `/filbertpoint/Drain.Begin/${zone}`);
-    if (status !== 200) {
-      throw new Error('the evacuation was not acknowledged');
+  const tenant = { name: 'mlyn', apiKeys: [own], priority: 1, ratePerS: 88, burst: 88 };
+  await fleet.configure(createManifest(5, { tenants: [mill, tenant] }));
+  recorder.say(`the manifest gives the tenant mlyn the key ${own}`);
+  await sleep(APPLY_MS);
+  for (const edge of fleet.edges) {
+    for (const key of [own, FOREIGN_KEY]) {
+      const options = { name: `client with ${key}`, record: recorder.add };
+      const { client, reply } = await Client.open(edge.addresses.frontend, 'booking', key, options);
+      recorder.say(
+        `${edge.node} answers CONNECT with the key ${key}: ${JSON.stringify(reply.lines)}`,
+      );
+      if (reply.state === 'I') {
+        await client.query(`FETCH warm`, `${key === own ? 'own' : 'foreign'}-${edge.node}-1`);
+        await client.query(
+          `PUT stone by-${key === own ? 'own' : 'foreign'}`,
+          `${key === own ? 'own' : 'foreign'}-${edge.node}-2`,
+        );
+      }
+      client.close();
     }
-    acknowledgedMs = Date.now();
-    recorder.say(`the evacuation of ${zone} was acknowledged`);
-  }
-  for (let statement = 2; statement < STATEMENTS; statement += 1) {
-    await sleep(PAUSE_MS);
-    await askAll('FETCH warm');
   }
-  await askAll('COMMIT');
+  await sleep(1000);
   return fleet.service.runs
-    .filter((run) => run.zone === zone && run.atMs > acknowledgedMs + EVACUATE_MS)
+    .filter(({ id }) => id.startsWith('foreign-'))
     .map(
-      (run) =>
-        `${run.instance} in ${zone} got ${run.id} "${run.text}" ${run.atMs - acknowledgedMs} ms after the acknowledgement`,
+      ({ instance, tenant: name, id, text }) =>
+        `${instance} ran ${id} "${text}" for the tenant ${name}; its key ${FOREIGN_KEY} was in no manifest`,
     );
 });
