--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -306,7 +306,9 @@
   findLeader() {
     const found = this.controls.map((daemon) => {
       const log = readFileSync(join(this.folder, `${daemon.node}.log`), 'utf8');
-      const terms = [...log.matchAll(/code=FP8511 .*now leader.*term=(\d+)/g)].map(([, term]) => Number(term));
+      const terms = [...log.matchAll(/code=FP8511 .*now leader.*term=(\d+)/g)].map(([, term]) =>
+        Number(term),
+      );
       return { daemon, term: Math.max(0, ...terms) };
     });
     return found.reduce((best, each) => (each.term > best.term ? each : best)).daemon;
