--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -19,6 +19,8 @@
 const HEARTBEAT_MS = 1200;
 const RESTART_DELAY_MS = 300;
 const ANSWER_MS = 3000;
+/** Time after which a case that has not ended is given up. */
+const LIMIT_MS = 110_000;
 
 export const sleep = (durationMs) => new Promise((done) => setTimeout(done, durationMs));
 
@@ -472,10 +474,14 @@
   const recorder = new Recorder(folder);
   const fleet = new Fleet(recorder, options);
   let status = 2;
-  const limit = setTimeout(() => {
-    recorder.say('the time limit was reached');
+  const giveUp = (reason) => {
+    recorder.say(reason);
     void fleet.stop().finally(() => process.exit(2));
-  }, 110_000);
+  };
+  const limit = setTimeout(() => giveUp('the time limit was reached'), LIMIT_MS);
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
+    process.once(signal, () => giveUp(`ended by ${signal}`));
+  }
   try {
     recorder.say(`trouble: ${hasTrouble ? 'yes' : 'no'}`);
     await fleet.start();
