--- a/standin/lines/lineGroup.ts
+++ b/standin/lines/lineGroup.ts
@@ -43,7 +43,8 @@
   constructor(
     readonly options: LineGroupOptions,
     readonly timer: TimerService,
-    readonly watch?: StatementWatch,
+    /** Looks at each statement that an instance receives; may be exchanged at any time. */
+    public watch?: StatementWatch,
   ) {}
 
   get primary(): LineInstance | undefined {
