Prepared statements may have any shape

Callers saw: PREPARE with a shape that has a blank was acknowledged, and each EXECUTE refused with MALFORMED.

Cause: the name that connections to instances share for a shape was the shape itself, with a letter before it. With a blank the name ended there and the instance prepared something else; with a long shape the message was too long.

--- a/tests/platform/texts.test.ts
+++ b/tests/platform/texts.test.ts
@@ -74,3 +74,17 @@
     client.close();
   }
 });
+
+// Guards against prepared statements whose shape has blanks: their name on the connection had blanks too.
+test('prepared statements of any shape run with the data that their caller sent', async () => {
+  const shapes = ['q2c', 'with blank', 'with%20blank', 'a\nb', '%', 's'.repeat(600_000), ...TEXTS];
+  for (const [index, shape] of shapes.entries()) {
+    const client = await fleet.connect(DATABASE, KEY, index % 2);
+    await client.query(`PREPARE own PUT ${shape}`);
+    const { reply } = await client.query(`EXECUTE own made${index} ${index} of data`);
+    expect([shape.slice(0, 20), reply?.error]).toEqual([shape.slice(0, 20), undefined]);
+    const read = await client.query(`FETCH made${index}`);
+    expect(read.reply?.rows).toEqual([`${index} of data`]);
+    client.close();
+  }
+});
