An order about a failure domain waits for its caller's late close

Cause: an order took effect unless its caller's close had been received when the revision was read. TCP resends the bytes of an order first, and the close follows a round trip and a delayed acknowledgement later, 40 ms in the case.

Change: the revision is read first, then the host waits 300 ms for closes that were sent before, and only then looks whether the caller still waits. Orders of the same content that meet are acknowledged together.

Why it works: whoever sent a newer order had closed the older one's connection before. A newer order acknowledged before the revision was read implies a close sent before that, which is received within the wait; one acknowledged later has changed the revision.

--- a/src/common/timer/manualTimerService.ts
+++ b/src/common/timer/manualTimerService.ts
@@ -9,6 +9,7 @@
 /** Timer service whose time advances only on request, for tests and experiments. */
 export class ManualTimerService extends TimerService {
   override suspensions = 0;
+  override suspendedMs = 0;
   private nowMs = 0;
   private readonly scheduledCalls = new Set<ScheduledCall>();
 
--- a/src/common/timer/suspensionDetector.ts
+++ b/src/common/timer/suspensionDetector.ts
@@ -12,6 +12,7 @@
  */
 export class SuspensionDetector {
   private suspectedCount = 0;
+  private suspectedMs = 0;
   private wallLeadMs: number;
 
   constructor(
@@ -26,6 +27,7 @@
     const leadMs = this.readWallLeadMs();
     if (leadMs - this.wallLeadMs > TOLERATED_GAIN_MS) {
       this.suspectedCount += 1;
+      this.suspectedMs += leadMs - this.wallLeadMs;
       this.wallLeadMs = leadMs;
     } else if (leadMs < this.wallLeadMs) {
       this.wallLeadMs = leadMs;
@@ -33,6 +35,12 @@
     return this.suspectedCount;
   }
 
+  /** Reads both clocks and returns the total length of the suspensions suspected so far. */
+  getTotalMs(): number {
+    this.count();
+    return this.suspectedMs;
+  }
+
   private readWallLeadMs(): number {
     return this.readWallMs() - this.readMonotonicMs();
   }
--- a/src/common/timer/systemTimerService.ts
+++ b/src/common/timer/systemTimerService.ts
@@ -20,6 +20,10 @@
     return this.detector.count();
   }
 
+  override get suspendedMs(): number {
+    return this.detector.getTotalMs();
+  }
+
   override subscribe(intervalMs: number, handler: (nowMs: number) => void): Unsubscribe {
     const handle = setInterval(() => handler(this.now()), intervalMs);
     return () => clearInterval(handle);
--- a/src/common/timer/timerService.ts
+++ b/src/common/timer/timerService.ts
@@ -10,6 +10,8 @@
    * suspension of its host. Time-limited guarantees, such as leases, are void after such a pause.
    */
   abstract readonly suspensions: number;
+  /** Total length of these pauses in milliseconds, as the wall clock has it. */
+  abstract readonly suspendedMs: number;
   /** Calls the handler about every `intervalMs` until unsubscribed. */
   abstract subscribe(intervalMs: number, handler: (nowMs: number) => void): Unsubscribe;
   /** Calls the handler once after `delayMs` unless unsubscribed. */
--- a/src/daemon/operators/domainOrders.test.ts
+++ b/src/daemon/operators/domainOrders.test.ts
@@ -4,7 +4,7 @@
 import { MemoryControlClient } from '../../../tests/support/memoryControlClient.js';
 import { toFailureDomain, type FailureDomain, type Revision } from '../../common/ids/index.js';
 import type { Outcome } from '../../common/result.js';
-import { ManualTimerService } from '../../common/timer/index.js';
+import { ManualTimerService, type Unsubscribe } from '../../common/timer/index.js';
 import type { CommandAnswer, SubjectStatus } from '../../decisions/control/index.js';
 import { ArrivalMonitor, DomainOrders } from './index.js';
 
@@ -17,6 +17,7 @@
 /** What a variant of the code leaves out, so that the check has to fail. */
 interface Omission {
   readonly callerCheck?: boolean;
+  readonly closeWait?: boolean;
   readonly expectedRevision?: boolean;
 }
 
@@ -54,6 +55,28 @@
   }
 }
 
+/** A timer that lets the close of a caller arrive during a wait; the scheduler says when it ends. */
+class ScheduledTimer extends ManualTimerService {
+  constructor(
+    private readonly scheduler: fc.Scheduler,
+    private readonly receiveClose: () => void,
+    private readonly isOmitted: boolean,
+  ) {
+    super();
+  }
+
+  override once(_delayMs: number, handler: (nowMs: number) => void): Unsubscribe {
+    if (this.isOmitted) {
+      handler(this.now());
+      return () => undefined;
+    }
+    // A close that was sent before the wait has arrived at its end.
+    this.receiveClose();
+    void this.scheduler.schedule(Promise.resolve(), 'wait').then(() => handler(this.now()));
+    return () => undefined;
+  }
+}
+
 /** An operator that sends one order after another, each again to other hosts while unanswered. */
 class Operator {
   /** State that the last acknowledged order set; undefined while a newer order is on its way. */
@@ -61,8 +84,6 @@
   isDone = false;
   readonly violations: string[] = [];
   private readonly control: DelayedControlClient;
-  private readonly timer = new ManualTimerService();
-  private readonly arrivals = new ArrivalMonitor(this.timer);
 
   constructor(
     private readonly scheduler: fc.Scheduler,
@@ -99,9 +120,15 @@
 
   /** Has the order carried out once the host reads it, which a suspended host does late. */
   private async carryOut(inService: boolean, isClosed: () => boolean): Promise<boolean> {
-    await this.scheduler.schedule(Promise.resolve(), 'arrival');
-    const orders = new DomainOrders(this.createControl(), this.arrivals, this.timer);
-    const isAbandoned = this.omission.callerCheck === true ? () => false : isClosed;
+    const { scheduler, omission } = this;
+    await scheduler.schedule(Promise.resolve(), 'arrival');
+    let isCloseReceived = false;
+    const receiveClose = (): void => {
+      isCloseReceived = isClosed();
+    };
+    const timer = new ScheduledTimer(scheduler, receiveClose, omission.closeWait === true);
+    const orders = new DomainOrders(this.createControl(), new ArrivalMonitor(timer), timer);
+    const isAbandoned = (): boolean => omission.callerCheck !== true && isCloseReceived;
     const carriedOut = await orders.carryOut(DOMAIN, inService, isAbandoned);
     return carriedOut.isOk();
   }
@@ -152,8 +179,8 @@
   await fc.assert(createProperty({}), PARAMETERS);
 }, 60_000);
 
-test('the check finds orders of callers that have left, and orders that expect no revision', async () => {
-  for (const omission of [{ callerCheck: true }, { expectedRevision: true }]) {
+test('the check finds orders that ignore callers, their late closes, or the revision', async () => {
+  for (const omission of [{ callerCheck: true }, { closeWait: true }, { expectedRevision: true }]) {
     const found = await fc.check(createProperty(omission), PARAMETERS);
     expect(String(found.errorInstance)).toContain('was acknowledged');
   }
--- a/src/daemon/operators/domainOrders.ts
+++ b/src/daemon/operators/domainOrders.ts
@@ -1,11 +1,15 @@
 import { err, ok, type Result } from 'neverthrow';
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
-import { toRevision, type FailureDomain, type Revision } from '../../common/ids/index.js';
+import { toRevision, type FailureDomain } from '../../common/ids/index.js';
 import type { Outcome } from '../../common/result.js';
 import type { TimerService } from '../../common/timer/index.js';
 import { waitForPendingInput } from '../../common/tasks/index.js';
-import type { CommandAnswer } from '../../decisions/control/index.js';
-import { getFailureDomainSubject } from '../../decisions/tickets/index.js';
+import type { CommandAnswer, SubjectStatus } from '../../decisions/control/index.js';
+import {
+  getFailureDomainSubject,
+  SubjectKind,
+  type SubjectState,
+} from '../../decisions/tickets/index.js';
 import type { ArrivalMonitor } from './arrivalMonitor.js';
 import type { ControlClient } from './controlClient.js';
 
@@ -15,16 +19,21 @@
  * its caller may have sent a newer order to another host.
  */
 const MAXIMUM_AGE_MS = 900;
+/**
+ * Longest time until a close is received that was sent before. After bytes that the network had
+ * delayed it follows a round trip and a delayed acknowledgement later, which takes up to 200 ms.
+ */
+const CLOSE_DELAY_MS = 300;
 const STEP = 'operators.order';
 
 /**
  * Carries out operators' orders to take failure domains out of service or back into service.
  *
- * The orders have no number: an old one that waited in the socket of a suspended host, or that is
- * resent after a lost answer, looks like a new one. An order therefore only takes effect if its
- * caller still waited for it after the revision of the domain's record was read, and if no other
- * order has changed that revision since. A caller that sends a newer order has had the answer to
- * the older one, or has waited a second for it; most have closed its connection by then.
+ * The orders have no number: an old one that waited in the network or in the socket of a suspended
+ * host, or that is resent after a lost answer, looks like a new one. An order therefore only takes
+ * effect if its caller still waited for it when the revision of the domain's record was read, and
+ * if no other order has changed that revision since. A caller that sends a newer order has had the
+ * answer to the older one, or has waited a second for it; most have closed its connection by then.
  */
 export class DomainOrders {
   constructor(
@@ -45,20 +54,24 @@
   ): Promise<Result<CommandAnswer, Fault>> {
     const arrivedMs = this.timer.now() - this.arrivals.getLongestWaitMs();
     for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt += 1) {
-      const read = await this.readRevision(domain);
+      const read = await this.readStatus(domain);
       if (read.isErr()) {
         return err(read.error);
       }
-      // A close that arrived with the order may not have been read yet.
-      await waitForPendingInput();
-      if (isAbandoned()) {
-        return err(createFault(Diagnostics.OrderAbandoned, {}, { step: STEP }));
+      const { state, revision = toRevision(0) } = read.value ?? {};
+      if (attempt > 0 && isSwitchedTo(state, inService)) {
+        // Another order of the same content was carried out after this one had arrived.
+        return ok({ changed: false, revision });
       }
       if (this.timer.now() - arrivedMs > MAXIMUM_AGE_MS) {
         // The close of a caller whose host was lost or cut off never arrives.
         return err(createFault(Diagnostics.OrderLate, {}, { step: STEP }));
       }
-      const switched = await this.control.switchDomain(domain, inService, read.value);
+      await this.waitForClose();
+      if (isAbandoned()) {
+        return err(createFault(Diagnostics.OrderAbandoned, {}, { step: STEP }));
+      }
+      const switched = await this.control.switchDomain(domain, inService, revision);
       if (switched.isErr()) {
         return err(switched.error);
       }
@@ -69,9 +82,19 @@
     return err(createFault(Diagnostics.OrderSuperseded, { domain }, { step: STEP }));
   }
 
-  private readRevision(domain: FailureDomain): Outcome<Revision> {
-    return this.control
-      .readInForce(getFailureDomainSubject(domain))
-      .map(([status]) => status?.revision ?? toRevision(0));
+  /** Waits until a close is read that the caller sent before now. */
+  private async waitForClose(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.timer.once(CLOSE_DELAY_MS, () => resolve());
+    });
+    await waitForPendingInput();
+  }
+
+  private readStatus(domain: FailureDomain): Outcome<SubjectStatus | undefined> {
+    return this.control.readInForce(getFailureDomainSubject(domain)).map(([status]) => status);
   }
 }
+
+function isSwitchedTo(state: SubjectState | undefined, inService: boolean): boolean {
+  return state?.kind === SubjectKind.FailureDomain && state.inService === inService;
+}
--- a/tests/platform/domainOrders.test.ts
+++ b/tests/platform/domainOrders.test.ts
@@ -67,6 +67,34 @@
   expect(lines.join()).toContain('code=FP8010');
 });
 
+// Guards against an order that the network delayed, ahead of its caller's close, and that undoes a newer one (EVAC).
+test.each([
+  ['Drain.Finish', FINISH, BEGIN],
+  ['Drain.Begin', BEGIN, FINISH],
+])('a late %s whose close follows it does not undo a newer order', async (_, late, newer) => {
+  const caller = await openCaller();
+  expect(await order(newer)).toBe(200);
+  sendOrder(caller, late);
+  timer.once(40, () => caller.end());
+  await expect.poll(() => lines.join()).toContain('caller=gone');
+  expect(lines.join()).toContain('code=FP8010');
+  expect(control.isInService(DOMAIN)).toBe(newer === FINISH);
+});
+
+// Guards against an order that TCP resends after a suspension, with a close that is lost.
+test('a host refuses orders that may have been sent while it was paused', async () => {
+  const caller = await openCaller();
+  holdLoop(1000);
+  await expect.poll(() => control.domains.length).toBe(0);
+  // The caller's TCP resends the order 1.4 s after it was sent.
+  await new Promise((resolve) => timer.once(700, resolve));
+  sendOrder(caller, FINISH);
+  await expect.poll(() => lines.join()).toContain('code=FP8012');
+  expect(control.domains).toEqual([]);
+  caller.destroy();
+  await expect.poll(() => order(FINISH), { timeout: 3000 }).toBe(200);
+});
+
 // Guards against a call to the control leader that is repeated for a caller that has left.
 test('an order that is delayed on its way does not undo a newer one', async () => {
   expect(await order(BEGIN)).toBe(200);
@@ -93,7 +121,7 @@
   await expect.poll(() => lines.join()).toContain('code=FP8012');
   expect(control.domains).toEqual([]);
   caller.destroy();
-  await expect.poll(() => order(FINISH)).toBe(200);
+  await expect.poll(() => order(FINISH), { timeout: 3000 }).toBe(200);
 });
 
 // Guards against an order that is repeated to the quorum for a caller that did not close.
@@ -131,6 +159,6 @@
 test('the log line of an order tells whether its caller waited and where the log has it', async () => {
   await order(BEGIN);
   expect(lines.find((line) => line.includes('code=FP8007'))).toMatch(
-    /message="Ticket domain north out was acknowledged\." .*caller=waiting revision=1$/,
+    /message="Ticket domain north out was acknowledged\." .*caller=waiting( pauseMs=\d+ sincePauseMs=\d+)? revision=1$/,
   );
 });
