A primary in a failure domain out of service ends in time

Cause: "in service" was asked where new work is placed. Work that had a place was ended only by moving the primary, so that nothing ended it where no instance can take over.

Change: daemons note when they learn that a failure domain is out of service. Three fifths of the time that the platform grants later (evacuateMs; drainMs for an instance that is leaving; settings withdrawal.*) an instance there runs nothing more: requests that only the primary could run are refused at once as not run (FP4014), queued ones are not started, open transactions are rolled back. A promotion under way is waited for as before.

Why it works: the check is on the way of each request to an instance, and does not depend on what control can do. The time counts per daemon, so that a new holder does not begin it again.

--- a/bench/replicas/modelInstance.ts
+++ b/bench/replicas/modelInstance.ts
@@ -36,6 +36,7 @@
       latencyMs: this.latencyMs,
       reachable: true,
       inService: true,
+      withdrawn: false,
       position: undefined,
       ageMs: 0,
       slowStartWeight: 1,
--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -162,6 +162,15 @@
     'A transaction of client account "{account}" was open longer than {limit} ms.',
     '25P04',
   ),
+  InstanceWithdrawn: message(
+    4015,
+    'Instance "{instance}" of group "{group}" is out of service and runs nothing more.',
+  ),
+  PrimaryWithdrawn: refusal(
+    4014,
+    'The primary "{instance}" of group "{group}" is out of service and no other one has taken over.',
+    '57P03',
+  ),
 
   // 5000: consensus and storage
   NotControlLeader: refusal(5000, 'This host does not lead control; the leader is "{leader}".'),
--- a/src/common/settings/settings.ts
+++ b/src/common/settings/settings.ts
@@ -92,6 +92,21 @@
         .describe("File with the backend servers' bearer tokens for announcements, one a line."),
     })
     .describe('HTTP interface.'),
+  withdrawal: z
+    .strictObject({
+      domain_ms: z
+        .int()
+        .min(1)
+        .default(3000)
+        .describe('For backend servers in a failure domain that is out of service.'),
+      backend_server_ms: z
+        .int()
+        .min(1)
+        .default(4200)
+        .describe('For backend servers that are leaving.'),
+    })
+    .prefault({})
+    .describe('Longest time for which what is out of service still runs requests.'),
   backend: z
     .strictObject({
       user: z.string().default('filbertpoint').describe('User towards backend servers.'),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -69,7 +69,7 @@
 /** A daemon with the roles in its settings. */
 export class Daemon extends Readiness {
   private readonly metrics = new Metrics();
-  private readonly records = new DaemonRecords();
+  private readonly records: DaemonRecords;
   private readonly requestLog: RequestLog;
   private readonly incarnation: Incarnation;
   private readonly ids: RequestIds;
@@ -93,6 +93,7 @@
     super();
     const { settings, files, timer, logger, random } = options;
     this.members = settings.control.members;
+    this.records = new DaemonRecords(() => timer.now());
     const host = toHostId(settings.host);
     const domain = toFailureDomain(settings.domain);
     this.incarnation = toIncarnation(randomBytes(INCARNATION_BYTES).toString('base64url'));
@@ -123,6 +124,10 @@
       log: this.requestLog,
       protocol: options.interfaces.createBackend(settings, files),
       metrics: this.metrics.instances,
+      withdrawal: {
+        domainMs: settings.withdrawal.domain_ms,
+        instanceMs: settings.withdrawal.backend_server_ms,
+      },
       reportNow: () => lease.renewSoon(),
     });
     const { metrics } = this;
--- a/src/daemon/holder/groupRequests.test.ts
+++ b/src/daemon/holder/groupRequests.test.ts
@@ -163,6 +163,7 @@
     lease: new ValidLease(),
     protocol: new ScriptedProtocol(),
     metrics: new Metrics().instances,
+    withdrawal: { domainMs: 3000, instanceMs: 4200 },
     reportNow: () => undefined,
   };
 }
--- a/src/daemon/holder/groupRequests.ts
+++ b/src/daemon/holder/groupRequests.ts
@@ -150,6 +150,21 @@
     }
   }
 
+  /**
+   * Rolls back the transactions of an instance that may run nothing more, unless a statement runs in
+   * them; the next statement is refused.
+   */
+  endWithdrawn(instance: HeldInstance, nowMs: number): void {
+    if (this.transactions.count === 0 || !instance.isWithdrawn(nowMs)) {
+      return;
+    }
+    for (const { id, current } of this.transactions.getByInstance(instance.id)) {
+      if (current?.startedMs === undefined) {
+        this.transactions.abort(id);
+      }
+    }
+  }
+
   /** Starts a queued request that obtained a slot of its instance. */
   slotGranted(instance: HeldInstance, id: RequestId): void {
     const transaction = this.transactions.get(id);
--- a/src/daemon/holder/heldGroup.ts
+++ b/src/daemon/holder/heldGroup.ts
@@ -122,6 +122,10 @@
       }
     }
     this.removeMissingInstances();
+    const nowMs = this.context.timer.now();
+    for (const instance of this.instances.values()) {
+      instance.isWithdrawn(nowMs); // Starts the time that a leaving instance has.
+    }
     this.writes.updateRequirement();
     this.verifyLogs();
     this.delegateReads();
@@ -166,6 +170,7 @@
   tick(nowMs: number): void {
     for (const instance of this.instances.values()) {
       instance.tick(nowMs);
+      this.requests.endWithdrawn(instance, nowMs);
     }
     this.writes.tick(nowMs);
     this.updateProbing();
@@ -217,7 +222,8 @@
   }
 
   mayStart(held: HeldRequest, instance: HeldInstance): boolean {
-    if (!this.context.lease.isValid()) {
+    const { lease, timer } = this.context;
+    if (!lease.isValid() || instance.isWithdrawn(timer.now())) {
       return false;
     }
     const { primary, isFenced } = this.writes;
--- a/src/daemon/holder/heldInstance.ts
+++ b/src/daemon/holder/heldInstance.ts
@@ -10,6 +10,7 @@
 } from '../../decisions/queue/index.js';
 import {
   RetryBudget,
+  Withdrawal,
   type PositionHistory,
   type InstanceView,
 } from '../../decisions/routing/index.js';
@@ -79,6 +80,8 @@
   private lastUnresponsiveMs: number | undefined;
   private lastDeadConnectionsMs: number | undefined;
   private isDelegated = false;
+  private readonly withdrawal: Withdrawal;
+  private wasWithdrawn = false;
 
   constructor(
     private currentRecord: InstanceRecord,
@@ -89,6 +92,7 @@
     expectsPrimary: boolean,
   ) {
     const { record } = this;
+    this.withdrawal = new Withdrawal(context.withdrawal);
     this.queue = new InstanceQueue({ slots: record.slots, limits: { transactionLimitMs } });
     const { protocol, timer } = context;
     const target: BackendTarget = {
@@ -171,6 +175,21 @@
     this.pool.close(fault);
   }
 
+  /** Whether the instance has been out of service for so long that it may run nothing more. */
+  isWithdrawn(nowMs: number): boolean {
+    const { group, instance, domain } = this.record;
+    const { records } = this.context;
+    const outOfServiceMs = records.getOutOfServiceMs(domain);
+    const isLeaving = records.isLeaving(group, instance);
+    const isWithdrawn = this.withdrawal.isOver({ outOfServiceMs, isLeaving }, nowMs);
+    if (isWithdrawn && !this.wasWithdrawn) {
+      const context = { step: 'holder.withdrawn', peer: this.record.address };
+      this.context.logger.report(Diagnostics.InstanceWithdrawn, { instance, group }, context);
+    }
+    this.wasWithdrawn = isWithdrawn;
+    return isWithdrawn;
+  }
+
   /** Returns the view of the instance for routing. */
   getView(nowMs: number): InstanceView {
     const { instance, domain, slots, group } = this.record;
@@ -185,6 +204,7 @@
       reachable: this.monitor.health.isReachable,
       inService:
         !this.isDelegated && records.isInService(domain) && !records.isLeaving(group, instance),
+      withdrawn: this.isWithdrawn(nowMs),
       position,
       ageMs:
         position === undefined
--- a/src/daemon/holder/holderContext.ts
+++ b/src/daemon/holder/holderContext.ts
@@ -4,6 +4,7 @@
 import type { RandomSource } from '../../common/random.js';
 import type { TimerService } from '../../common/timer/index.js';
 import type { DaemonRecords } from '../../decisions/control/index.js';
+import type { WithdrawalLimits } from '../../decisions/routing/index.js';
 import type { BackendProtocol } from '../backend/index.js';
 import type { HolderLease } from './holderLease.js';
 
@@ -18,6 +19,7 @@
   readonly lease: HolderLease;
   readonly protocol: BackendProtocol;
   readonly metrics: InstanceMetrics;
+  readonly withdrawal: WithdrawalLimits;
   /** Requests a lease renewal without delay, since renewals carry the holder's reports. */
   readonly reportNow: () => void;
 }
--- a/src/daemon/holder/replicaReader.test.ts
+++ b/src/daemon/holder/replicaReader.test.ts
@@ -175,6 +175,7 @@
       domain: toFailureDomain('a'),
       random: new SeededRandom(1),
       metrics: new Metrics().instances,
+      withdrawal: { domainMs: 3000, instanceMs: 4200 },
       reportNow: () => undefined,
     });
     this.holder.readers.sendPositionQuery = (_holder, _group, sequence) =>
--- a/src/daemon/holder/replicaReader.ts
+++ b/src/daemon/holder/replicaReader.ts
@@ -143,6 +143,7 @@
 
   tick(nowMs: number): void {
     this.instance.tick(nowMs);
+    this.requests.endWithdrawn(this.instance, nowMs);
     this.requests.tick(nowMs);
   }
 
--- a/src/decisions/control/daemonRecords.test.ts
+++ b/src/decisions/control/daemonRecords.test.ts
@@ -84,3 +84,28 @@
   expect(records.getInstances(GROUP)).toEqual([server]);
   expect(records.getRecordRevision(`instance/${GROUP}/${instance}`)).toBe(4);
 });
+
+test('the time for which a failure domain is out of service counts from when the copy learned of it', () => {
+  let nowMs = 1000;
+  const records = new DaemonRecords(() => nowMs);
+  const account = { kind: SubjectKind.Account, account: ACCOUNT, rate: 1, burst: 1 } as const;
+  records.applyRecords([createSubject(1, account as SubjectState)], toRevision(1));
+  expect(records.getOutOfServiceMs(DOMAIN)).toBe(0);
+  records.applyRecords([createDomain(2, false)], toRevision(2));
+  nowMs = 1500;
+  // The order was sent again.
+  records.applyRecords([createDomain(3, false)], toRevision(3));
+  nowMs = 2200;
+  expect(records.getOutOfServiceMs(DOMAIN)).toBe(1200);
+  records.applyRecords([createDomain(4, true)], toRevision(4));
+  expect(records.getOutOfServiceMs(DOMAIN)).toBe(0);
+  records.applyRecords([createDomain(5, false)], toRevision(5));
+  nowMs = 2300;
+  expect(records.getOutOfServiceMs(DOMAIN)).toBe(100);
+});
+
+test('a failure domain that is out of service in the first records has been so for an unknown time', () => {
+  const records = new DaemonRecords(() => 1000);
+  records.applyRecords([createDomain(2, false)], toRevision(2));
+  expect(records.getOutOfServiceMs(DOMAIN)).toBe(Infinity);
+});
--- a/src/decisions/routing/groupRouter.test.ts
+++ b/src/decisions/routing/groupRouter.test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from 'vitest';
+import { Diagnostics, Execution } from '../../common/diagnostics/index.js';
 import {
   toFailureDomain,
   toGroupId,
@@ -9,7 +10,7 @@
 } from '../../common/ids/index.js';
 import { RandomSource } from '../../common/random.js';
 import { PrimaryPhase, RecordKind, type GroupPrimary } from '../control/index.js';
-import { GroupRouter, NearReplica, type GroupView, type InstanceView } from './index.js';
+import { GroupRouter, NearReplica, RouteKind, type GroupView, type InstanceView } from './index.js';
 
 class ConstantRandom extends RandomSource {
   override next(): number {
@@ -32,6 +33,7 @@
     latencyMs: 1,
     reachable: true,
     inService: true,
+    withdrawn: false,
     position,
     ageMs: 100,
     slowStartWeight: 1,
@@ -103,6 +105,22 @@
   `);
 });
 
+// Guards against a primary that serves on though its failure domain is out of service (EVAC).
+test('what only a withdrawn primary could run is refused as not run, unless it is being replaced', () => {
+  const withdrawn = { ...createInstance('first', at(3, 90)), inService: false, withdrawn: true };
+  const instances = [withdrawn, createInstance('near', at(3, 80))];
+  const group = createGroup({ instances });
+  expect(read(group)).toBe('near');
+  expect(write(group)).toBe('refuse');
+  expect(read(group, at(3, 88))).toBe('refuse');
+  const moving = createGroup({ instances, primary: createPrimary({ phase: PrimaryPhase.Moving }) });
+  expect(write(moving)).toBe('wait');
+  const decision = router.routeWrite(group, undefined);
+  const fault = decision.kind === RouteKind.Refuse ? decision.fault : undefined;
+  expect(fault).toMatchObject({ execution: Execution.NotRun, retryAfterMs: 500 });
+  expect(fault?.diagnostic).toBe(Diagnostics.PrimaryWithdrawn);
+});
+
 test('writes go only to a serving primary', () => {
   const promoting = createPrimary({ phase: PrimaryPhase.Promoting, history: [] });
   expect({
--- a/src/decisions/routing/groupRouter.ts
+++ b/src/decisions/routing/groupRouter.ts
@@ -1,4 +1,4 @@
-import { createFault, Diagnostics } from '../../common/diagnostics/index.js';
+import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
 import type { FailureDomain, InstanceId } from '../../common/ids/index.js';
 import type { RandomSource } from '../../common/random.js';
 import { getServedTimeline, PrimaryPhase, type GroupPrimary } from '../control/index.js';
@@ -18,6 +18,9 @@
   readonly instances: readonly InstanceView[];
 }
 
+/** Time after which a caller may ask again for what a withdrawn primary alone could run. */
+const WITHDRAWN_RETRY_MS = 500;
+
 /** Decides which instance of a group runs a request. */
 export class GroupRouter {
   constructor(
@@ -88,6 +91,9 @@
   private routeToPrimary(group: GroupView, primary: GroupPrimary): RouteDecision {
     const view = group.instances.find((candidate) => candidate.instance === primary.instance);
     const serving = primary.phase === PrimaryPhase.Serving && !group.fenced;
+    if (serving && view?.withdrawn === true) {
+      return { kind: RouteKind.Refuse, fault: createWithdrawnFault(primary) };
+    }
     return view?.reachable === true && serving
       ? { kind: RouteKind.Instance, instance: primary.instance, isPrimary: true }
       : { kind: RouteKind.Wait };
@@ -142,10 +148,12 @@
   return position.position >= wanted.position;
 }
 
-function createPositionLostFault(
-  primary: GroupPrimary,
-  session: SessionPosition,
-): ReturnType<typeof createFault> {
+function createWithdrawnFault({ group, instance }: GroupPrimary): Fault {
+  const context = { step: 'route', execution: Execution.NotRun, retryAfterMs: WITHDRAWN_RETRY_MS };
+  return createFault(Diagnostics.PrimaryWithdrawn, { group, instance }, context);
+}
+
+function createPositionLostFault(primary: GroupPrimary, session: SessionPosition): Fault {
   return createFault(
     Diagnostics.PositionLost,
     { position: session.position, term: session.term, group: primary.group },
--- a/src/decisions/routing/index.ts
+++ b/src/decisions/routing/index.ts
@@ -20,3 +20,4 @@
 export * from './retryBudget.js';
 export * from './instanceHealth.js';
 export * from './writeConfirmations.js';
+export * from './withdrawal.js';
--- a/src/decisions/routing/instanceView.ts
+++ b/src/decisions/routing/instanceView.ts
@@ -15,6 +15,8 @@
   readonly reachable: boolean;
   /** Whether it is neither leaving nor in a failure domain that is out of service. */
   readonly inService: boolean;
+  /** Whether it has been out of service for so long that it may run nothing more. */
+  readonly withdrawn: boolean;
   /** Log position last read from the instance; undefined while unknown. */
   readonly position: SessionPosition | undefined;
   /** Upper bound on the age of its data, in milliseconds. */
--- a/tests/support/fleet/heldGroup.ts
+++ b/tests/support/fleet/heldGroup.ts
@@ -154,6 +154,7 @@
         ...{ instance, domain, slots: 2, load: 0, latencyMs: 1, ageMs: 0, slowStartWeight: 1 },
         reachable: this.daemon.canReach(present),
         inService: !isLeaving && this.daemon.records.isInService(domain),
+        withdrawn: false,
         position: { term, position },
       };
     });
