--- a/src/common/settings/settings.ts
+++ b/src/common/settings/settings.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { NAME_PATTERN } from '../names.js';
 import { isAddress } from './address.js';
 
 /** Schema of an address `ip:port`. */
@@ -10,7 +11,7 @@
 /** Schema of the name of a host, failure domain, group, instance or client account. */
 export const nameSchema = z
   .string()
-  .regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, 'expected a name of letters, digits, ".", "_", "-"')
+  .regex(NAME_PATTERN, 'expected a name of letters, digits, ".", "_", "-"')
   .meta({ title: 'a name' });
 
 const memberSchema = z.strictObject({
--- a/src/decisions/control/announcementSchema.ts
+++ b/src/decisions/control/announcementSchema.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { NAME_PATTERN } from '../../common/names.js';
 import { isPeerAddress } from '../../common/settings/address.js';
 import { InstanceRole, type Announcement } from './announcement.js';
 
@@ -14,7 +15,7 @@
  */
 const MAXIMUM_SEQUENCE = 2 ** 48;
 
-const name = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, 'expected a name');
+const name = z.string().regex(NAME_PATTERN, 'expected a name');
 const address = z
   .string()
   .refine(isPeerAddress, 'expected IP:PORT with an IP number, such as 10.0.1.1:7400');
--- a/src/decisions/tickets/ticketSchema.ts
+++ b/src/decisions/tickets/ticketSchema.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { NAME_PATTERN } from '../../common/names.js';
 import { Acknowledgement } from './acknowledgement.js';
 import { Consistency } from './consistency.js';
 import { SubjectKind } from './subjectKind.js';
@@ -20,7 +21,7 @@
 const MAXIMUM_OPEN_TRANSACTIONS = 1_000_000;
 const MAXIMUM_TRANSACTION_MS = 86_400_000;
 
-const name = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, 'expected a name');
+const name = z.string().regex(NAME_PATTERN, 'expected a name');
 const base64 = z.base64().min(1).max(256);
 const address = z.string().regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'expected IP:PORT');
 
