A body that is not valid UTF-8 is refused, not read with characters replaced

Cause: Buffer.toString puts U+FFFD in the place of bytes that it can't read and reports nothing, so that all later checks saw an intact text.

Change: received bytes are decoded by one function that returns a text or nothing; a body that is no text is answered with 400 and logged. The same for tickets and announcements over the operators' HTTP, ticket files and settings files. JSON escapes of half a character are refused: no bytes encode it, so that different keys passed for each other.

--- a/src/cli/commands/ticketCommands.test.ts
+++ b/src/cli/commands/ticketCommands.test.ts
@@ -14,6 +14,18 @@
 
 const cli = useCliFixture();
 
+// Guards against a ticket that is submitted with other texts than its file has.
+test('a ticket file that is not valid UTF-8 is not submitted', async () => {
+  const file = join(cli.folder, 'damaged.toml');
+  writeFileSync(file, Buffer.from(TOML_TICKET.replace('adigrat', 'adigr\u00e9t'), 'latin1'));
+  const { status, errors } = await cli.run(`ticket submit ${file}`);
+  expect([status, errors]).toEqual([
+    ExitStatus.BadInput,
+    expect.stringContaining('not valid UTF-8') as unknown,
+  ]);
+  expect(cli.control.submitted).toEqual([]);
+});
+
 test('a ticket in TOML or JSON is submitted, resent, shown and in force', async () => {
   expect(await cli.run('ticket submit -', TOML_TICKET)).toEqual({
     status: ExitStatus.Done,
--- a/src/cli/ticketFile.ts
+++ b/src/cli/ticketFile.ts
@@ -1,6 +1,7 @@
 import { readFile } from 'node:fs/promises';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import { parse } from 'smol-toml';
+import { tryDecodeText } from '../common/decodeText.js';
 import { Diagnostics } from '../common/diagnostics/index.js';
 import { createFailure, type CommandFailure } from './commandFailure.js';
 import type { CommandOutcome } from './commandOutcome.js';
@@ -19,7 +20,7 @@
 
 /** Reads a ticket in JSON or TOML from a file, or from standard input when it was given as `-`. */
 export function readTicketFile(file: string, terminal: Terminal): CommandOutcome<TicketDocument> {
-  const text = file === STANDARD_INPUT ? terminal.readInput() : readFile(file, 'utf8');
+  const text = file === STANDARD_INPUT ? terminal.readInput() : readText(file);
   return ResultAsync.fromPromise(text, (cause) =>
     createFailure(
       ExitStatus.BadInput,
@@ -30,6 +31,14 @@
   ).andThen((read) => tryParseTicketText(file, read));
 }
 
+async function readText(file: string): Promise<string> {
+  const text = tryDecodeText(await readFile(file));
+  if (text === undefined) {
+    throw new Error('it is not valid UTF-8');
+  }
+  return text;
+}
+
 /** Parses a ticket's text: JSON when it begins with a brace, else TOML. */
 export function tryParseTicketText(
   file: string,
--- /dev/null
+++ b/src/common/decodeText.ts
@@ -0,0 +1,6 @@
+import { isUtf8 } from 'node:buffer';
+
+/** Decodes a text; undefined if the bytes are not valid UTF-8, of which a part would be replaced. */
+export function tryDecodeText(bytes: Uint8Array): string | undefined {
+  return isUtf8(bytes) ? Buffer.from(bytes).toString('utf8') : undefined;
+}
--- a/src/common/json/boundedJson.ts
+++ b/src/common/json/boundedJson.ts
@@ -19,6 +19,10 @@
   CloseBrace: 0x7d,
 } as const;
 
+const SURROGATE_ESCAPE = /\\u[dD]/;
+/** An escape of a surrogate; an escaped backslash before `ud` begins none. */
+const WRITTEN_SURROGATE = /(?:^|[^\\])(?:\\\\)*\\ud/;
+
 /**
  * Parses a JSON text. The limits are checked before memory is allocated for the values; the error
  * describes the problem.
@@ -29,12 +33,24 @@
     return err(exceededLimit);
   }
   try {
-    return ok(JSON.parse(text) as unknown);
+    const value: unknown = JSON.parse(text);
+    return SURROGATE_ESCAPE.test(text) && hasUnpairedSurrogate(value)
+      ? err('a text contains half of a character')
+      : ok(value);
   } catch (cause) {
     return err(cause instanceof Error ? cause.message : String(cause));
   }
 }
 
+/**
+ * Whether a text in a value contains half of a character, as the escape `\\ud800` stands for. It has no
+ * encoding in bytes, so that different texts with one would be taken for the same.
+ */
+function hasUnpairedSurrogate(value: unknown): boolean {
+  // Surrogates that are paired are written as they are.
+  return WRITTEN_SURROGATE.test(JSON.stringify(value));
+}
+
 function findExceededLimit(text: string, limits: JsonLimits): string | undefined {
   const { maximumDepth, maximumValues } = limits;
   let depth = 0;
--- a/src/common/settings/readSettings.ts
+++ b/src/common/settings/readSettings.ts
@@ -1,5 +1,6 @@
 import { readFileSync } from 'node:fs';
 import { err, ok, type Result } from 'neverthrow';
+import { tryDecodeText } from '../decodeText.js';
 import { createFault, Diagnostics, type Fault } from '../diagnostics/index.js';
 import { addLines, tryCheckSettings } from './checkSettings.js';
 import { settingsSchema, type Settings } from './settings.js';
@@ -35,7 +36,8 @@
 
 function tryReadText(file: string): Result<string, readonly SettingsProblem[]> {
   try {
-    return ok(readFileSync(file, 'utf8'));
+    const text = tryDecodeText(readFileSync(file));
+    return text === undefined ? err([{ key: '', expected: 'is not valid UTF-8' }]) : ok(text);
   } catch (cause) {
     const problem = cause instanceof Error ? cause.message : String(cause);
     return err([{ key: '', expected: `can't be read: ${problem}` }]);
--- a/src/daemon/operators/createHttpServer.ts
+++ b/src/daemon/operators/createHttpServer.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server } from 'node:http';
 import type { Socket } from 'node:net';
 import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify';
+import { tryDecodeText } from '../../common/decodeText.js';
 import { createFault, Diagnostics } from '../../common/diagnostics/index.js';
 import type { Logger } from '../../common/logging/index.js';
 import { MAXIMUM_BODY_BYTES } from './bodyLimit.js';
@@ -11,6 +12,7 @@
 /** Time within which a request must be received completely, in milliseconds. */
 export const REQUEST_TIMEOUT_MS = 10_000;
 
+const JSON_TYPE = 'application/json';
 const IDLE_TIMEOUT_MS = 60_000;
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 const MAXIMUM_PATH_PARAMETER_LENGTH = 256;
@@ -53,6 +55,7 @@
     clientErrorHandler: () => undefined,
   });
   routing.setErrorHandler(sendFault);
+  addJsonParser(routing);
   routing.setNotFoundHandler((request, reply) => {
     const subject = `${request.method} ${request.url.slice(0, MAXIMUM_SHOWN_PATH_LENGTH)}`;
     const fault = createFault(Diagnostics.NotFound, { subject }, { step: 'http.route' });
@@ -61,6 +64,22 @@
   return routing;
 }
 
+/** Parses JSON bodies; one that is not valid UTF-8 is refused, not read with characters replaced. */
+function addJsonParser(routing: FastifyInstance): void {
+  const parseJson = routing.getDefaultJsonParser('error', 'error');
+  routing.removeContentTypeParser(JSON_TYPE);
+  routing.addContentTypeParser<Buffer>(JSON_TYPE, { parseAs: 'buffer' }, (request, bytes, done) => {
+    const text = tryDecodeText(bytes);
+    if (text === undefined) {
+      const problem = 'the body is not valid UTF-8';
+      const context = { step: 'http.request', peer: request.ip };
+      done(createFault(Diagnostics.RequestInvalid, { problem }, context));
+      return;
+    }
+    void parseJson(request, text, done);
+  });
+}
+
 function refuseConnection(logger: Logger, cause: NodeJS.ErrnoException, socket: Socket): void {
   if (cause.code === 'ECONNRESET' || socket.destroyed) {
     return;
--- a/src/daemon/operators/hostileInput.test.ts
+++ b/src/daemon/operators/hostileInput.test.ts
@@ -56,6 +56,27 @@
 
 afterEach(() => host.close());
 
+// Guards against a ticket or announcement that is taken with other texts than were sent.
+test('a body that is not valid UTF-8 is refused', async () => {
+  for (const [path, content] of [
+    ['/tickets', JSON.stringify(TICKET)],
+    ['/announcements', JSON.stringify(ANNOUNCEMENT)],
+  ] as const) {
+    const body = Buffer.from(content.replace('ledger-1', 'ledger\u00e9'), 'latin1');
+    const response = await fetch(`${host.url}${path}`, {
+      ...{ method: 'POST', body },
+      headers: { authorization: 'Bearer secret', 'content-type': 'application/json' },
+    });
+    expect([path, response.status, await response.json()]).toMatchObject([
+      path,
+      400,
+      { code: 8001 },
+    ]);
+  }
+  expect(control.submitted).toEqual([]);
+  expect(control.announcements).toEqual([]);
+});
+
 /** Generates variants of a value in which any part may be replaced by any JSON value. */
 function mutate(value: unknown): fc.Arbitrary<unknown> {
   const other = fc.oneof(
--- a/standin/lines/linePlatform.ts
+++ b/standin/lines/linePlatform.ts
@@ -17,7 +17,7 @@
   address: string,
   method: string,
   path: string,
-  body = '',
+  body: string | Uint8Array = '',
 ): Promise<HttpReply> {
   const { host, port } = splitAddress(address);
   return new Promise((resolve) => {
