A transaction ends with the right of its caller's key

Cause: a transaction keeps the grant of its beginning, as changes of a route apply from the next one. Inside it only the key's validity was asked, not whose it is, and for COMMIT nothing.

--- a/src/daemon/sessions/sessionAccess.ts
+++ b/src/daemon/sessions/sessionAccess.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from 'neverthrow';
-import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
+import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
 import type { AccountId, Revision } from '../../common/ids/index.js';
 import type { DaemonRecords } from '../../decisions/control/index.js';
 import type { RouteState } from '../../decisions/tickets/index.js';
@@ -56,4 +56,25 @@
       ? ok({ account, route })
       : err(createFault(Diagnostics.RouteForbidden, { account, database }, context));
   }
+
+  /**
+   * Checks that an open transaction may go on: its caller's key still belongs to the client account
+   * that it runs for. Changes of its route apply from the next transaction.
+   */
+  tryContinue({ keyDigest }: CallerCredentials, { account }: SessionGrant): Result<void, Fault> {
+    if (account === OPEN_ACCOUNT) {
+      return ok(undefined);
+    }
+    const configuration = this.records.getConfiguration();
+    const holder = keyDigest === undefined ? undefined : configuration?.findAccount(keyDigest);
+    if (holder === account) {
+      return ok(undefined);
+    }
+    const context = { step: 'session.access', execution: Execution.NotRun };
+    return err(
+      holder === undefined
+        ? createFault(Diagnostics.KeyRefused, { account: 'unknown' }, context)
+        : createFault(Diagnostics.TransactionLost, {}, context),
+    );
+  }
 }
--- a/src/daemon/sessions/statementSession.ts
+++ b/src/daemon/sessions/statementSession.ts
@@ -116,14 +116,15 @@
     this.running?.cancel();
   }
 
-  /** Rolls back the transaction once it has exceeded its idle limit. */
+  /** Rolls back the transaction once it has exceeded its idle limit or may not go on. */
   tick(nowMs: number): void {
     const { transaction } = this;
     if (this.busy || transaction?.id === undefined) {
       return;
     }
     const { transactionIdleMs = DEFAULT_TRANSACTION_IDLE_MS } = transaction.grant.route;
-    if (nowMs - this.idleSinceMs > transactionIdleMs) {
+    const mayContinue = this.context.access.tryContinue(this.credentials, transaction.grant).isOk();
+    if (nowMs - this.idleSinceMs > transactionIdleMs || !mayContinue) {
       this.discardTransaction();
       this.hasFailedTransaction = true;
     }
@@ -299,6 +300,13 @@
       );
       return;
     }
+    const continued = this.context.access.tryContinue(this.credentials, transaction.grant);
+    if (continued.isErr()) {
+      // COMMIT ends a transaction, also one that can only be rolled back.
+      this.discardTransaction();
+      this.refuse(continued.error, statement);
+      return;
+    }
     this.send(statement, transaction.grant, {
       kind: transaction.id === undefined ? RequestKind.Begin : RequestKind.End,
       mayCommit: transaction.wrote,
@@ -334,7 +342,11 @@
     prepared: SessionStatement | undefined,
   ): void {
     const { transaction } = this;
-    const granted = this.context.access.tryGrant(this.credentials);
+    const { access } = this.context;
+    const granted = access.tryGrant(this.credentials).andThen((grant) => {
+      const opened = transaction?.grant ?? grant;
+      return access.tryContinue(this.credentials, opened).map(() => grant);
+    });
     if (granted.isErr()) {
       this.refuse(granted.error, statement);
       return;
--- a/tests/platform/stoppingCallers.ts
+++ b/tests/platform/stoppingCallers.ts
@@ -99,6 +99,10 @@
   refusal: Fault | undefined;
   readonly revision: Revision = toRevision(1);
 
+  tryContinue(): Result<void, Fault> {
+    return this.refusal === undefined ? ok(undefined) : err(this.refusal);
+  }
+
   tryGrant(): Result<SessionGrant, Fault> {
     if (this.refusal !== undefined) {
       return err(this.refusal);
--- /dev/null
+++ b/tests/platform/withdrawnKeys.test.ts
@@ -0,0 +1,104 @@
+import { afterAll, beforeAll, beforeEach, expect, test } from 'vitest';
+import { createLinePlan } from '../../bench/lines/linePlan.js';
+import type { LineClient } from '../../bench/lines/lineClient.js';
+import { LocalLineFleet } from '../../bench/lines/localLineFleet.js';
+import { StatementWatch, type SeenStatement } from '../../standin/lines/index.js';
+
+const LATEST = 'latest-ledger1';
+const KEPT = 'key-kept';
+const MOVED = 'key-moved';
+
+/** Records the statements of callers, with the client account that they run for. */
+class AccountRecorder extends StatementWatch {
+  readonly seen: { readonly account: string; readonly text: string }[] = [];
+
+  override see({ id, account, text }: SeenStatement): void {
+    if (id !== '-') {
+      this.seen.push({ account, text });
+    }
+  }
+}
+
+const recorder = new AccountRecorder();
+let fleet: LocalLineFleet;
+let version = 1;
+
+beforeAll(async () => {
+  fleet = new LocalLineFleet(
+    await createLinePlan({ controls: 3, entries: 2, groups: 1, network: 99 }),
+  );
+  await fleet.start({ version, accounts: { mill: [KEPT, MOVED], press: ['key-press'] } });
+  fleet.getGroup().watch = recorder;
+});
+
+beforeEach(async () => {
+  await configure({ mill: [KEPT, MOVED], press: ['key-press'] });
+});
+
+afterAll(async () => {
+  await fleet.stop();
+});
+
+/** Puts client accounts with their keys in force on both entry daemons. */
+async function configure(accounts: Readonly<Record<string, readonly string[]>>): Promise<void> {
+  version += 1;
+  const probe = `key-probe-${version}`;
+  await fleet.configure({ version, accounts: { ...accounts, probe: [probe] } });
+  for (const entry of [0, 1]) {
+    await fleet.waitFor(async () => {
+      const client = await fleet.connect(LATEST, probe, entry);
+      const isAdmitted = !client.isClosed;
+      client.close();
+      return isAdmitted;
+    });
+  }
+}
+
+/** Opens transactions that have written, on both entry daemons. */
+async function begin(database: string, key: string, item: string): Promise<LineClient[]> {
+  const clients = await Promise.all([0, 1].map((entry) => fleet.connect(database, key, entry)));
+  for (const client of clients) {
+    await client.query('BEGIN');
+    expect((await client.query(`PUT ${item} data`)).reply?.error).toBeUndefined();
+  }
+  recorder.seen.length = 0;
+  return clients;
+}
+
+function isCommitted(item: string): boolean {
+  const log = fleet.getGroup().primary?.log ?? [];
+  return log.some(({ changes }) => changes.some(([changed]) => changed === item));
+}
+
+// Guards against a COMMIT that runs though its caller's key was withdrawn (CONFIG) or given to another account (UNASKED).
+test.each([
+  ['withdrawn', { mill: [KEPT], press: ['key-press'] }],
+  ['given to another client account', { mill: [KEPT], press: ['key-press', MOVED] }],
+] as const)('a transaction ends without a COMMIT when its key is %s', async (name, accounts) => {
+  const item = `commit-${name.split(' ')[0] ?? ''}`;
+  const clients = await begin(LATEST, MOVED, item);
+  await configure(accounts);
+  for (const client of clients) {
+    const { reply } = await client.query('COMMIT');
+    expect(reply?.error).toMatch(/^(NOAUTH|ABORTED)$/);
+    expect(reply?.status).toBe('I');
+    client.close();
+  }
+  expect(recorder.seen).toEqual([]);
+  expect(isCommitted(item)).toBe(false);
+});
+
+// Guards against statements that run for the account that held the key before (UNASKED).
+test('no statement runs for the client account that no longer holds the key', async () => {
+  const clients = await begin(LATEST, MOVED, 'inside');
+  await configure({ mill: [KEPT], press: ['key-press', MOVED] });
+  for (const client of clients) {
+    const { reply } = await client.query('PUT inside again');
+    expect([reply?.error, reply?.status]).toEqual([expect.any(String), 'E']);
+    expect((await client.query('ROLLBACK')).reply?.status).toBe('I');
+    // The caller goes on for the account that holds its key now.
+    expect((await client.query('PUT inside new')).reply?.error).toBeUndefined();
+    client.close();
+  }
+  expect(recorder.seen.map(({ account }) => account)).toEqual(['press', 'press']);
+});
