Callers of public routes may have several transactions open

Callers saw: a transaction on a public route waited until another caller's on the same group had ended, at worst by its idle limit. Found by the test of keys, whose transactions on a public route took over a second to begin (waitMs=1032).

Cause: callers of public routes share an account of which no configuration says how many transactions it may have open, and the default was one.

Change: without a limit of the account that of the instance's connections applies.

Evidence: withdrawnKeys.test.ts "transactions of several callers ..." fails on the commit before (ABORTED) and passes now.

--- a/src/daemon/holder/createQueueItem.ts
+++ b/src/daemon/holder/createQueueItem.ts
@@ -18,8 +18,9 @@
     deadlineMs,
     costClass: request.costClass,
     isTransaction: request.kind === RequestKind.Begin,
+    // Callers of public routes share an account that no configuration limits.
     maximumOpenTransactions: Math.min(
-      account?.maximumOpenTransactions ?? 1,
+      account?.maximumOpenTransactions ?? Infinity,
       instance.maximumTransactions,
     ),
   };
--- a/tests/platform/withdrawnKeys.test.ts
+++ b/tests/platform/withdrawnKeys.test.ts
@@ -5,6 +5,7 @@
 import { StatementWatch, type SeenStatement } from '../../standin/lines/index.js';
 
 const LATEST = 'latest-ledger1';
+const OPEN = 'open-ledger1';
 const KEPT = 'key-kept';
 const MOVED = 'key-moved';
 
@@ -102,3 +103,24 @@
   }
   expect(recorder.seen.map(({ account }) => account)).toEqual(['press', 'press']);
 });
+
+// Guards against a transaction on a public route that waits until another caller's has ended.
+test('transactions of several callers are open on a public route at once', async () => {
+  const clients = await begin(OPEN, MOVED, 'public');
+  for (const client of clients) {
+    expect((await client.query('COMMIT')).reply).toMatchObject({ error: undefined, status: 'I' });
+    client.close();
+  }
+});
+
+test('other changes of the configuration leave open transactions alone', async () => {
+  const kept = await begin(LATEST, KEPT, 'kept');
+  const open = await begin(OPEN, MOVED, 'open');
+  await configure({ mill: [KEPT], press: ['key-press'] });
+  for (const client of [...kept, ...open]) {
+    expect((await client.query('PUT more data')).reply?.error).toBeUndefined();
+    expect((await client.query('COMMIT')).reply).toMatchObject({ error: undefined, status: 'I' });
+    client.close();
+  }
+  expect([isCommitted('kept'), isCommitted('open')]).toEqual([true, true]);
+});
