The pause after a failed attempt to connect ends with its timer

Cause: after a failed attempt a pool opens nothing for 50 ms and sets a timer of that length. Timers of Node.js may fire up to a millisecond early; the callback then found the pause not over and nothing asked again.

Change: the pause lasts until its timer fires.

--- a/src/daemon/backend/connectionPool.ts
+++ b/src/daemon/backend/connectionPool.ts
@@ -48,7 +48,8 @@
   private readonly opening = new Map<string, number>();
   private openingCount = 0;
   private closed = false;
-  private pausedUntilMs = 0;
+  /** Ends the pause after a failed attempt; undefined while there is none. */
+  private cancelPause: Unsubscribe | undefined;
   private readonly stopHeartbeats: Unsubscribe;
 
   constructor(
@@ -138,6 +139,7 @@
   /** Closes the pool permanently; requests that run on its connections fail as lost. */
   close(fault: Fault): void {
     this.closed = true;
+    this.cancelPause?.();
     this.stopHeartbeats();
     this.reset(fault);
   }
@@ -186,10 +188,10 @@
 
   /**
    * Opens a connection for each waiter without one being opened, up to the connection limit. Does
-   * nothing during the delay after a failed attempt.
+   * nothing during the pause after a failed attempt.
    */
   private openForWaiters(): void {
-    if (this.timer.now() < this.pausedUntilMs) {
+    if (this.cancelPause !== undefined) {
       return;
     }
     const unassigned = new Map(this.opening);
@@ -240,11 +242,19 @@
       (waiter) => !this.protocol.isPerAccount || waiter.account === account,
     );
     const [waiter] = index < 0 ? [] : this.waiters.splice(index, 1);
-    this.pausedUntilMs = this.timer.now() + REOPEN_DELAY_MS;
-    this.timer.once(REOPEN_DELAY_MS, () => this.openForWaiters());
+    this.pause();
     waiter?.failed(cause);
   }
 
+  /** Pauses until a timer fires, which may be early by the clock; a later failure prolongs it. */
+  private pause(): void {
+    this.cancelPause?.();
+    this.cancelPause = this.timer.once(REOPEN_DELAY_MS, () => {
+      this.cancelPause = undefined;
+      this.openForWaiters();
+    });
+  }
+
   private countOpening(account: AccountId, change: number): void {
     this.openingCount += change;
     const key = this.getKey(account);
