Requests that wait for an instance go to its new incarnation, and a closed pool takes none

Cause: on the return waiting requests were routed while routing still found the old incarnation, and so back to it; then it was stopped. Its closed pool took them, opened a connection for each, closed it at once, and began again.

Change: they are routed once the new incarnation is known. A closed pool refuses requests at once and opens nothing.

--- a/src/daemon/backend/connectionPause.test.ts
+++ b/src/daemon/backend/connectionPause.test.ts
@@ -9,6 +9,7 @@
 
 const ACCOUNT = toAccountId('mill');
 const FAULT = createFault(Diagnostics.BackendUnreachable, { reason: 'test' }, { step: 'test' });
+const CLOSED = createFault(Diagnostics.ShuttingDown, {}, { step: 'test' });
 
 /** A timer service whose timers are early by up to a millisecond, as those of Node.js may be. */
 class EarlyTimerService extends ManualTimerService {
@@ -111,3 +112,18 @@
   await settle();
   expect(protocol.attempts).toBe(4);
 });
+
+// Guards against a closed pool that opens connections, closes each at once, and begins again.
+test('a closed pool takes no request and opens no connection', async () => {
+  protocol.isUp = true;
+  const waiting = acquire();
+  pool.close(CLOSED);
+  expect(waiting.fault).toBe(CLOSED);
+  const late = acquire();
+  expect(late.fault).toBe(CLOSED);
+  pool.warm(ACCOUNT);
+  await settle();
+  timer.advance(1000);
+  await settle();
+  expect([protocol.attempts, protocol.closes, pool.size]).toEqual([1, 1, 0]);
+});
--- a/src/daemon/backend/connectionPool.ts
+++ b/src/daemon/backend/connectionPool.ts
@@ -37,7 +37,15 @@
   readonly openTimeoutMs: number;
 }
 
-/** Pools the connections of this daemon to one instance, up to a limit. */
+/**
+ * Pools the connections of this daemon to one instance, up to a limit.
+ *
+ * | state | connections | waiters | ends |
+ * | --- | --- | --- | --- |
+ * | open | opened for waiters without one | may wait | with `close`, or a failed attempt |
+ * | pausing, after a failed attempt | none are opened | may wait | when the timer of the pause fires |
+ * | closed | each is closed when it is opened or released | none: refused at once | never |
+ */
 export class ConnectionPool {
   /** Called when a connection was closed because it answered no heartbeat. */
   onUnresponsive: (() => void) | undefined;
@@ -47,7 +55,8 @@
   /** Number of connections being opened by account, or under one key if they serve any account. */
   private readonly opening = new Map<string, number>();
   private openingCount = 0;
-  private closed = false;
+  /** The fault of each request for a connection; undefined until the pool is closed. */
+  private closingFault: Fault | undefined;
   /** Ends the pause after a failed attempt; undefined while there is none. */
   private cancelPause: Unsubscribe | undefined;
   private readonly stopHeartbeats: Unsubscribe;
@@ -77,6 +86,10 @@
 
   /** Passes an idle connection to the waiter, or queues it and opens a connection. */
   acquire(waiter: ConnectionWaiter): void {
+    if (this.closingFault !== undefined) {
+      waiter.failed(this.closingFault);
+      return;
+    }
     const connection = this.takeIdle(waiter.account);
     if (connection !== undefined) {
       waiter.connected(connection);
@@ -97,7 +110,7 @@
   /** Returns a connection to the pool; closes it if it is not reusable or above the limit. */
   release(connection: BackendLink, reusable: boolean): void {
     const isTooMany = this.size > this.limits.maximumConnections;
-    if (this.closed || !reusable || connection.isRetired || isTooMany) {
+    if (this.closingFault !== undefined || !reusable || connection.isRetired || isTooMany) {
       connection.close();
       return;
     }
@@ -114,7 +127,8 @@
   /** Opens connections up to `warmConnections`, if the protocol allows any account to use them. */
   warm(account: AccountId): void {
     const missing = this.limits.warmConnections - this.size;
-    for (let count = 0; count < missing && !this.closed && !this.protocol.isPerAccount; count++) {
+    const mayWarm = this.closingFault === undefined && !this.protocol.isPerAccount;
+    for (let count = 0; count < missing && mayWarm; count++) {
       this.openConnection(account);
     }
   }
@@ -138,7 +152,7 @@
 
   /** Closes the pool permanently; requests that run on its connections fail as lost. */
   close(fault: Fault): void {
-    this.closed = true;
+    this.closingFault = fault;
     this.cancelPause?.();
     this.stopHeartbeats();
     this.reset(fault);
@@ -191,7 +205,7 @@
    * nothing during the pause after a failed attempt.
    */
   private openForWaiters(): void {
-    if (this.cancelPause !== undefined) {
+    if (this.closingFault !== undefined || this.cancelPause !== undefined) {
       return;
     }
     const unassigned = new Map(this.opening);
@@ -248,6 +262,9 @@
 
   /** Pauses until a timer fires, which may be early by the clock; a later failure prolongs it. */
   private pause(): void {
+    if (this.closingFault !== undefined) {
+      return;
+    }
     this.cancelPause?.();
     this.cancelPause = this.timer.once(REOPEN_DELAY_MS, () => {
       this.cancelPause = undefined;
--- a/src/daemon/holder/heldGroup.ts
+++ b/src/daemon/holder/heldGroup.ts
@@ -340,10 +340,6 @@
       }
       return;
     }
-    if (known !== undefined) {
-      this.requests.requeue(known);
-      known.stop(this.createMovedFault());
-    }
     const created = new HeldInstance(
       { ...record, connectionLimit },
       limitMs,
@@ -354,6 +350,11 @@
     );
     this.instances.set(record.instance, created);
     created.start();
+    if (known !== undefined) {
+      // Requests are routed again only now that routing finds the new incarnation.
+      this.requests.requeue(known);
+      known.stop(this.createMovedFault());
+    }
   }
 
   /** Verifies that no acknowledged write was only on an instance that left or restarted. */
