A request that waits for a connection ends at its deadline

Cause: queues end what waits for a slot and a check of running requests what was sent; what has a slot and waits for a connection was in neither.

Change: the holder keeps these requests and refuses each at its deadline as not run; its place in the pool is given up.

Evidence: groupRequests.test.ts "a request that waits for a connection ..." fails on the code before (no outcome instead of FP3010) and passes now.

--- a/src/daemon/backend/connectionPause.test.ts
+++ b/src/daemon/backend/connectionPause.test.ts
@@ -127,3 +127,13 @@
   await settle();
   expect([protocol.attempts, protocol.closes, pool.size]).toEqual([1, 1, 0]);
 });
+
+test('a request that was abandoned gets no connection', async () => {
+  const abandoned = acquire();
+  pool.abandon(abandoned);
+  protocol.isUp = true;
+  await settle();
+  timer.advance(100);
+  await settle();
+  expect([abandoned.connection, abandoned.fault]).toEqual([undefined, undefined]);
+});
--- a/src/daemon/backend/connectionPool.ts
+++ b/src/daemon/backend/connectionPool.ts
@@ -99,6 +99,11 @@
     this.openForWaiters();
   }
 
+  /** Removes a waiter that no longer needs a connection. */
+  abandon(waiter: ConnectionWaiter): void {
+    this.waiters = this.waiters.filter((each) => each !== waiter);
+  }
+
   /** Whether an open and idle connection is available for a request of the account. */
   hasIdle(account: AccountId): boolean {
     return this.idle.some(
--- a/src/daemon/holder/groupRequests.test.ts
+++ b/src/daemon/holder/groupRequests.test.ts
@@ -86,8 +86,13 @@
   override readonly isPerAccount = false;
   override readonly checksMinimum = true;
   readonly links: ScriptedLink[] = [];
+  /** Whether attempts to connect stay without an answer. */
+  isSilent = false;
 
   override open(): Promise<BackendLink> {
+    if (this.isSilent) {
+      return new Promise(() => undefined);
+    }
     const link = new ScriptedLink();
     this.links.push(link);
     return Promise.resolve(link);
@@ -224,7 +229,7 @@
     isSecondBehind = false;
     requests.retryWaiting();
   };
-  return { first, second, requests, writes, links: protocol.links, catchUp };
+  return { first, second, requests, writes, protocol, links: protocol.links, catchUp };
 }
 
 test('a queued read moves to a free slot only once, even if routing would send it back', async () => {
@@ -299,3 +304,20 @@
   expect(read.code).toBe(Diagnostics.HolderMoved.code);
   expect(requests.isIdle).toBe(true);
 });
+
+// Guards against a statement that outlives its deadline while it waits for a connection.
+test('a request that waits for a connection is refused at its deadline as not run', async () => {
+  const { first, requests, protocol } = await createReplicas();
+  first.pool.closeIdle();
+  protocol.isSilent = true;
+  const receiver = new OutcomeReceiver();
+  requests.execute(createRequest('r1'), receiver);
+  expect(first.queue.runningCount).toBe(1);
+  requests.tick(999);
+  expect(receiver.outcome).toBeUndefined();
+  requests.tick(1000);
+  expect(receiver.code).toBe(Diagnostics.DeadlineExceeded.code);
+  expect(receiver.outcome?.fault?.execution).toBe(Execution.NotRun);
+  expect(first.queue.runningCount).toBe(0);
+  expect(requests.isIdle).toBe(true);
+});
--- a/src/daemon/holder/groupRequests.ts
+++ b/src/daemon/holder/groupRequests.ts
@@ -2,7 +2,12 @@
 import type { InstanceId, RequestId } from '../../common/ids/index.js';
 import { mayRetry, RouteKind } from '../../decisions/routing/index.js';
 import type { SessionPosition } from '../../decisions/sessions/index.js';
-import { BackendRefusal, type BackendLink, type ProbeAnswer } from '../backend/index.js';
+import {
+  BackendRefusal,
+  type BackendLink,
+  type ConnectionWaiter,
+  type ProbeAnswer,
+} from '../backend/index.js';
 import {
   RequestKind,
   TransactionStatus,
@@ -43,6 +48,8 @@
   readonly transactions: GroupTransactions;
   private readonly requests = new Map<RequestId, HeldRequest>();
   private readonly waiting = new Set<HeldRequest>();
+  /** Requests that have a slot of their instance and wait for a connection to it. */
+  private readonly connecting = new Map<HeldRequest, ConnectionWaiter>();
   private closingFault: Fault | undefined;
   /** The fault with which new transactions are refused; undefined while they are accepted. */
   private openingFault: Fault | undefined;
@@ -140,6 +147,7 @@
     for (const held of [...this.requests.values()]) {
       endOverdue(held, nowMs);
     }
+    this.endOverdueConnecting(nowMs);
     for (const held of [...this.waiting]) {
       if (held.deadlineMs <= nowMs) {
         const context = { step: 'holder.wait' };
@@ -178,11 +186,19 @@
       instance.complete(id);
       return;
     }
-    instance.pool.acquire({
+    const waiter: ConnectionWaiter = {
       account: held.request.account,
-      connected: (connection) => this.start(held, instance, connection),
-      failed: (fault) => this.startFailed(held, instance, fault),
-    });
+      connected: (connection) => {
+        this.connecting.delete(held);
+        this.start(held, instance, connection);
+      },
+      failed: (fault) => {
+        this.connecting.delete(held);
+        this.startFailed(held, instance, fault);
+      },
+    };
+    this.connecting.set(held, waiter);
+    instance.pool.acquire(waiter);
   }
 
   /** Fails a queued request that gets no slot. */
@@ -299,6 +315,20 @@
     instance.enqueue(createQueueItem(held, instance, this.context.records));
   }
 
+  /** Refuses the requests whose deadline has passed while they waited for a connection. */
+  private endOverdueConnecting(nowMs: number): void {
+    for (const [held, waiter] of [...this.connecting]) {
+      if (held.deadlineMs > nowMs && !held.finished) {
+        continue;
+      }
+      this.connecting.delete(held);
+      held.instance?.pool.abandon(waiter);
+      held.instance?.cancel(held.request.id);
+      const context = { step: 'holder.connect' };
+      this.failNotRun(held, createFault(Diagnostics.DeadlineExceeded, {}, context));
+    }
+  }
+
   private start(held: HeldRequest, instance: HeldInstance, connection: BackendLink): void {
     if (held.finished || !this.targets.mayStart(held, instance)) {
       instance.pool.release(connection, true);
