--- a/src/common/diagnostics/diagnosticTable.ts
+++ b/src/common/diagnostics/diagnosticTable.ts
@@ -54,6 +54,11 @@
   ),
   ParameterInvalid: refusal(2007, 'Parameter "{parameter}" needs {expected}.', '22023'),
   AuthenticationTimeout: refusal(2008, 'The caller did not authenticate in time.', '08006'),
+  SessionStateTooLarge: refusal(
+    2017,
+    "The session's values and prepared statements would exceed their limit in bytes.",
+    '54000',
+  ),
   TooManyRequests: refusal(2009, 'Too many requests are queued on this connection.', '54000'),
   RouteForbidden: refusal(
     2010,
--- a/src/daemon/sessions/sessionRefusal.ts
+++ b/src/daemon/sessions/sessionRefusal.ts
@@ -14,6 +14,8 @@
   RouteUnknown = 'route-unknown',
   Malformed = 'malformed',
   StatementUnknown = 'statement-unknown',
+  /** The session would keep too much; it had no effect. */
+  TooLarge = 'too-large',
 }
 
 const REFUSALS_BY_CODE: ReadonlyMap<number, SessionRefusal> = new Map([
@@ -24,6 +26,7 @@
   [Diagnostics.MessageMalformed.code, SessionRefusal.Malformed],
   [Diagnostics.TransactionFailed.code, SessionRefusal.Malformed],
   [Diagnostics.StatementUnknown.code, SessionRefusal.StatementUnknown],
+  [Diagnostics.SessionStateTooLarge.code, SessionRefusal.TooLarge],
   [Diagnostics.TransactionLost.code, SessionRefusal.Aborted],
 ]);
 
--- a/src/daemon/sessions/statementSession.ts
+++ b/src/daemon/sessions/statementSession.ts
@@ -2,7 +2,11 @@
 import type { AccountId, GroupId } from '../../common/ids/index.js';
 import type { RequestLog } from '../../common/logging/index.js';
 import type { TimerService } from '../../common/timer/index.js';
-import { getFurthest, type SessionPosition } from '../../decisions/sessions/index.js';
+import {
+  getFurthest,
+  type SessionPosition,
+  type SessionStateBudget,
+} from '../../decisions/sessions/index.js';
 import { Consistency, type RouteState } from '../../decisions/tickets/index.js';
 import type { CallerRequests, RequestDraft } from '../entry/index.js';
 import {
@@ -14,6 +18,7 @@
 } from '../requests/index.js';
 import { StatementVerb, type CallerStatement, type SessionStatement } from './callerStatement.js';
 import type { CallerCredentials, SessionAccess, SessionGrant } from './sessionAccess.js';
+import { SessionMemory } from './sessionMemory.js';
 import type { SessionResponder } from './sessionResponder.js';
 import type { StatementEncoder } from './statementEncoder.js';
 import { RollbackReceiver, StatementReceiver } from './statementReceivers.js';
@@ -31,6 +36,7 @@
   readonly requests: CallerRequests;
   readonly form: StatementEncoder;
   readonly log: RequestLog;
+  readonly stateBudget: SessionStateBudget;
 }
 
 /** A caller's transaction; its first statement opens it on a backend server. */
@@ -53,8 +59,7 @@
 
 /** Session of one caller: runs its statements one at a time and holds the session state. */
 export class StatementSession {
-  private readonly values = new Map<string, string>();
-  private readonly prepared = new Map<string, SessionStatement>();
+  private readonly memory: SessionMemory;
   private readonly positions = new Map<GroupId, SessionPosition>();
   private waiting: CallerStatement[] = [];
   private transaction: SessionTransaction | undefined;
@@ -78,6 +83,7 @@
     private readonly onEnded: () => void,
   ) {
     this.idleSinceMs = context.timer.now();
+    this.memory = new SessionMemory(context.stateBudget);
   }
 
   /** Queues a statement; it is run after those before it have been answered. */
@@ -154,6 +160,7 @@
     }
     this.ended = true;
     this.waiting = [];
+    this.memory.clear();
     this.running?.abandon();
     this.discardTransaction();
     this.onEnded();
@@ -232,12 +239,10 @@
         this.answerDone();
         return;
       case StatementVerb.Set:
-        this.values.set(statement.name ?? '', statement.value ?? '');
-        this.answerDone();
+        this.set(statement);
         return;
       case StatementVerb.Prepare:
-        this.prepared.set(statement.name ?? '', this.context.form.createPrepared(statement));
-        this.answerDone();
+        this.prepare(statement);
         return;
       case StatementVerb.Deallocate:
         this.deallocate(statement);
@@ -315,8 +320,27 @@
     });
   }
 
+  private set(statement: CallerStatement): void {
+    const { name = '', value = '' } = statement;
+    this.answerKept(this.memory.trySet(name, value), statement);
+  }
+
+  private prepare(statement: CallerStatement): void {
+    const prepared = this.context.form.createPrepared(statement);
+    this.answerKept(this.memory.tryPrepare(statement.name ?? '', prepared), statement);
+  }
+
+  private answerKept(isKept: boolean, statement: CallerStatement): void {
+    if (isKept) {
+      this.answerDone();
+      return;
+    }
+    const context = { step: 'session.state', execution: Execution.NotRun };
+    this.refuse(createFault(Diagnostics.SessionStateTooLarge, {}, context), statement);
+  }
+
   private deallocate({ name = '' }: CallerStatement): void {
-    if (this.prepared.delete(name)) {
+    if (this.memory.deallocate(name)) {
       this.answerDone();
     } else {
       this.refuse(createFault(Diagnostics.StatementUnknown, { name }, { step: 'session.forget' }));
@@ -325,7 +349,7 @@
 
   private execute(statement: CallerStatement): void {
     const { name = '' } = statement;
-    const prepared = this.prepared.get(name);
+    const prepared = this.memory.getPrepared(name);
     if (prepared === undefined) {
       this.refuse(
         createFault(Diagnostics.StatementUnknown, { name }, { step: 'session.execute' }),
@@ -401,7 +425,7 @@
     const { group, maximumStalenessMs, targetLatencyMs } = route;
     const { consistency = Consistency.Session } = route;
     const session = consistency === Consistency.Session ? this.positions.get(group) : undefined;
-    const values = [...this.values].map(([name, value]) => ({ name, value }));
+    const { values } = this.memory;
     return {
       group,
       account,
--- a/src/decisions/sessions/index.ts
+++ b/src/decisions/sessions/index.ts
@@ -3,3 +3,4 @@
 export * from './positionStatus.js';
 export * from './tokenSigner.js';
 export * from './sessionToken.js';
+export * from './sessionState.js';
--- a/tests/platform/stoppingCallers.ts
+++ b/tests/platform/stoppingCallers.ts
@@ -16,6 +16,7 @@
   type ResponseReceiver,
 } from '../../src/daemon/requests/index.js';
 import type { SessionGrant } from '../../src/daemon/sessions/index.js';
+import { SessionStateBudget } from '../../src/decisions/sessions/index.js';
 import type { RouteState } from '../../src/decisions/tickets/index.js';
 import { SubjectKind } from '../../src/decisions/tickets/index.js';
 
@@ -156,6 +157,7 @@
     const logger = new Logger('info', {}, (line) => this.lines.push(line));
     const context = {
       ...{ timer, requests, form: new LineStatementEncoder(), log: new RequestLog(logger, timer) },
+      stateBudget: new SessionStateBudget(),
       access: this.access as never,
     };
     this.front = new LineCallerFront('127.0.0.1:0', 100, context, logger);
