The test of a reused connection waits for the answer to its heartbeat

The server counts a heartbeat before the pool has its answer; a request in between is given another connection, as another test of the file demands. The test now acquires once the connection is idle again. What it expects is the same.

--- a/src/daemon/backend/connectionPool.test.ts
+++ b/src/daemon/backend/connectionPool.test.ts
@@ -67,7 +67,8 @@
 test('an idle connection that answers its heartbeats is reused', async () => {
   const connection = await acquire();
   pool.release(connection, true);
-  await waitFor(() => heartbeats >= 2);
+  // While a heartbeat is unanswered the connection is not idle, and another one would be opened.
+  await waitFor(() => heartbeats >= 2 && pool.hasIdle(toAccountId('a')));
   expect(await acquire()).toBe(connection);
   expect(pool.size).toBe(1);
 });
