--- a/src/daemon/holder/heldGroup.ts
+++ b/src/daemon/holder/heldGroup.ts
@@ -122,9 +122,8 @@
       }
     }
     this.removeMissingInstances();
-    const nowMs = this.context.timer.now();
     for (const instance of this.instances.values()) {
-      instance.isWithdrawn(nowMs); // Starts the time that a leaving instance has.
+      instance.recordsChanged();
     }
     this.writes.updateRequirement();
     this.verifyLogs();
--- a/src/daemon/holder/heldInstance.ts
+++ b/src/daemon/holder/heldInstance.ts
@@ -81,6 +81,7 @@
   private lastDeadConnectionsMs: number | undefined;
   private isDelegated = false;
   private readonly withdrawal: Withdrawal;
+  private isLeaving = false;
   private wasWithdrawn = false;
 
   constructor(
@@ -103,6 +104,7 @@
     this.pool = new ConnectionPool(target, protocol, this.poolLimits, timer);
     this.pool.onUnresponsive = () => this.handleUnresponsiveConnection();
     this.monitor = new InstanceMonitor(target, protocol, timer, this, expectsPrimary);
+    this.recordsChanged();
   }
 
   /** Control's record of the instance, with the connection limit that applies to this daemon. */
@@ -175,12 +177,18 @@
     this.pool.close(fault);
   }
 
+  /** Applies changed control records. */
+  recordsChanged(): void {
+    const { group, instance } = this.record;
+    this.isLeaving = this.context.records.isLeaving(group, instance);
+    this.isWithdrawn(this.context.timer.now());
+  }
+
   /** Whether the instance has been out of service for so long that it may run nothing more. */
   isWithdrawn(nowMs: number): boolean {
     const { group, instance, domain } = this.record;
-    const { records } = this.context;
-    const outOfServiceMs = records.getOutOfServiceMs(domain);
-    const isLeaving = records.isLeaving(group, instance);
+    const { isLeaving } = this;
+    const outOfServiceMs = this.context.records.getOutOfServiceMs(domain);
     const isWithdrawn = this.withdrawal.isOver({ outOfServiceMs, isLeaving }, nowMs);
     if (isWithdrawn && !this.wasWithdrawn) {
       const context = { step: 'holder.withdrawn', peer: this.record.address };
--- a/src/daemon/holder/replicaReader.ts
+++ b/src/daemon/holder/replicaReader.ts
@@ -120,6 +120,7 @@
     if (isOtherTimeline) {
       this.abortTransactions();
     }
+    this.instance.recordsChanged();
     this.requests.retryWaiting();
   }
 
