FP8516 tells why a lease is lost; a raw test client fails when its connection closes

The client now fails at once with what it has received. FP8516 and FP8515 have the time left, the time since the last renewal and the number of unconfirmed suspensions, which distinguish a late renewal from a suspected suspension.

--- a/src/daemon/lease/leaseTask.ts
+++ b/src/daemon/lease/leaseTask.ts
@@ -326,7 +326,17 @@
     }
     this.wasValid = isValid;
     const diagnostic = isValid ? Diagnostics.LeaseTaken : Diagnostics.LeaseLost;
-    this.logger.report(diagnostic, {}, { step: 'lease', lease: this.lease.id });
+    const nowMs = this.timer.now();
+    this.logger.report(
+      diagnostic,
+      {},
+      {
+        ...{ step: 'lease', lease: this.lease.id },
+        leftMs: Math.round(this.lease.getRemainingMs(nowMs)),
+        sinceRenewalMs: Math.round(nowMs - this.lastSentMs),
+        unconfirmedSuspensions: this.timer.suspensions - this.confirmedSuspensions,
+      },
+    );
     this.validity.post(isValid);
   }
 
--- a/standin/testing/rawClient.ts
+++ b/standin/testing/rawClient.ts
@@ -15,6 +15,7 @@
 export class RawClient {
   readonly messages: RawMessage[] = [];
   private readonly waiting = new Set<() => void>();
+  private closed = false;
 
   private constructor(readonly socket: Socket) {
     void parse(socket, (message) => {
@@ -22,6 +23,10 @@
       this.waiting.forEach((check) => check());
     });
     socket.on('error', () => undefined);
+    socket.once('close', () => {
+      this.closed = true;
+      this.waiting.forEach((check) => check());
+    });
   }
 
   /** Connects and completes the start-up. */
@@ -42,14 +47,18 @@
     this.socket.write(Buffer.concat(messages));
   }
 
-  /** Removes and returns all messages up to the next of the given name. */
+  /** Removes and returns all messages up to the next of the given name; fails if the connection closes first. */
   take(name: string): Promise<RawMessage[]> {
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       const check = (): void => {
         const index = this.messages.findIndex((message) => message.name === name);
         if (index >= 0) {
           this.waiting.delete(check);
           resolve(this.messages.splice(0, index + 1));
+        } else if (this.closed) {
+          this.waiting.delete(check);
+          const received = this.messages.map(describe).join('; ');
+          reject(new Error(`the connection closed before ${name}; received: ${received}`));
         }
       };
       this.waiting.add(check);
@@ -63,6 +72,10 @@
   }
 }
 
+function describe({ name, code, text, status }: RawMessage): string {
+  return [name, code, text, status].filter((part) => part !== undefined).join(' ');
+}
+
 /** The names of messages, with the SQLSTATE of errors. */
 export function summarize(messages: readonly RawMessage[]): string[] {
   return messages.map(({ name, code }) => (name === 'error' ? `error ${code ?? ''}` : name));
