A pause between the readings of two clocks is no suspension

Callers saw: 57P03 "This daemon holds no lease" at start-up and in statements on a busy host whose lease had 600 ms and more left. Cause: the detector read the wall clock, then the monotonic clock; a pause of the process in between gave a lead that was too low, and the next, right reading counted as a suspension, after which a lease holds only once a later renewal is granted.

--- a/src/common/timer/suspensionDetector.ts
+++ b/src/common/timer/suspensionDetector.ts
@@ -5,6 +5,11 @@
  */
 const TOLERATED_GAIN_MS = 10;
 
+/** Time for a reading of both clocks above which the process was paused between them. */
+const MAXIMUM_READING_MS = 1;
+/** A process that is paused in each of these readings at least suspects no suspension too few. */
+const MAXIMUM_READINGS = 5;
+
 /**
  * Detects probable suspensions of the host. The monotonic clock does not advance during one, the
  * wall clock does. A wall clock that was set forward can't be distinguished from a suspension and
@@ -41,7 +46,21 @@
     return this.suspectedMs;
   }
 
+  /**
+   * Returns by how much the wall clock leads the monotonic clock, or slightly more. The clocks can
+   * only be read one after the other, and the process may be paused in between, by the scheduler or
+   * the garbage collector: such a reading is repeated.
+   */
   private readWallLeadMs(): number {
-    return this.readWallMs() - this.readMonotonicMs();
+    let leadMs = Infinity;
+    for (let reading = 0; reading < MAXIMUM_READINGS; reading += 1) {
+      const startMs = this.readMonotonicMs();
+      const wallMs = this.readWallMs();
+      leadMs = Math.min(leadMs, wallMs - startMs);
+      if (this.readMonotonicMs() - startMs <= MAXIMUM_READING_MS) {
+        break;
+      }
+    }
+    return leadMs;
   }
 }
