A stop waits for an answer that its caller is still taking

Cause: an answer counted as delivered once it was written to the socket object. The time for an idle caller to leave (1 s) and for its connection to close (2 s) ran from then, however much the network had taken; the PostgreSQL gateway did not count connections of ended sessions at all. Change: the time to leave starts when the network has taken everything; a closing connection is destroyed when its caller takes nothing for 2 s; a stop of the PostgreSQL gateway waits for closing connections. Red before: 'a caller that is slow to take its answer gets the whole of it' (drain, close), 'a caller that is slow to take its last answer gets the whole of it'.

--- a/src/daemon/gateway/authenticatedCaller.ts
+++ b/src/daemon/gateway/authenticatedCaller.ts
@@ -1,4 +1,4 @@
-import type { Duplex } from 'node:stream';
+import type { Socket } from 'node:net';
 import type { AccountId } from '../../common/ids/index.js';
 import type { RouteState } from '../../decisions/tickets/index.js';
 
@@ -9,7 +9,7 @@
   /** Id of the key that the caller proved to hold; undefined on an open route. */
   readonly keyId: string | undefined;
   /** The socket to read from and write to: the TCP socket, or the TLS socket on top of it. */
-  readonly socket: Duplex;
+  readonly socket: Socket;
   /** Bytes that followed the start-up messages and were already read. */
   readonly received: Buffer;
   /** Parameters of the StartupMessage. */
--- a/src/daemon/gateway/callerServer.ts
+++ b/src/daemon/gateway/callerServer.ts
@@ -43,6 +43,8 @@
   private readonly sessions = new Set<CallerSession>();
   /** Callers that have not been authenticated yet. */
   private readonly starting = new Set<CallerStartup>();
+  /** Connections of ended sessions that are still open: their callers may take a last answer. */
+  private readonly closing = new Set<Socket>();
   private draining = false;
   private boundPort = 0;
 
@@ -57,7 +59,7 @@
   }
 
   override get count(): number {
-    return this.sessions.size + this.starting.size;
+    return this.sessions.size + this.starting.size + this.closing.size;
   }
 
   override get port(): number {
@@ -122,15 +124,15 @@
     socket.on('error', () => socket.destroy());
     const cancelTimeout = this.context.timer.once(AUTHENTICATION_TIMEOUT_MS, () => {
       const fault = createFault(Diagnostics.AuthenticationTimeout, {}, { step: 'caller.start' });
-      endSocket(socket, this.context.timer, encodeError(fault, Severity.Fatal));
+      endSocket(socket, encodeError(fault, Severity.Fatal));
     });
     const endStartup = (): void => {
       cancelTimeout();
       this.starting.delete(startup);
     };
     socket.once('close', endStartup);
-    const { access, timer } = this.context;
-    const startupContext = { access, cancelKeys: this.cancelKeys, tls: this.options.tls, timer };
+    const { access } = this.context;
+    const startupContext = { access, cancelKeys: this.cancelKeys, tls: this.options.tls };
     const startup = new CallerStartup(
       socket,
       startupContext,
@@ -151,14 +153,20 @@
 
   private startSession(caller: AuthenticatedCaller): void {
     const { socket } = caller;
-    const writer = new CallerWriter(socket, this.context.timer);
+    const writer = new CallerWriter(socket);
     const key = this.cancelKeys.add(() => session.cancel());
     const session = new CallerSession(caller, writer, this.context, () => {
       this.sessions.delete(session);
       this.cancelKeys.remove(key);
+      if (!socket.closed) {
+        this.closing.add(socket);
+      }
     });
     this.sessions.add(session);
-    socket.on('close', () => session.close());
+    socket.on('close', () => {
+      session.close();
+      this.closing.delete(socket);
+    });
     socket.on('end', () => {
       session.close();
       writer.end();
--- a/src/daemon/gateway/callerStartup.ts
+++ b/src/daemon/gateway/callerStartup.ts
@@ -9,7 +9,6 @@
 } from 'pg-gateway';
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
 import { toAccountId } from '../../common/ids/index.js';
-import type { TimerService } from '../../common/timer/index.js';
 import type { RouteState } from '../../decisions/tickets/index.js';
 import type { AuthenticatedCaller } from './authenticatedCaller.js';
 import type { CallerAccess } from './callerAccess.js';
@@ -28,14 +27,13 @@
   readonly access: CallerAccess;
   readonly cancelKeys: CancelKeys;
   readonly tls: CallerTls | undefined;
-  readonly timer: TimerService;
 }
 
 /** Handles one caller's TLS negotiation, start-up and authentication. */
 export class CallerStartup {
   private readonly connection: PostgresConnection;
   /** The socket in use: the TLS socket once the caller has requested TLS. */
-  private socket: Duplex;
+  private socket: Socket;
   private messages: StartupMessages;
   private ended = false;
   private route: RouteState | undefined;
@@ -60,7 +58,7 @@
   /** Sends the caller the reason for its refusal and ends its connection. */
   refuse(fault: Fault): void {
     this.detach(() => {
-      endSocket(this.socket, this.context.timer, encodeError(fault, Severity.Fatal));
+      endSocket(this.socket, encodeError(fault, Severity.Fatal));
       this.onRefused(fault);
     });
   }
--- a/src/daemon/gateway/callerWriter.ts
+++ b/src/daemon/gateway/callerWriter.ts
@@ -1,5 +1,4 @@
-import type { Duplex } from 'node:stream';
-import type { TimerService } from '../../common/timer/index.js';
+import type { Socket } from 'node:net';
 import { MessageBoundaryTracker } from './messageBoundaryTracker.js';
 import { endSocket } from './endSocket.js';
 
@@ -11,10 +10,7 @@
   private isReading = true;
   private isCorked = false;
 
-  constructor(
-    private readonly socket: Duplex,
-    private readonly timer: TimerService,
-  ) {}
+  constructor(private readonly socket: Socket) {}
 
   /** Whether the write buffer exceeds its high-water mark: no further answer should start. */
   get isFull(): boolean {
@@ -51,7 +47,7 @@
    */
   end(bytes?: Uint8Array): void {
     if (this.isAtBoundary) {
-      endSocket(this.socket, this.timer, bytes);
+      endSocket(this.socket, bytes);
     } else {
       this.socket.destroy();
     }
--- /dev/null
+++ b/src/daemon/gateway/endSocket.test.ts
@@ -0,0 +1,61 @@
+import { once } from 'node:events';
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+import { afterEach, beforeEach, expect, test } from 'vitest';
+import { SystemTimerService } from '../../common/timer/index.js';
+import { endSocket } from './endSocket.js';
+
+/** More than the buffers of both ends of a connection hold. */
+const LONG_ANSWER = Buffer.alloc(40_000_000, 'x');
+const FAREWELL = Buffer.from('farewell');
+/** Time for which a slow caller takes nothing, each time. */
+const SLOW_STEP_MS = 600;
+/** Time for which it takes what has come, each time. */
+const TAKING_MS = 20;
+/** Longer than a caller that takes nothing is waited for. */
+const STALLED_MS = 5000;
+
+const timer = new SystemTimerService();
+const server = createServer();
+let host: Socket;
+let caller: Socket;
+
+beforeEach(async () => {
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  caller = connect({ host: '127.0.0.1', port: (server.address() as AddressInfo).port });
+  [host] = (await once(server, 'connection')) as [Socket];
+});
+
+afterEach(() => {
+  caller.destroy();
+  host.destroy();
+  server.close();
+});
+
+function sleep(durationMs: number): Promise<unknown> {
+  return new Promise((resolve) => timer.once(durationMs, resolve));
+}
+
+// Guards against a stop that cuts an answer whose caller still takes it.
+test('a caller that is slow to take its last answer gets the whole of it', async () => {
+  let received = 0;
+  caller.on('data', (bytes: Buffer) => (received += bytes.length));
+  host.write(LONG_ANSWER);
+  endSocket(host, FAREWELL);
+  while (!caller.closed) {
+    caller.pause();
+    await sleep(SLOW_STEP_MS);
+    caller.resume();
+    await Promise.race([once(caller, 'data'), once(caller, 'close')]);
+    await sleep(TAKING_MS);
+  }
+  expect(received).toBe(LONG_ANSWER.length + FAREWELL.length);
+});
+
+test('a caller that takes nothing of its last answer is disconnected after a while', async () => {
+  caller.pause();
+  host.write(LONG_ANSWER);
+  endSocket(host, FAREWELL);
+  await sleep(STALLED_MS);
+  expect(host.destroyed).toBe(true);
+});
--- a/tests/platform/stoppingCallers.test.ts
+++ b/tests/platform/stoppingCallers.test.ts
@@ -11,6 +11,12 @@
 const LEAVE_MS = 1200;
 /** Longer than what was cancelled has to be answered. */
 const CANCEL_MS = 300;
+/** More than the buffers of both ends of a connection hold. */
+const LONG_ROW_BYTES = 40_000_000;
+/** Time for which a slow caller takes nothing, each time. */
+const SLOW_STEP_MS = 600;
+/** Longer than a caller that takes nothing is waited for. */
+const STALLED_MS = 5000;
 
 let host: FrontHost;
 
@@ -169,6 +175,44 @@
   expect(host.lines.filter((line) => line.includes('code=FP'))).toHaveLength(1);
 });
 
+// Guards against a stop that cuts an answer whose caller still takes it.
+test.each(['drain', 'close'] as const)(
+  'a caller that is slow to take its answer gets the whole of it (%s)',
+  async (stage) => {
+    host.requests.answersAtOnce = false;
+    const caller = await host.open();
+    caller.send('QUERY 1 FETCH a\r\n');
+    await host.until(() => host.requests.passed.length === 1);
+    host.requests.passed[0]?.answer('x'.repeat(LONG_ROW_BYTES));
+    await host.until(() => caller.received !== '');
+    host.front[stage]();
+    for (let taken = caller.received.length; !caller.isTold && !caller.hasEnded;) {
+      caller.socket.pause();
+      await host.sleep(SLOW_STEP_MS);
+      caller.socket.resume();
+      await host.until(() => caller.received.length > taken || caller.hasEnded);
+      taken = caller.received.length;
+    }
+    const [row = '', ...rest] = caller.received.split('\r\n');
+    expect(row).toHaveLength('ROW '.length + LONG_ROW_BYTES);
+    expect(rest.slice(0, 2)).toEqual(['DONE signature', 'READY I -']);
+    expect(caller.isTold).toBe(true);
+  },
+);
+
+test('a caller that takes nothing of its last answer is disconnected after a while', async () => {
+  host.requests.answersAtOnce = false;
+  const caller = await host.open();
+  caller.socket.pause();
+  caller.send('QUERY 1 FETCH a\r\n');
+  await host.until(() => host.requests.passed.length === 1);
+  host.requests.passed[0]?.answer('x'.repeat(LONG_ROW_BYTES));
+  await host.turn(3);
+  host.front.close();
+  await host.sleep(STALLED_MS);
+  expect(host.front.count).toBe(0);
+});
+
 /** Whole replies and refusals in what a caller was sent, without the farewell to an idle one. */
 function countReplies({ received }: RawCaller): number {
   return received.split('READY ').length - 1;
--- a/tests/platform/stoppingCallers.ts
+++ b/tests/platform/stoppingCallers.ts
@@ -189,6 +189,11 @@
     }
   }
 
+  /** Waits for some milliseconds. */
+  sleep(durationMs: number): Promise<unknown> {
+    return new Promise((resolve) => this.timer.once(durationMs, resolve));
+  }
+
   /** Lets the event loop turn until a condition holds. */
   async until(isTrue: () => boolean): Promise<void> {
     for (let turn = 0; turn < TURNS && !isTrue(); turn += 1) {
