A host reads no further while a caller's waiting statements are long

Callers saw: nothing yet. Cause: reading stopped at 64 waiting statements, whatever their length. Evidence: 'a host reads no further while long statements wait, and answers each in the end' sends 60 statements of 1 MB ahead: red before (all 60 MB were read), green now, and each statement is still answered, in order. Change: StatementQueue, with the marks of BatchQueue: 64 statements or 1 MiB of text.

--- a/src/daemon/sessions/statementSession.ts
+++ b/src/daemon/sessions/statementSession.ts
@@ -21,9 +21,9 @@
 import { SessionMemory } from './sessionMemory.js';
 import type { SessionResponder } from './sessionResponder.js';
 import type { StatementEncoder } from './statementEncoder.js';
+import { StatementQueue } from './statementQueue.js';
 import { RollbackReceiver, StatementReceiver } from './statementReceivers.js';
 
-const MAXIMUM_WAITING_STATEMENTS = 64;
 /** Time-out of a statement whose route sets none, in milliseconds. */
 const DEFAULT_STATEMENT_TIMEOUT_MS = 30_000;
 /** Idle limit of a transaction whose route sets none, in milliseconds. */
@@ -61,7 +61,7 @@
 export class StatementSession {
   private readonly memory: SessionMemory;
   private readonly positions = new Map<GroupId, SessionPosition>();
-  private waiting: CallerStatement[] = [];
+  private readonly waiting = new StatementQueue();
   private transaction: SessionTransaction | undefined;
   /** Whether the transaction failed and the caller has not ended it yet. */
   private hasFailedTransaction = false;
@@ -92,7 +92,7 @@
       return;
     }
     this.waiting.push(statement);
-    this.responder.setReading(this.waiting.length < MAXIMUM_WAITING_STATEMENTS);
+    this.responder.setReading(this.waiting.isBelowHighWater);
     this.runNext();
   }
 
@@ -104,7 +104,7 @@
 
   /** Ends the session if no statement is running or waiting and no transaction is open. */
   endIfIdle(fault: Fault): void {
-    const isIdle = !this.busy && this.waiting.length === 0 && !this.ended;
+    const isIdle = !this.busy && this.waiting.isEmpty && !this.ended;
     if (isIdle && this.status === TransactionStatus.Idle) {
       this.endIdle(fault);
     }
@@ -159,7 +159,7 @@
       return;
     }
     this.ended = true;
-    this.waiting = [];
+    this.waiting.takeAll();
     this.memory.clear();
     this.running?.abandon();
     this.discardTransaction();
@@ -183,13 +183,13 @@
         this.endWhenIdle();
         return;
       }
-      this.responder.setReading(true);
+      this.responder.setReading(this.waiting.isBelowHighWater);
       this.run(statement);
     }
   }
 
   private endWhenIdle(): void {
-    if (!this.draining || this.busy || this.waiting.length > 0 || this.ended) {
+    if (!this.draining || this.busy || !this.waiting.isEmpty || this.ended) {
       return;
     }
     if (this.status === TransactionStatus.Idle) {
@@ -217,7 +217,7 @@
   }
 
   private refuseWaiting(): void {
-    for (const statement of this.waiting.splice(0)) {
+    for (const statement of this.waiting.takeAll()) {
       this.refuse(createShuttingDownFault(), statement);
     }
   }
