A statement that waits is refused once its caller has lost its rights

Cause: the right was asked for when a statement was dispatched; tokens, holders and slots may take until its time-out after that. RunningRequest.revoke refuses it as not run wherever it waits, over the mesh with the field revoked of Cancel, and does nothing to a request that was started. Rules out: a right asked for at the holder, which does not know the caller's key.

--- a/src/daemon/entry/dispatchedRequest.ts
+++ b/src/daemon/entry/dispatchedRequest.ts
@@ -85,7 +85,7 @@
     this.receiver.finish(this.applyUncertainFault(outcome));
   }
 
-  /** Whether the caller cancelled or abandoned the request. */
+  /** Whether the caller cancelled or abandoned the request, or lost its rights. */
   get isCancelled(): boolean {
     return this.wasCancelled;
   }
@@ -109,6 +109,13 @@
     }
   }
 
+  revoke(): void {
+    this.wasCancelled = true;
+    if (!this.refuseWaiting()) {
+      this.running?.revoke();
+    }
+  }
+
   abandon(): void {
     this.wasCancelled = true;
     if (!this.refuseWaiting()) {
@@ -183,6 +190,10 @@
     this.dispatched.cancel();
   }
 
+  override revoke(): void {
+    this.dispatched.revoke();
+  }
+
   override abandon(): void {
     this.dispatched.abandon();
   }
--- a/src/daemon/entry/entryRequests.ts
+++ b/src/daemon/entry/entryRequests.ts
@@ -198,14 +198,13 @@
     this.running?.consume(consumed);
   }
 
-  cancel(isAbandoned: boolean): void {
+  /** Calls `cancelRunning` if the request was dispatched, and refuses it as cancelled if not. */
+  cancel(cancelRunning: (running: RunningRequest) => void): void {
     if (this.running === undefined) {
       this.context.rates.cancel(this.id);
       this.refuse(createCancelledFault());
-    } else if (isAbandoned) {
-      this.running.abandon();
     } else {
-      this.running.cancel();
+      cancelRunning(this.running);
     }
   }
 
@@ -299,11 +298,15 @@
   }
 
   override cancel(): void {
-    this.admitted.cancel(false);
+    this.admitted.cancel((running) => running.cancel());
+  }
+
+  override revoke(): void {
+    this.admitted.cancel((running) => running.revoke());
   }
 
   override abandon(): void {
-    this.admitted.cancel(true);
+    this.admitted.cancel((running) => running.abandon());
   }
 }
 
--- a/src/daemon/entry/readerRequests.test.ts
+++ b/src/daemon/entry/readerRequests.test.ts
@@ -61,6 +61,10 @@
 
 /** A request sent to another daemon, answered by the test. */
 class SentRequest extends RunningRequest {
+  override revoke(): void {
+    // Not used here.
+  }
+
   isAbandoned = false;
 
   constructor(
--- a/src/daemon/entry/remoteRequest.ts
+++ b/src/daemon/entry/remoteRequest.ts
@@ -1,5 +1,5 @@
 import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
-import { MeshKind, type MeshLink } from '../mesh/index.js';
+import { MeshKind, type Cancel, type MeshLink } from '../mesh/index.js';
 import {
   createRefusedOutcome,
   RequestKind,
@@ -17,6 +17,8 @@
   Diagnostics.LeaseExpired.code,
 ]);
 
+type Cancellation = Pick<Cancel, 'abandoned' | 'revoked'>;
+
 /** A request of one of this daemon's callers that another daemon runs. */
 export class RemoteRequest extends RunningRequest {
   isFinished = false;
@@ -27,8 +29,8 @@
   private received = 0;
   private creditedBytes = 0;
   private attempts = 0;
-  /** Set once the caller has cancelled the request; resent whenever the request is resent. */
-  private cancellation: { readonly abandoned: boolean } | undefined;
+  /** Set once the request was cancelled or revoked; resent whenever the request is resent. */
+  private cancellation: Cancellation | undefined;
 
   constructor(
     readonly request: ExecuteRequest,
@@ -58,7 +60,7 @@
     const request = { ...this.request, remainingMs };
     this.getLink().send({ kind: MeshKind.Execute, request, received: this.received });
     if (this.cancellation !== undefined) {
-      this.sendCancel(this.cancellation.abandoned);
+      this.sendCancel(this.cancellation);
     }
   }
 
@@ -102,17 +104,21 @@
   }
 
   override cancel(): void {
-    this.sendCancel(false);
+    this.sendCancel({ abandoned: false });
+  }
+
+  override revoke(): void {
+    this.sendCancel({ abandoned: false, revoked: true });
   }
 
   override abandon(): void {
-    this.sendCancel(true);
+    this.sendCancel({ abandoned: true });
   }
 
-  private sendCancel(abandoned: boolean): void {
-    this.cancellation = { abandoned };
+  private sendCancel(cancellation: Cancellation): void {
+    this.cancellation = cancellation;
     if (!this.isFinished) {
-      this.getLink().send({ kind: MeshKind.Cancel, id: this.request.id, abandoned });
+      this.getLink().send({ kind: MeshKind.Cancel, id: this.request.id, ...cancellation });
     }
   }
 
--- a/src/daemon/holder/executeServer.ts
+++ b/src/daemon/holder/executeServer.ts
@@ -30,6 +30,8 @@
       const running = this.find(link, message.id)?.running;
       if (message.abandoned) {
         running?.abandon();
+      } else if (message.revoked === true) {
+        running?.revoke();
       } else {
         running?.cancel();
       }
--- a/src/daemon/holder/heldRequestHandle.ts
+++ b/src/daemon/holder/heldRequestHandle.ts
@@ -18,6 +18,12 @@
     this.cancelRequest(this.held);
   }
 
+  override revoke(): void {
+    if (this.held.startedMs === undefined) {
+      this.cancelRequest(this.held);
+    }
+  }
+
   override abandon(): void {
     this.held.abandoned = true;
     this.cancelRequest(this.held);
--- a/src/daemon/mesh/meshMessage.ts
+++ b/src/daemon/mesh/meshMessage.ts
@@ -61,11 +61,15 @@
   readonly consumed: number;
 }
 
-/** Cancels a request for its caller; `abandoned` means that the caller disconnected. */
+/**
+ * Cancels a request for its caller; `abandoned` means that the caller disconnected. A revoked
+ * request is refused unless it was started; hosts of an earlier version cancel it in any case.
+ */
 export interface Cancel {
   readonly kind: MeshKind.Cancel;
   readonly id: RequestId;
   readonly abandoned: boolean;
+  readonly revoked?: boolean;
 }
 
 /** Rolls back a transaction whose caller disconnected. */
--- a/src/daemon/requests/runningRequest.ts
+++ b/src/daemon/requests/runningRequest.ts
@@ -4,6 +4,8 @@
   abstract consume(consumed: number): void;
   /** Cancels the request at its caller's demand; the answer is still delivered. */
   abstract cancel(): void;
+  /** Refuses the request as not run unless it was started: its caller lost its rights. */
+  abstract revoke(): void;
   /** Abandons the request: its answer is no longer needed. */
   abstract abandon(): void;
 }
--- a/src/daemon/sessions/statementSession.ts
+++ b/src/daemon/sessions/statementSession.ts
@@ -1,3 +1,4 @@
+import { err, ok, type Result } from 'neverthrow';
 import { createFault, Diagnostics, Execution, type Fault } from '../../common/diagnostics/index.js';
 import type { AccountId, GroupId } from '../../common/ids/index.js';
 import type { RequestLog } from '../../common/logging/index.js';
@@ -67,6 +68,10 @@
   private hasFailedTransaction = false;
   /** Request of the running statement, unless it has already ended. */
   private running: RunningRequest | undefined;
+  /** What the running statement was sent under. */
+  private runningGrant: SessionGrant | undefined;
+  /** Why the running statement may not run any more, if it has not been started. */
+  private revocation: Fault | undefined;
   /** Whether a statement was sent and its outcome is awaited. */
   private busy = false;
   /** Whether the running statement may change data permanently. */
@@ -122,10 +127,17 @@
     this.running?.cancel();
   }
 
-  /** Rolls back the transaction once it has exceeded its idle limit or may not go on. */
+  /**
+   * Rolls back the transaction once it has exceeded its idle limit or may not go on; refuses the
+   * sent statement if its caller lost its rights and it has not been started.
+   */
   tick(nowMs: number): void {
     const { transaction } = this;
-    if (this.busy || transaction?.id === undefined) {
+    if (this.busy) {
+      this.revokeUnauthorized();
+      return;
+    }
+    if (transaction?.id === undefined) {
       return;
     }
     const { transactionIdleMs = DEFAULT_TRANSACTION_IDLE_MS } = transaction.grant.route;
@@ -166,6 +178,32 @@
     this.onEnded();
   }
 
+  private revokeUnauthorized(): void {
+    if (this.running === undefined || this.runningGrant === undefined) {
+      return;
+    }
+    const continued = this.tryContinueRunning(this.runningGrant);
+    if (continued.isErr() && this.revocation === undefined) {
+      this.revocation = continued.error;
+      this.running.revoke();
+    }
+  }
+
+  private tryContinueRunning(grant: SessionGrant): Result<void, Fault> {
+    const { access } = this.context;
+    if (this.transaction !== undefined) {
+      return access.tryContinue(this.credentials, grant);
+    }
+    // A key that belongs to another account now is valid for a statement that is sent again.
+    return access
+      .tryGrant(this.credentials)
+      .andThen(({ account }) =>
+        account === grant.account
+          ? ok(undefined)
+          : err(createFault(Diagnostics.RequestCancelled, {}, { step: 'session.revoke' })),
+      );
+  }
+
   private get status(): TransactionStatus {
     if (this.hasFailedTransaction) {
       return TransactionStatus.Failed;
@@ -388,9 +426,10 @@
 
   private send(
     statement: CallerStatement,
-    { account, route }: SessionGrant,
+    grant: SessionGrant,
     { kind, mayCommit, prepared, endsTransaction = false }: SendOptions,
   ): void {
+    const { account, route } = grant;
     const { timer, form, requests } = this.context;
     const draft: RequestDraft = {
       ...this.createDraft(account, route, kind),
@@ -413,6 +452,7 @@
     if (!receiver.isFinished) {
       receiver.running = running;
       this.running = running;
+      this.runningGrant = grant;
     }
   }
 
@@ -445,13 +485,16 @@
   private handleOutcome(group: GroupId, endsTransaction: boolean, outcome: RequestOutcome): void {
     this.busy = false;
     this.running = undefined;
+    const { revocation } = this;
+    this.revocation = undefined;
     if (this.ended) {
       this.rollBack(group, outcome.transaction);
       return;
     }
     this.updateTransaction(endsTransaction, outcome);
     if (outcome.fault !== undefined) {
-      this.responder.refuse(toFault(outcome.fault));
+      const isRevoked = outcome.fault.code === Diagnostics.RequestCancelled.code;
+      this.responder.refuse((isRevoked ? revocation : undefined) ?? toFault(outcome.fault));
     }
     const { position } = outcome;
     if (position !== undefined && outcome.wrote && outcome.fault === undefined) {
--- a/standin/lines/lineGroup.ts
+++ b/standin/lines/lineGroup.ts
@@ -19,8 +19,8 @@
   readonly service: string;
   readonly slots: number;
   readonly connectionLimit: number;
-  /** Time that a statement holds its slot, in milliseconds. */
-  readonly workMs: number;
+  /** Time that a statement holds its slot, in milliseconds; may be changed at any time. */
+  workMs: number;
   /** Time from receiving a commit until it can be read, in milliseconds. */
   readonly lagMs: number;
   /** Time from an order until the instance leads, in milliseconds. */
--- a/tests/platform/stoppingCallers.ts
+++ b/tests/platform/stoppingCallers.ts
@@ -30,6 +30,7 @@
 /** A request that the front passed on; the test says how it ends. */
 export class PassedRequest extends RunningRequest {
   isCancelled = false;
+  isRevoked = false;
   isAbandoned = false;
 
   constructor(
@@ -64,6 +65,10 @@
     this.isCancelled = true;
   }
 
+  override revoke(): void {
+    this.isRevoked = true;
+  }
+
   override abandon(): void {
     this.isAbandoned = true;
   }
--- a/tests/platform/withdrawnKeys.test.ts
+++ b/tests/platform/withdrawnKeys.test.ts
@@ -5,9 +5,12 @@
 import { StatementWatch, type SeenStatement } from '../../standin/lines/index.js';
 
 const LATEST = 'latest-ledger1';
+const SESSION = 'session-ledger1';
 const OPEN = 'open-ledger1';
 const KEPT = 'key-kept';
 const MOVED = 'key-moved';
+/** Time for which statements occupy all slots; longer than a change takes to be in force. */
+const OCCUPIED_MS = 1500;
 
 /** Records the statements of callers, with the client account that they run for. */
 class AccountRecorder extends StatementWatch {
@@ -124,3 +127,37 @@
   }
   expect([isCommitted('kept'), isCommitted('open')]).toEqual([true, true]);
 });
+
+// Guards against a statement that runs after it waited while its caller's key was withdrawn (CONFIG).
+test.each([
+  ['withdrawn', LATEST, { mill: [KEPT], press: ['key-press'] }, 'NOAUTH'],
+  ['given to another account', SESSION, { mill: [KEPT], press: ['key-press', MOVED] }, 'BUSY'],
+] as const)(
+  'a statement that waits is refused once its key is %s',
+  async (_, database, accounts, error) => {
+    const { options } = fleet.getGroup();
+    const usualMs = options.workMs;
+    const clients = await Promise.all(
+      Array.from({ length: options.slots }, () => fleet.connect(database, KEPT)),
+    );
+    const waiting = await Promise.all([0, 1].map((entry) => fleet.connect(database, MOVED, entry)));
+    recorder.seen.length = 0;
+    options.workMs = OCCUPIED_MS;
+    const others = clients.map((client) => client.query('PUT occupies data'));
+    await fleet.waitFor(() => Promise.resolve(recorder.seen.length === clients.length));
+    const replies = waiting.map((client) => client.query('PUT waits data'));
+    options.workMs = usualMs;
+    await configure(accounts);
+    for (const { reply } of await Promise.all(replies)) {
+      expect([reply?.error, reply?.status]).toEqual([error, 'I']);
+    }
+    for (const { reply } of await Promise.all(others)) {
+      expect(reply?.error).toBeUndefined();
+    }
+    await Promise.all(clients.map((client) => client.query('PUT after data')));
+    expect(recorder.seen.filter(({ text }) => text.includes('waits'))).toEqual([]);
+    for (const client of [...clients, ...waiting]) {
+      client.close();
+    }
+  },
+);
