A statement whose caller lost its rights is revoked until it is answered

Found while reading: the session revoked the request once, and a request that was started by then, lost its connection and was queued again ran later. Red before: 'a statement whose caller lost its rights is revoked for as long as it is unanswered' (one revocation instead of two).

--- a/src/daemon/sessions/statementSession.ts
+++ b/src/daemon/sessions/statementSession.ts
@@ -183,8 +183,9 @@
       return;
     }
     const continued = this.tryContinueRunning(this.runningGrant);
-    if (continued.isErr() && this.revocation === undefined) {
+    if (continued.isErr()) {
       this.revocation = continued.error;
+      // Repeated, as the request may have been started and queued again since.
       this.running.revoke();
     }
   }
--- a/tests/platform/stoppingCallers.ts
+++ b/tests/platform/stoppingCallers.ts
@@ -30,7 +30,7 @@
 /** A request that the front passed on; the test says how it ends. */
 export class PassedRequest extends RunningRequest {
   isCancelled = false;
-  isRevoked = false;
+  revocations = 0;
   isAbandoned = false;
 
   constructor(
@@ -66,7 +66,7 @@
   }
 
   override revoke(): void {
-    this.isRevoked = true;
+    this.revocations += 1;
   }
 
   override abandon(): void {
--- a/tests/platform/waitingStatements.test.ts
+++ b/tests/platform/waitingStatements.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, expect, test } from 'vitest';
+import { createFault, Diagnostics } from '../../src/common/diagnostics/index.js';
 import { FrontHost } from './stoppingCallers.js';
 
 const STATEMENTS = 60;
@@ -35,3 +36,18 @@
   );
   expect(caller.received).not.toContain('ERROR');
 });
+
+// Guards against a statement that runs without a right after it was queued again (CONFIG).
+test('a statement whose caller lost its rights is revoked for as long as it is unanswered', async () => {
+  host.requests.answersAtOnce = false;
+  const caller = await host.open();
+  caller.send('QUERY 1 FETCH a\r\n');
+  await host.until(() => host.requests.passed.length === 1);
+  const [request] = host.requests.passed;
+  host.front.recordsChanged();
+  expect(request?.revocations).toBe(0);
+  host.access.refusal = createFault(Diagnostics.KeyRefused, { account: 'mill' }, { step: 'test' });
+  host.front.recordsChanged();
+  host.front.recordsChanged();
+  expect(request?.revocations).toBe(2);
+});
