A caller that keeps sending after the end of its connection does not keep it open

Found while reading, whose time-out restarts with received bytes too: a caller that sends a byte now and then after its final answer kept its connection, also one that never authenticated. Red on: 'a caller that keeps sending after the end is disconnected after a while'. Change: endSocket, shared by both fronts now (src/common/sockets), destroys the connection 2 s after everything was sent, and before that once the caller takes nothing for 2 s.

--- /dev/null
+++ b/src/common/sockets/index.ts
@@ -0,0 +1,1 @@
+export * from './endSocket.js';
--- a/src/daemon/gateway/callerServer.ts
+++ b/src/daemon/gateway/callerServer.ts
@@ -2,6 +2,7 @@
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
 import type { Logger } from '../../common/logging/index.js';
 import { splitAddress } from '../../common/settings/index.js';
+import { endSocket } from '../../common/sockets/index.js';
 import { waitForPendingInput } from '../../common/tasks/index.js';
 import type { AuthenticatedCaller } from './authenticatedCaller.js';
 import { CallerSession } from './callerSession.js';
@@ -10,7 +11,6 @@
 import type { CallerTls } from './callerTls.js';
 import { CallerWriter } from './callerWriter.js';
 import { CancelKeys } from './cancelKeys.js';
-import { endSocket } from './endSocket.js';
 import { readStartupParameters } from './readStartupParameters.js';
 import type { SessionContext } from './sessionContext.js';
 import { encodeCancelKey, encodeError, encodeParameter, Severity } from './responses.js';
@@ -124,15 +124,15 @@
     socket.on('error', () => socket.destroy());
     const cancelTimeout = this.context.timer.once(AUTHENTICATION_TIMEOUT_MS, () => {
       const fault = createFault(Diagnostics.AuthenticationTimeout, {}, { step: 'caller.start' });
-      endSocket(socket, encodeError(fault, Severity.Fatal));
+      endSocket(socket, this.context.timer, encodeError(fault, Severity.Fatal));
     });
     const endStartup = (): void => {
       cancelTimeout();
       this.starting.delete(startup);
     };
     socket.once('close', endStartup);
-    const { access } = this.context;
-    const startupContext = { access, cancelKeys: this.cancelKeys, tls: this.options.tls };
+    const { access, timer } = this.context;
+    const startupContext = { access, cancelKeys: this.cancelKeys, tls: this.options.tls, timer };
     const startup = new CallerStartup(
       socket,
       startupContext,
@@ -153,7 +153,7 @@
 
   private startSession(caller: AuthenticatedCaller): void {
     const { socket } = caller;
-    const writer = new CallerWriter(socket);
+    const writer = new CallerWriter(socket, this.context.timer);
     const key = this.cancelKeys.add(() => session.cancel());
     const session = new CallerSession(caller, writer, this.context, () => {
       this.sessions.delete(session);
--- a/src/daemon/gateway/callerStartup.ts
+++ b/src/daemon/gateway/callerStartup.ts
@@ -9,12 +9,13 @@
 } from 'pg-gateway';
 import { createFault, Diagnostics, type Fault } from '../../common/diagnostics/index.js';
 import { toAccountId } from '../../common/ids/index.js';
+import { endSocket } from '../../common/sockets/index.js';
+import type { TimerService } from '../../common/timer/index.js';
 import type { RouteState } from '../../decisions/tickets/index.js';
 import type { AuthenticatedCaller } from './authenticatedCaller.js';
 import type { CallerAccess } from './callerAccess.js';
 import type { CallerTls } from './callerTls.js';
 import type { CancelKeys } from './cancelKeys.js';
-import { endSocket } from './endSocket.js';
 import { encodeError, Severity } from './responses.js';
 import { reclaimSocket } from './reclaimSocket.js';
 import { CANCEL_REQUEST_CODE, ENCRYPTION_REQUEST_CODE } from './startupFrame.js';
@@ -27,6 +28,7 @@
   readonly access: CallerAccess;
   readonly cancelKeys: CancelKeys;
   readonly tls: CallerTls | undefined;
+  readonly timer: TimerService;
 }
 
 /** Handles one caller's TLS negotiation, start-up and authentication. */
@@ -58,7 +60,7 @@
   /** Sends the caller the reason for its refusal and ends its connection. */
   refuse(fault: Fault): void {
     this.detach(() => {
-      endSocket(this.socket, encodeError(fault, Severity.Fatal));
+      endSocket(this.socket, this.context.timer, encodeError(fault, Severity.Fatal));
       this.onRefused(fault);
     });
   }
--- a/src/daemon/gateway/callerWriter.ts
+++ b/src/daemon/gateway/callerWriter.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
+import { endSocket } from '../../common/sockets/index.js';
+import type { TimerService } from '../../common/timer/index.js';
 import { MessageBoundaryTracker } from './messageBoundaryTracker.js';
-import { endSocket } from './endSocket.js';
 
 const HIGH_WATER_BYTES = 262_144;
 
@@ -10,7 +11,10 @@
   private isReading = true;
   private isCorked = false;
 
-  constructor(private readonly socket: Socket) {}
+  constructor(
+    private readonly socket: Socket,
+    private readonly timer: TimerService,
+  ) {}
 
   /** Whether the write buffer exceeds its high-water mark: no further answer should start. */
   get isFull(): boolean {
@@ -47,7 +51,7 @@
    */
   end(bytes?: Uint8Array): void {
     if (this.isAtBoundary) {
-      endSocket(this.socket, bytes);
+      endSocket(this.socket, this.timer, bytes);
     } else {
       this.socket.destroy();
     }
