A control host that does not respond becomes no voter

Two of four control hosts were cut off at 2.4 s; the leader replaced one by the other, stepped down 0.65 s later, and nobody could be elected until the cut healed. Cause: a learner counted as caught up if the log has at most 64 entries and its last response is recent, and the time at which it was added counted as a response. So a learner that was never reached was promoted at once; with four voters, of which two were cut off, nothing commits. Red before: 'a learner that has not responded is not promoted, however short the log is'. Change: a learner has to respond since it was added or the leader was elected.

--- a/src/decisions/consensus/membershipRefusal.ts
+++ b/src/decisions/consensus/membershipRefusal.ts
@@ -42,7 +42,7 @@
   change: MembershipChange,
 ): boolean {
   const progress = replication.getProgress(change.member);
-  if (progress === undefined) {
+  if (progress?.hasResponded !== true) {
     return false;
   }
   const lag = core.log.lastIndex - progress.matchIndex;
--- a/src/decisions/consensus/progress.ts
+++ b/src/decisions/consensus/progress.ts
@@ -19,8 +19,9 @@
   acknowledgedRound = 0;
   /** Start, by the leader's clock, of the time in which the peer grants no vote to others. */
   leaseStartMs = Number.NEGATIVE_INFINITY;
-  /** Time at which the last response arrived. */
+  /** Time at which the last response arrived, or at which the peer was added. */
   lastResponseMs: number;
+  hasResponded = false;
   private isProbeInFlight = false;
   private snapshotIndex = 0;
   private snapshotSentMs = Number.NEGATIVE_INFINITY;
--- a/src/decisions/consensus/replication.ts
+++ b/src/decisions/consensus/replication.ts
@@ -74,6 +74,7 @@
     progress.leaseStartMs = Math.max(progress.leaseStartMs, leaseStartMs);
     progress.acknowledgedRound = Math.max(progress.acknowledgedRound, response.round);
     progress.lastResponseMs = core.nowMs;
+    progress.hasResponded = true;
     if (response.accepted) {
       progress.accept(response);
     } else {
--- a/src/decisions/consensus/scripted.test.ts
+++ b/src/decisions/consensus/scripted.test.ts
@@ -111,6 +111,28 @@
   expect(released).toMatchObject([{ message: { matchIndex: 2 } }, { message: { matchIndex: 9 } }]);
 });
 
+// Guards against a quorum that stands still because a voter was added that can't be reached.
+test('a learner that has not responded is not promoted, however short the log is', () => {
+  const leader = createLeader();
+  const learner = toMemberId('d');
+  const change = (kind: MembershipChangeKind) => {
+    const request = toRequestId(kind);
+    const outputs = leader.give({
+      kind: InputKind.ChangeMembership,
+      request,
+      change: { kind, member: learner },
+    });
+    return outputs.some((output) => output.kind === OutputKind.ProposalRefused);
+  };
+  leader.receive(createAppendResponse(b, a, { matchIndex: 1 }));
+  expect(change(MembershipChangeKind.AddLearner)).toBe(false);
+  leader.persist();
+  leader.receive(createAppendResponse(b, a, { matchIndex: 2 }));
+  expect(change(MembershipChangeKind.PromoteLearner)).toBe(true);
+  leader.receive(createAppendResponse(learner, a, { matchIndex: 1 }));
+  expect(change(MembershipChangeKind.PromoteLearner)).toBe(false);
+});
+
 test('membership changes are refused until the last one and an own-term entry are committed', () => {
   const leader = createLeader();
   const learner = toMemberId('d');
