A control host that fell silent with a member does not replace it

Found with: two control hosts cut off at the same moment were last seen 124 ms apart, and for that long the one counted as present, 2 s after the last renewal, while the other counted as lost, so that the leader planned to replace the one by the other. Red before: 'a host that has fallen silent with a member does not replace it' (1.7 s, 1.9 s, 1999 ms). Change: a host is admitted only if it was seen within the last second, four renewals; a member is still replaced after 2 s of silence.

--- a/src/decisions/control/members/memberPlan.test.ts
+++ b/src/decisions/control/members/memberPlan.test.ts
@@ -57,6 +57,20 @@
   expect(plan(initialMembers, observed)).toEqual([one.member, two.member, four.member]);
 });
 
+// Guards against a spare host that replaces a member although both were cut off at the same time.
+test('a host that has fallen silent with a member does not replace it', () => {
+  const silent = [1700, 1900, replaceAfterMs - 1, replaceAfterMs];
+  for (const spareMs of silent) {
+    const observed = [
+      observe(one),
+      observe(two),
+      observe(three, replaceAfterMs),
+      observe(four, spareMs),
+    ];
+    expect(plan(initialMembers, observed)).toBeUndefined();
+  }
+});
+
 test('a new leader replaces no member before all have had time to send a request', () => {
   const observed = [observe(one), observe(four)];
   expect(plan(initialMembers, observed, NOW_MS - replaceAfterMs + 1)).toBeUndefined();
--- a/src/decisions/control/members/memberPlan.ts
+++ b/src/decisions/control/members/memberPlan.ts
@@ -9,6 +9,12 @@
    * available.
    */
   readonly replaceAfterMs: number;
+  /**
+   * Time in milliseconds within which a host must have been seen to be admitted. It is shorter than
+   * `replaceAfterMs` by several renewals: hosts that fall silent together are not seen for the last
+   * time at the same moment, and none of them may replace another.
+   */
+  readonly admitWithinMs: number;
   /** Time in milliseconds after which an unresponsive member is removed without a replacement. */
   readonly removeAfterMs: number;
   /**
@@ -22,6 +28,7 @@
 export const DEFAULT_MEMBER_PLAN_SETTINGS: MemberPlanSettings = {
   maximumMembers: 9,
   replaceAfterMs: 2000,
+  admitWithinMs: 1000,
   removeAfterMs: 8000,
   minimumMembers: 3,
 };
@@ -76,7 +83,7 @@
 ): readonly ControlMember[] | undefined {
   const { present, nowMs, sinceMs } = input;
   const alive = input.observed.filter(
-    ({ lastSeenMs }) => nowMs - lastSeenMs < settings.replaceAfterMs,
+    ({ lastSeenMs }) => nowMs - lastSeenMs < settings.admitWithinMs,
   );
   const observedById = new Map(input.observed.map((each) => [each.member.member, each]));
   const getUnresponsiveMs = ({ member }: ControlMember): number =>
