A request that follows the answer to a cut statement is refused

Callers saw: a statement is cut at the end of a stop and answered; the next one, sent as soon as READY was read, gets neither an answer nor a refusal (LOST). Cause: the connection was ended together with the answer, and what came afterwards was read and dropped. Evidence: 'a request that follows the answer to a cut one is refused before the end', red before: the caller gets READY, sends, and is closed. Change: the session ends as idle ones do: a refusal that also answers a request on its way, refusals for later ones, and the close 300 ms later, within the 500 ms that a stop reserves for last answers.

--- a/src/daemon/sessions/sessionResponder.ts
+++ b/src/daemon/sessions/sessionResponder.ts
@@ -14,8 +14,6 @@
   abstract ready(status: TransactionStatus, position: SessionPosition | undefined): void;
   /** Pauses or resumes reading from the caller. */
   abstract setReading(reading: boolean): void;
-  /** Ends the session. */
-  abstract end(): void;
   /**
    * Ends a session that runs no statement, with a refusal. A statement still in transit is answered
    * by this refusal and is not run; later ones don't reach the session.
--- a/src/daemon/sessions/statementSession.ts
+++ b/src/daemon/sessions/statementSession.ts
@@ -150,7 +150,7 @@
 
   /**
    * Ends the session at once: answers the running statement with what is known of its outcome and
-   * refuses the waiting ones.
+   * refuses the waiting ones, and those that still come.
    */
   end(): void {
     if (this.ended) {
@@ -161,8 +161,7 @@
       this.responder.ready(TransactionStatus.Idle, undefined);
     }
     this.refuseWaiting();
-    this.responder.end();
-    this.close();
+    this.endIdle(createShuttingDownFault());
   }
 
   /** Ends a disconnected caller's session: abandons its statement, rolls back its transaction. */
--- a/tests/platform/stoppingCallers.test.ts
+++ b/tests/platform/stoppingCallers.test.ts
@@ -132,6 +132,23 @@
   expect(host.requests.passed).toHaveLength(1);
 });
 
+// Guards against a request without an answer or a refusal, sent right after the answer to a cut one (LOST).
+test('a request that follows the answer to a cut one is refused before the end', async () => {
+  host.requests.answersAtOnce = false;
+  const caller = await host.open();
+  caller.send('QUERY 1 PUT a b\r\n');
+  await host.until(() => host.requests.passed.length === 1);
+  host.front.drain();
+  host.front.close();
+  await host.until(() => caller.received.includes('READY'));
+  caller.send('QUERY 2 PUT a c\r\n');
+  await host.until(() => caller.hasEnded);
+  const [first = '', second = ''] = caller.received.split(/(?<=READY I -\r\n)/);
+  expect(first).toMatch(/^ERROR UNKNOWN FP3006[^\r]*\r\nREADY I -\r\n$/);
+  expect(second).toMatch(REFUSED);
+  expect(host.requests.passed).toHaveLength(1);
+});
+
 test('a request that lies unread when the time to leave is over is refused before the end', async () => {
   const caller = await host.open();
   host.front.drain();
