--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -37,6 +37,8 @@
     this.groups = [];
     this.timers = [];
     this.ids = { controls, entries };
+    /** Control hosts in the operator's list, of which settings name three; all if undefined. */
+    this.seedHosts = undefined;
   }
 
   record(text) {
@@ -133,7 +135,8 @@
   }
 
   formatSettings(daemon, data, isFirst) {
-    const seeds = this.controls.slice(0, 3).map(({ control }) => `"${control}"`);
+    const known = this.seedHosts ?? this.controls;
+    const seeds = known.slice(0, 3).map(({ control }) => `"${control}"`);
     const bounds = {
       ...{ contactMs: 4000, ackMs: 5000, drainMs: 7000, graceS: 6, configApplyMs: 3000 },
       ...{ revokeMs: 5000, evacuateMs: 5000, recoveryS: 12, fencing: true, ...this.bounds },
